--- /dev/null
+++ b/walkcart/bench/caller.py
@@ -0,0 +1,160 @@
+"""A caller: asks questions and checks each answer from its marked rows."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import trio
+
+from walkcart.kernel.settings import HostPort
+from walkcart.wire.http import ExchangeFailed, HttpConnection, HttpReply, HttpRequest
+from walkcart.wire.network import Network
+
+BODY_LIMIT = 8 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """How one request ended for its caller.
+
+    Args:
+        status: HTTP status; 0 when there was no reply.
+        elapsed: seconds.
+        content: the reply's JSON, None without one.
+        headers: of the reply.
+        sent: whether the request may have reached the instance.
+    """
+
+    status: int
+    elapsed: float
+    content: Any = None
+    headers: dict[bytes, bytes] = field(default_factory=dict)
+    sent: bool = True
+
+    @property
+    def verdict(self) -> str:
+        """The verdict in the reply; empty without a reply."""
+        return self.headers.get(b"walkcart-verdict", b"").decode()
+
+
+class Caller:
+    """Asks instances with one partner's credential, one request a connection use.
+
+    Args:
+        network: opens connections.
+        token: the partner's credential.
+    """
+
+    def __init__(self, network: Network, token: str) -> None:
+        self._network = network
+        self._token = token
+        self._idle: dict[HostPort, list[HttpConnection]] = {}
+
+    async def query(
+        self,
+        address: HostPort,
+        service: str,
+        query: Any,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> Asked:
+        """Ask a service all its shards."""
+        body = msgspec.json.encode({"query": query})
+        target = f"/v1/services/{service}/query"
+        return await self.request(address, "POST", target, body, headers)
+
+    async def execute(
+        self,
+        address: HostPort,
+        service: str,
+        command: Any,
+        key: str,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+        routing_key: str = "",
+    ) -> Asked:
+        """Send a non-repeatable request."""
+        body = msgspec.json.encode({"command": command, "routing_key": routing_key})
+        target = f"/v1/services/{service}/execute"
+        extra = ((b"idempotency-key", key.encode()), *headers)
+        return await self.request(address, "POST", target, body, extra)
+
+    async def request(
+        self,
+        address: HostPort,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> Asked:
+        """Send one request and read its reply."""
+        start = trio.current_time()
+        own = (
+            (b"authorization", f"Bearer {self._token}".encode()),
+            (b"content-type", b"application/json"),
+        )
+        try:
+            reply = await self._exchange(
+                address, HttpRequest(method, target, (*own, *headers), body)
+            )
+        except ExchangeFailed as error:
+            return Asked(0, trio.current_time() - start, sent=error.sent)
+        except OSError:
+            return Asked(0, trio.current_time() - start, sent=False)
+        content = msgspec.json.decode(reply.body) if reply.body else None
+        elapsed = trio.current_time() - start
+        return Asked(reply.status, elapsed, content, dict(reply.headers))
+
+    async def _exchange(self, address: HostPort, request: HttpRequest) -> HttpReply:
+        idle = self._idle.setdefault(address, [])
+        connection = idle.pop() if idle else None
+        if connection is None:
+            stream = await self._network.connect(address)
+            connection = HttpConnection(stream, str(address), BODY_LIMIT)
+        try:
+            reply = await connection.exchange(request)
+        except BaseException:
+            with trio.CancelScope(shield=True):
+                await connection.close()
+            raise
+        if connection.renew():
+            idle.append(connection)
+        else:
+            await connection.close()
+        return reply
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for idle in self._idle.values():
+            for connection in idle:
+                await connection.close()
+        self._idle.clear()
+
+
+def find_lies(asked: Asked, scope: str, query: Any) -> list[str]:
+    """Return the promises that an answer breaks, from its marked rows.
+
+    Args:
+        asked: the reply.
+        scope: the caller's.
+        query: what was asked.
+    """
+    if asked.status != 200 or "coverage" not in (asked.content or {}):
+        return []
+    content = asked.content
+    rows = content["answer"]["rows"]
+    lies = []
+    snapshots = {(row["layout"], row["version"]) for row in rows}
+    stated = (content["snapshot"]["layout"], content["snapshot"]["version"])
+    if snapshots - {stated}:
+        lies.append("mixed_versions")
+    coverage = content["coverage"]
+    claimed = sorted([*coverage["answered"], *coverage["partial"]])
+    if sorted(row["shard"] for row in rows) != claimed:
+        lies.append("wrong_coverage")
+    if any(row["scope"] != scope or row["query"] != query for row in rows):
+        lies.append("wrong_caller")
+    missing = [item["shard"] for item in coverage["missing"]]
+    if sorted([*claimed, *missing]) != list(range(coverage["asked"])):
+        lies.append("wrong_coverage")
+    return lies
--- /dev/null
+++ b/walkcart/bench/world.py
@@ -0,0 +1,346 @@
+"""A small world in one process: stand-ins and real instances.
+
+On a network in memory under a mocked clock it is fast and the same for the same
+seed; on TCP it is the main job of ``make run``.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import UTC, datetime, timedelta
+from hashlib import sha256
+from io import StringIO
+from random import Random
+from typing import Any
+
+import trio
+
+from walkcart.daemon.assembly import (
+    Instance,
+    Surroundings,
+    assemble_instance,
+    make_backoff,
+)
+from walkcart.intent.applying import Applier, Outcome, Proposal
+from walkcart.intent.diffing import merge_configurations
+from walkcart.intent.distribution import ConfigurationKeeper
+from walkcart.intent.loading import load_toml
+from walkcart.intent.model import Configuration
+from walkcart.kernel.clock import TrioClock
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.metrics import Metrics
+from walkcart.kernel.settings import HostPort, Settings
+from walkcart.kernel.spans import Tracer
+from walkcart.membership.listing import ROLE_INSTANCE, ROLE_LEAF, ListedInstance
+from walkcart.standins.leaf import LeafSpec, LeafStandin
+from walkcart.standins.listing import ListStandin
+from walkcart.standins.memory import MemoryNetwork
+from walkcart.standins.serving import StandinServer
+from walkcart.standins.store import StoreStandin
+from walkcart.store.budget import CallBudget
+from walkcart.store.client import StoreClient
+from walkcart.wire.network import Network, TcpNetwork
+from walkcart.wire.peers import NngTransport, PeerTransport
+
+EPOCH = datetime(2026, 1, 5, 7, 0, tzinfo=UTC)
+ANY_ADDRESS = HostPort("127.0.0.1", 0)
+PLATFORM_SITE = "platform"
+OPERATOR_TOKEN = "operators-token"
+
+
+@dataclass(slots=True)
+class RunningLeaf:
+    """A leaf stand-in and its server."""
+
+    leaf: LeafStandin
+    server: StandinServer
+    address: HostPort
+    site: str
+
+
+@dataclass(slots=True)
+class RunningInstance:
+    """A walkcart instance that runs in this process."""
+
+    name: str
+    instance: Instance
+    scope: trio.CancelScope
+    ended: trio.Event = field(default_factory=trio.Event)
+
+    def find(self, name: str, kind: type) -> Any:
+        """Return a service of the instance."""
+        return self.instance.kernel.find(name, kind)
+
+    @property
+    def address(self) -> HostPort:
+        """Address for callers."""
+        return self.instance.address
+
+
+class World:
+    """Stand-ins and instances.
+
+    Args:
+        nursery: where everything runs.
+        seed: decides all that is left to chance.
+        memory: the network in memory; None takes TCP.
+        changes: settings of every instance that differ from the defaults.
+        log: where the instances' events go; None drops them.
+    """
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        seed: int = 1,
+        memory: MemoryNetwork | None = None,
+        changes: dict[str, Any] | None = None,
+        log: Any = None,
+    ) -> None:
+        self._nursery = nursery
+        self.random = Random(seed)
+        self.memory = memory
+        self.clock = TrioClock(EPOCH if memory else None)
+        self.store = StoreStandin(Random(self.random.random()))
+        self.listing = ListStandin()
+        self.leaves: dict[str, RunningLeaf] = {}
+        self.instances: dict[str, RunningInstance] = {}
+        self._changes = changes or {}
+        self._log = log
+        self._store_address = ANY_ADDRESS
+        self._list_address = ANY_ADDRESS
+        self._proposals = 0
+        self._lives = 0
+
+    def network(self, site: str) -> Network:
+        """Return the network as seen from `site`."""
+        return self.memory.at(site) if self.memory else TcpNetwork()
+
+    def _transport(self, site: str) -> PeerTransport:
+        return self.memory.at(site).transport() if self.memory else NngTransport()
+
+    async def start_platform(self) -> None:
+        """Start the store and the instance list."""
+        network = self.network(PLATFORM_SITE)
+        store, listing = self.store.make_server(), self.listing.make_server()
+        self._store_address = await self._nursery.start(store.run, network, ANY_ADDRESS)
+        self._list_address = await self._nursery.start(
+            listing.run, network, ANY_ADDRESS
+        )
+
+    async def start_leaf(
+        self,
+        spec: LeafSpec,
+        site: str,
+        versions: tuple[int, ...] = (1,),
+        address: HostPort = ANY_ADDRESS,
+        incarnation: int = 1,
+    ) -> RunningLeaf:
+        """Start a leaf and list it."""
+        chance = Random(self.random.random())
+        leaf = LeafStandin(spec, chance, versions, incarnation)
+        server = leaf.make_server()
+        taken = await self._nursery.start(server.run, self.network(site), address)
+        running = RunningLeaf(leaf, server, taken, site)
+        self.leaves[spec.name] = running
+        self.listing.put(
+            ListedInstance(
+                spec.name,
+                ROLE_LEAF,
+                str(taken),
+                incarnation=incarnation,
+                labels=spec.all_labels(),
+            )
+        )
+        return running
+
+    async def start_group(
+        self,
+        name: str,
+        shards: int,
+        replicas: int,
+        sites: list[tuple[str, str]],
+        layout: int = 1,
+        versions: tuple[int, ...] = (1,),
+        **details: Any,
+    ) -> list[RunningLeaf]:
+        """Start the leaves of a group, replicas spread over (region, site) pairs."""
+        started = []
+        for shard in range(shards):
+            for replica in range(replicas):
+                region, site = sites[(shard + replica) % len(sites)]
+                labels = {"region": region, "data-centre": site}
+                spec = LeafSpec(
+                    f"{name}-l{layout}-{shard}-{replica}",
+                    name,
+                    shard,
+                    layout,
+                    labels=labels,
+                    **details,
+                )
+                started.append(await self.start_leaf(spec, site, versions))
+        return started
+
+    def kill_leaf(self, name: str, listed: bool = True) -> None:
+        """End a leaf at once; unless `listed`, the list drops it."""
+        self.leaves[name].server.stop()
+        if not listed:
+            self.listing.remove(name)
+
+    async def restart_leaf(self, name: str) -> RunningLeaf:
+        """Start a leaf again at the same address, as a later life."""
+        old = self.leaves[name]
+        return await self.start_leaf(
+            old.leaf.spec,
+            old.site,
+            old.leaf.versions,
+            old.address,
+            old.leaf.incarnation + 1,
+        )
+
+    async def start_instance(
+        self, name: str, region: str = "local", site: str = "local", **changes: Any
+    ) -> RunningInstance:
+        """Start a walkcart instance and list it."""
+        self._lives += 1
+        values = {
+            "instance": name,
+            "region": region,
+            "data_centre": site,
+            "listen": ANY_ADDRESS,
+            "peer_listen": ANY_ADDRESS,
+            "store": self._store_address,
+            "instance_list": self._list_address,
+            "operator_token": OPERATOR_TOKEN,
+            "fatal_invariants": True,
+            **self._changes,
+            **changes,
+        }
+        around = Surroundings(
+            self.network(site),
+            self._transport(site),
+            self.clock,
+            Random(self.random.random()),
+            self._log or StringIO(),
+        )
+        instance = await assemble_instance(Settings(**values), around)
+        running = RunningInstance(name, instance, trio.CancelScope())
+        self.instances[name] = running
+        self.listing.put(
+            ListedInstance(
+                name,
+                ROLE_INSTANCE,
+                str(instance.address),
+                str(instance.peer_address),
+                labels={"region": region, "data-centre": site},
+            )
+        )
+        await self._nursery.start(self._run_instance, running)
+        return running
+
+    async def _run_instance(
+        self, running: RunningInstance, *, task_status: trio.TaskStatus[None]
+    ) -> None:
+        with running.scope:
+            await running.instance.kernel.run(task_status=task_status)
+        running.ended.set()
+
+    async def kill_instance(self, name: str, listed: bool = False) -> None:
+        """End an instance at once; unless `listed`, the list drops it."""
+        running = self.instances.pop(name)
+        running.scope.cancel()
+        await running.ended.wait()
+        if not listed:
+            self.listing.remove(name)
+
+    async def stop_instance(self, name: str) -> bool:
+        """Stop an instance as SIGTERM does; return whether nothing was cut."""
+        running = self.instances[name]
+        ended = await running.instance.stop.stop()
+        self.instances.pop(name, None)
+        running.scope.cancel()
+        await running.ended.wait()
+        self.listing.remove(name)
+        return ended
+
+    def make_store_client(self, site: str = PLATFORM_SITE) -> StoreClient:
+        """Return a client of the store, as the operators' tool has."""
+        events = EventLog("operator", self.clock, StringIO())
+        return StoreClient(
+            self._store_address,
+            self.network(site),
+            self.clock,
+            CallBudget(100, 100, self.clock),
+            events,
+            Metrics(None, "operator"),
+            Tracer("operator", "none", 0.0),
+        )
+
+    async def apply(
+        self,
+        text: str | None = None,
+        edit: Callable[[Configuration], Configuration] | None = None,
+        author: str = "operator",
+        patience: float = 10.0,
+    ) -> Outcome:
+        """Apply a TOML text or an edit, as the operators' tool does."""
+        if text is not None:
+            loaded = load_toml(text)
+            assert not loaded.faults, loaded.faults
+
+            def edit(base: Configuration) -> Configuration:
+                return merge_configurations(base, loaded.configuration, prune=False)
+
+        assert edit is not None
+        self._proposals += 1
+        applier = Applier(
+            self.make_store_client(),
+            self.clock,
+            make_backoff(Random(self.random.random())),
+            timedelta(seconds=patience),
+        )
+        proposal = Proposal(f"change-{self._proposals}", author, edit, True)
+        return await applier.apply(proposal)
+
+    async def wait_in_force(self, revision: int, limit: float = 30.0) -> float:
+        """Wait until every instance has `revision`; return the seconds it took."""
+        start = trio.current_time()
+        with trio.fail_after(limit):
+            while any(
+                item.find("keeper", ConfigurationKeeper).document.revision < revision
+                for item in self.instances.values()
+            ):
+                await trio.sleep(0.01)
+        return trio.current_time() - start
+
+
+def make_partner(name: str, token: str, scope: str | None = None) -> str:
+    """Return the TOML of a partner with a bearer token."""
+    digest = sha256(token.encode()).hexdigest()
+    return (
+        f'[[partner]]\nname = "{name}"\ncredential_sha256 = "{digest}"\n'
+        f'scope = "{scope or name}"\n'
+    )
+
+
+def make_service(
+    name: str,
+    shards: int,
+    writes: bool = False,
+    layouts: tuple[tuple[int, int], ...] = (),
+    **details: Any,
+) -> str:
+    """Return the TOML of a service over a group of its own name."""
+    rows = layouts or ((1, shards),)
+    lines = [f'[[shard_group]]\nname = "{name}"']
+    lines += [f"{key} = {value}" for key, value in details.items()]
+    for epoch, count in rows:
+        lines.append(
+            f"[[shard_group.layouts]]\nepoch = {epoch}\nshards = {count}\n"
+            f'selector = "group={name},layout={epoch}"'
+        )
+    lines.append(
+        f'[[service]]\nname = "{name}"\nshard_group = "{name}"\n'
+        f"writes = {str(writes).lower()}\n"
+    )
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/walkcart/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' tool, ``walkcart``."""
--- /dev/null
+++ b/walkcart/daemon/assembly.py
@@ -0,0 +1,334 @@
+"""Puts the services of an instance together.
+
+The order in which they are added is the start order: what is lower down uses
+what is above it. Everything that touches the outside (network, peer transport,
+clock, source of chance) is passed in, so tests and long runs put in their own.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+from typing import TextIO
+
+import trio
+
+from walkcart.entry.admissions import Admissions
+from walkcart.entry.app import EntryService
+from walkcart.entry.credentials import Authenticator
+from walkcart.entry.executions import ExecuteHandler
+from walkcart.entry.operators import OperatorDesk
+from walkcart.entry.queries import CallerTools, QueryHandler
+from walkcart.entry.stopping import PlannedStop
+from walkcart.fanout.gatherer import Gatherer
+from walkcart.fanout.gathering import GatherTools
+from walkcart.fanout.ids import IdSource
+from walkcart.fanout.selection import LeafSelector
+from walkcart.fanout.single import SingleSender
+from walkcart.intent.distribution import ConfigurationKeeper
+from walkcart.kernel.clock import Clock
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.invariants import Invariants
+from walkcart.kernel.metrics import Metrics
+from walkcart.kernel.registry import Kernel
+from walkcart.kernel.settings import HostPort, Settings
+from walkcart.kernel.spans import Tracer
+from walkcart.leaves.forwarding import Forwarder
+from walkcart.leaves.gateway import LeafGateway
+from walkcart.leaves.table import LeafTable
+from walkcart.membership.detector import Detector
+from walkcart.membership.gossip import GossipQueue
+from walkcart.membership.links import PeerLinks
+from walkcart.membership.listing import InstanceList
+from walkcart.membership.marks import LeafMarks
+from walkcart.membership.view import MembershipView, MemberState
+from walkcart.once.claimant import Claimant
+from walkcart.once.owner import BucketOwners, OwnerTools
+from walkcart.routing.replicas import ReplicaChooser
+from walkcart.store.backoff import Backoff
+from walkcart.store.budget import CallBudget
+from walkcart.store.client import StoreClient
+from walkcart.wire.messages import MemberRecord
+from walkcart.wire.network import Network
+from walkcart.wire.peers import PeerListener, PeerTransport
+
+#: Calls a second that one instance may make to the store, and its burst. Seven
+#: instances at this rate stay under half of what the service takes.
+STORE_RATE = 100.0
+STORE_BURST = 200.0
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What an instance runs on."""
+
+    network: Network
+    transport: PeerTransport
+    clock: Clock
+    random: Random
+    log: TextIO | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Instance:
+    """An instance, put together but not running.
+
+    Args:
+        kernel: its services; run it to run the instance.
+        stop: ends it without cutting a request.
+        address: where callers reach it.
+        peer_address: where peers reach it.
+    """
+
+    kernel: Kernel
+    stop: PlannedStop
+    address: HostPort
+    peer_address: HostPort
+
+
+async def assemble_instance(settings: Settings, around: Surroundings) -> Instance:
+    """Take the addresses and put the services together.
+
+    Raises:
+        OSError: an address can't be had.
+    """
+    network = around.network
+    listener = await network.listen(settings.listen)
+    address = HostPort(settings.listen.host, network.port_of(listener))
+    try:
+        peers = await around.transport.listen(settings.peer_listen)
+    except OSError:
+        await trio.aclose_forcefully(listener)
+        raise
+    kernel = Kernel()
+    _add_base(kernel, settings, around)
+    _add_membership(kernel, settings, around, peers, address)
+    _add_intent(kernel, around)
+    _add_leaves(kernel, around)
+    _add_once(kernel, around)
+    _add_entry(kernel, settings, around, listener)
+    stop = _make_stop(kernel, settings, around)
+    return Instance(kernel, stop, address, peers.address)
+
+
+def _add_base(kernel: Kernel, settings: Settings, around: Surroundings) -> None:
+    clock = around.clock
+    events = EventLog(settings.instance, clock, around.log, settings.log_level)
+    metrics = Metrics(settings.statsd, settings.instance)
+    tracer = Tracer(settings.instance, settings.span_output, settings.span_ratio)
+    budget = CallBudget(STORE_RATE, STORE_BURST, clock)
+    kernel.add("events", events)
+    kernel.add("metrics", metrics)
+    kernel.add("tracer", tracer)
+    kernel.add("invariants", Invariants(events, metrics, settings.fatal_invariants))
+    store = StoreClient(
+        settings.store, around.network, clock, budget, events, metrics, tracer
+    )
+    kernel.add("store", store)
+
+
+def _add_membership(
+    kernel: Kernel,
+    settings: Settings,
+    around: Surroundings,
+    peers: PeerListener,
+    address: HostPort,
+) -> None:
+    events = kernel.find("events", EventLog)
+    metrics = kernel.find("metrics", Metrics)
+    own = MemberRecord(
+        name=settings.instance,
+        incarnation=int(around.clock.now().timestamp() * 1000),
+        counter=0,
+        state=int(MemberState.LIVE),
+        peer_address=str(peers.address),
+        address=str(address),
+        data_centre=settings.data_centre,
+        region=settings.region,
+        revision=0,
+    )
+    view = MembershipView(own)
+    marks = LeafMarks()
+    gossip = GossipQueue(view, marks)
+    links = PeerLinks(peers, around.transport, view, events, metrics)
+    detector = Detector(
+        view,
+        marks,
+        gossip,
+        links,
+        around.clock,
+        around.random,
+        events,
+        metrics,
+        settings.heartbeat_interval,
+    )
+    listing = InstanceList(
+        settings.instance_list,
+        around.network,
+        view,
+        marks,
+        events,
+        around.random,
+        settings.list_interval,
+    )
+    kernel.add("view", view)
+    kernel.add("marks", marks)
+    kernel.add("links", links)
+    kernel.add("detector", detector)
+    kernel.add("listing", listing)
+
+
+def _add_intent(kernel: Kernel, around: Surroundings) -> None:
+    detector = kernel.find("detector", Detector)
+    keeper = ConfigurationKeeper(
+        kernel.find("store", StoreClient),
+        kernel.find("view", MembershipView),
+        kernel.find("links", PeerLinks),
+        around.clock,
+        make_backoff(around.random),
+        kernel.find("events", EventLog),
+        kernel.find("metrics", Metrics),
+        kernel.find("invariants", Invariants),
+    )
+    keeper.on_change(lambda document: detector.push_soon())
+    kernel.add("keeper", keeper)
+
+
+def make_backoff(random: Random) -> Backoff:
+    """Return the back-off for the store: 0.1 s growing to 2 s."""
+    return Backoff(timedelta(seconds=0.1), timedelta(seconds=2), random)
+
+
+def _add_leaves(kernel: Kernel, around: Surroundings) -> None:
+    events = kernel.find("events", EventLog)
+    metrics = kernel.find("metrics", Metrics)
+    view = kernel.find("view", MembershipView)
+    links = kernel.find("links", PeerLinks)
+    table = LeafTable()
+    listing = kernel.find("listing", InstanceList)
+    listing.on_change(table.set_listed)
+    gateway: LeafGateway | None = None
+
+    def note_word(leaf, word) -> None:
+        assert gateway is not None
+        gateway.note_word(leaf, word)
+
+    forwarder = Forwarder(links, view, around.clock, note_word)
+    gateway = LeafGateway(
+        table,
+        kernel.find("marks", LeafMarks),
+        view,
+        forwarder,
+        around.network,
+        around.clock,
+        events,
+        metrics,
+        kernel.find("tracer", Tracer),
+    )
+    kernel.add("table", table)
+    kernel.add("forwarder", forwarder)
+    kernel.add("gateway", gateway)
+    own = view.own
+    tools = GatherTools(
+        table,
+        gateway,
+        LeafSelector(gateway, ReplicaChooser(around.random)),
+        IdSource(own.name, own.incarnation),
+        around.clock,
+        kernel.find("invariants", Invariants),
+        metrics,
+    )
+    gatherer = Gatherer(tools)
+    kernel.add("gatherer", gatherer)
+    kernel.add("sender", SingleSender(tools, gatherer))
+    keeper = kernel.find("keeper", ConfigurationKeeper)
+
+    def use_groups() -> None:
+        for group in keeper.document.configuration.shard_groups:
+            gateway.use_group(table.find_group(keeper.document, group.name))
+
+    keeper.on_change(lambda document: use_groups())
+    listing.on_change(lambda leaves: use_groups())
+
+
+def _add_once(kernel: Kernel, around: Surroundings) -> None:
+    tools = OwnerTools(
+        kernel.find("store", StoreClient),
+        around.clock,
+        around.random,
+        kernel.find("events", EventLog),
+        kernel.find("metrics", Metrics),
+    )
+    owners = BucketOwners(tools)
+    claimant = Claimant(
+        kernel.find("view", MembershipView),
+        kernel.find("links", PeerLinks),
+        owners,
+        around.clock,
+    )
+    kernel.add("owners", owners)
+    kernel.add("claimant", claimant)
+
+
+def _add_entry(
+    kernel: Kernel,
+    settings: Settings,
+    around: Surroundings,
+    listener: trio.abc.Listener[trio.abc.Stream],
+) -> None:
+    keeper = kernel.find("keeper", ConfigurationKeeper)
+    events = kernel.find("events", EventLog)
+    metrics = kernel.find("metrics", Metrics)
+    table = kernel.find("table", LeafTable)
+    gatherer = kernel.find("gatherer", Gatherer)
+    admissions = Admissions(around.clock)
+    tools = CallerTools(
+        keeper,
+        table,
+        Authenticator(),
+        admissions,
+        around.clock,
+        events,
+        metrics,
+        kernel.find("tracer", Tracer),
+    )
+    executions = ExecuteHandler(
+        tools, kernel.find("claimant", Claimant), kernel.find("sender", SingleSender)
+    )
+    desk = OperatorDesk(
+        keeper,
+        kernel.find("view", MembershipView),
+        table,
+        kernel.find("gateway", LeafGateway),
+        gatherer,
+        admissions,
+        around.clock,
+        events,
+        metrics,
+    )
+    entry = EntryService(
+        listener,
+        QueryHandler(tools, gatherer),
+        executions,
+        desk,
+        keeper,
+        settings.operator_token,
+        events,
+        metrics,
+    )
+    kernel.add("entry", entry)
+
+
+def _make_stop(kernel: Kernel, settings: Settings, around: Surroundings) -> PlannedStop:
+    return PlannedStop(
+        kernel.find("entry", EntryService),
+        kernel.find("view", MembershipView),
+        kernel.find("detector", Detector),
+        kernel.find("forwarder", Forwarder),
+        kernel.find("owners", BucketOwners),
+        around.clock,
+        kernel.find("events", EventLog),
+        settings.stop_grace,
+        settings.stop_bound,
+    )
--- /dev/null
+++ b/walkcart/daemon/main.py
@@ -0,0 +1,103 @@
+"""The program ``walkcartd``."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from collections.abc import Sequence
+from random import Random
+
+import trio
+
+from walkcart.daemon.assembly import Instance, Surroundings, assemble_instance
+from walkcart.kernel.clock import TrioClock
+from walkcart.kernel.settings import Loaded, Settings, describe_settings, load_settings
+from walkcart.wire.network import TcpNetwork
+from walkcart.wire.peers import NngTransport
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+CHECK_FLAG = "--check-settings"
+HELP_FLAGS = ("--help", "-h")
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run the daemon and exit the process."""
+    words = list(sys.argv[1:] if arguments is None else arguments)
+    sys.exit(run_daemon(words, os.environ))
+
+
+def run_daemon(words: list[str], environment) -> int:
+    """Run the daemon.
+
+    Returns:
+        0 after a planned stop, 1 when it can't run, 2 for settings that can't be
+        taken.
+    """
+    if any(flag in words for flag in HELP_FLAGS):
+        _print_help()
+        return EXIT_OK
+    check = CHECK_FLAG in words
+    loaded = load_settings([word for word in words if word != CHECK_FLAG], environment)
+    for fault in loaded.faults:
+        print(f"walkcartd: {fault}", file=sys.stderr)
+    if loaded.faults:
+        return EXIT_USAGE
+    if check:
+        _print_settings(loaded)
+        return EXIT_OK
+    return trio.run(_run_instance, loaded.settings)
+
+
+def _print_settings(loaded: Loaded) -> None:
+    for name, value, source in describe_settings(loaded):
+        print(f"{name:20} {value:24} {source}")
+
+
+def _print_help() -> None:
+    from dataclasses import fields
+
+    from walkcart.kernel.settings import ENVIRONMENT_PREFIX, flag_of
+
+    print("usage: walkcartd [--check-settings] [--FLAG VALUE ...]\n")
+    for item in fields(Settings):
+        variable = ENVIRONMENT_PREFIX + item.name.upper()
+        print(f"{flag_of(item.name)}, {variable}")
+        print(f"    {item.metadata['help']} Default: {item.metadata['default']!r}.")
+
+
+async def _run_instance(settings: Settings) -> int:
+    around = Surroundings(TcpNetwork(), NngTransport(), TrioClock(), Random())
+    try:
+        instance = await assemble_instance(settings, around)
+    except OSError as error:
+        print(f"walkcartd: an address can't be had: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    return await run_until_signal(instance)
+
+
+async def run_until_signal(instance: Instance) -> int:
+    """Run `instance` until a signal; a second signal ends its stop sooner."""
+    ended = True
+    signals = (signal.SIGTERM, signal.SIGINT)
+    with trio.open_signal_receiver(*signals) as received:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(instance.kernel.run)
+            await received.__anext__()
+            async with trio.open_nursery() as stopping:
+                stopping.start_soon(_cancel_on_signal, received, stopping.cancel_scope)
+                ended = await instance.stop.stop()
+                stopping.cancel_scope.cancel()
+            nursery.cancel_scope.cancel()
+    return EXIT_OK if ended else EXIT_FAILED
+
+
+async def _cancel_on_signal(received, scope: trio.CancelScope) -> None:
+    await received.__anext__()
+    scope.cancel()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/walkcart/entry/app.py
@@ -0,0 +1,162 @@
+"""The entry service: listens for callers and operators and routes to handlers."""
+
+from __future__ import annotations
+
+import re
+
+import trio
+
+from walkcart.entry.credentials import check_operator
+from walkcart.entry.executions import ExecuteHandler
+from walkcart.entry.operators import OperatorDesk
+from walkcart.entry.queries import QueryHandler
+from walkcart.entry.replies import render_json, render_verdict
+from walkcart.entry.requests import BadRequest
+from walkcart.intent.distribution import ConfigurationKeeper
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
+from walkcart.kernel.invariants import InvariantBroken
+from walkcart.kernel.metrics import Metrics
+from walkcart.wire.http import HttpReply, HttpRequest
+from walkcart.wire.server import Fault, HttpServer, ServerLimits
+from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
+
+_SERVICE_PATH = re.compile(r"/v1/services/([^/?]+)/(query|execute|explain)")
+
+#: The statuses of bytes that are no request, told as problem details too.
+FAULT_DETAILS = {
+    Fault.MALFORMED: "the bytes are no HTTP/1.1 request",
+    Fault.TIMEOUT: "the request wasn't whole in time",
+    Fault.BODY_TOO_LONG: "the body is too long",
+    Fault.HEADERS_TOO_LONG: "the headers are too long",
+}
+
+
+class EntryService:
+    """Serves callers and operators at one address.
+
+    Args:
+        listener: where they come in.
+        queries: handles queries.
+        executions: handles non-repeatable requests.
+        desk: answers operators.
+        keeper: tells whether there is a configuration.
+        operator_token: the operators' credential.
+        events: where bad requests are logged.
+        metrics: where refusals are counted.
+        limits: what a client may ask of a connection.
+    """
+
+    def __init__(
+        self,
+        listener: trio.abc.Listener[trio.abc.Stream],
+        queries: QueryHandler,
+        executions: ExecuteHandler,
+        desk: OperatorDesk,
+        keeper: ConfigurationKeeper,
+        operator_token: str,
+        events: EventLog,
+        metrics: Metrics,
+        limits: ServerLimits | None = None,
+    ) -> None:
+        self._listener = listener
+        self._queries = queries
+        self._executions = executions
+        self._desk = desk
+        self._keeper = keeper
+        self._operator_token = operator_token
+        self._events = events
+        self._metrics = metrics
+        self._accepting = trio.CancelScope()
+        self.ready = False
+        self.server = HttpServer(
+            self._handle, limits or ServerLimits(), self._tell_fault, self._note_gone
+        )
+
+    async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
+        """Serve until cancelled."""
+        async with trio.open_nursery() as connections:
+            self.ready = True
+            self._events.emit(Events.STARTED)
+            task_status.started()
+            with self._accepting:
+                await trio.serve_listeners(
+                    self.server.serve, [self._listener], handler_nursery=connections
+                )
+            await trio.sleep_forever()
+
+    async def stop_accepting(self) -> None:
+        """Close the listener; open connections stay."""
+        self._accepting.cancel()
+        await trio.aclose_forcefully(self._listener)
+
+    def _note_gone(self) -> None:
+        self._events.emit(Events.CALLER_GONE)
+
+    def _tell_fault(self, fault: Fault) -> HttpReply:
+        self._events.emit(Events.REQUEST_BAD, detail=FAULT_DETAILS[fault])
+        problem = render_verdict(NotRun(Reason.BAD_REQUEST, FAULT_DETAILS[fault]))
+        return HttpReply(fault.value, problem.headers, problem.body)
+
+    async def _handle(self, request: HttpRequest) -> HttpReply:
+        try:
+            return await self._route(request)
+        except BadRequest as error:
+            return self._refuse(error.verdict)
+        except Exception as error:  # the caller gets an answer, not a traceback
+            self._events.emit(Events.REQUEST_FAILED, detail=repr(error)[:500])
+            if isinstance(error, InvariantBroken):
+                raise
+            return render_verdict(MayHaveRun(Reason.INTERNAL, "a fault of walkcart"))
+
+    def _refuse(self, verdict: NotRun) -> HttpReply:
+        self._metrics.count("query.refused")
+        self._events.emit(
+            Events.REQUEST_BAD, reason=verdict.reason.value, detail=verdict.detail
+        )
+        return render_verdict(verdict)
+
+    async def _route(self, request: HttpRequest) -> HttpReply:
+        path = request.target.partition("?")[0]
+        if path == "/healthz":
+            return render_json({"healthy": True})
+        if path == "/readyz":
+            return self._tell_readiness()
+        if path == "/v1/status":
+            self._expect(request, "GET")
+            check_operator(request, self._operator_token)
+            return render_json(self._desk.describe_status())
+        found = _SERVICE_PATH.fullmatch(path)
+        if found is None:
+            raise BadRequest(NotRun(Reason.UNKNOWN_SERVICE, "no such path"))
+        return await self._route_service(request, found[1], found[2])
+
+    async def _route_service(
+        self, request: HttpRequest, name: str, action: str
+    ) -> HttpReply:
+        match action:
+            case "query":
+                self._expect(request, "POST")
+                return await self._queries.handle(request, name)
+            case "execute":
+                self._expect(request, "POST")
+                return await self._executions.handle(request, name)
+            case _:
+                self._expect(request, "GET")
+                check_operator(request, self._operator_token)
+                return render_json(self._desk.explain_service(name))
+
+    def _expect(self, request: HttpRequest, method: str) -> None:
+        if request.method != method:
+            raise BadRequest(NotRun(Reason.BAD_REQUEST, f"expected {method}"))
+
+    def _tell_readiness(self) -> HttpReply:
+        reasons = []
+        if not self.ready:
+            reasons.append("stopping")
+        if self._keeper.document.revision == 0:
+            reasons.append("no_configuration")
+        if self._keeper.is_cut():
+            reasons.append("control_cut")
+        content = {"ready": not reasons, "reasons": reasons}
+        return render_json(content, 503 if reasons else 200)
--- /dev/null
+++ b/walkcart/fanout/gatherer.py
@@ -0,0 +1,100 @@
+"""Answers to questions: the choice of the snapshot, the fan-out, the judgement.
+
+See Also:
+    `walkcart.fanout.gathering.Gathering`, which asks at one snapshot.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from returns.result import Failure, Result, Success
+
+from walkcart.fanout.answers import Answer
+from walkcart.fanout.gathering import Gathering, GatherTools
+from walkcart.fanout.pinning import SnapshotPins
+from walkcart.fanout.questions import Question
+from walkcart.leaves.leaf import Snapshot
+from walkcart.leaves.table import ResolvedLayout
+from walkcart.routing.budgets import ShareBudget
+from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
+
+
+class Gatherer:
+    """Answers questions.
+
+    Args:
+        tools: what every gathering uses.
+    """
+
+    def __init__(self, tools: GatherTools) -> None:
+        self._tools = tools
+        self._pins = SnapshotPins(tools.table, tools.gateway)
+        self._hedges: dict[str, ShareBudget] = {}
+        self._retries: dict[str, ShareBudget] = {}
+
+    async def ask(self, question: Question) -> Result[Answer, NotRun | MayHaveRun]:
+        """Ask all shards.
+
+        Returns:
+            The answer, or why there is none; an answer may be partial, but never
+            below the question's least coverage.
+        """
+        pin, layout = self.choose(question)
+        hedges = self._hedges.setdefault(question.group, ShareBudget())
+        retries = self._retries.setdefault(question.group, ShareBudget())
+        gathering = Gathering(self._tools, question, layout, pin, hedges, retries)
+        answer = await gathering.run()
+        if gathering.lacks_version and self._may_move(question):
+            newer, layout = self.choose(question)
+            if newer != pin:
+                moved = gathering.move(layout, newer)
+                answer = _take_better(answer, await moved.run())
+        self._check(answer)
+        return _judge(question, answer)
+
+    def choose(self, question: Question) -> tuple[Snapshot, ResolvedLayout]:
+        """Return the snapshot and layout that a question would use now."""
+        resolved = self._tools.table.find_group(question.document, question.group)
+        self._tools.gateway.use_group(resolved)
+        layout, pin = self._pins.choose(resolved)
+        return pin, layout
+
+    def _may_move(self, question: Question) -> bool:
+        """Return whether there is time to ask all shards once more."""
+        now = self._tools.clock.monotonic()
+        usual = self._tools.gateway.delay_of(question.group).median(now)
+        return question.deadline - now > usual
+
+    def _check(self, answer: Answer) -> None:
+        """Assert the promises that every answer must keep."""
+        check = self._tools.invariants.check
+        shards = [shard for shard, _ in answer.replies]
+        coverage = answer.coverage
+        claimed = set(coverage.answered) | set(coverage.partial)
+        total = len(claimed) + len(coverage.missing)
+        check(len(set(shards)) == len(shards), "one reply for each shard", str(shards))
+        check(claimed == set(shards), "coverage states what the answer holds")
+        check(total == coverage.asked, "every shard is answered or missing")
+
+
+def _take_better(first: Answer, second: Answer) -> Answer:
+    """Return the answer that covers more; of equals the newer."""
+    chosen = second if second.coverage.share >= first.coverage.share else first
+    return replace(chosen, sent=first.sent + second.sent)
+
+
+def _judge(question: Question, answer: Answer) -> Result[Answer, NotRun | MayHaveRun]:
+    """Return the answer if it covers enough."""
+    coverage = answer.coverage
+    if coverage.answered and coverage.share >= question.least_coverage - 1e-9:
+        return Success(answer)
+    reasons = sorted({item.reason.value for item in coverage.missing})
+    detail = (
+        f"{len(coverage.answered)} of {coverage.asked} shards answered; "
+        f"missing: {', '.join(reasons)}"
+    )
+    # Asking again does no harm, but leaves were asked: "not run" would be untrue.
+    if answer.sent:
+        return Failure(MayHaveRun(Reason.COVERAGE, detail))
+    return Failure(NotRun(Reason.COVERAGE, detail))
--- /dev/null
+++ b/walkcart/fanout/gathering.py
@@ -0,0 +1,360 @@
+"""One question at one snapshot: attempts, retries, hedges and their replies.
+
+The caller's own task runs it. Attempts are carried by the connections' tasks,
+which put outcomes into the question's inbox; here they are taken in turn, so
+there is no task for each shard.
+
+Rules that keep the answer honest:
+
+* only replies that state the chosen snapshot are accepted, one for each shard;
+* coverage is computed from the accepted replies;
+* a shard without a reply is missing, with the reason.
+
+See Also:
+    `walkcart.leaves.gateway.LeafGateway`, which carries the attempts.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+import trio
+
+from walkcart.fanout.answers import Answer, Coverage, MissingShard
+from walkcart.fanout.ids import IdSource
+from walkcart.fanout.progress import Sent, ShardProgress
+from walkcart.fanout.questions import Question
+from walkcart.fanout.selection import LeafSelector
+from walkcart.kernel.clock import Clock
+from walkcart.kernel.invariants import Invariants
+from walkcart.kernel.metrics import Metrics
+from walkcart.leaves.attempts import Attempt, Failed, Outcome, Refused, Replied
+from walkcart.leaves.gateway import LeafGateway
+from walkcart.leaves.leaf import ANY_VERSION, Leaf, Snapshot
+from walkcart.leaves.protocol import fits_pin
+from walkcart.leaves.table import LeafTable, ResolvedLayout
+from walkcart.routing.budgets import ShareBudget
+from walkcart.routing.hedging import may_hedge
+from walkcart.wire.verdicts import NotRun, Reason
+
+MOST_TRIES = 5
+FIRST_RETRY_DELAY = 0.01
+#: Time kept back from the deadline to put the reply together, in seconds.
+REPLY_TIME = 0.005
+
+
+@dataclass(frozen=True, slots=True)
+class GatherTools:
+    """What every gathering of an instance uses."""
+
+    table: LeafTable
+    gateway: LeafGateway
+    selector: LeafSelector
+    ids: IdSource
+    clock: Clock
+    invariants: Invariants
+    metrics: Metrics
+
+
+class Gathering:
+    """One question at one snapshot."""
+
+    def __init__(
+        self,
+        tools: GatherTools,
+        question: Question,
+        layout: ResolvedLayout,
+        pin: Snapshot,
+        hedges: ShareBudget,
+        retries: ShareBudget,
+    ) -> None:
+        self._tools = tools
+        self._question = question
+        self._layout = layout
+        self._pin = pin
+        self._hedges = hedges
+        self._retries = retries
+        self._inbox: deque[tuple[Attempt, Outcome]] = deque()
+        self._wakeup = trio.Event()
+        self._progress = [
+            ShardProgress(shard, leaves) for shard, leaves in enumerate(layout.shards)
+        ]
+        self._others: dict[Snapshot, dict[int, Replied]] = {}
+        self._open = len(self._progress)
+        self._sent = 0
+        self._closed = False
+        self._deadline = question.deadline - REPLY_TIME
+        self._hedge_at = float("inf")
+        self._partial_at = float("inf")
+
+    @property
+    def lacks_version(self) -> bool:
+        """Whether some shard has no leaf that holds the pinned version."""
+        return any(item.lacks_version for item in self._progress)
+
+    def move(self, layout: ResolvedLayout, pin: Snapshot) -> Gathering:
+        """Return the gathering of the same question at another snapshot.
+
+        Replies of that snapshot which came in already are kept.
+        """
+        moved = Gathering(
+            self._tools, self._question, layout, pin, self._hedges, self._retries
+        )
+        kept = dict(self._others.get(pin, {}))
+        if pin.layout == layout.epoch == self._pin.layout:
+            for shard, reply in kept.items():
+                moved._progress[shard].reply = reply
+                moved._open -= 1
+        return moved
+
+    async def run(self) -> Answer:
+        """Ask the shards until the answer is whole or no more can come."""
+        start = self._tools.clock.monotonic()
+        policy = self._question.policy
+        tries = self._open
+        self._hedges.earn(tries, policy.hedge_budget)
+        self._retries.earn(tries, policy.retry_budget)
+        group = self._question.group
+        delay = self._tools.gateway.delay_of(group).current(start)
+        if policy.hedge_budget > 0:
+            self._hedge_at = start + delay
+        if policy.partial_after is not None:
+            self._partial_at = start + policy.partial_after.total_seconds()
+        for item in self._progress:
+            if item.reply is None:
+                self._send_first(item, start)
+        try:
+            while self._open and not self._is_enough():
+                await self._wait()
+                self._take_in()
+                self._act()
+        finally:
+            self._closed = True
+            self._cancel_rest()
+        return self._make_answer()
+
+    def _is_enough(self) -> bool:
+        """Return whether waiting for more isn't wanted."""
+        now = self._tools.clock.monotonic()
+        if now >= self._deadline:
+            return True
+        if now < self._partial_at:
+            return False
+        answered = sum(1 for item in self._progress if item.reply is not None)
+        least = max(self._question.least_coverage, 1 / len(self._progress))
+        return answered / len(self._progress) >= least
+
+    async def _wait(self) -> None:
+        """Wait for an outcome or for the next time at which something is due."""
+        due = min(self._deadline, self._hedge_at, self._next_retry())
+        if self._tools.clock.monotonic() < self._partial_at:
+            due = min(due, self._partial_at)
+        if not self._inbox:
+            self._wakeup = trio.Event()
+            with trio.move_on_at(due):
+                await self._wakeup.wait()
+
+    def _next_retry(self) -> float:
+        times = [item.retry_at for item in self._progress if item.retry_at is not None]
+        return min(times, default=float("inf"))
+
+    def _receive(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Put an outcome into the inbox; called by the connections' tasks."""
+        if self._closed:
+            self._tools.metrics.count("leaf.late")
+            return
+        self._inbox.append((attempt, outcome))
+        self._wakeup.set()
+
+    def _take_in(self) -> None:
+        while self._inbox:
+            attempt, outcome = self._inbox.popleft()
+            item = self._progress[attempt.shard]
+            sent = item.under_way.pop(attempt.id, None)
+            if sent is None or item.reply is not None:
+                self._tools.metrics.count("leaf.late")
+                continue
+            self._take_outcome(item, sent, outcome)
+
+    def _take_outcome(self, item: ShardProgress, sent: Sent, outcome: Outcome) -> None:
+        match outcome:
+            case Replied():
+                self._take_reply(item, outcome)
+            case Refused(reason=reason):
+                if reason is Reason.VERSION_NOT_HELD:
+                    item.lost_version.add(sent.leaf.address)
+                item.reason = reason
+                # Neither costs the leaf work; a leaving one refuses only once.
+                free = reason is Reason.VERSION_NOT_HELD or not (
+                    self._tools.gateway.may_use(sent.leaf)
+                )
+                self._plan_retry(item, free=free)
+            case Failed(verdict=verdict):
+                item.reason = verdict.reason
+                self._plan_retry(item, free=isinstance(verdict, NotRun))
+
+    def _take_reply(self, item: ShardProgress, reply: Replied) -> None:
+        if self._pin.version == ANY_VERSION and reply.snapshot.layout == (
+            self._pin.layout
+        ):
+            self._adopt(reply.snapshot)
+        if not fits_pin(self._pin, reply.snapshot):
+            # The leaf can't pin: its reply is of use only to another answer.
+            self._others.setdefault(reply.snapshot, {})[item.shard] = reply
+            item.reason = Reason.OTHER_VERSION
+            self._plan_retry(item, free=False)
+            return
+        item.reply = reply
+        self._open -= 1
+        self._cancel_losers(item)
+
+    def _adopt(self, snapshot: Snapshot) -> None:
+        """Pin what the first reply states, when nothing was known before."""
+        self._pin = snapshot
+
+    def _plan_retry(self, item: ShardProgress, free: bool) -> None:
+        """Decide whether and when the shard is tried again.
+
+        Args:
+            item: the shard.
+            free: whether the last try cost no leaf any work, so that trying the
+                sibling is no extra load.
+        """
+        if item.under_way:
+            return
+        untried = [
+            leaf
+            for leaf in self._usable(item)
+            if leaf.address not in item.tried and leaf.address not in item.lost_version
+        ]
+        now = self._tools.clock.monotonic()
+        if item.lacks_version or item.tries >= MOST_TRIES:
+            self._give_up(item)
+        elif untried and (free or self._retries.take()):
+            item.retry_at = now
+        elif not untried and self._retries.take():
+            item.retry_at = now + FIRST_RETRY_DELAY * 2 ** (item.tries - 1)
+        else:
+            self._give_up(item)
+
+    def _give_up(self, item: ShardProgress) -> None:
+        item.retry_at = None
+        self._open -= 1
+
+    def _act(self) -> None:
+        """Send the retries and hedges that are due."""
+        now = self._tools.clock.monotonic()
+        for item in self._progress:
+            if item.retry_at is not None and item.retry_at <= now:
+                self._send_retry(item, now)
+        if now >= self._hedge_at:
+            self._hedge_at = float("inf")
+            self._hedge_late(now)
+
+    def _hedge_late(self, now: float) -> None:
+        """Send hedges for the late shards, if they are few enough."""
+        late = [
+            item
+            for item in self._progress
+            if item.reply is None and item.under_way and not item.hedged
+        ]
+        if not may_hedge(len(self._progress), len(late)):
+            return
+        for item in late:
+            leaf = self._select(item, now, without=set(item.tried) | item.lost_version)
+            if leaf is None:
+                continue
+            if not self._hedges.take():
+                return
+            item.hedged = True
+            self._tools.metrics.count("leaf.hedged")
+            for sent in item.under_way.values():
+                sent.leaf.latency.observe_at_least(now, now - sent.at)
+            self._send(item, leaf, now, hedge=True)
+
+    def _send_first(self, item: ShardProgress, now: float) -> None:
+        leaf = self._select(item, now, without=set())
+        if leaf is None:
+            item.reason = Reason.NO_LEAF
+            self._open -= 1
+            return
+        self._send(item, leaf, now, hedge=False)
+
+    def _send_retry(self, item: ShardProgress, now: float) -> None:
+        item.retry_at = None
+        without = set(item.tried) | item.lost_version
+        leaf = self._select(item, now, without)
+        if leaf is None:
+            leaf = self._select(item, now, item.lost_version)
+        if leaf is None:
+            self._give_up(item)
+            return
+        self._tools.metrics.count("leaf.retried")
+        self._send(item, leaf, now, hedge=False)
+
+    def _usable(self, item: ShardProgress) -> list[Leaf]:
+        return [leaf for leaf in item.leaves if self._tools.gateway.may_use(leaf)]
+
+    def _select(
+        self, item: ShardProgress, now: float, without: set[str]
+    ) -> Leaf | None:
+        leaves = [leaf for leaf in self._usable(item) if leaf.address not in without]
+        return self._tools.selector.select(self._question, item.shard, leaves, now)
+
+    def _send(self, item: ShardProgress, leaf: Leaf, now: float, hedge: bool) -> None:
+        attempt = Attempt(
+            id=self._tools.ids.take(),
+            shard=item.shard,
+            pin=self._pin,
+            scope=self._question.scope,
+            deadline=self._question.deadline,
+            body=self._question.body,
+            traceparent=self._question.traceparent,
+        )
+        item.under_way[attempt.id] = Sent(leaf, now, hedge)
+        item.tried.append(leaf.address)
+        item.tries += 1
+        self._sent += 1
+        self._tools.gateway.submit(leaf, attempt, self._question.group, self._receive)
+
+    def _cancel_losers(self, item: ShardProgress) -> None:
+        now = self._tools.clock.monotonic()
+        for id, sent in item.under_way.items():
+            self._tools.gateway.cancel(sent.leaf, id, now - sent.at)
+
+    def _cancel_rest(self) -> None:
+        for item in self._progress:
+            if item.reply is None:
+                self._cancel_losers(item)
+
+    def _make_answer(self) -> Answer:
+        """Put the answer together from one snapshot's replies."""
+        replies = {
+            item.shard: item.reply for item in self._progress if item.reply is not None
+        }
+        snapshot = self._pin
+        for other, found in sorted(self._others.items()):
+            if len(found) > len(replies):
+                snapshot, replies = other, found
+        self._tools.invariants.check(
+            all(reply.snapshot == snapshot for reply in replies.values()),
+            "one snapshot for each answer",
+            str(snapshot),
+        )
+        return Answer(
+            snapshot,
+            self._make_coverage(replies),
+            tuple((shard, replies[shard].body) for shard in sorted(replies)),
+            self._sent,
+        )
+
+    def _make_coverage(self, replies: dict[int, Replied]) -> Coverage:
+        whole = sorted(shard for shard in replies if not replies[shard].partial)
+        partial = sorted(shard for shard in replies if replies[shard].partial)
+        missing = tuple(
+            MissingShard(item.shard, item.reason)
+            for item in self._progress
+            if item.shard not in replies
+        )
+        return Coverage(len(self._progress), tuple(whole), tuple(partial), missing)
--- /dev/null
+++ b/walkcart/fanout/progress.py
@@ -0,0 +1,57 @@
+"""How far one question has come at one shard."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from walkcart.leaves.attempts import Replied
+from walkcart.leaves.leaf import Leaf
+from walkcart.wire.verdicts import Reason
+
+
+@dataclass(slots=True)
+class Sent:
+    """An attempt under way."""
+
+    leaf: Leaf
+    at: float
+    hedge: bool
+
+
+@dataclass(slots=True)
+class ShardProgress:
+    """One shard of one question.
+
+    Args:
+        shard: its number.
+        leaves: that may serve it.
+        reply: accepted for the pinned snapshot.
+        under_way: attempts by id.
+        tried: addresses in the order of use.
+        tries: attempts so far.
+        retry_at: when the next try is due; None when none is.
+        hedged: whether a hedge was sent.
+        lost_version: leaves that said they don't hold the version.
+        reason: why there is no reply yet.
+    """
+
+    shard: int
+    leaves: tuple[Leaf, ...]
+    reply: Replied | None = None
+    under_way: dict[str, Sent] = field(default_factory=dict)
+    tried: list[str] = field(default_factory=list)
+    tries: int = 0
+    retry_at: float | None = None
+    hedged: bool = False
+    lost_version: set[str] = field(default_factory=set)
+    reason: Reason = Reason.DEADLINE
+
+    @property
+    def open(self) -> bool:
+        """Whether a reply may still come."""
+        return self.reply is None and bool(self.under_way or self.retry_at is not None)
+
+    @property
+    def lacks_version(self) -> bool:
+        """Whether no leaf holds the pinned version any longer."""
+        return bool(self.leaves) and len(self.lost_version) >= len(self.leaves)
--- /dev/null
+++ b/walkcart/fanout/single.py
@@ -0,0 +1,130 @@
+"""A non-repeatable request: one attempt at a time, never hedged.
+
+It goes to a sibling only after a verdict that the request surely did not run.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from hashlib import blake2b
+
+import trio
+from returns.result import Failure, Result, Success
+
+from walkcart.fanout.gatherer import Gatherer
+from walkcart.fanout.gathering import GatherTools
+from walkcart.fanout.questions import Question
+from walkcart.leaves.attempts import Attempt, Failed, Outcome, Refused, Replied
+from walkcart.leaves.leaf import ANY_VERSION, Leaf, Snapshot
+from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
+
+#: Seconds past the deadline after which a reply isn't waited for any longer.
+GRACE = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class OnceRequest:
+    """A request that must run at most once.
+
+    Args:
+        question: service, scope, body and deadline.
+        routing_key: chooses the shard.
+        once_key: what the leaf records the run under.
+        expires: time of day, in seconds since 1970, after which the leaf must
+            not begin it.
+    """
+
+    question: Question
+    routing_key: str
+    once_key: str
+    expires: float
+
+
+class SingleSender:
+    """Sends non-repeatable requests.
+
+    Args:
+        tools: the instance's gateway, ids and clock.
+        gatherer: knows the layout in use.
+    """
+
+    def __init__(self, tools: GatherTools, gatherer: Gatherer) -> None:
+        self._tools = tools
+        self._gatherer = gatherer
+
+    async def send(self, request: OnceRequest) -> Result[Replied, NotRun | MayHaveRun]:
+        """Send `request` to one leaf of its shard after another, while that is safe."""
+        pin, layout = self._gatherer.choose(request.question)
+        shard = choose_shard(request.routing_key, len(layout.shards))
+        leaves = [
+            leaf for leaf in layout.shards[shard] if self._tools.gateway.may_use(leaf)
+        ]
+        verdict = NotRun(Reason.NO_LEAF, "no leaf of the shard may get work")
+        while leaves:
+            now = self._tools.clock.monotonic()
+            if now >= request.question.deadline:
+                return Failure(NotRun(Reason.DEADLINE, "no time is left"))
+            selector = self._tools.selector
+            leaf = selector.select(request.question, shard, leaves, now)
+            if leaf is None:
+                break
+            leaves.remove(leaf)
+            match await self._try(request, shard, Snapshot(pin.layout, 0), leaf):
+                case Replied() as reply:
+                    return Success(reply)
+                case Failed(verdict=MayHaveRun() as uncertain):
+                    return Failure(uncertain)
+                case Failed(verdict=NotRun() as failed):
+                    verdict = failed
+                case Refused(reason, retry_after):
+                    verdict = NotRun(reason, "the leaf refused", retry_after)
+        return Failure(verdict)
+
+    async def _try(
+        self, request: OnceRequest, shard: int, pin: Snapshot, leaf: Leaf
+    ) -> Outcome:
+        """Send one attempt and wait for its end."""
+        assert pin.version == ANY_VERSION
+        question = request.question
+        attempt = Attempt(
+            id=self._tools.ids.take(),
+            shard=shard,
+            pin=pin,
+            scope=question.scope,
+            deadline=question.deadline,
+            body=question.body,
+            once_key=request.once_key,
+            expires=request.expires,
+            traceparent=question.traceparent,
+        )
+        slot = _Slot()
+        self._tools.gateway.submit(leaf, attempt, question.group, slot.deliver)
+        with trio.move_on_at(question.deadline + GRACE):
+            return await slot.wait()
+        # It may have been sent by now: only its own outcome could tell.
+        return Failed(MayHaveRun(Reason.DEADLINE, "no reply before the deadline"))
+
+
+class _Slot:
+    """Holds one outcome."""
+
+    def __init__(self) -> None:
+        self._ended = trio.Event()
+        self._outcome: Outcome | None = None
+
+    def deliver(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Take the outcome."""
+        self._outcome = outcome
+        self._ended.set()
+
+    async def wait(self) -> Outcome:
+        """Wait for the outcome."""
+        await self._ended.wait()
+        assert self._outcome is not None
+        return self._outcome
+
+
+def choose_shard(routing_key: str, shards: int) -> int:
+    """Return the shard of a routing key; the same at every instance."""
+    digest = blake2b(routing_key.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") % shards
--- /dev/null
+++ b/walkcart/intent/selectors.py
@@ -0,0 +1,129 @@
+"""Selectors over labels.
+
+A selector is a list of requirements, joined by commas, that must all hold:
+``key=value``, ``key!=value``, ``key in (a, b)``, ``key notin (a, b)``, ``key``
+(the label exists) and ``!key`` (it doesn't). An empty selector matches all.
+
+Examples:
+    >>> selector = parse_selector("region=hobart, tier in (search, ledger), !old")
+    >>> selector.matches({"region": "hobart", "tier": "search"})
+    True
+    >>> selector.matches({"region": "burnie", "tier": "search"})
+    False
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from functools import lru_cache
+
+Labels = Mapping[str, str]
+
+_KEY = r"[A-Za-z0-9]([A-Za-z0-9._/-]*[A-Za-z0-9])?"
+_VALUE = r"[A-Za-z0-9]([A-Za-z0-9._:-]*[A-Za-z0-9])?"
+KEY_PATTERN = re.compile(_KEY)
+VALUE_PATTERN = re.compile(_VALUE)
+_COMPARISON = re.compile(rf"(?P<key>{_KEY})\s*(?P<sign>!=|=)\s*(?P<value>{_VALUE})")
+_MEMBERSHIP = re.compile(
+    rf"(?P<key>{_KEY})\s+(?P<sign>in|notin)\s*\((?P<values>[^()]*)\)"
+)
+_EXISTENCE = re.compile(rf"(?P<sign>!?)\s*(?P<key>{_KEY})")
+_COMMA = re.compile(r",(?![^(]*\))")
+
+
+class SelectorError(ValueError):
+    """A text that is no selector."""
+
+
+@dataclass(frozen=True, slots=True)
+class In:
+    """The label exists and has one of `values`."""
+
+    key: str
+    values: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class NotIn:
+    """The label is missing or has none of `values`."""
+
+    key: str
+    values: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Exists:
+    """The label exists."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Missing:
+    """The label is missing."""
+
+    key: str
+
+
+Requirement = In | NotIn | Exists | Missing
+
+
+@dataclass(frozen=True, slots=True)
+class Selector:
+    """Requirements that must all hold."""
+
+    requirements: tuple[Requirement, ...] = ()
+
+    def matches(self, labels: Labels) -> bool:
+        """Return whether `labels` meet all requirements."""
+        return all(_holds(item, labels) for item in self.requirements)
+
+
+def _holds(requirement: Requirement, labels: Labels) -> bool:
+    match requirement:
+        case In(key, values):
+            return labels.get(key) in values
+        case NotIn(key, values):
+            return labels.get(key) not in values
+        case Exists(key):
+            return key in labels
+        case Missing(key):
+            return key not in labels
+
+
+@lru_cache(maxsize=4096)
+def parse_selector(text: str) -> Selector:
+    """Read a selector.
+
+    Raises:
+        SelectorError: with the part that can't be read.
+    """
+    if not text.strip():
+        return Selector()
+    return Selector(tuple(_parse_requirement(part) for part in _COMMA.split(text)))
+
+
+def _parse_requirement(part: str) -> Requirement:
+    text = part.strip()
+    if found := _COMPARISON.fullmatch(text):
+        values = frozenset({found["value"]})
+        return _choose(found["sign"] == "=", found["key"], values)
+    if found := _MEMBERSHIP.fullmatch(text):
+        return _choose(found["sign"] == "in", found["key"], _split(found["values"]))
+    if found := _EXISTENCE.fullmatch(text):
+        return Missing(found["key"]) if found["sign"] else Exists(found["key"])
+    raise SelectorError(f"can't read {text!r} as a requirement")
+
+
+def _choose(positive: bool, key: str, values: frozenset[str]) -> Requirement:
+    return In(key, values) if positive else NotIn(key, values)
+
+
+def _split(text: str) -> frozenset[str]:
+    values = frozenset(value.strip() for value in text.split(","))
+    for value in values:
+        if not VALUE_PATTERN.fullmatch(value):
+            raise SelectorError(f"can't read {value!r} as a label's value")
+    return values
--- /dev/null
+++ b/walkcart/kernel/events.py
@@ -0,0 +1,92 @@
+"""The catalogue of numbered events.
+
+Numbers are never used again for another meaning. Hundreds group by subject:
+1xx the process, 2xx callers, 3xx leaves, 4xx peers, 5xx store and configuration,
+6xx claims, 9xx broken promises.
+
+See Also:
+    ``docs/EVENTS.md``, which a test holds against this catalogue.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One kind of event.
+
+    Args:
+        number: its number, for good.
+        name: its name, in words joined by underscores.
+        level: a level of `logging`.
+        help: what happened and what an operator does about it.
+    """
+
+    number: int
+    name: str
+    level: int
+    help: str
+
+
+def _info(number: int, name: str, text: str) -> Event:
+    return Event(number, name, logging.INFO, text)
+
+
+def _warn(number: int, name: str, text: str) -> Event:
+    return Event(number, name, logging.WARNING, text)
+
+
+def _error(number: int, name: str, text: str) -> Event:
+    return Event(number, name, logging.ERROR, text)
+
+
+class Events:
+    """All events, by name."""
+
+    STARTED = _info(101, "started", "The instance takes requests.")
+    STOPPING = _info(102, "stopping", "A planned stop began; readiness says no.")
+    STOPPED = _info(103, "stopped", "The last request in progress ended.")
+    STOP_BOUND = _warn(
+        104, "stop_bound_reached", "The stop's bound passed with requests in progress."
+    )
+    REQUEST_BAD = _info(201, "request_bad", "A caller's request can't be understood.")
+    REQUEST_REFUSED = _info(202, "request_refused", "Refused before it ran.")
+    REQUEST_FAILED = _error(
+        203, "request_failed", "A fault of walkcart's own; the caller got a 500."
+    )
+    CALLER_GONE = _info(204, "caller_gone", "The caller closed or hung half-way.")
+    LEAF_BAD_REPLY = _warn(301, "leaf_bad_reply", "Not HTTP, cut short or too long.")
+    LEAF_WRONG_ATTEMPT = _warn(
+        302, "leaf_wrong_attempt", "The reply's attempt id or scope isn't ours."
+    )
+    LEAF_UNREACHABLE = _info(303, "leaf_unreachable", "A connection failed.")
+    LEAF_EJECTED = _warn(304, "leaf_ejected", "Failing; tried again after a while.")
+    LEAF_RETURNED = _info(305, "leaf_returned", "An ejected leaf answered again.")
+    LEAF_LEAVING = _info(306, "leaf_leaving", "Marked as leaving; no new work.")
+    LEAF_RESTARTED = _info(307, "leaf_restarted", "A newer incarnation is live.")
+    MEMBER_SUSPECTED = _info(401, "member_suspected", "A peer misses heartbeats.")
+    MEMBER_DEAD = _warn(402, "member_dead", "A suspected peer didn't answer in time.")
+    MEMBER_JOINED = _info(403, "member_joined", "A peer is live.")
+    MEMBER_LEAVING = _info(404, "member_leaving", "A peer began a planned stop.")
+    PEER_BAD_MESSAGE = _warn(405, "peer_bad_message", "Can't be decoded; dropped.")
+    LIST_FAILED = _warn(406, "instance_list_failed", "The instance list didn't answer.")
+    REVISION_IN_FORCE = _info(501, "revision_in_force", "A configuration is applied.")
+    REVISION_IGNORED = _info(502, "revision_ignored", "Not newer than what is held.")
+    REVISION_BAD = _error(503, "revision_bad", "A stored configuration can't be read.")
+    STORE_FAILED = _warn(504, "store_failed", "A call had no usable reply.")
+    STORE_BACK = _info(505, "store_back", "The store answers again.")
+    STORE_BAD_REPLY = _warn(506, "store_bad_reply", "Garbage, or a wrong revision.")
+    CONTROL_CUT = _warn(507, "control_cut", "Neither store nor peers are reached.")
+    CLAIM_UNSETTLED = _warn(601, "claim_unsettled", "A bucket's write is uncertain.")
+    CLAIM_WITHDRAWN = _info(602, "claim_withdrawn", "Given up; nothing was sent.")
+    BUCKET_BAD = _error(603, "bucket_bad", "A claims bucket can't be read; refused.")
+    INVARIANT_BROKEN = _error(901, "invariant_broken", "A promise doesn't hold: page.")
+
+
+def list_events() -> list[Event]:
+    """Return the catalogue in the order of the numbers."""
+    found = [value for value in vars(Events).values() if isinstance(value, Event)]
+    return sorted(found, key=lambda event: event.number)
--- /dev/null
+++ b/walkcart/kernel/metrics.py
@@ -0,0 +1,93 @@
+"""Metrics by statsd, from a fixed catalogue.
+
+See Also:
+    ``docs/METRICS.md``, which a test holds against `CATALOGUE`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from statsd import StatsClient
+
+from walkcart.kernel.settings import HostPort
+
+
+@dataclass(frozen=True, slots=True)
+class Metric:
+    """One metric: its statsd kind, unit and meaning."""
+
+    kind: str
+    unit: str
+    help: str
+
+
+CATALOGUE = {
+    "query.answered": Metric("counter", "replies", "Replies with an answer."),
+    "query.partial": Metric("counter", "replies", "Answers that miss a shard."),
+    "query.refused": Metric("counter", "replies", "Requests refused, not run."),
+    "query.uncertain": Metric("counter", "replies", "Replies 'may have run'."),
+    "query.time": Metric("timer", "ms", "From the request's last byte to the reply."),
+    "leaf.sent": Metric("counter", "requests", "Requests sent to leaves."),
+    "leaf.hedged": Metric("counter", "requests", "Hedges among them."),
+    "leaf.retried": Metric("counter", "requests", "Retries among them."),
+    "leaf.failed": Metric("counter", "requests", "Attempts without a usable reply."),
+    "leaf.late": Metric("counter", "replies", "Replies that nobody waited for."),
+    "leaf.connections": Metric("gauge", "connections", "Open to leaves."),
+    "peer.sent": Metric("counter", "messages", "Messages to peers."),
+    "peer.received": Metric("counter", "messages", "Messages from peers."),
+    "peer.bytes": Metric("counter", "bytes", "Sent to and received from peers."),
+    "peer.dropped": Metric("counter", "messages", "Not sent: the outbox was full."),
+    "store.calls": Metric("counter", "calls", "Calls to the key-value service."),
+    "store.failed": Metric("counter", "calls", "Those without a usable reply."),
+    "claim.granted": Metric("counter", "claims", "Keys claimed."),
+    "claim.refused": Metric("counter", "claims", "Keys not claimed."),
+    "claim.writes": Metric("counter", "writes", "Bucket writes to the store."),
+    "intent.revision": Metric("gauge", "revision", "Configuration in force."),
+    "intent.stale": Metric("gauge", "0 or 1", "Neither store nor peers are reached."),
+    "member.live": Metric("gauge", "instances", "Peers held to be live."),
+    "invariant.broken": Metric("counter", "times", "A promise doesn't hold: page."),
+}
+
+
+class Metrics:
+    """Counts, times and gauges, sent over UDP and kept for `read`.
+
+    Args:
+        address: the statsd server; None keeps metrics inside the process.
+        instance: name of the instance, part of the prefix.
+    """
+
+    def __init__(self, address: HostPort | None, instance: str) -> None:
+        self._client = (
+            StatsClient(address.host, address.port, prefix=f"walkcart.{instance}")
+            if address
+            else None
+        )
+        self._values: dict[str, float] = dict.fromkeys(CATALOGUE, 0.0)
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add `amount` to a counter."""
+        self._values[name] += amount
+        if self._client:
+            self._client.incr(name, amount)
+
+    def time(self, name: str, milliseconds: float) -> None:
+        """Record a duration; `read` gives the last one."""
+        self._values[name] = milliseconds
+        if self._client:
+            self._client.timing(name, milliseconds)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self._values[name] = value
+        if self._client:
+            self._client.gauge(name, value)
+
+    def read(self, name: str) -> float:
+        """Return a counter's sum, a gauge's value or a timer's last value."""
+        return self._values[name]
+
+    def all(self) -> dict[str, float]:
+        """Return all values by name."""
+        return dict(self._values)
--- /dev/null
+++ b/walkcart/kernel/registry.py
@@ -0,0 +1,78 @@
+"""The registry of named services: how the parts of an instance find each other.
+
+A service is any object with a ``run`` coroutine. The kernel starts services in
+the order in which they were added, each once the one before is ready, so a
+service may use whatever was added before it. They are cancelled together.
+
+Examples:
+    >>> kernel = Kernel()
+    >>> kernel.add("answer", 42)
+    >>> kernel.find("answer", int)
+    42
+
+See Also:
+    `walkcart.daemon.assembly`, which adds the services of an instance.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Protocol, TypeVar, runtime_checkable
+
+import trio
+
+T = TypeVar("T")
+
+
+@runtime_checkable
+class Service(Protocol):
+    """A part of an instance that runs for as long as the instance does."""
+
+    async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
+        """Run until cancelled; call ``task_status.started()`` when ready."""
+        ...
+
+
+class ServiceMissing(LookupError):
+    """No service of that name, or one of another type, was added."""
+
+
+class Kernel:
+    """Named services with a start order."""
+
+    def __init__(self) -> None:
+        self._services: dict[str, Any] = {}
+
+    def add(self, name: str, service: Any) -> None:
+        """Add `service` under `name`.
+
+        Raises:
+            ValueError: the name is taken.
+        """
+        if name in self._services:
+            raise ValueError(f"a service named {name!r} was added before")
+        self._services[name] = service
+
+    def find(self, name: str, kind: type[T]) -> T:
+        """Return the service called `name`.
+
+        Raises:
+            ServiceMissing: there is none, or it isn't a `kind`.
+        """
+        service = self._services.get(name)
+        if service is None:
+            raise ServiceMissing(f"no service is named {name!r}")
+        if not isinstance(service, kind):
+            raise ServiceMissing(f"service {name!r} is not a {kind.__name__}")
+        return service
+
+    def names(self) -> tuple[str, ...]:
+        """Return the names in their start order."""
+        return tuple(self._services)
+
+    async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
+        """Run every service that has a ``run``, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for service in self._services.values():
+                if isinstance(service, Service):
+                    await nursery.start(service.run)
+            task_status.started()
--- /dev/null
+++ b/walkcart/leaves/forwarding.py
@@ -0,0 +1,284 @@
+"""Leaf requests by way of the instances that hold the leaf's connections.
+
+What the questions of one moment send to one holder goes in one message, and so
+do the outcomes that come back together.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+
+from walkcart.kernel.clock import Clock
+from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused, Replied
+from walkcart.leaves.leaf import BadSnapshot, Leaf
+from walkcart.leaves.protocol import (
+    LeafWord,
+    decode_attempt,
+    encode_attempt,
+    read_outcome,
+    read_word,
+)
+from walkcart.leaves.wordbook import encode_outcome_headers
+from walkcart.membership.links import PeerLinks
+from walkcart.membership.view import MembershipView, MemberState
+from walkcart.wire.http import HttpReply
+from walkcart.wire.messages import (
+    ForwardAsk,
+    ForwardCancel,
+    ForwardedAttempt,
+    ForwardedOutcome,
+    ForwardReply,
+    MemberRecord,
+    Message,
+)
+from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
+
+#: Seconds that a holder's answer may come after the deadline.
+ANSWER_GRACE = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Sent:
+    """An attempt that a holder has."""
+
+    holder: str
+    attempt: Attempt
+    leaf: Leaf
+    deliver: Deliver
+
+
+#: Sends an attempt over this instance's own connections to a leaf's address;
+#: returns False when this instance holds none.
+SubmitHere = Callable[[str, Attempt, Deliver], bool]
+
+
+class Forwarder:
+    """Sends attempts to holders, and carries those of others.
+
+    Args:
+        links: to the peers.
+        view: which of them live.
+        clock: source of time.
+        on_word: told what a leaf said about itself.
+    """
+
+    def __init__(
+        self,
+        links: PeerLinks,
+        view: MembershipView,
+        clock: Clock,
+        on_word: Callable[[Leaf, LeafWord], None],
+    ) -> None:
+        self._links = links
+        self._clock = clock
+        self._on_word = on_word
+        self._submit_here: SubmitHere | None = None
+        self._cancel_here: Callable[[str, str], None] | None = None
+        self._find_leaf: Callable[[str], Leaf | None] | None = None
+        self._sent: dict[str, _Sent] = {}
+        self._at_holder: Counter[str] = Counter()
+        self._carried: dict[str, str] = {}
+        self._asks: dict[str, list[ForwardedAttempt]] = {}
+        self._replies: dict[str, list[ForwardedOutcome]] = {}
+        self._wakeup = trio.Event()
+        links.on(ForwardAsk, self._on_ask)
+        links.on(ForwardReply, self._on_reply)
+        links.on(ForwardCancel, self._on_cancel)
+        view.on_change(self._on_member_change)
+
+    def connect(
+        self,
+        submit_here: SubmitHere,
+        cancel_here: Callable[[str, str], None],
+        find_leaf: Callable[[str], Leaf | None],
+    ) -> None:
+        """Name how this instance's own connections are used."""
+        self._submit_here = submit_here
+        self._cancel_here = cancel_here
+        self._find_leaf = find_leaf
+
+    @property
+    def carrying(self) -> int:
+        """Attempts of other instances that are in progress here."""
+        return len(self._carried)
+
+    def in_progress_at(self, holder: str) -> int:
+        """Return the attempts that `holder` has of this instance."""
+        return self._at_holder[holder]
+
+    def submit(
+        self, holder: str, leaf: Leaf, attempt: Attempt, deliver: Deliver
+    ) -> None:
+        """Send `attempt` by way of `holder`."""
+        remaining = attempt.deadline - self._clock.monotonic()
+        request = encode_attempt(attempt, remaining)
+        forwarded = ForwardedAttempt(
+            attempt.id,
+            leaf.address,
+            remaining,
+            request.target,
+            request.headers,
+            request.body,
+            attempt.repeatable,
+        )
+        self._sent[attempt.id] = _Sent(holder, attempt, leaf, deliver)
+        self._at_holder[holder] += 1
+        self._asks.setdefault(holder, []).append(forwarded)
+        self._wakeup.set()
+
+    def cancel(self, attempt_id: str) -> bool:
+        """Tell the holder that nobody waits; False when no holder has it."""
+        sent = self._sent.get(attempt_id)
+        if sent is None:
+            return False
+        self._links.send(sent.holder, ForwardCancel((attempt_id,)))
+        return True
+
+    async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
+        """Send what gathers, and give up on answers that don't come."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._expire)
+            task_status.started()
+            while True:
+                await self._wakeup.wait()
+                self._wakeup = trio.Event()
+                # Lets all that is ready to run add to the batch.
+                await trio.sleep(0)
+                self._flush()
+
+    def _flush(self) -> None:
+        asks, self._asks = self._asks, {}
+        for holder, attempts in asks.items():
+            if self._links.send(holder, ForwardAsk(tuple(attempts))):
+                continue
+            for forwarded in attempts:
+                detail = f"no message could be queued for {holder}"
+                self._end(forwarded.id, Failed(NotRun(Reason.UNREACHABLE, detail)))
+        replies, self._replies = self._replies, {}
+        for asker, outcomes in replies.items():
+            self._links.send(asker, ForwardReply(tuple(outcomes)))
+
+    async def _expire(self) -> None:
+        while True:
+            await trio.sleep(ANSWER_GRACE / 2)
+            limit = self._clock.monotonic() - ANSWER_GRACE
+            late = [
+                id for id, sent in self._sent.items() if sent.attempt.deadline < limit
+            ]
+            for id in late:
+                verdict = MayHaveRun(Reason.DEADLINE, "the holder didn't answer")
+                self._end(id, Failed(verdict))
+
+    def _end(self, id: str, outcome: Outcome) -> None:
+        sent = self._sent.pop(id, None)
+        if sent is not None:
+            self._at_holder[sent.holder] -= 1
+            sent.deliver(sent.attempt, outcome)
+
+    def _on_member_change(self, old: MemberRecord | None, new: MemberRecord) -> None:
+        """Give up on what a holder has that is suspected or started again."""
+        same_life = old is None or old.incarnation in (0, new.incarnation)
+        if same_life and new.state < MemberState.SUSPECT:
+            return
+        lost = [id for id, sent in self._sent.items() if sent.holder == new.name]
+        for id in lost:
+            detail = f"the holder {new.name} doesn't answer"
+            self._end(id, Failed(MayHaveRun(Reason.UNREACHABLE, detail)))
+
+    def _on_reply(self, sender: str, message: Message) -> None:
+        assert isinstance(message, ForwardReply)
+        for outcome in message.outcomes:
+            sent = self._sent.get(outcome.id)
+            if sent is None or sent.holder != sender:
+                continue
+            if outcome.headers:
+                self._on_word(sent.leaf, read_word(outcome.headers))
+            self._end(outcome.id, _read_forwarded(sent.attempt, outcome))
+
+    def _on_ask(self, sender: str, message: Message) -> None:
+        assert isinstance(message, ForwardAsk)
+        for forwarded in message.attempts:
+            self._carry(sender, forwarded)
+
+    def _carry(self, sender: str, forwarded: ForwardedAttempt) -> None:
+        """Send another instance's attempt over this one's connections."""
+
+        def answer(attempt: Attempt, outcome: Outcome) -> None:
+            self._carried.pop(attempt.id, None)
+            self._answer(sender, forwarded, outcome)
+
+        deadline = self._clock.monotonic() + forwarded.remaining
+        try:
+            attempt = decode_attempt(forwarded.headers, forwarded.id, deadline)
+        except (BadSnapshot, KeyError, ValueError):
+            verdict = NotRun(Reason.INTERNAL, "the forwarded attempt can't be read")
+            self._answer(sender, forwarded, Failed(verdict))
+            return
+        attempt = _with_body(attempt, forwarded.body)
+        self._carried[attempt.id] = forwarded.leaf
+        assert self._submit_here is not None
+        if not self._submit_here(forwarded.leaf, attempt, answer):
+            verdict = NotRun(Reason.NO_LEAF, "this instance holds no connection")
+            answer(attempt, Failed(verdict))
+
+    def _on_cancel(self, sender: str, message: Message) -> None:
+        assert isinstance(message, ForwardCancel)
+        for id in message.ids:
+            address = self._carried.get(id)
+            if address is not None and self._cancel_here is not None:
+                self._cancel_here(address, id)
+
+    def _answer(
+        self, asker: str, forwarded: ForwardedAttempt, outcome: Outcome
+    ) -> None:
+        assert self._find_leaf is not None
+        leaf = self._find_leaf(forwarded.leaf)
+        packed = _pack_outcome(forwarded.id, outcome, leaf)
+        self._replies.setdefault(asker, []).append(packed)
+        self._wakeup.set()
+
+
+def _with_body(attempt: Attempt, body: bytes) -> Attempt:
+    return Attempt(
+        attempt.id,
+        attempt.shard,
+        attempt.pin,
+        attempt.scope,
+        attempt.deadline,
+        body,
+        attempt.once_key,
+        attempt.expires,
+        attempt.traceparent,
+    )
+
+
+def _pack_outcome(id: str, outcome: Outcome, leaf: Leaf | None) -> ForwardedOutcome:
+    headers = encode_outcome_headers(outcome, leaf)
+    match outcome:
+        case Replied(_, _, status, body, elapsed):
+            return ForwardedOutcome(id, status, headers, body, True, "", elapsed)
+        case Refused(reason, _):
+            status = 409 if reason is Reason.VERSION_NOT_HELD else 503
+            status = 504 if reason is Reason.DEADLINE else status
+            return ForwardedOutcome(id, status, headers, b"", False, reason.value, 0.0)
+        case Failed(verdict):
+            may_have_run = isinstance(verdict, MayHaveRun)
+            reason = verdict.reason.value
+            return ForwardedOutcome(id, 0, headers, b"", may_have_run, reason, 0.0)
+
+
+def _read_forwarded(attempt: Attempt, outcome: ForwardedOutcome) -> Outcome:
+    if outcome.status:
+        reply = HttpReply(outcome.status, outcome.headers, outcome.body)
+        return read_outcome(attempt, reply, outcome.elapsed)
+    try:
+        reason = Reason(outcome.reason)
+    except ValueError:
+        reason = Reason.INTERNAL
+    if outcome.may_have_run:
+        return Failed(MayHaveRun(reason, "at the holder"))
+    return Failed(NotRun(reason, "at the holder"))
--- /dev/null
+++ b/walkcart/leaves/gateway.py
@@ -0,0 +1,270 @@
+"""The way to a leaf: over connections of this instance's own, or a holder's.
+
+The gateway also keeps the account of each leaf (outstanding requests, latency,
+ejection, limit), since every attempt passes here.
+"""
+
+from __future__ import annotations
+
+import trio
+
+from walkcart.kernel.clock import Clock
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
+from walkcart.kernel.metrics import Metrics
+from walkcart.kernel.spans import Tracer
+from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused, Replied
+from walkcart.leaves.forwarding import Forwarder
+from walkcart.leaves.leaf import Leaf
+from walkcart.leaves.link import LeafLink, LinkTools
+from walkcart.leaves.protocol import LeafWord
+from walkcart.leaves.table import LeafTable, ResolvedGroup
+from walkcart.membership.marks import LeafMarks
+from walkcart.membership.view import MembershipView
+from walkcart.routing.ejection import may_eject
+from walkcart.routing.hedging import HedgeDelay
+from walkcart.routing.shares import ConnectionShares
+from walkcart.wire.network import Network
+from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
+
+#: Seconds between two looks at the shares of connections.
+SHARE_INTERVAL = 0.5
+#: Seconds for which a new division must stand before an instance grows into it:
+#: by then the others have seen the same change and closed what they gave up.
+SETTLE_TIME = 2.0
+
+
+class LeafGateway:
+    """Sends attempts to leaves.
+
+    Args:
+        table: the leaves.
+        marks: which of them are leaving.
+        view: the instances that share their connections.
+        forwarder: reaches leaves through holders.
+        network: opens connections.
+        clock: source of time.
+        events: where leaf events are logged.
+        metrics: where leaf requests are counted.
+        tracer: makes a span for each attempt.
+    """
+
+    def __init__(
+        self,
+        table: LeafTable,
+        marks: LeafMarks,
+        view: MembershipView,
+        forwarder: Forwarder,
+        network: Network,
+        clock: Clock,
+        events: EventLog,
+        metrics: Metrics,
+        tracer: Tracer,
+    ) -> None:
+        self._table = table
+        self._marks = marks
+        self._view = view
+        self._forwarder = forwarder
+        self._clock = clock
+        self._events = events
+        self._metrics = metrics
+        self._tools = LinkTools(network, clock, events, metrics, tracer, self.note_word)
+        self._links: dict[str, LeafLink] = {}
+        self._caps: dict[str, int] = {}
+        self._groups: dict[str, ResolvedGroup] = {}
+        self._delays: dict[str, HedgeDelay] = {}
+        self._holders: dict[str, tuple[str, ...]] = {}
+        self._shares: dict[str, int] = {}
+        self._wanted_since: dict[str, tuple[int, float]] = {}
+        self._nursery: trio.Nursery | None = None
+        forwarder.connect(self._submit_here, self._cancel_here, table.find)
+
+    def delay_of(self, group: str) -> HedgeDelay:
+        """Return the learned latencies of a shard group."""
+        return self._delays.setdefault(group, HedgeDelay())
+
+    def use_group(self, resolved: ResolvedGroup) -> None:
+        """Divide the connections of the group's leaves from now on."""
+        name = resolved.group.name
+        if self._groups.get(name) is resolved:
+            return
+        self._groups[name] = resolved
+        for leaf in resolved.leaves:
+            self._caps[leaf.address] = resolved.group.connections
+        self._divide(first=True)
+
+    def submit(
+        self, leaf: Leaf, attempt: Attempt, group: str, deliver: Deliver
+    ) -> None:
+        """Send `attempt` to `leaf`; `deliver` is told once how it ended."""
+        leaf.outstanding += 1
+
+        def account(attempt: Attempt, outcome: Outcome) -> None:
+            leaf.outstanding -= 1
+            self._account(leaf, attempt, group, outcome)
+            deliver(attempt, outcome)
+
+        if self._submit_here(leaf.address, attempt, account):
+            return
+        holder = self._choose_holder(leaf)
+        if holder is None:
+            detail = f"no instance that holds {leaf.address} is reached"
+            account(attempt, Failed(NotRun(Reason.UNREACHABLE, detail)))
+            return
+        self._forwarder.submit(holder, leaf, attempt, account)
+
+    def cancel(self, leaf: Leaf, attempt_id: str, waited: float) -> None:
+        """Nobody waits for this attempt any longer; it had `waited` seconds."""
+        leaf.latency.observe_at_least(self._clock.monotonic(), waited)
+        if not self._forwarder.cancel(attempt_id):
+            self._cancel_here(leaf.address, attempt_id)
+
+    def may_use(self, leaf: Leaf) -> bool:
+        """Return whether `leaf` may get new work."""
+        return not self._marks.is_leaving(leaf.address)
+
+    def note_word(self, leaf: Leaf, word: LeafWord) -> None:
+        """Take in what a leaf said about itself."""
+        if word.incarnation:
+            leaf.note_incarnation(word.incarnation)
+        if word.leaving:
+            self._marks.note_leaving(leaf.address, word.incarnation)
+        elif word.incarnation:
+            self._marks.note_live(leaf.address, word.incarnation)
+        if word.load is not None:
+            leaf.note_stated(self._clock.monotonic(), word.load)
+        if word.held is not None and word.held != leaf.held:
+            leaf.held = word.held
+            self._table.version += 1
+
+    def holders_of(self, leaf: Leaf) -> tuple[str, ...]:
+        """Return the instances that hold connections to `leaf`."""
+        return self._holders.get(leaf.address, ())
+
+    async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
+        """Keep the shares of connections until cancelled."""
+        async with trio.open_nursery() as self._nursery:
+            task_status.started()
+            while True:
+                self._divide(first=False)
+                self._close_unlisted()
+                total = sum(link.connections for link in self._links.values())
+                self._metrics.gauge("leaf.connections", total)
+                await trio.sleep(SHARE_INTERVAL)
+
+    def _divide(self, first: bool) -> None:
+        """Work out this instance's share of each leaf's connections."""
+        if self._nursery is None:
+            return
+        own = self._view.own.name
+        instances = {item.name: item.region for item in self._view.sharing()}
+        instances.setdefault(own, self._view.own.region)
+        for resolved in self._groups.values():
+            shares = ConnectionShares(resolved.group.connections)
+            for leaf in resolved.leaves:
+                holders = shares.holders(leaf.address, instances, leaf.region)
+                self._holders[leaf.address] = holders
+                share = shares.share_of(len(holders)) if own in holders else 0
+                self._settle(leaf, share)
+
+    def _settle(self, leaf: Leaf, wanted: int) -> None:
+        """Shrink at once, but grow only after the division has stood a while."""
+        address = leaf.address
+        now = self._clock.monotonic()
+        present = self._shares.get(address)
+        if present is None or wanted <= present:
+            self._wanted_since.pop(address, None)
+            grown = wanted if present is not None else min(wanted, 1)
+            self._set_share(leaf, grown)
+            return
+        since = self._wanted_since.get(address)
+        if since is None or since[0] != wanted:
+            self._wanted_since[address] = (wanted, now)
+        elif now - since[1] >= SETTLE_TIME:
+            del self._wanted_since[address]
+            self._set_share(leaf, wanted)
+
+    def _set_share(self, leaf: Leaf, share: int) -> None:
+        self._shares[leaf.address] = share
+        leaf.limit.set_most(max(1, share))
+        link = self._links.get(leaf.address)
+        if link is not None:
+            link.set_share(share)
+        elif share and self._nursery is not None:
+            link = LeafLink(leaf, share, self._tools, self._nursery)
+            self._links[leaf.address] = link
+            if not self._marks.is_leaving(leaf.address):
+                link.warm_up()
+
+    def _close_unlisted(self) -> None:
+        """Close the links to leaves that no group has any longer."""
+        used = {
+            leaf.address for group in self._groups.values() for leaf in group.leaves
+        }
+        for address in [item for item in self._links if item not in used]:
+            if not self._links[address].busy:
+                self._links.pop(address).close()
+                self._shares.pop(address, None)
+                self._holders.pop(address, None)
+
+    def _submit_here(self, address: str, attempt: Attempt, deliver: Deliver) -> bool:
+        if not self._shares.get(address):
+            return False
+        link = self._links.get(address)
+        if link is None:
+            return False
+        link.submit(attempt, deliver)
+        return True
+
+    def _cancel_here(self, address: str, attempt_id: str) -> None:
+        link = self._links.get(address)
+        if link is not None:
+            link.cancel(attempt_id)
+
+    def _choose_holder(self, leaf: Leaf) -> str | None:
+        usable = {item.name: item for item in self._view.usable_peers()}
+        names = [name for name in self.holders_of(leaf) if name in usable]
+        region = self._view.own.region
+        return min(
+            names,
+            key=lambda name: (
+                usable[name].region != region,
+                self._forwarder.in_progress_at(name),
+                name,
+            ),
+            default=None,
+        )
+
+    def _account(
+        self, leaf: Leaf, attempt: Attempt, group: str, outcome: Outcome
+    ) -> None:
+        now = self._clock.monotonic()
+        match outcome:
+            case Replied(elapsed=elapsed):
+                self._note_reply(leaf, group, now, elapsed)
+            case Refused(reason=Reason.LEAF_REFUSED):
+                leaf.limit.note_shed(now)
+            case Refused():
+                pass
+            case Failed(NotRun(Reason.CANCELLED | Reason.DEADLINE)):
+                pass
+            case Failed(MayHaveRun(Reason.CANCELLED)):
+                pass
+            case Failed():
+                self._note_failure(leaf, group, now)
+
+    def _note_reply(self, leaf: Leaf, group: str, now: float, elapsed: float) -> None:
+        delay = self.delay_of(group)
+        leaf.limit.note_reply(now, elapsed, delay.median(now))
+        leaf.latency.observe(now, elapsed)
+        delay.observe(elapsed)
+        if leaf.ejection.note_success():
+            self._events.emit(Events.LEAF_RETURNED, leaf=leaf.address)
+
+    def _note_failure(self, leaf: Leaf, group: str, now: float) -> None:
+        self._metrics.count("leaf.failed")
+        resolved = self._groups.get(group)
+        leaves = resolved.leaves if resolved else ()
+        ejected = sum(1 for item in leaves if item.ejection.is_ejected(now))
+        if leaf.ejection.note_failure(now, may_eject(len(leaves), ejected)):
+            self._events.emit(Events.LEAF_EJECTED, leaf=leaf.address)
--- /dev/null
+++ b/walkcart/leaves/leaf.py
@@ -0,0 +1,106 @@
+"""What an instance knows of one leaf."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from walkcart.routing.ejection import Ejection
+from walkcart.routing.latency import DecayedLatency
+from walkcart.routing.limits import ConcurrencyLimit
+
+#: Seconds after which half of a leaf's stated load is forgotten.
+STATED_HALF_LIFE = 0.1
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Snapshot:
+    """One state of a shard group's data.
+
+    Args:
+        layout: epoch of the layout.
+        version: index version; 0 stands for "any".
+    """
+
+    layout: int
+    version: int
+
+    def __str__(self) -> str:
+        return f"{self.layout}:{self.version}"
+
+
+ANY_VERSION = 0
+
+
+class BadSnapshot(ValueError):
+    """A text that is no snapshot."""
+
+
+def parse_snapshot(text: str) -> Snapshot:
+    """Read ``layout:version``.
+
+    Raises:
+        BadSnapshot: not two whole numbers.
+    """
+    layout, _, version = text.partition(":")
+    if not layout.isdigit() or not version.isdigit():
+        raise BadSnapshot(text[:40])
+    return Snapshot(int(layout), int(version))
+
+
+class Leaf:
+    """One leaf: its place, what it said last, and how it has been doing.
+
+    Args:
+        address: ``IP:port``.
+        labels: as the instance list gives them.
+        slots: requests that it runs at once.
+    """
+
+    def __init__(self, address: str, labels: dict[str, str], slots: int) -> None:
+        self.address = address
+        self.labels = labels
+        self.slots = slots
+        self.incarnation = 0
+        self.outstanding = 0
+        self.latency = DecayedLatency()
+        self.ejection = Ejection()
+        self.limit = ConcurrencyLimit(first=slots + 1, most=slots + 1)
+        self.held: frozenset[int] | None = None
+        self.first_used: float | None = None
+        self._stated = 0.0
+        self._stated_at = 0.0
+
+    @property
+    def region(self) -> str:
+        """Region that it stands in."""
+        return self.labels.get("region", "")
+
+    @property
+    def data_centre(self) -> str:
+        """Data centre that it stands in."""
+        return self.labels.get("data-centre", "")
+
+    def note_stated(self, now: float, outstanding: int) -> None:
+        """Take in the leaf's word on its load; this instance's part is taken off."""
+        self._stated = max(0.0, float(outstanding - self.outstanding))
+        self._stated_at = now
+
+    def stated_load(self, now: float) -> float:
+        """Return the requests of others that likely are there still."""
+        return self._stated * 0.5 ** ((now - self._stated_at) / STATED_HALF_LIFE)
+
+    def age(self, now: float) -> float:
+        """Return the seconds since this instance first used this life of it."""
+        if self.first_used is None:
+            self.first_used = now
+        return now - self.first_used
+
+    def note_incarnation(self, incarnation: int) -> None:
+        """Take in the life that the leaf stated; a new one starts cold."""
+        if incarnation <= self.incarnation:
+            return
+        if self.incarnation:
+            self.first_used = None
+            self.latency = DecayedLatency()
+            self.held = None
+        self.incarnation = incarnation
--- /dev/null
+++ b/walkcart/leaves/link.py
@@ -0,0 +1,332 @@
+"""The connections of one instance to one leaf: one task for each.
+
+Attempts wait in one queue and each connection's task carries one at a time, so
+a waiting attempt costs the leaf nothing and can be cancelled for nothing. A
+running one that nobody waits for is cancelled over another connection if one is
+idle; its own connection is drained and kept, since a new one costs time.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+import trio
+
+from walkcart.kernel.clock import Clock
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
+from walkcart.kernel.metrics import Metrics
+from walkcart.kernel.settings import parse_host_port
+from walkcart.kernel.spans import Tracer
+from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome
+from walkcart.leaves.leaf import Leaf
+from walkcart.leaves.protocol import (
+    CANCEL_TARGET,
+    REPLY_LIMIT,
+    STATUS_TARGET,
+    LeafWord,
+    encode_attempt,
+    is_ours,
+    read_outcome,
+    read_word,
+)
+from walkcart.wire.http import ExchangeFailed, HttpConnection, HttpRequest
+from walkcart.wire.network import Network
+from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
+
+CONNECT_TIME = timedelta(seconds=1)
+IDLE_TIME = timedelta(seconds=30)
+#: A reply that comes this long after its deadline is still read to the end, so
+#: that the connection can be kept.
+DRAIN_TIME = timedelta(milliseconds=500)
+#: A connection idle for longer is checked before a non-repeatable request.
+FRESH_TIME = timedelta(seconds=1)
+
+
+@dataclass(slots=True)
+class _Pending:
+    """An attempt with its receiver, or a cancel that has none."""
+
+    attempt: Attempt | None
+    deliver: Deliver | None
+    cancel_id: str = ""
+    abandoned: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LinkTools:
+    """What every link of an instance uses."""
+
+    network: Network
+    clock: Clock
+    events: EventLog
+    metrics: Metrics
+    tracer: Tracer
+    on_word: Callable[[Leaf, LeafWord], None]
+
+
+class LeafLink:
+    """Carries attempts to one leaf.
+
+    Args:
+        leaf: what is known of it.
+        share: connections that may be open.
+        tools: what every link uses.
+        nursery: where the connections' tasks run.
+    """
+
+    def __init__(
+        self, leaf: Leaf, share: int, tools: LinkTools, nursery: trio.Nursery
+    ) -> None:
+        self._leaf = leaf
+        self._share = share
+        self._tools = tools
+        self._nursery = nursery
+        self._queue: deque[_Pending] = deque()
+        self._running: dict[str, _Pending] = {}
+        self._idle = trio.lowlevel.ParkingLot()
+        self._connections = 0
+        self._closed = False
+        self._connect_failed_at = float("-inf")
+
+    @property
+    def connections(self) -> int:
+        """Connections that are open or being opened."""
+        return self._connections
+
+    @property
+    def busy(self) -> bool:
+        """Whether an attempt waits or runs."""
+        return bool(self._queue or self._running)
+
+    def submit(self, attempt: Attempt, deliver: Deliver) -> None:
+        """Queue `attempt`; `deliver` is told once how it ended."""
+        if self._closed:
+            deliver(attempt, Failed(NotRun(Reason.UNREACHABLE, "the link is closed")))
+            return
+        self._queue.append(_Pending(attempt, deliver))
+        self._call_worker()
+
+    def cancel(self, attempt_id: str) -> None:
+        """Nobody waits for this attempt any longer; its outcome is still told."""
+        for pending in self._queue:
+            if pending.attempt is not None and pending.attempt.id == attempt_id:
+                self._queue.remove(pending)
+                self._end(pending, Failed(NotRun(Reason.CANCELLED)))
+                return
+        pending = self._running.get(attempt_id)
+        if pending is not None and not pending.abandoned:
+            pending.abandoned = True
+            if len(self._idle):
+                self._queue.appendleft(_Pending(None, None, cancel_id=attempt_id))
+                self._idle.unpark()
+
+    def set_share(self, share: int) -> None:
+        """Change the number of connections; more than that close when idle."""
+        self._share = share
+        self._idle.unpark_all()
+
+    def warm_up(self) -> None:
+        """Open the first connection, to learn what the leaf says of itself."""
+        if self._connections == 0 and not self._closed:
+            self._start_connection()
+
+    def close(self) -> None:
+        """Take no more attempts; connections close when idle."""
+        self._closed = True
+        self._idle.unpark_all()
+
+    def _call_worker(self) -> None:
+        if len(self._idle):
+            self._idle.unpark()
+        elif self._connections < min(self._share, self._leaf.limit.current):
+            self._start_connection()
+
+    def _start_connection(self) -> None:
+        self._connections += 1
+        self._nursery.start_soon(self._run_connection)
+
+    async def _run_connection(self) -> None:
+        """Open one connection and carry attempts over it until it ends."""
+        connection: HttpConnection | None = None
+        try:
+            connection = await self._open()
+            if connection is not None:
+                await self._carry_all(connection)
+        finally:
+            self._connections -= 1
+            if connection is not None:
+                with trio.CancelScope(shield=True):
+                    await connection.close()
+        self._after_connection(connection is not None)
+
+    def _after_connection(self, opened: bool) -> None:
+        """See to what still waits after a connection ended."""
+        if self._connections == 0 and (not opened or self._closed):
+            detail = f"no connection to {self._leaf.address}"
+            waiting, self._queue = self._queue, deque()
+            for pending in waiting:
+                self._end(pending, Failed(NotRun(Reason.UNREACHABLE, detail)))
+        elif self._queue:
+            self._call_worker()
+
+    async def _open(self) -> HttpConnection | None:
+        """Connect and exchange a status; None when the leaf can't be reached."""
+        address = parse_host_port(self._leaf.address)
+        try:
+            with trio.fail_after(CONNECT_TIME.total_seconds()):
+                stream = await self._tools.network.connect(address)
+                connection = HttpConnection(stream, self._leaf.address, REPLY_LIMIT)
+                try:
+                    await self._check(connection)
+                except BaseException:
+                    await connection.close()
+                    raise
+                return connection
+        except (OSError, ExchangeFailed, trio.TooSlowError) as error:
+            self._tools.events.emit(
+                Events.LEAF_UNREACHABLE, leaf=self._leaf.address, detail=str(error)
+            )
+            return None
+
+    async def _check(self, connection: HttpConnection) -> None:
+        """Exchange a status, which shows that the leaf serves this connection."""
+        reply = await connection.exchange(HttpRequest("GET", STATUS_TARGET))
+        self._tools.on_word(self._leaf, read_word(reply.headers))
+        if not connection.renew():
+            raise OSError("the leaf closes the connection")
+
+    async def _carry_all(self, connection: HttpConnection) -> None:
+        last_used = self._tools.clock.monotonic()
+        while True:
+            pending = await self._next()
+            if pending is None:
+                return
+            if not await self._carry(connection, pending, last_used):
+                return
+            last_used = self._tools.clock.monotonic()
+
+    async def _next(self) -> _Pending | None:
+        """Wait for something to carry; None when the connection should close."""
+        while True:
+            if self._connections > self._share or (self._closed and not self._queue):
+                return None
+            if self._queue and self._may_start():
+                return self._queue.popleft()
+            with trio.move_on_after(IDLE_TIME.total_seconds()) as scope:
+                await self._idle.park()
+            if scope.cancelled_caught and not self._queue and self._connections > 1:
+                return None
+
+    def _may_start(self) -> bool:
+        if self._queue[0].attempt is None:
+            return True
+        return len(self._running) < self._leaf.limit.current
+
+    async def _carry(
+        self, connection: HttpConnection, pending: _Pending, last_used: float
+    ) -> bool:
+        """Carry one attempt or cancel; return whether the connection goes on."""
+        if pending.attempt is None:
+            return await self._send_cancel(connection, pending.cancel_id)
+        attempt = pending.attempt
+        now = self._tools.clock.monotonic()
+        if attempt.deadline <= now:
+            self._end(pending, Failed(NotRun(Reason.DEADLINE, "it waited too long")))
+            return True
+        stale = now - last_used > FRESH_TIME.total_seconds()
+        if not attempt.repeatable and stale and not await self._is_fresh(connection):
+            # Nothing of the attempt was sent: it goes on over another one.
+            self._queue.appendleft(pending)
+            return False
+        return await self._exchange(connection, pending, attempt)
+
+    async def _is_fresh(self, connection: HttpConnection) -> bool:
+        with trio.move_on_after(CONNECT_TIME.total_seconds()):
+            try:
+                await self._check(connection)
+            except (OSError, ExchangeFailed):
+                return False
+            return True
+        return False
+
+    async def _exchange(
+        self, connection: HttpConnection, pending: _Pending, attempt: Attempt
+    ) -> bool:
+        self._running[attempt.id] = pending
+        clean = False
+        outcome: Outcome = Failed(MayHaveRun(Reason.DEADLINE, "no reply in time"))
+        try:
+            clean, outcome = await self._try_exchange(connection, attempt, outcome)
+        except trio.Cancelled:
+            outcome = Failed(MayHaveRun(Reason.STOPPING, "stopped while it ran"))
+            raise
+        finally:
+            del self._running[attempt.id]
+            self._end(pending, outcome)
+        if self._queue and len(self._idle):
+            self._idle.unpark()
+        return clean
+
+    async def _try_exchange(
+        self, connection: HttpConnection, attempt: Attempt, timed_out: Outcome
+    ) -> tuple[bool, Outcome]:
+        """Return whether the connection is clean afterwards, and the outcome."""
+        tools = self._tools
+        start = tools.clock.monotonic()
+        remaining = attempt.deadline - start
+        span = tools.tracer.start(
+            "leaf.attempt",
+            attempt.traceparent,
+            attempt=attempt.id,
+            leaf=self._leaf.address,
+            shard=attempt.shard,
+        )
+        with tools.tracer.hold(span):
+            with trio.move_on_after(remaining + DRAIN_TIME.total_seconds()):
+                tools.metrics.count("leaf.sent")
+                try:
+                    request = encode_attempt(attempt, remaining)
+                    reply = await connection.exchange(request)
+                except ExchangeFailed as error:
+                    return False, self._read_failure(error)
+                elapsed = tools.clock.monotonic() - start
+                if not is_ours(attempt, reply.headers):
+                    tools.events.emit(
+                        Events.LEAF_WRONG_ATTEMPT, leaf=self._leaf.address
+                    )
+                    detail = "the reply isn't this attempt's"
+                    return False, Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
+                tools.on_word(self._leaf, read_word(reply.headers))
+                return connection.renew(), read_outcome(attempt, reply, elapsed)
+        return False, timed_out
+
+    def _read_failure(self, error: ExchangeFailed) -> Failed:
+        self._tools.events.emit(
+            Events.LEAF_BAD_REPLY, leaf=self._leaf.address, detail=str(error)
+        )
+        if error.sent:
+            return Failed(MayHaveRun(Reason.LEAF_FAILED, str(error)))
+        return Failed(NotRun(Reason.UNREACHABLE, str(error)))
+
+    async def _send_cancel(self, connection: HttpConnection, attempt_id: str) -> bool:
+        if attempt_id not in self._running:
+            return True
+        request = HttpRequest("DELETE", CANCEL_TARGET + attempt_id)
+        with trio.move_on_after(CONNECT_TIME.total_seconds()):
+            try:
+                await connection.exchange(request)
+            except ExchangeFailed:
+                return False
+            return connection.renew()
+        return False
+
+    def _end(self, pending: _Pending, outcome: Outcome) -> None:
+        if pending.attempt is None or pending.deliver is None:
+            return
+        if pending.abandoned:
+            self._tools.metrics.count("leaf.late")
+        pending.deliver(pending.attempt, outcome)
--- /dev/null
+++ b/walkcart/leaves/protocol.py
@@ -0,0 +1,171 @@
+"""The leaves' interface: HTTP/1.1 with these headers.
+
+A leaf that refuses says ``walkcart-ran: no``; any other failure after the first
+byte counts as "may have run". A leaf echoes the attempt id and the scope, and
+states its snapshot, the versions it holds, its load, its life and whether it is
+leaving on each reply.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from walkcart.leaves.attempts import Attempt, Failed, Outcome, Refused, Replied
+from walkcart.leaves.leaf import ANY_VERSION, BadSnapshot, Snapshot, parse_snapshot
+from walkcart.wire.http import Headers, HttpReply, HttpRequest
+from walkcart.wire.verdicts import MayHaveRun, Reason
+
+ATTEMPT = b"walkcart-attempt"
+SHARD = b"walkcart-shard"
+PIN = b"walkcart-pin"
+SCOPE = b"walkcart-scope"
+DEADLINE = b"walkcart-deadline-ms"
+ONCE_KEY = b"walkcart-once-key"
+EXPIRES = b"walkcart-expires"
+RAN = b"walkcart-ran"
+SNAPSHOT = b"walkcart-snapshot"
+HELD = b"walkcart-held"
+LOAD = b"walkcart-load"
+INCARNATION = b"walkcart-incarnation"
+STATE = b"walkcart-state"
+PARTIAL = b"walkcart-partial"
+RETRY_AFTER_MS = b"walkcart-retry-after-ms"
+TRACEPARENT = b"traceparent"
+
+QUERY_TARGET = "/query"
+STATUS_TARGET = "/status"
+CANCEL_TARGET = "/attempts/"
+
+STATUS_NOT_HELD = 409
+STATUS_CANCELLED = 499
+STATUS_SHED = 503
+STATUS_TOO_LATE = 504
+
+#: Longest leaf reply that is taken, in bytes.
+REPLY_LIMIT = 4 << 20
+
+
+def encode_attempt(attempt: Attempt, remaining: float) -> HttpRequest:
+    """Return the request of `attempt`, with `remaining` seconds to go."""
+    headers = [
+        (ATTEMPT, attempt.id.encode()),
+        (SHARD, b"%d" % attempt.shard),
+        (PIN, b"%d:%d" % (attempt.pin.layout, attempt.pin.version)),
+        (SCOPE, attempt.scope.encode()),
+        (DEADLINE, b"%d" % max(1, int(remaining * 1000))),
+    ]
+    if attempt.once_key:
+        headers.append((ONCE_KEY, attempt.once_key.encode()))
+        headers.append((EXPIRES, f"{attempt.expires:.3f}".encode()))
+    if attempt.traceparent:
+        headers.append((TRACEPARENT, attempt.traceparent.encode()))
+    return HttpRequest("POST", QUERY_TARGET, tuple(headers), attempt.body)
+
+
+def decode_attempt(request_headers: Headers, id: str, deadline: float) -> Attempt:
+    """Return the attempt that a forwarded request stands for.
+
+    Raises:
+        BadSnapshot: of the pin.
+        KeyError: a header is missing.
+        ValueError: a header is no number.
+    """
+    found = dict(request_headers)
+    return Attempt(
+        id=id,
+        shard=int(found[SHARD]),
+        pin=parse_snapshot(found[PIN].decode()),
+        scope=found[SCOPE].decode(),
+        deadline=deadline,
+        body=b"",
+        once_key=found.get(ONCE_KEY, b"").decode(),
+        expires=float(found.get(EXPIRES, b"0")),
+        traceparent=found[TRACEPARENT].decode() if TRACEPARENT in found else None,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class LeafWord:
+    """What a leaf says about itself on each reply.
+
+    Args:
+        held: index versions that it holds; None when it didn't say.
+        load: requests that wait or run there; None when it didn't say.
+        incarnation: number of its process life, 0 when it didn't say.
+        leaving: whether it is leaving.
+    """
+
+    held: frozenset[int] | None
+    load: int | None
+    incarnation: int
+    leaving: bool
+
+
+def read_word(headers: Headers) -> LeafWord:
+    """Read what the leaf says about itself; what can't be read is left out."""
+    found = dict(headers)
+    held = None
+    if HELD in found:
+        parts = found[HELD].split(b",")
+        held = frozenset(int(part) for part in parts if part.strip().isdigit())
+    return LeafWord(
+        held,
+        _read_number(found.get(LOAD)),
+        _read_number(found.get(INCARNATION)) or 0,
+        found.get(STATE) == b"leaving",
+    )
+
+
+def _read_number(value: bytes | None) -> int | None:
+    if value is None or not value.isdigit() or len(value) > 18:
+        return None
+    return int(value)
+
+
+def is_ours(attempt: Attempt, headers: Headers) -> bool:
+    """Return whether a reply echoes the attempt's id and scope."""
+    found = dict(headers)
+    if found.get(ATTEMPT) != attempt.id.encode():
+        return False
+    return found.get(SCOPE, b"") == attempt.scope.encode()
+
+
+def read_outcome(attempt: Attempt, reply: HttpReply, elapsed: float) -> Outcome:
+    """Return what a reply that is ours means for its attempt."""
+    found = dict(reply.headers)
+    if found.get(RAN) == b"no":
+        return Refused(_refusal_reason(reply.status), _read_retry(found))
+    if reply.status == STATUS_CANCELLED:
+        return Failed(MayHaveRun(Reason.CANCELLED))
+    if not 200 <= reply.status < 300 and attempt.repeatable:
+        detail = f"the leaf answered {reply.status}"
+        return Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
+    try:
+        snapshot = parse_snapshot(found.get(SNAPSHOT, b"").decode("latin-1"))
+    except BadSnapshot:
+        return Failed(MayHaveRun(Reason.LEAF_FAILED, "the leaf states no snapshot"))
+    partial = found.get(PARTIAL) == b"yes"
+    return Replied(snapshot, partial, reply.status, reply.body, elapsed)
+
+
+def _refusal_reason(status: int) -> Reason:
+    match status:
+        case 409:
+            return Reason.VERSION_NOT_HELD
+        case 504:
+            return Reason.DEADLINE
+        case _:
+            return Reason.LEAF_REFUSED
+
+
+def _read_retry(found: dict[bytes, bytes]) -> timedelta | None:
+    milliseconds = _read_number(found.get(RETRY_AFTER_MS))
+    return None if milliseconds is None else timedelta(milliseconds=milliseconds)
+
+
+def fits_pin(pin: Snapshot, snapshot: Snapshot) -> bool:
+    """Return whether a reply of `snapshot` is what `pin` asked for."""
+    if pin.layout != snapshot.layout:
+        return False
+    return pin.version in (ANY_VERSION, snapshot.version)
--- /dev/null
+++ b/walkcart/membership/detector.py
@@ -0,0 +1,252 @@
+"""Failure detection by heartbeats to a bounded number of peers.
+
+Each round an instance pings one other, in a shuffled order that comes round to
+all. Without an answer it asks a few others to ping it too; without an answer to
+those either, the instance is suspected, and dead unless it refutes that in time.
+The cost for one instance doesn't grow with their number. News that matters at
+once (states, marks of leaves, a revision) is pushed to a few peers besides.
+
+References:
+    Das, Gupta, Motivala: SWIM, 2002.
+
+See Also:
+    ``docs/design/membership.md``.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+import trio
+
+from walkcart.kernel.clock import Clock
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
+from walkcart.kernel.metrics import Metrics
+from walkcart.membership.gossip import GossipQueue
+from walkcart.membership.links import PeerLinks
+from walkcart.membership.marks import LeafMarks
+from walkcart.membership.view import MembershipView, MemberState
+from walkcart.wire.messages import Ack, Gossip, MemberRecord, Message, Ping, PingRequest
+
+INDIRECT_PINGS = 2
+PUSH_PEERS = 3
+#: Share of a round after which a ping without an answer is asked of others.
+DIRECT_SHARE = 0.5
+#: Rounds from a suspicion to death.
+SUSPICION_ROUNDS = 2.0
+#: In one of so many rounds a dead instance is pinged, so that a cut heals.
+DEAD_PING_ROUNDS = 4
+
+
+@dataclass(slots=True)
+class _Probe:
+    """A ping under way."""
+
+    target: str
+    answered: trio.Event
+
+
+class Detector:
+    """Pings peers, keeps the view and passes news on.
+
+    Args:
+        view: what is kept.
+        marks: leaves that are leaving.
+        gossip: news to pass on.
+        links: to the peers.
+        clock: source of time.
+        random: source of the order of pings.
+        events: where changes are logged.
+        metrics: where live peers are counted.
+        interval: length of a round.
+    """
+
+    def __init__(
+        self,
+        view: MembershipView,
+        marks: LeafMarks,
+        gossip: GossipQueue,
+        links: PeerLinks,
+        clock: Clock,
+        random: Random,
+        events: EventLog,
+        metrics: Metrics,
+        interval: timedelta,
+    ) -> None:
+        self._view = view
+        self._marks = marks
+        self._gossip = gossip
+        self._links = links
+        self._clock = clock
+        self._random = random
+        self._events = events
+        self._metrics = metrics
+        self._interval = interval.total_seconds()
+        self._number = 0
+        self._probes: dict[int, _Probe] = {}
+        self._relayed: dict[int, tuple[str, int]] = {}
+        self._order: list[str] = []
+        self._round = 0
+        self._nursery: trio.Nursery | None = None
+        self._urgent = trio.Event()
+        links.on(Ping, self._on_ping)
+        links.on(Ack, self._on_ack)
+        links.on(PingRequest, self._on_ping_request)
+        links.on(Gossip, self._on_gossip)
+        view.on_change(self._on_member_change)
+        marks.on_change(self._on_mark_change)
+
+    async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
+        """Ping a peer each round until cancelled."""
+        async with trio.open_nursery() as self._nursery:
+            self._nursery.start_soon(self._push_news)
+            task_status.started()
+            while True:
+                await trio.sleep(self._interval * self._random.uniform(0.9, 1.1))
+                self._round += 1
+                target = self._choose_target()
+                if target is not None:
+                    self._nursery.start_soon(self._probe, target)
+
+    def push_soon(self) -> None:
+        """Push news to a few peers without waiting for the next round."""
+        self._urgent.set()
+
+    def _choose_target(self) -> str | None:
+        if self._round % DEAD_PING_ROUNDS == 0:
+            dead = self._dead_but_listed()
+            if dead:
+                return self._random.choice(dead)
+        while True:
+            if not self._order:
+                self._order = self._not_dead()
+                self._random.shuffle(self._order)
+                if not self._order:
+                    return None
+            name = self._order.pop()
+            record = self._view.find(name)
+            if record is not None and record.state != MemberState.DEAD:
+                return name
+
+    def _not_dead(self) -> list[str]:
+        return [
+            record.name
+            for record in self._view.records()
+            if record.state != MemberState.DEAD and record.name != self._view.own.name
+        ]
+
+    def _dead_but_listed(self) -> list[str]:
+        return [
+            record.name
+            for record in self._view.records()
+            if record.state == MemberState.DEAD and self._view.is_listed(record.name)
+        ]
+
+    async def _probe(self, target: str) -> None:
+        """Ping `target`, then through others; suspect it when nothing answers."""
+        number = self._next_number()
+        probe = _Probe(target, trio.Event())
+        self._probes[number] = probe
+        try:
+            self._links.send(target, Ping(number, self._gossip.make_digest()))
+            with trio.move_on_after(self._interval * DIRECT_SHARE):
+                await probe.answered.wait()
+                return
+            for helper in self._choose_peers(INDIRECT_PINGS, target):
+                digest = self._gossip.make_digest()
+                self._links.send(helper, PingRequest(number, target, digest))
+            with trio.move_on_after(self._interval):
+                await probe.answered.wait()
+                return
+        finally:
+            del self._probes[number]
+        await self._suspect(target)
+
+    async def _suspect(self, target: str) -> None:
+        if not self._view.mark(target, MemberState.SUSPECT):
+            return
+        suspected = self._view.find(target)
+        self.push_soon()
+        await trio.sleep(self._interval * SUSPICION_ROUNDS)
+        if self._view.find(target) == suspected:
+            self._view.mark(target, MemberState.DEAD)
+            self.push_soon()
+
+    def _next_number(self) -> int:
+        self._number += 1
+        return self._number
+
+    def _choose_peers(self, count: int, without: str = "") -> list[str]:
+        names = [item.name for item in self._view.usable_peers()]
+        names = [name for name in names if name != without]
+        return self._random.sample(names, min(count, len(names)))
+
+    async def _push_news(self) -> None:
+        while True:
+            await self._urgent.wait()
+            self._urgent = trio.Event()
+            for name in self._choose_peers(PUSH_PEERS):
+                self._links.send(name, Gossip(self._gossip.make_digest()))
+            # Gathers what comes close together into one push.
+            await trio.sleep(self._interval / 20)
+
+    def _on_ping(self, sender: str, message: Message) -> None:
+        assert isinstance(message, Ping)
+        self._take_in(message.digest)
+        digest = self._gossip.make_digest()
+        self._links.send(sender, Ack(message.number, self._view.own.name, digest))
+
+    def _on_ack(self, sender: str, message: Message) -> None:
+        assert isinstance(message, Ack)
+        self._take_in(message.digest)
+        probe = self._probes.get(message.number)
+        if probe is not None and probe.target == message.target:
+            probe.answered.set()
+        asked = self._relayed.pop(message.number, None)
+        if asked is not None:
+            name, number = asked
+            digest = self._gossip.make_digest()
+            self._links.send(name, Ack(number, message.target, digest))
+
+    def _on_ping_request(self, sender: str, message: Message) -> None:
+        assert isinstance(message, PingRequest)
+        self._take_in(message.digest)
+        number = self._next_number()
+        self._relayed[number] = (sender, message.number)
+        if len(self._relayed) > 1000:
+            self._relayed.pop(next(iter(self._relayed)))
+        self._links.send(message.target, Ping(number, self._gossip.make_digest()))
+
+    def _on_gossip(self, sender: str, message: Message) -> None:
+        assert isinstance(message, Gossip)
+        self._take_in(message.digest)
+
+    def _take_in(self, digest: object) -> None:
+        if self._gossip.take_in(digest):
+            self.push_soon()
+
+    def _on_member_change(self, old: MemberRecord | None, new: MemberRecord) -> None:
+        self._gossip.add_member(new.name)
+        self._metrics.gauge("member.live", len(self._view.live()))
+        if old is not None and old.state == new.state:
+            return
+        if new.name == self._view.own.name:
+            self.push_soon()
+            return
+        event = {
+            MemberState.LIVE: Events.MEMBER_JOINED,
+            MemberState.LEAVING: Events.MEMBER_LEAVING,
+            MemberState.SUSPECT: Events.MEMBER_SUSPECTED,
+            MemberState.DEAD: Events.MEMBER_DEAD,
+        }[MemberState(new.state)]
+        self._events.emit(event, member=new.name, incarnation=new.incarnation)
+
+    def _on_mark_change(self, address: str, incarnation: int, leaving: bool) -> None:
+        event = Events.LEAF_LEAVING if leaving else Events.LEAF_RESTARTED
+        self._events.emit(event, leaf=address, incarnation=incarnation)
+        if leaving:
+            self._gossip.add_mark(address)
+            self.push_soon()
--- /dev/null
+++ b/walkcart/membership/links.py
@@ -0,0 +1,173 @@
+"""Links to peers: one task for each, batched envelopes, dispatch by type."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+
+import trio
+
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
+from walkcart.kernel.metrics import Metrics
+from walkcart.kernel.settings import BadValue, HostPort, parse_host_port
+from walkcart.membership.view import MembershipView
+from walkcart.wire.codec import BadMessage, decode_envelope, encode_envelope
+from walkcart.wire.messages import Envelope, Message
+from walkcart.wire.peers import PeerListener, PeerTransport
+
+#: Messages that wait for one peer; more are dropped and counted.
+OUTBOX_LIMIT = 2000
+MESSAGES_PER_ENVELOPE = 64
+#: A link without messages for this long is closed.
+IDLE_TIME = timedelta(seconds=30)
+SEND_TIME = timedelta(seconds=2)
+
+#: Called with the sender's name and the message; must not wait.
+MessageHandler = Callable[[str, Message], None]
+
+
+class PeerLinks:
+    """Sends to and receives from the other instances.
+
+    Args:
+        listener: where this instance is reached.
+        transport: makes senders.
+        view: the instances and their addresses.
+        events: where bad messages are logged.
+        metrics: where messages are counted.
+    """
+
+    def __init__(
+        self,
+        listener: PeerListener,
+        transport: PeerTransport,
+        view: MembershipView,
+        events: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self._listener = listener
+        self._transport = transport
+        self._view = view
+        self._events = events
+        self._metrics = metrics
+        self._handlers: dict[type[Message], MessageHandler] = {}
+        self._links: dict[tuple[str, HostPort], _Link] = {}
+        self._nursery: trio.Nursery | None = None
+        self.last_received = trio.current_time()
+
+    def on(self, kind: type[Message], handler: MessageHandler) -> None:
+        """Give messages of `kind` to `handler`."""
+        self._handlers[kind] = handler
+
+    def send(self, name: str, message: Message) -> bool:
+        """Queue `message` for the instance called `name`.
+
+        Returns:
+            False when it was not queued and so will surely not be sent.
+        """
+        record = self._view.find(name)
+        if record is None or self._nursery is None or not record.peer_address:
+            return False
+        try:
+            address = parse_host_port(record.peer_address)
+        except BadValue:
+            return False
+        link = self._links.get((name, address))
+        if link is None:
+            link = _Link()
+            self._links[(name, address)] = link
+            self._nursery.start_soon(self._run_link, name, address, link)
+        if not link.put(message):
+            self._metrics.count("peer.dropped")
+            return False
+        return True
+
+    async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
+        """Receive until cancelled."""
+        try:
+            async with trio.open_nursery() as self._nursery:
+                task_status.started()
+                while True:
+                    self._take_in(await self._listener.receive())
+        finally:
+            self._nursery = None
+            with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
+                await self._listener.close()
+
+    def _take_in(self, data: bytes) -> None:
+        self._metrics.count("peer.bytes", len(data))
+        try:
+            envelope = decode_envelope(data)
+        except BadMessage as error:
+            self._events.emit(Events.PEER_BAD_MESSAGE, detail=str(error)[:200])
+            return
+        if envelope.to_incarnation not in (0, self._view.own.incarnation):
+            # Meant for an earlier process at this address.
+            return
+        self.last_received = trio.current_time()
+        self._metrics.count("peer.received", len(envelope.messages))
+        for message in envelope.messages:
+            handler = self._handlers.get(type(message))
+            if handler is not None:
+                handler(envelope.sender, message)
+
+    async def _run_link(self, name: str, address: HostPort, link: _Link) -> None:
+        """Send what is queued for one peer until it is idle or unreachable."""
+        sender = await self._transport.dial(address)
+        try:
+            while await link.wait():
+                data = self._pack(name, link.take())
+                with trio.move_on_after(SEND_TIME.total_seconds()) as scope:
+                    await sender.send(data)
+                if scope.cancelled_caught:
+                    break
+        finally:
+            self._links.pop((name, address), None)
+            with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
+                await sender.close()
+
+    def _pack(self, name: str, messages: tuple[Message, ...]) -> bytes:
+        record = self._view.find(name)
+        own = self._view.own
+        envelope = Envelope(
+            own.name,
+            own.incarnation,
+            own.peer_address,
+            record.incarnation if record else 0,
+            messages,
+        )
+        data = encode_envelope(envelope)
+        self._metrics.count("peer.sent", len(messages))
+        self._metrics.count("peer.bytes", len(data))
+        return data
+
+
+class _Link:
+    """The outbox of one peer."""
+
+    def __init__(self) -> None:
+        self._messages: deque[Message] = deque()
+        self._wakeup = trio.Event()
+
+    def put(self, message: Message) -> bool:
+        """Queue `message`; False when the outbox is full."""
+        if len(self._messages) >= OUTBOX_LIMIT:
+            return False
+        self._messages.append(message)
+        self._wakeup.set()
+        return True
+
+    async def wait(self) -> bool:
+        """Wait for a message; False after a long time without one."""
+        if not self._messages:
+            self._wakeup = trio.Event()
+            with trio.move_on_after(IDLE_TIME.total_seconds()):
+                await self._wakeup.wait()
+        return bool(self._messages)
+
+    def take(self) -> tuple[Message, ...]:
+        """Take what fits into one envelope."""
+        count = min(len(self._messages), MESSAGES_PER_ENVELOPE)
+        return tuple(self._messages.popleft() for _ in range(count))
--- /dev/null
+++ b/walkcart/membership/listing.py
@@ -0,0 +1,217 @@
+"""The platform's list of instances: lagging, so only a hint.
+
+It seeds the view of peers, names the leaves with their labels, and is one of
+three sources that say a leaf is leaving. While it can't be read, what it said
+last stays in use.
+
+The interface, as the stand-in offers it: ``GET /instances?after=N`` gives JSON
+with ``revision``, ``full`` and ``instances``; only the changed ones when
+``full`` is false; 304 when nothing changed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from random import Random
+
+import msgspec
+import trio
+
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
+from walkcart.kernel.settings import BadValue, HostPort, parse_host_port
+from walkcart.membership.marks import LeafMarks
+from walkcart.membership.view import MembershipView, MemberState
+from walkcart.wire.http import ExchangeFailed, HttpConnection, HttpRequest
+from walkcart.wire.messages import MemberRecord
+from walkcart.wire.network import Network
+
+ROLE_LEAF = "leaf"
+ROLE_INSTANCE = "walkcart"
+STATE_LEAVING = "leaving"
+STATE_GONE = "gone"
+BODY_LIMIT = 8 << 20
+READ_TIME = timedelta(seconds=5)
+
+
+@dataclass(frozen=True, slots=True)
+class ListedInstance:
+    """One row of the list.
+
+    Args:
+        name: unique.
+        role: ``leaf`` or ``walkcart``.
+        address: ``IP:port`` that it serves at.
+        peer_address: ``IP:port`` for peers; walkcart instances only.
+        state: ``live``, ``leaving``, or ``gone`` in a list of changes.
+        incarnation: number of its process life; 0 when the platform gives none.
+        labels: as the platform holds them.
+    """
+
+    name: str
+    role: str
+    address: str
+    peer_address: str = ""
+    state: str = "live"
+    incarnation: int = 0
+    labels: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class _Page:
+    revision: int
+    full: bool
+    instances: tuple[ListedInstance, ...]
+
+
+_PAGE = msgspec.json.Decoder(_Page)
+
+#: Called after the set of leaves changed, with all of them.
+Listener = Callable[[tuple[ListedInstance, ...]], None]
+
+
+class InstanceList:
+    """Reads the list at intervals.
+
+    Args:
+        address: where the list is served.
+        network: opens connections.
+        view: gets the walkcart instances.
+        marks: gets the leaves' states.
+        events: where failures are logged.
+        random: source of jitter.
+        interval: between two reads.
+    """
+
+    def __init__(
+        self,
+        address: HostPort,
+        network: Network,
+        view: MembershipView,
+        marks: LeafMarks,
+        events: EventLog,
+        random: Random,
+        interval: timedelta,
+    ) -> None:
+        self._address = address
+        self._network = network
+        self._view = view
+        self._marks = marks
+        self._events = events
+        self._random = random
+        self._interval = interval.total_seconds()
+        self._revision = 0
+        self._rows: dict[str, ListedInstance] = {}
+        self._listeners: list[Listener] = []
+        self._failing = False
+        self._connection: HttpConnection | None = None
+
+    def on_change(self, listener: Listener) -> None:
+        """Call `listener` with all leaves after each change."""
+        self._listeners.append(listener)
+
+    def leaves(self) -> tuple[ListedInstance, ...]:
+        """Return the listed leaves, in the order of the names."""
+        rows = (self._rows[name] for name in sorted(self._rows))
+        return tuple(row for row in rows if row.role == ROLE_LEAF)
+
+    async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
+        """Read until cancelled; the first read comes before the start is told."""
+        await self._read_once()
+        task_status.started()
+        while True:
+            await trio.sleep(self._interval * self._random.uniform(0.8, 1.2))
+            await self._read_once()
+
+    async def _read_once(self) -> None:
+        with trio.move_on_after(READ_TIME.total_seconds()):
+            try:
+                page = await self._fetch()
+            except (OSError, ExchangeFailed, msgspec.MsgspecError, ValueError) as error:
+                await self._drop_connection()
+                self._note_failure(str(error))
+                return
+            self._failing = False
+            if page is not None:
+                self._take_in(page)
+            return
+        await self._drop_connection()
+        self._note_failure("no reply in time")
+
+    async def _fetch(self) -> _Page | None:
+        if self._connection is None:
+            stream = await self._network.connect(self._address)
+            self._connection = HttpConnection(stream, str(self._address), BODY_LIMIT)
+        request = HttpRequest("GET", f"/instances?after={self._revision}")
+        reply = await self._connection.exchange(request)
+        if not self._connection.renew():
+            await self._drop_connection()
+        if reply.status == 304:
+            return None
+        if reply.status != 200:
+            raise ValueError(f"status {reply.status}")
+        return _PAGE.decode(reply.body)
+
+    async def _drop_connection(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            with trio.CancelScope(shield=True):
+                await connection.close()
+
+    def _note_failure(self, detail: str) -> None:
+        if not self._failing:
+            self._events.emit(Events.LIST_FAILED, detail=detail[:200])
+        self._failing = True
+
+    def _take_in(self, page: _Page) -> None:
+        if page.full:
+            self._rows = {}
+        self._revision = page.revision
+        for row in page.instances:
+            if row.state == STATE_GONE:
+                self._rows.pop(row.name, None)
+            else:
+                self._rows[row.name] = row
+        self._seed_view()
+        self._note_states()
+        leaves = self.leaves()
+        for listener in self._listeners:
+            listener(leaves)
+
+    def _seed_view(self) -> None:
+        rows = [row for row in self._rows.values() if row.role == ROLE_INSTANCE]
+        live = frozenset(row.name for row in rows if row.state != STATE_LEAVING)
+        self._view.set_listed(live)
+        for row in rows:
+            if self._view.find(row.name) is None:
+                self._view.merge(_seed_record(row))
+        for record in self._view.records():
+            if record.state == MemberState.DEAD and record.name not in live:
+                self._view.forget(record.name)
+
+    def _note_states(self) -> None:
+        for row in self.leaves():
+            try:
+                address = str(parse_host_port(row.address))
+            except BadValue:
+                continue
+            if row.state == STATE_LEAVING:
+                self._marks.note_leaving(address, row.incarnation)
+            else:
+                self._marks.note_live(address, row.incarnation)
+
+
+def _seed_record(row: ListedInstance) -> MemberRecord:
+    return MemberRecord(
+        name=row.name,
+        incarnation=0,
+        counter=0,
+        state=int(MemberState.LIVE),
+        peer_address=row.peer_address,
+        address=row.address,
+        data_centre=row.labels.get("data-centre", ""),
+        region=row.labels.get("region", ""),
+        revision=0,
+    )
--- /dev/null
+++ b/walkcart/standins/faulty.py
@@ -0,0 +1,44 @@
+"""A stream whose sends can be spoiled."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+#: Given the bytes of one send, returns what is sent instead and whether the
+#: connection closes after it.
+Spoil = Callable[[bytes], tuple[bytes, bool]]
+
+
+class FaultyStream(trio.abc.Stream):
+    """Passes bytes on, spoiled.
+
+    Args:
+        stream: the true stream.
+        spoil: what happens to each send.
+    """
+
+    def __init__(self, stream: trio.abc.Stream, spoil: Spoil) -> None:
+        self._stream = stream
+        self._spoil = spoil
+
+    async def send_all(self, data: bytes) -> None:
+        """Send what is left of `data`."""
+        sent, close = self._spoil(bytes(data))
+        if sent:
+            await self._stream.send_all(sent)
+        if close:
+            await trio.aclose_forcefully(self._stream)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Wait until the stream takes more."""
+        await self._stream.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Receive bytes."""
+        return await self._stream.receive_some(max_bytes)
+
+    async def aclose(self) -> None:
+        """Close the stream."""
+        await self._stream.aclose()
--- /dev/null
+++ b/walkcart/standins/leaf.py
@@ -0,0 +1,345 @@
+"""A leaf's stand-in: slots, a queue, index versions, marked rows and faults.
+
+Each row of a reply carries the shard, the layout, the version and the scope, so
+a check sees from the rows alone whose they are. What ran is recorded.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+import msgspec
+import trio
+
+from walkcart.leaves import protocol
+from walkcart.leaves.leaf import BadSnapshot, parse_snapshot
+from walkcart.standins.faulty import FaultyStream
+from walkcart.standins.serving import StandinServer
+from walkcart.standins.store import apply_control
+from walkcart.wire.http import HttpReply, HttpRequest
+
+QUEUE_LIMIT = 64
+KEPT_VERSIONS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class LeafSpec:
+    """What a leaf is.
+
+    Args:
+        name: unique.
+        group: its shard group, for the label.
+        shard: number of its shard.
+        layout: epoch of its layout.
+        slots: requests that it runs at once.
+        connections: that it takes; more are refused.
+        connect_time: seconds that a new connection costs.
+        median: of the service time, in seconds.
+        spread: of the service time's logarithm.
+        labels: besides group, shard and layout.
+    """
+
+    name: str
+    group: str
+    shard: int
+    layout: int = 1
+    slots: int = 2
+    connections: int = 25
+    connect_time: float = 0.006
+    median: float = 0.008
+    spread: float = 0.3
+    labels: dict[str, str] = field(default_factory=dict)
+
+    def all_labels(self) -> dict[str, str]:
+        """Return the labels under which the instance list shows it."""
+        own = {
+            "group": self.group,
+            "shard": str(self.shard),
+            "layout": str(self.layout),
+        }
+        return {**self.labels, **own}
+
+
+@dataclass(slots=True)
+class LeafFaults:
+    """What goes wrong; all off at first.
+
+    Args:
+        slow: factor on the service time.
+        stall_share: share of requests that stall.
+        stall_time: seconds that a stall adds.
+        hang: requests are taken and never answered.
+        shed: every request is refused for load.
+        leaving: states that it leaves, and refuses new work.
+        mute_leaving: when leaving, it refuses but doesn't say why.
+        no_pin: ignores the pin and answers from its newest version.
+        late_version: answers from the version before its newest.
+        partial: states that it sees only a part of its shard.
+        lie_load: the load it states, instead of the true one.
+        drop_reply: share of requests that run without a reply.
+        garbage: share of replies that are no HTTP.
+        cut_body: share of replies that end in the middle.
+        repeat_reply: share of replies that are sent twice.
+        wrong_attempt: share of replies that echo another attempt.
+        wrong_scope: share of replies that echo another scope.
+        endless: share of replies whose body doesn't end.
+        bad_rows: share of replies whose body is no JSON.
+    """
+
+    slow: float = 1.0
+    stall_share: float = 0.0
+    stall_time: float = 0.2
+    hang: bool = False
+    shed: bool = False
+    leaving: bool = False
+    mute_leaving: bool = False
+    no_pin: bool = False
+    late_version: bool = False
+    partial: bool = False
+    lie_load: int | None = None
+    drop_reply: float = 0.0
+    garbage: float = 0.0
+    cut_body: float = 0.0
+    repeat_reply: float = 0.0
+    wrong_attempt: float = 0.0
+    wrong_scope: float = 0.0
+    endless: float = 0.0
+    bad_rows: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One request that the leaf began.
+
+    Args:
+        attempt: its id.
+        once_key: of a non-repeatable request, else empty.
+        at: seconds of trio's clock.
+        scope: that it was asked under.
+    """
+
+    attempt: str
+    once_key: str
+    at: float
+    scope: str
+
+
+class LeafStandin:
+    """Serves one shard.
+
+    Args:
+        spec: what it is.
+        random: decides service times and faults.
+        versions: index versions that it holds.
+        incarnation: number of its process life.
+    """
+
+    def __init__(
+        self,
+        spec: LeafSpec,
+        random: Random,
+        versions: tuple[int, ...] = (1,),
+        incarnation: int = 1,
+    ) -> None:
+        self.spec = spec
+        self.faults = LeafFaults()
+        self.versions = versions
+        self.incarnation = incarnation
+        self.runs: list[Run] = []
+        self.refused = 0
+        self.requests = 0
+        self.connections = 0
+        self.most_connections = 0
+        self.connections_refused = 0
+        self.once: Counter[str] = Counter()
+        self._random = random
+        self._slots = trio.CapacityLimiter(spec.slots)
+        self._load = 0
+        self._running: dict[str, trio.CancelScope] = {}
+
+    def make_server(self) -> StandinServer:
+        """Return the server of this leaf."""
+        return _LeafServer(self)
+
+    def load_version(self, version: int) -> None:
+        """Take a new index version; the oldest one goes."""
+        if version not in self.versions:
+            self.versions = tuple(sorted((*self.versions, version)))[-KEPT_VERSIONS:]
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Serve one request."""
+        if request.target == "/control":
+            return apply_control(self.faults, request)
+        if request.target == protocol.STATUS_TARGET:
+            return HttpReply(200, self._word())
+        if request.target.startswith(protocol.CANCEL_TARGET):
+            return self._cancel(request.target[len(protocol.CANCEL_TARGET) :])
+        if request.target != protocol.QUERY_TARGET:
+            return HttpReply(404)
+        return await self._query(request)
+
+    def _cancel(self, attempt: str) -> HttpReply:
+        scope = self._running.get(attempt)
+        if scope is not None:
+            scope.cancel()
+        return HttpReply(204, self._word())
+
+    async def _query(self, request: HttpRequest) -> HttpReply:
+        headers = dict(request.headers)
+        attempt = headers.get(protocol.ATTEMPT, b"").decode()
+        self.requests += 1
+        refusal = self._find_refusal(headers)
+        if refusal is not None:
+            return self._refuse(refusal, headers)
+        self._load += 1
+        budget = int(headers.get(protocol.DEADLINE, b"1000")) / 1000
+        deadline = trio.current_time() + budget
+        status = protocol.STATUS_CANCELLED
+        try:
+            with trio.CancelScope() as self._running[attempt]:
+                status = await self._run(headers, attempt, deadline)
+        finally:
+            self._load -= 1
+            self._running.pop(attempt, None)
+        if status == protocol.STATUS_TOO_LATE:
+            return self._refuse(status, headers)
+        if status != 200:
+            return HttpReply(status, (*self._echo(headers), *self._word()))
+        return self._answer(request, headers)
+
+    def _find_refusal(self, headers: dict[bytes, bytes]) -> int | None:
+        """Return the status with which the request is refused, if it is."""
+        faults = self.faults
+        if faults.shed or faults.leaving or self._load >= QUEUE_LIMIT:
+            return protocol.STATUS_SHED
+        try:
+            pin = parse_snapshot(headers.get(protocol.PIN, b"0:0").decode())
+        except BadSnapshot:
+            return 400
+        if pin.layout not in (0, self.spec.layout):
+            return protocol.STATUS_NOT_HELD
+        if pin.version and pin.version not in self.versions and not faults.no_pin:
+            return protocol.STATUS_NOT_HELD
+        return None
+
+    def _refuse(self, status: int, headers: dict[bytes, bytes]) -> HttpReply:
+        self.refused += 1
+        ran = (protocol.RAN, b"no")
+        return HttpReply(status, (*self._echo(headers), *self._word(), ran))
+
+    async def _run(
+        self, headers: dict[bytes, bytes], attempt: str, deadline: float
+    ) -> int:
+        """Wait for a slot and do the work; return the status."""
+        async with self._slots:
+            if trio.current_time() >= deadline:
+                return protocol.STATUS_TOO_LATE
+            once_key = headers.get(protocol.ONCE_KEY, b"").decode()
+            scope = headers.get(protocol.SCOPE, b"").decode()
+            self.runs.append(Run(attempt, once_key, trio.current_time(), scope))
+            if once_key:
+                self.once[once_key] += 1
+            await trio.sleep(self._service_time())
+            if self.faults.hang:
+                await trio.sleep_forever()
+        return 200
+
+    def _service_time(self) -> float:
+        normal = self._random.gauss(0.0, self.spec.spread)
+        time = self.spec.median * math.exp(normal) * self.faults.slow
+        if self._random.random() < self.faults.stall_share:
+            time += self.faults.stall_time
+        return time
+
+    def _answer(self, request: HttpRequest, headers: dict[bytes, bytes]) -> HttpReply:
+        version = self._version_for(headers)
+        scope = headers.get(protocol.SCOPE, b"").decode()
+        row = {
+            "leaf": self.spec.name,
+            "shard": self.spec.shard,
+            "layout": self.spec.layout,
+            "version": version,
+            "scope": scope,
+            "query": msgspec.Raw(request.body or b"null"),
+        }
+        body = msgspec.json.encode({"rows": [row]})
+        if self._happens(self.faults.bad_rows):
+            body = body[:-2]
+        snapshot = (protocol.SNAPSHOT, b"%d:%d" % (self.spec.layout, version))
+        partial = (protocol.PARTIAL, b"yes" if self.faults.partial else b"no")
+        echo = self._echo(headers)
+        return HttpReply(200, (*echo, *self._word(), snapshot, partial), body)
+
+    def _version_for(self, headers: dict[bytes, bytes]) -> int:
+        pin = parse_snapshot(headers.get(protocol.PIN, b"0:0").decode())
+        if pin.version and not self.faults.no_pin:
+            return pin.version
+        if self.faults.late_version and len(self.versions) > 1:
+            return self.versions[-2]
+        return self.versions[-1]
+
+    def _echo(self, headers: dict[bytes, bytes]) -> tuple[tuple[bytes, bytes], ...]:
+        attempt = headers.get(protocol.ATTEMPT, b"")
+        scope = headers.get(protocol.SCOPE, b"")
+        if self._happens(self.faults.wrong_attempt):
+            attempt = b"another.1"
+        if self._happens(self.faults.wrong_scope):
+            scope = b"another"
+        return ((protocol.ATTEMPT, attempt), (protocol.SCOPE, scope))
+
+    def _word(self) -> tuple[tuple[bytes, bytes], ...]:
+        load = self._load if self.faults.lie_load is None else self.faults.lie_load
+        told = self.faults.leaving and not self.faults.mute_leaving
+        held = ",".join(str(version) for version in self.versions)
+        return (
+            (protocol.HELD, held.encode()),
+            (protocol.LOAD, b"%d" % load),
+            (protocol.INCARNATION, b"%d" % self.incarnation),
+            (protocol.STATE, b"leaving" if told else b"live"),
+        )
+
+    def _happens(self, share: float) -> bool:
+        return share > 0 and self._random.random() < share
+
+    def spoil(self, data: bytes) -> tuple[bytes, bool]:
+        """Return the bytes that leave in place of a reply, and whether to close."""
+        faults = self.faults
+        if b"walkcart-snapshot" not in data[:600]:
+            return data, False
+        if self._happens(faults.drop_reply):
+            return b"", True
+        if self._happens(faults.garbage):
+            return b"\x16\x03\x01 this is no HTTP\r\n\r\n" * 4, True
+        if self._happens(faults.cut_body):
+            return data[:-7], True
+        if self._happens(faults.repeat_reply):
+            return data + data, False
+        if self._happens(faults.endless):
+            return data.replace(b"content-length: ", b"content-length: 99", 1), True
+        return data, False
+
+
+class _LeafServer(StandinServer):
+    """Counts connections, makes new ones cost time, spoils replies."""
+
+    def __init__(self, leaf: LeafStandin) -> None:
+        super().__init__(leaf.handle)
+        self._leaf = leaf
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection, unless the leaf has enough."""
+        leaf = self._leaf
+        if leaf.connections >= leaf.spec.connections:
+            leaf.connections_refused += 1
+            await trio.aclose_forcefully(stream)
+            return
+        leaf.connections += 1
+        leaf.most_connections = max(leaf.most_connections, leaf.connections)
+        try:
+            await trio.sleep(leaf.spec.connect_time)
+            await self.http.serve(FaultyStream(stream, leaf.spoil))
+        finally:
+            leaf.connections -= 1
--- /dev/null
+++ b/walkcart/wire/http.py
@@ -0,0 +1,174 @@
+"""The client side of HTTP/1.1 on h11: one connection, one exchange at a time.
+
+A connection is used again only once its last reply was read to the end, so a
+reply can't be taken for another request's.
+
+References:
+    RFC 9112, HTTP/1.1.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+import h11
+import trio
+
+RECEIVE_SIZE = 65536
+HEADER_LIMIT = 32768
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A request, whole.
+
+    Args:
+        method: as in ``POST``.
+        target: the path, with a query if there is one.
+        headers: names in small letters, without framing headers.
+        body: the body's bytes.
+    """
+
+    method: str
+    target: str
+    headers: Headers = ()
+    body: bytes = b""
+
+    def header(self, name: bytes) -> str | None:
+        """Return the first header called `name`, or None."""
+        return find_header(self.headers, name)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """A reply, whole.
+
+    Args:
+        status: the status code.
+        headers: names in small letters.
+        body: the body's bytes.
+    """
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b""
+
+    def header(self, name: bytes) -> str | None:
+        """Return the first header called `name`, or None."""
+        return find_header(self.headers, name)
+
+
+def find_header(headers: Headers, name: bytes) -> str | None:
+    """Return the first header called `name` as text, or None."""
+    for key, value in headers:
+        if key == name:
+            return value.decode("latin-1")
+    return None
+
+
+class FailureKind(Enum):
+    """What ended an exchange."""
+
+    CLOSED = "closed"
+    GARBAGE = "garbage"
+    TOO_LONG = "too long"
+
+
+class ExchangeFailed(Exception):
+    """An exchange ended without a whole reply.
+
+    Args:
+        kind: what ended it.
+        sent: whether any byte of the request may have left.
+    """
+
+    def __init__(self, kind: FailureKind, sent: bool) -> None:
+        super().__init__(kind.value)
+        self.kind = kind
+        self.sent = sent
+
+
+class HttpConnection:
+    """The client's end of one connection.
+
+    Args:
+        stream: the bytes.
+        host: value of the ``Host`` header.
+        body_limit: longest reply body that is read, in bytes.
+    """
+
+    def __init__(self, stream: trio.abc.Stream, host: str, body_limit: int) -> None:
+        self._stream = stream
+        self._host = host.encode()
+        self._body_limit = body_limit
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT)
+
+    async def exchange(self, request: HttpRequest) -> HttpReply:
+        """Send `request` and read its reply to the end.
+
+        Raises:
+            ExchangeFailed: no whole reply came; the connection is of no more use.
+        """
+        data = self._encode(request)
+        sent = False
+        try:
+            # A failing send may have put some bytes on the wire already.
+            sent = True
+            await self._stream.send_all(data)
+            return await self._read_reply()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            raise ExchangeFailed(FailureKind.CLOSED, sent) from None
+        except h11.RemoteProtocolError as error:
+            kind = FailureKind.GARBAGE
+            if self._h11.trailing_data[1] and not self._h11.trailing_data[0]:
+                kind = FailureKind.CLOSED
+            raise ExchangeFailed(kind, sent) from error
+
+    def _encode(self, request: HttpRequest) -> bytes:
+        headers = [(b"host", self._host), *request.headers]
+        headers.append((b"content-length", str(len(request.body)).encode()))
+        head = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        data = self._h11.send(head) or b""
+        if request.body:
+            data += self._h11.send(h11.Data(data=request.body)) or b""
+        return data + (self._h11.send(h11.EndOfMessage()) or b"")
+
+    async def _read_reply(self) -> HttpReply:
+        head: h11.Response | None = None
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                self._h11.receive_data(await self._stream.receive_some(RECEIVE_SIZE))
+            elif type(event) is h11.Response:
+                head = event
+            elif type(event) is h11.Data:
+                size += len(event.data)
+                if size > self._body_limit:
+                    raise ExchangeFailed(FailureKind.TOO_LONG, True)
+                chunks.append(bytes(event.data))
+            elif type(event) is h11.EndOfMessage:
+                break
+            elif type(event) is h11.ConnectionClosed:
+                raise ExchangeFailed(FailureKind.CLOSED, True)
+        assert head is not None
+        return HttpReply(head.status_code, tuple(head.headers), b"".join(chunks))
+
+    def renew(self) -> bool:
+        """Make ready for the next exchange; return whether that can be."""
+        if self._h11.our_state is not h11.DONE:
+            return False
+        if self._h11.their_state is not h11.DONE or self._h11.trailing_data[0]:
+            return False
+        self._h11.start_next_cycle()
+        return True
+
+    async def close(self) -> None:
+        """Close the stream at once."""
+        await trio.aclose_forcefully(self._stream)
--- /dev/null
+++ b/walkcart/wire/server.py
@@ -0,0 +1,223 @@
+"""The server side of HTTP/1.1 on h11: one task for each connection.
+
+See Also:
+    `walkcart.wire.http`, the client side.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+import h11
+import trio
+
+from walkcart.wire.http import HEADER_LIMIT, RECEIVE_SIZE, HttpReply, HttpRequest
+
+Handler = Callable[[HttpRequest], Awaitable[HttpReply]]
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """What a client may ask of a connection.
+
+    Args:
+        body: longest body, in bytes.
+        read_time: a request must be whole this long after its first byte.
+        idle_time: a connection without a request is closed after this.
+    """
+
+    body: int = 1 << 20
+    read_time: timedelta = timedelta(seconds=10)
+    idle_time: timedelta = timedelta(seconds=120)
+
+
+class Fault(Enum):
+    """What was wrong with a request that no handler saw."""
+
+    MALFORMED = 400
+    TIMEOUT = 408
+    BODY_TOO_LONG = 413
+    HEADERS_TOO_LONG = 431
+
+
+class RequestBad(Exception):
+    """The bytes are no request that can be served."""
+
+    def __init__(self, fault: Fault) -> None:
+        super().__init__(fault.name)
+        self.fault = fault
+
+
+@dataclass(slots=True, eq=False)
+class _Connection:
+    """The state of one connection that a stop has to see."""
+
+    stream: trio.abc.Stream
+    http: h11.Connection
+    idle_scope: trio.CancelScope | None = None
+    idle_since: float = 0.0
+    requests: int = field(default=0)
+
+
+class HttpServer:
+    """Serves requests until it is stopped.
+
+    Args:
+        handler: makes the reply; must not raise.
+        limits: what a client may ask.
+        on_fault: makes the reply to bytes that are no request.
+        on_gone: called when a client closes or breaks half-way.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits,
+        on_fault: Callable[[Fault], HttpReply],
+        on_gone: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._handler = handler
+        self._limits = limits
+        self._on_fault = on_fault
+        self._on_gone = on_gone
+        self._connections: set[_Connection] = set()
+        self._closing = False
+        self.in_progress = 0
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    def announce_stop(self) -> None:
+        """From now on each reply asks the client to close its connection."""
+        self._closing = True
+
+    def close_idle(self, idle_for: timedelta) -> None:
+        """Close the connections that had no request for at least `idle_for`."""
+        limit = trio.current_time() - idle_for.total_seconds()
+        for connection in tuple(self._connections):
+            if connection.idle_scope and connection.idle_since <= limit:
+                connection.idle_scope.cancel()
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection to its end."""
+        http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT)
+        connection = _Connection(stream, http)
+        self._connections.add(connection)
+        try:
+            while await self._serve_one(connection):
+                connection.requests += 1
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            self._on_gone()
+        finally:
+            self._connections.discard(connection)
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_one(self, connection: _Connection) -> bool:
+        """Serve one request; return whether another may follow."""
+        if not await self._wait_for_bytes(connection):
+            return False
+        self.in_progress += 1
+        try:
+            try:
+                request = await self._read_request(connection)
+            except RequestBad as error:
+                await self._send(connection, self._on_fault(error.fault), close=True)
+                return False
+            if request is None:
+                self._on_gone()
+                return False
+            reply = await self._handler(request)
+            await self._send(connection, reply, close=self._closing)
+        finally:
+            self.in_progress -= 1
+        return self._renew(connection)
+
+    async def _wait_for_bytes(self, connection: _Connection) -> bool:
+        """Wait for the first byte of a request; False when none will come."""
+        if connection.http.trailing_data[0]:
+            return True
+        data = b""
+        connection.idle_since = trio.current_time()
+        idle_time = self._limits.idle_time.total_seconds()
+        with trio.move_on_after(idle_time) as connection.idle_scope:
+            data = await connection.stream.receive_some(RECEIVE_SIZE)
+        connection.idle_scope = None
+        if not data:
+            return False
+        connection.http.receive_data(data)
+        return True
+
+    async def _read_request(self, connection: _Connection) -> HttpRequest | None:
+        """Read one request; None when the client closed half-way."""
+        with trio.move_on_after(self._limits.read_time.total_seconds()):
+            try:
+                return await self._collect(connection)
+            except h11.RemoteProtocolError as error:
+                raise RequestBad(_fault_of(error)) from None
+        raise RequestBad(Fault.TIMEOUT)
+
+    async def _collect(self, connection: _Connection) -> HttpRequest | None:
+        head: h11.Request | None = None
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            event = connection.http.next_event()
+            if event is h11.NEED_DATA:
+                if connection.http.they_are_waiting_for_100_continue:
+                    await self._send_continue(connection)
+                data = await connection.stream.receive_some(RECEIVE_SIZE)
+                if not data:
+                    return None
+                connection.http.receive_data(data)
+            elif type(event) is h11.Request:
+                head = event
+            elif type(event) is h11.Data:
+                size += len(event.data)
+                if size > self._limits.body:
+                    raise RequestBad(Fault.BODY_TOO_LONG)
+                chunks.append(bytes(event.data))
+            elif type(event) is h11.EndOfMessage:
+                break
+            else:
+                return None
+        assert head is not None
+        method = head.method.decode("ascii")
+        target = head.target.decode("latin-1")
+        return HttpRequest(method, target, tuple(head.headers), b"".join(chunks))
+
+    async def _send_continue(self, connection: _Connection) -> None:
+        head = h11.InformationalResponse(status_code=100, headers=[])
+        await connection.stream.send_all(connection.http.send(head) or b"")
+
+    async def _send(
+        self, connection: _Connection, reply: HttpReply, close: bool
+    ) -> None:
+        http = connection.http
+        if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = [*reply.headers, (b"content-length", str(len(reply.body)).encode())]
+        if close:
+            headers.append((b"connection", b"close"))
+        data = http.send(h11.Response(status_code=reply.status, headers=headers)) or b""
+        if reply.body:
+            data += http.send(h11.Data(data=reply.body)) or b""
+        data += http.send(h11.EndOfMessage()) or b""
+        await connection.stream.send_all(data)
+
+    def _renew(self, connection: _Connection) -> bool:
+        http = connection.http
+        if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+            return False
+        http.start_next_cycle()
+        return True
+
+
+def _fault_of(error: h11.RemoteProtocolError) -> Fault:
+    if error.error_status_hint == Fault.HEADERS_TOO_LONG.value:
+        return Fault.HEADERS_TOO_LONG
+    return Fault.MALFORMED
