Say 'not ready' until the instance list was read once

Change: /readyz gives no_instance_list; until the first read the list is tried each 0.1 s instead of each second.

--- a/walkcart/daemon/assembly.py
+++ b/walkcart/daemon/assembly.py
@@ -313,6 +313,7 @@
         executions,
         desk,
         keeper,
+        kernel.find("listing", InstanceList),
         settings.operator_token,
         events,
         metrics,
--- a/walkcart/daemon/tests/processes.py
+++ b/walkcart/daemon/tests/processes.py
@@ -14,14 +14,25 @@
 
 
 def take_ports(count):
-    """Return free ports, one run of `count` after each other where possible."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    """Return free ports, in a run one after the other."""
+    for _ in range(TRIES):
+        probe = socket.socket()
+        probe.bind(("127.0.0.1", 0))
+        first = probe.getsockname()[1]
+        probe.close()
+        ports = list(range(first, first + count))
+        if first + count < 65536 and all(is_free(port) for port in ports):
+            return ports
+    raise AssertionError("no run of free ports")
+
+
+def is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 class Processes:
--- a/walkcart/daemon/tests/test_whole_path.py
+++ b/walkcart/daemon/tests/test_whole_path.py
@@ -28,10 +28,10 @@
 
 def start_estate(processes, tmp_path):
     """Start 1 store, 8 leaves of 4 shards and 3 daemons; return their addresses."""
-    store, listing, *rest = [f"127.0.0.1:{port}" for port in take_ports(8)]
+    ports = take_ports(8 + SHARDS * REPLICAS)
+    store, listing, *rest = [f"127.0.0.1:{port}" for port in ports[:8]]
     entries, peers = rest[:3], rest[3:6]
-    first_leaf = take_ports(1)[0] % 20000 + 10000
-    leaves = f"parts:{SHARDS}:{REPLICAS}:127.0.0.1:{first_leaf}"
+    leaves = f"parts:{SHARDS}:{REPLICAS}:127.0.0.1:{ports[8]}"
     processes.start("store", "walkcart.standins.main", "store", "--listen", store)
     processes.start("leaves", "walkcart.standins.main", "leaves", leaves)
     words = ["list", "--listen", listing, "--leaves", leaves]
@@ -80,7 +80,7 @@
     for entry in entries:
         wait_until(lambda entry=entry: is_ready(entry))
         status, content = ask(entry)
-        assert status == 200
+        assert status == 200, content
         assert content["coverage"]["answered"] == list(range(SHARDS))
         assert [row["shard"] for row in content["answer"]["rows"]] == [0, 1, 2, 3]
     asked = run_tool(
--- a/walkcart/entry/app.py
+++ b/walkcart/entry/app.py
@@ -17,6 +17,7 @@
 from walkcart.kernel.events import Events
 from walkcart.kernel.invariants import InvariantBroken
 from walkcart.kernel.metrics import Metrics
+from walkcart.membership.listing import InstanceList
 from walkcart.wire.http import HttpReply, HttpRequest
 from walkcart.wire.server import Fault, HttpServer, ServerLimits
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
@@ -41,6 +42,7 @@
         executions: handles non-repeatable requests.
         desk: answers operators.
         keeper: tells whether there is a configuration.
+        listing: tells whether the leaves are known.
         operator_token: the operators' credential.
         events: where bad requests are logged.
         metrics: where refusals are counted.
@@ -54,6 +56,7 @@
         executions: ExecuteHandler,
         desk: OperatorDesk,
         keeper: ConfigurationKeeper,
+        listing: InstanceList,
         operator_token: str,
         events: EventLog,
         metrics: Metrics,
@@ -64,6 +67,7 @@
         self._executions = executions
         self._desk = desk
         self._keeper = keeper
+        self._listing = listing
         self._operator_token = operator_token
         self._events = events
         self._metrics = metrics
@@ -156,6 +160,8 @@
             reasons.append("stopping")
         if self._keeper.document.revision == 0:
             reasons.append("no_configuration")
+        if not self._listing.known:
+            reasons.append("no_instance_list")
         if self._keeper.is_cut():
             reasons.append("control_cut")
         content = {"ready": not reasons, "reasons": reasons}
--- a/walkcart/membership/listing.py
+++ b/walkcart/membership/listing.py
@@ -34,6 +34,8 @@
 STATE_GONE = "gone"
 BODY_LIMIT = 8 << 20
 READ_TIME = timedelta(seconds=5)
+#: Seconds between two tries until the first read.
+FIRST_INTERVAL = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +108,8 @@
         self._rows: dict[str, ListedInstance] = {}
         self._listeners: list[Listener] = []
         self._failing = False
+        #: Whether it was read at least once; before that no leaf is known.
+        self.known = False
         self._connection: HttpConnection | None = None
 
     def on_change(self, listener: Listener) -> None:
@@ -122,7 +126,8 @@
         await self._read_once()
         task_status.started()
         while True:
-            await trio.sleep(self._interval * self._random.uniform(0.8, 1.2))
+            interval = self._interval if self.known else FIRST_INTERVAL
+            await trio.sleep(interval * self._random.uniform(0.8, 1.2))
             await self._read_once()
 
     async def _read_once(self) -> None:
@@ -134,6 +139,7 @@
                 self._note_failure(str(error))
                 return
             self._failing = False
+            self.known = True
             if page is not None:
                 self._take_in(page)
             return
