--- /dev/null
+++ b/walkcart/bench/__main__.py
@@ -0,0 +1,65 @@
+"""``python -m walkcart.bench``: demo, run, soak, replay and slopes."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+
+def main() -> int:
+    """Run one of the bench's jobs; return its exit code."""
+    parser = argparse.ArgumentParser(prog="python -m walkcart.bench")
+    jobs = parser.add_subparsers(dest="job", required=True)
+    jobs.add_parser("demo", help="the embedded estate of `make run`")
+    _add_run(jobs.add_parser("run", help="experiments over the stand-ins"))
+    _add_soak(jobs.add_parser("soak", help="long randomised runs"))
+    replay = jobs.add_parser("replay", help="recorded traces against their outcomes")
+    replay.add_argument("traces", nargs="+", help="trace files")
+    slopes = jobs.add_parser("slopes", help="costs over several sizes")
+    slopes.add_argument("--out", default="out/slopes.json")
+    slopes.add_argument("--only", nargs="*", help="names of the measurements")
+    return _dispatch(parser.parse_args())
+
+
+def _add_run(run: argparse.ArgumentParser) -> None:
+    run.add_argument("scenario", nargs="+", help="names, or `all`")
+    run.add_argument("--policy", nargs="+", default=["walkcart", "random"])
+    run.add_argument("--shape", default="swapline")
+    run.add_argument("--seeds", type=int, default=1)
+    run.add_argument("--workers", type=int, default=4)
+    run.add_argument("--out", default="out", help="folder of the report")
+
+
+def _add_soak(soak: argparse.ArgumentParser) -> None:
+    soak.add_argument("--seed", type=int, default=1)
+    soak.add_argument("--seeds", type=int, default=1, help="so many from --seed on")
+    soak.add_argument("--minutes", type=float, default=2.0, help="of mocked time")
+
+
+def _dispatch(options: argparse.Namespace) -> int:
+    # Imported late: the demo needs neither plots nor processes.
+    match options.job:
+        case "demo":
+            from walkcart.bench.demo import run_demo
+
+            return run_demo()
+        case "run":
+            from walkcart.bench.report import run_and_report
+
+            return run_and_report(options)
+        case "soak":
+            from walkcart.bench.soak import run_soaks
+
+            return run_soaks(options.seed, options.seeds, options.minutes)
+        case "replay":
+            from walkcart.bench.replay import replay_files
+
+            return replay_files(options.traces)
+        case _:
+            from walkcart.bench.slopes import run_slopes
+
+            return run_slopes(options.out, options.only)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
