Soak runs; no storm of connections to a leaf that is full, no rubbish passed on

Cause, from counting task steps: a leaf at its cap closes new connections at once, and a link with a waiting queue and one busy connection opened the next without pause, about 20 a millisecond.

--- /dev/null
+++ b/walkcart/bench/mischief.py
@@ -0,0 +1,291 @@
+"""Faults by chance for the long randomised runs."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import trio
+
+from walkcart.bench.world import RunningLeaf, World, make_service
+from walkcart.intent.applying import Accepted, Raced, Unknown
+from walkcart.standins.balancer import BalancerStandin
+from walkcart.standins.leaf import LeafFaults
+from walkcart.standins.store import StoreFaults
+
+#: Mean seconds between two faults; each lasts for a few.
+FAULT_GAP = 2.5
+SHORTEST, LONGEST = 0.2, 8.0
+REPLY_FAULTS = (
+    "drop_reply",
+    "garbage",
+    "cut_body",
+    "repeat_reply",
+    "wrong_attempt",
+    "wrong_scope",
+    "bad_rows",
+    "endless",
+)
+
+
+class Mischief:
+    """Brings faults about until it is cancelled, then heals them all.
+
+    Args:
+        world: what they happen to.
+        random: decides.
+        balancer: told of instances that start again.
+        group: whose index rolls and whose layout changes.
+    """
+
+    def __init__(
+        self, world: World, random: Random, balancer: BalancerStandin, group: str
+    ) -> None:
+        self._world = world
+        self._random = random
+        self._balancer = balancer
+        self._group = group
+        self._version = 1
+        self._shards = 0
+        self._lives = 0
+        self._accepted: list[int] = []
+        self.made: Counter[str] = Counter()
+        self.broken: list[str] = []
+        self._kinds: list[Callable[[], Awaitable[None]]] = [
+            self._slow_leaf,
+            self._hang_leaf,
+            self._spoil_replies,
+            self._shed_leaf,
+            self._kill_leaf,
+            self._drain_leaf,
+            self._partial_leaf,
+            self._unpinned_leaf,
+            self._roll_index,
+            self._repartition,
+            self._kill_instance,
+            self._stop_instance,
+            self._store_down,
+            self._store_slow,
+            self._store_loses,
+            self._store_lags,
+            self._list_down,
+            self._cut_region,
+            self._lose_envelopes,
+            self._race_operators,
+        ]
+
+    async def run(self) -> None:
+        """Bring about a fault now and then."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(self._random.expovariate(1 / FAULT_GAP))
+                kind = self._random.choice(self._kinds)
+                self.made[kind.__name__.lstrip("_")] += 1
+                nursery.start_soon(kind)
+
+    async def heal(self) -> None:
+        """End all faults; start again what was ended."""
+        self._world.store.faults = StoreFaults()
+        self._world.listing.down = False
+        assert self._world.memory is not None
+        self._world.memory.lose = lambda: False
+        for site in ("north-a", "north-b"):
+            self._world.memory.heal(site, "south-a")
+        for name, item in list(self._world.leaves.items()):
+            item.leaf.faults = LeafFaults()
+            if item.stopped:
+                await self._world.restart_leaf(name)
+
+    def _pick_leaf(self) -> RunningLeaf:
+        running = [item for item in self._world.leaves.values() if not item.stopped]
+        return self._random.choice(running)
+
+    async def _last(self) -> None:
+        await trio.sleep(self._random.uniform(SHORTEST, LONGEST))
+
+    async def _slow_leaf(self) -> None:
+        faults = self._pick_leaf().leaf.faults
+        faults.slow = self._random.choice([3.0, 10.0])
+        await self._last()
+        faults.slow = 1.0
+
+    async def _hang_leaf(self) -> None:
+        faults = self._pick_leaf().leaf.faults
+        faults.hang = True
+        await self._last()
+        faults.hang = False
+
+    async def _spoil_replies(self) -> None:
+        faults = self._pick_leaf().leaf.faults
+        name = self._random.choice(REPLY_FAULTS)
+        setattr(faults, name, self._random.choice([0.2, 1.0]))
+        await self._last()
+        setattr(faults, name, 0.0)
+
+    async def _shed_leaf(self) -> None:
+        faults = self._pick_leaf().leaf.faults
+        faults.shed = True
+        await self._last()
+        faults.shed = False
+
+    async def _kill_leaf(self) -> None:
+        item = self._pick_leaf()
+        name = item.leaf.spec.name
+        self._world.kill_leaf(name, listed=self._random.random() < 0.5)
+        await self._last()
+        await self._restart(name)
+
+    async def _drain_leaf(self) -> None:
+        item = self._pick_leaf()
+        item.leaf.faults.leaving = True
+        item.leaf.faults.mute_leaving = self._random.random() < 0.3
+        await self._last()
+        name = item.leaf.spec.name
+        if not item.stopped:
+            self._world.kill_leaf(name)
+            await self._restart(name)
+
+    async def _restart(self, name: str) -> None:
+        await trio.sleep(0.1)
+        if self._world.leaves[name].stopped:
+            await self._world.restart_leaf(name)
+
+    async def _partial_leaf(self) -> None:
+        faults = self._pick_leaf().leaf.faults
+        faults.partial = True
+        await self._last()
+        faults.partial = False
+
+    async def _unpinned_leaf(self) -> None:
+        faults = self._pick_leaf().leaf.faults
+        faults.no_pin = faults.late_version = True
+        await self._last()
+        faults.no_pin = faults.late_version = False
+
+    async def _roll_index(self) -> None:
+        self._version += 1
+        version = self._version
+        for name in list(self._world.leaves):
+            item = self._world.leaves[name]
+            if item.leaf.spec.group == self._group:
+                item.leaf.load_version(version)
+                await trio.sleep(self._random.uniform(0.0, 0.2))
+
+    async def _repartition(self) -> None:
+        """Once a run: a layout with two more shards."""
+        if self._shards:
+            return
+        old = [
+            item
+            for item in self._world.leaves.values()
+            if item.leaf.spec.group == self._group
+        ]
+        count = len({item.leaf.spec.shard for item in old})
+        self._shards = count + 2
+        sites = sorted({(item.leaf.spec.labels["region"], item.site) for item in old})
+        versions = old[0].leaf.versions
+        await self._world.start_group(self._group, self._shards, 2, sites, 2, versions)
+        layouts = ((2, self._shards), (1, count))
+        text = make_service(self._group, count, layouts=layouts)
+        await self._world.apply(text, patience=30.0)
+
+    async def _kill_instance(self) -> None:
+        if len(self._world.instances) < 4:
+            return
+        name = self._random.choice(sorted(self._world.instances))
+        running = self._world.instances[name]
+        if running.stopping:
+            return
+        place = running.region, running.site
+        listed = self._random.random() < 0.5
+        await self._world.kill_instance(name, listed)
+        await self._last()
+        await self._start_instance(name, *place)
+
+    async def _stop_instance(self) -> None:
+        if len(self._world.instances) < 4:
+            return
+        name = self._random.choice(sorted(self._world.instances))
+        running = self._world.instances[name]
+        if running.stopping:
+            return
+        place = running.region, running.site
+        running.stopping = True
+        if not await self._world.stop_instance(name):
+            self.broken.append(f"{name} reached the bound of its planned stop")
+        await self._last()
+        await self._start_instance(name, *place)
+
+    async def _start_instance(self, name: str, region: str, site: str) -> None:
+        if name in self._world.instances:
+            return
+        running = await self._world.start_instance(name, region, site)
+        self._balancer.instances.append(running.address)
+
+    async def _store_down(self) -> None:
+        self._world.store.faults.down = True
+        await self._last()
+        self._world.store.faults.down = False
+
+    async def _store_slow(self) -> None:
+        self._world.store.faults.delay = self._random.choice([0.3, 1.5])
+        await self._last()
+        self._world.store.faults.delay = 0.0
+
+    async def _store_loses(self) -> None:
+        faults = self._world.store.faults
+        faults.lose_reply, faults.late_write = 0.3, 0.2
+        faults.late_by = self._random.choice([0.05, 0.5, 3.0])
+        await self._last()
+        faults.lose_reply = faults.late_write = 0.0
+
+    async def _store_lags(self) -> None:
+        faults = self._world.store.faults
+        faults.stale_read, faults.garbage = 0.3, 0.1
+        faults.mute_watches = self._random.random() < 0.5
+        await self._last()
+        faults.stale_read = faults.garbage = 0.0
+        faults.mute_watches = False
+
+    async def _list_down(self) -> None:
+        self._world.listing.down = True
+        await self._last()
+        self._world.listing.down = False
+
+    async def _cut_region(self) -> None:
+        memory = self._world.memory
+        assert memory is not None
+        for site in ("north-a", "north-b"):
+            memory.cut(site, "south-a")
+        await self._last()
+        for site in ("north-a", "north-b"):
+            memory.heal(site, "south-a")
+
+    async def _lose_envelopes(self) -> None:
+        memory = self._world.memory
+        assert memory is not None
+        memory.lose = lambda: self._random.random() < 0.2
+        await self._last()
+        memory.lose = lambda: False
+
+    async def _race_operators(self) -> None:
+        """Two operators change the same intent, a third another one."""
+        async with trio.open_nursery() as nursery:
+            for name, field in (("all", 10), ("all", 11), ("other", 12)):
+                nursery.start_soon(self._change, name, field)
+
+    async def _change(self, name: str, priority: int) -> None:
+        value = self._random.randint(100, 200) / 100
+        text = (
+            f'[[routing_intent]]\nname = "{name}"\nselector = ""\n'
+            f"priority = {priority}\ndeadline = {value}\n"
+        )
+        outcome = await self._world.apply(text, author=f"op-{priority}", patience=20.0)
+        match outcome:
+            case Accepted(revision):
+                if revision in self._accepted:
+                    self.broken.append(f"revision {revision} was accepted twice")
+                self._accepted.append(revision)
+            case Raced() | Unknown():
+                pass
--- a/walkcart/bench/world.py
+++ b/walkcart/bench/world.py
@@ -57,6 +57,7 @@
     server: StandinServer
     address: HostPort
     site: str
+    stopped: bool = False
 
 
 @dataclass(slots=True)
@@ -66,6 +67,9 @@
     name: str
     instance: Instance
     scope: trio.CancelScope
+    region: str
+    site: str
+    stopping: bool = False
     ended: trio.Event = field(default_factory=trio.Event)
 
     def find(self, name: str, kind: type) -> Any:
@@ -104,6 +108,8 @@
         self.store = StoreStandin(Random(self.random.random()))
         self.listing = ListStandin()
         self.leaves: dict[str, RunningLeaf] = {}
+        #: Every life of every leaf, for checks of what ran.
+        self.leaves_ever: list[LeafStandin] = []
         self.instances: dict[str, RunningInstance] = {}
         self._changes = changes or {}
         self._log = log
@@ -143,6 +149,7 @@
         taken = await self._nursery.start(server.run, self.network(site), address)
         running = RunningLeaf(leaf, server, taken, site)
         self.leaves[spec.name] = running
+        self.leaves_ever.append(leaf)
         self.listing.put(
             ListedInstance(
                 spec.name,
@@ -184,6 +191,7 @@
     def kill_leaf(self, name: str, listed: bool = True) -> None:
         """End a leaf at once; unless `listed`, the list drops it."""
         self.leaves[name].server.stop()
+        self.leaves[name].stopped = True
         if not listed:
             self.listing.remove(name)
 
@@ -224,7 +232,7 @@
             self._log or StringIO(),
         )
         instance = await assemble_instance(Settings(**values), around)
-        running = RunningInstance(name, instance, trio.CancelScope())
+        running = RunningInstance(name, instance, trio.CancelScope(), region, site)
         self.instances[name] = running
         self.listing.put(
             ListedInstance(
@@ -257,7 +265,7 @@
         """Stop an instance as SIGTERM does; return whether nothing was cut."""
         running = self.instances[name]
         ended = await running.instance.stop.stop()
-        self.instances.pop(name, None)
+        del self.instances[name]
         running.scope.cancel()
         await running.ended.wait()
         self.listing.remove(name)
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -42,6 +42,9 @@
 #: A reply that comes this long after its deadline is still read to the end, so
 #: that the connection can be kept.
 DRAIN_TIME = timedelta(milliseconds=500)
+#: Seconds without a new try after a failure to connect; doubles up to the longest.
+FIRST_BACKOFF = 0.05
+LONGEST_BACKOFF = 2.0
 #: A connection idle for longer is checked before a non-repeatable request.
 FRESH_TIME = timedelta(seconds=1)
 
@@ -90,7 +93,8 @@
         self._idle = trio.lowlevel.ParkingLot()
         self._connections = 0
         self._closed = False
-        self._connect_failed_at = float("-inf")
+        self._backoff = FIRST_BACKOFF
+        self._connect_after = float("-inf")
 
     @property
     def connections(self) -> int:
@@ -104,8 +108,9 @@
 
     def submit(self, attempt: Attempt, deliver: Deliver) -> None:
         """Queue `attempt`; `deliver` is told once how it ended."""
-        if self._closed:
-            deliver(attempt, Failed(NotRun(Reason.UNREACHABLE, "the link is closed")))
+        if self._closed or not self._can_carry():
+            detail = f"no connection to {self._leaf.address}"
+            deliver(attempt, Failed(NotRun(Reason.UNREACHABLE, detail)))
             return
         self._queue.append(_Pending(attempt, deliver))
         self._call_worker()
@@ -140,10 +145,17 @@
         self._closed = True
         self._idle.unpark_all()
 
+    def _can_carry(self) -> bool:
+        """Return whether there is a connection or one may be opened now."""
+        return self._connections > 0 or (self._share > 0 and self._may_connect())
+
+    def _may_connect(self) -> bool:
+        return self._tools.clock.monotonic() >= self._connect_after
+
     def _call_worker(self) -> None:
         if len(self._idle):
             self._idle.unpark()
-        elif self._connections < self._share:
+        elif self._connections < self._share and self._may_connect():
             self._start_connection()
 
     def _start_connection(self) -> None:
@@ -165,8 +177,17 @@
         self._after_connection(connection is not None)
 
     def _after_connection(self, opened: bool) -> None:
-        """See to what still waits after a connection ended."""
-        if self._connections == 0 and (not opened or self._closed):
+        """See to what still waits after a connection ended.
+
+        After a failure to connect no more is tried for a while: a leaf that is
+        gone or full must not be met with a storm of connections.
+        """
+        if opened:
+            self._backoff = FIRST_BACKOFF
+        else:
+            self._connect_after = self._tools.clock.monotonic() + self._backoff
+            self._backoff = min(LONGEST_BACKOFF, self._backoff * 2)
+        if not self._can_carry() or (self._closed and self._connections == 0):
             detail = f"no connection to {self._leaf.address}"
             waiting, self._queue = self._queue, deque()
             for pending in waiting:
--- a/walkcart/leaves/protocol.py
+++ b/walkcart/leaves/protocol.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+import msgspec
+
 from walkcart.leaves.attempts import Attempt, Failed, Outcome, Refused, Replied
 from walkcart.leaves.leaf import ANY_VERSION, BadSnapshot, Snapshot, parse_snapshot
 from walkcart.wire.http import Headers, HttpReply, HttpRequest
@@ -42,6 +44,9 @@
 STATUS_SHED = 503
 STATUS_TOO_LATE = 504
 
+#: Reads over a body without keeping anything of it.
+_CHECK_JSON = msgspec.json.Decoder(dict[str, msgspec.Raw]).decode
+
 #: Longest leaf reply that is taken, in bytes.
 REPLY_LIMIT = 4 << 20
 
@@ -145,6 +150,10 @@
         snapshot = parse_snapshot(found.get(SNAPSHOT, b"").decode("latin-1"))
     except BadSnapshot:
         return Failed(MayHaveRun(Reason.LEAF_FAILED, "the leaf states no snapshot"))
+    try:
+        _CHECK_JSON(reply.body)
+    except msgspec.MsgspecError:
+        return Failed(MayHaveRun(Reason.LEAF_FAILED, "the leaf's body is no JSON"))
     partial = found.get(PARTIAL) == b"yes"
     return Replied(snapshot, partial, reply.status, reply.body, elapsed)
 
