--- /dev/null
+++ b/walkcart/leaves/tests/test_link.py
@@ -0,0 +1,156 @@
+"""Connections to leaves under failure."""
+
+import trio
+
+from walkcart.bench.caller import find_lies
+from walkcart.bench.harness import make_caller, open_estate, run_mocked
+from walkcart.leaves.gateway import LeafGateway
+
+
+def test_full_leaf_is_not_met_with_a_storm_of_connections():
+    async def run():
+        async with open_estate(shards=1, instances=1) as world:
+            caller = make_caller(world)
+            address = world.instances["instance-0"].address
+            for item in world.leaves.values():
+                item.leaf.spec = make_full(item.leaf.spec)
+                item.leaf.faults.slow = 50.0
+            async with trio.open_nursery() as nursery:
+                for number in range(20):
+                    nursery.start_soon(caller.query, address, "parts", number)
+                await trio.sleep(0.9)
+                nursery.cancel_scope.cancel()
+            return max(item.leaf.connections_refused for item in world.leaves.values())
+
+    # One instance's whole share may try at once before the first is refused;
+    # the back-off of 50, 100, 200 and 400 ms leaves room for a few more.
+    assert run_mocked(run) <= 21 + 8
+
+
+def make_full(spec):
+    from dataclasses import replace
+
+    return replace(spec, connections=1)
+
+
+def test_killed_leaf_costs_no_answer():
+    async def run():
+        async with open_estate() as world:
+            caller = make_caller(world)
+            address = world.instances["instance-1"].address
+            world.kill_leaf("parts-l1-2-0")
+            return [await caller.query(address, "parts", n) for n in range(20)]
+
+    for asked in run_mocked(run):
+        assert asked.status == 200
+        assert asked.content["coverage"]["complete"]
+
+
+def spoiled(fault, share=1.0):
+    """Ask while one leaf's replies are spoiled; return replies and lies."""
+
+    async def run():
+        async with open_estate() as world:
+            caller = make_caller(world)
+            address = world.instances["instance-0"].address
+            setattr(world.leaves["parts-l1-1-0"].leaf.faults, fault, share)
+            found = []
+            for number in range(30):
+                asked = await caller.query(address, "parts", {"number": number})
+                found.append((asked, find_lies(asked, "red", {"number": number})))
+            return found
+
+    return run_mocked(run)
+
+
+def check_spoiled(fault, share=1.0):
+    for asked, lies in spoiled(fault, share):
+        assert asked.status == 200
+        assert asked.content["coverage"]["complete"]
+        assert not lies
+
+
+def test_rubbish_from_a_leaf_is_dropped():
+    check_spoiled("garbage")
+
+
+def test_body_cut_in_the_middle_is_dropped():
+    check_spoiled("cut_body")
+
+
+def test_reply_sent_twice_is_taken_once():
+    check_spoiled("repeat_reply", 0.5)
+
+
+def test_reply_of_another_attempt_is_dropped():
+    check_spoiled("wrong_attempt")
+
+
+def test_reply_for_another_scope_is_dropped():
+    check_spoiled("wrong_scope")
+
+
+def test_body_that_is_no_json_is_dropped():
+    check_spoiled("bad_rows")
+
+
+def test_endless_body_is_dropped():
+    check_spoiled("endless")
+
+
+def test_reply_lost_after_the_run_is_made_up_by_the_sibling():
+    check_spoiled("drop_reply")
+
+
+def test_cap_of_connections_holds_over_all_instances():
+    async def run():
+        async with open_estate(instances=7) as world:
+            caller = make_caller(world)
+            for turn in range(40):
+                async with trio.open_nursery() as nursery:
+                    for item in world.instances.values():
+                        for _ in range(4):
+                            nursery.start_soon(
+                                caller.query, item.address, "parts", turn
+                            )
+                if turn == 20:
+                    await world.kill_instance("instance-6")
+                    await world.start_instance("instance-7")
+            leaves = [item.leaf for item in world.leaves.values()]
+            return [(x.most_connections, x.connections_refused) for x in leaves]
+
+    for most, refused in run_mocked(run):
+        assert most <= 25
+        assert refused == 0
+
+
+def test_instances_without_connections_go_through_holders():
+    async def run():
+        async with open_estate(instances=14, connections=8) as world:
+            await world.apply(make_cap(8))
+            await trio.sleep(6)
+            caller = make_caller(world)
+            asked = [
+                await caller.query(item.address, "parts", 1)
+                for item in world.instances.values()
+            ]
+            holders = {
+                len(gateway.holders_of(leaf))
+                for item in world.instances.values()
+                for gateway in [item.find("gateway", LeafGateway)]
+                for leaf in gateway._groups["parts"].leaves
+            }
+            leaves = [item.leaf for item in world.leaves.values()]
+            parts = [leaf for leaf in leaves if leaf.spec.group == "parts"]
+            return asked, holders, max(leaf.most_connections for leaf in parts)
+
+    asked, holders, most = run_mocked(run)
+    assert all(item.content["coverage"]["complete"] for item in asked)
+    assert holders == {3}
+    assert most <= 8
+
+
+def make_cap(connections):
+    from walkcart.bench.world import make_service
+
+    return make_service("parts", 4, connections=connections)
--- /dev/null
+++ b/walkcart/once/tests/test_at_most_once.py
@@ -0,0 +1,210 @@
+"""Requests that must not be repeated run at most once, whatever fails."""
+
+from random import Random
+
+import trio
+
+from walkcart.bench.harness import make_caller, open_estate, run_mocked
+from walkcart.once.keys import make_key
+
+
+def count_runs(world):
+    return sum(sum(item.once.values()) for item in world.leaves_ever)
+
+
+async def execute_at(world, caller, name, key, command=1, deadline=None):
+    headers = ((b"walkcart-deadline-ms", b"%d" % deadline),) if deadline else ()
+    address = world.instances[name].address
+    return await caller.execute(address, "cards", command, key, headers)
+
+
+def new_key(world, seed=5):
+    return make_key(world.clock.now(), Random(seed))
+
+
+def test_same_key_at_all_instances_at_once_runs_once():
+    async def run():
+        async with open_estate() as world:
+            caller, key = make_caller(world), new_key(world)
+            replies = []
+
+            async def ask(name):
+                replies.append(await execute_at(world, caller, name, key))
+
+            async with trio.open_nursery() as nursery:
+                for name in world.instances:
+                    for _ in range(3):
+                        nursery.start_soon(ask, name)
+            return [item.verdict for item in replies], count_runs(world)
+
+    verdicts, runs = run_mocked(run)
+    assert runs == 1
+    assert verdicts.count("not_run") == 0
+    assert "answered" in verdicts
+
+
+def test_repeat_gets_the_first_reply():
+    async def run():
+        async with open_estate() as world:
+            caller, key = make_caller(world), new_key(world)
+            first = await execute_at(world, caller, "instance-0", key)
+            await trio.sleep(1)
+            second = await execute_at(world, caller, "instance-2", key)
+            return first, second, count_runs(world)
+
+    first, second, runs = run_mocked(run)
+    assert runs == 1
+    assert second.content == first.content
+    assert second.headers[b"walkcart-repeated"] == b"yes"
+
+
+def test_key_used_for_another_request_is_refused():
+    async def run():
+        async with open_estate() as world:
+            caller, key = make_caller(world), new_key(world)
+            await execute_at(world, caller, "instance-0", key, command=1)
+            other = await execute_at(world, caller, "instance-1", key, command=2)
+            return other, count_runs(world)
+
+    other, runs = run_mocked(run)
+    assert (other.status, other.verdict, runs) == (422, "not_run", 1)
+
+
+def test_bad_keys_are_refused_and_do_not_run():
+    async def run():
+        async with open_estate() as world:
+            caller = make_caller(world)
+            old = make_key(world.clock.now().replace(year=2020), Random(1))
+            keys = ["", "rubbish", "6ba7b810-9dad-11d1-80b4-00c04fd430c8", old]
+            asked = [await execute_at(world, caller, "instance-0", key) for key in keys]
+            return asked, count_runs(world)
+
+    asked, runs = run_mocked(run)
+    assert [(item.status, item.verdict) for item in asked] == [(400, "not_run")] * 4
+    assert runs == 0
+
+
+def test_store_down_refuses_at_once_and_says_when_to_come_back():
+    async def run():
+        async with open_estate() as world:
+            caller, key = make_caller(world), new_key(world)
+            world.store.faults.down = True
+            refused = await execute_at(world, caller, "instance-0", key)
+            world.store.faults.down = False
+            await trio.sleep(3)
+            again = await execute_at(world, caller, "instance-1", key)
+            return refused, again, count_runs(world)
+
+    refused, again, runs = run_mocked(run)
+    assert (refused.status, refused.verdict) == (503, "not_run")
+    assert refused.content["retry_after_ms"] > 0
+    assert (again.status, runs) == (200, 1)
+
+
+def test_lost_store_replies_are_settled_by_reading_back():
+    async def run():
+        async with open_estate() as world:
+            caller = make_caller(world)
+            world.store.faults.lose_reply = 1.0
+            first = await execute_at(
+                world, caller, "instance-0", new_key(world), deadline=900
+            )
+            return first, count_runs(world)
+
+    first, runs = run_mocked(run)
+    assert (first.status, runs) == (200, 1)
+
+
+def test_delayed_write_after_giving_up_runs_nothing():
+    async def run():
+        async with open_estate() as world:
+            caller, key = make_caller(world), new_key(world)
+            world.store.faults.late_write = 1.0
+            world.store.faults.late_by = 5.0
+            given_up = await execute_at(world, caller, "instance-0", key)
+            world.store.faults.late_write = 0.0
+            await trio.sleep(10)
+            again = await execute_at(world, caller, "instance-1", key)
+            return given_up, again, count_runs(world)
+
+    given_up, again, runs = run_mocked(run)
+    assert given_up.verdict == "not_run"
+    assert (again.status, runs) == (200, 1)
+
+
+def test_reply_lost_after_the_run_is_never_told_as_not_run():
+    async def run():
+        async with open_estate() as world:
+            caller, key = make_caller(world), new_key(world)
+            for item in world.leaves.values():
+                item.leaf.faults.drop_reply = 1.0
+            first = await execute_at(world, caller, "instance-0", key)
+            again = await execute_at(world, caller, "instance-1", key)
+            return first, again, count_runs(world)
+
+    first, again, runs = run_mocked(run)
+    assert first.verdict == again.verdict == "may_have_run"
+    assert again.status == 409
+    assert runs == 1
+
+
+def test_leaf_that_refuses_is_followed_by_its_sibling():
+    async def run():
+        async with open_estate() as world:
+            caller = make_caller(world)
+            for name in ("cards-l1-0-0", "cards-l1-0-1"):
+                world.leaves[name].leaf.faults.shed = True
+            asked = await execute_at(world, caller, "instance-0", new_key(world))
+            return asked, count_runs(world)
+
+    asked, runs = run_mocked(run)
+    assert (asked.status, runs) == (200, 1)
+
+
+def test_body_that_is_no_json_may_have_run():
+    async def run():
+        async with open_estate() as world:
+            caller = make_caller(world)
+            for item in world.leaves.values():
+                item.leaf.faults.bad_rows = 1.0
+            return await execute_at(world, caller, "instance-0", new_key(world))
+
+    assert run_mocked(run).verdict == "may_have_run"
+
+
+def test_instance_killed_between_claim_and_reply_leaves_one_run_at_most():
+    async def run():
+        async with open_estate() as world:
+            caller, key = make_caller(world), new_key(world)
+            for item in world.leaves.values():
+                item.leaf.faults.slow = 20.0
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(execute_at, world, caller, "instance-0", key)
+                await trio.sleep(0.1)
+                await world.kill_instance("instance-0")
+            again = await execute_at(world, caller, "instance-1", key)
+            return again, count_runs(world)
+
+    again, runs = run_mocked(run)
+    assert again.verdict == "may_have_run"
+    assert runs == 1
+
+
+def test_group_commit_saves_writes():
+    async def run():
+        async with open_estate(instances=7) as world:
+            caller = make_caller(world)
+            random = Random(3)
+            before = world.store.calls["write"]
+            names = list(world.instances)
+            async with trio.open_nursery() as nursery:
+                for number in range(400):
+                    key = make_key(world.clock.now(), random)
+                    name = names[number % len(names)]
+                    nursery.start_soon(execute_at, world, caller, name, key)
+                    await trio.sleep(1 / 500)
+            return world.store.calls["write"] - before, count_runs(world)
+
+    writes, runs = run_mocked(run)
+    assert runs > 300
+    assert runs / writes >= 5
