--- /dev/null
+++ b/walkcart/bench/fleet.py
@@ -0,0 +1,251 @@
+"""Real processes on this machine: stand-ins and daemons on free ports.
+
+Used by the tests of whole processes and by the measurement of slopes. The
+programs themselves start no process.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from walkcart.kernel.settings import ENVIRONMENT_PREFIX
+
+OPERATOR_TOKEN = "operators"
+HOST = "127.0.0.1"
+TRIES = 600
+POLL_TIME = 0.1
+CLOCK_TICK = os.sysconf("SC_CLK_TCK")
+PAGE_SIZE = os.sysconf("SC_PAGE_SIZE")
+
+
+def take_ports(count: int) -> list[int]:
+    """Return free ports, in a run one after the other."""
+    for _ in range(TRIES):
+        with socket.socket() as probe:
+            probe.bind((HOST, 0))
+            first = probe.getsockname()[1]
+        ports = list(range(first, first + count))
+        if first + count < 65536 and all(is_free(port) for port in ports):
+            return ports
+    raise OSError(f"no run of {count} free ports")
+
+
+def is_free(port: int) -> bool:
+    """Return whether nobody listens at `port`."""
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
+def wait_until(condition: Callable[[], bool]) -> None:
+    """Poll until `condition` holds.
+
+    Raises:
+        TimeoutError: it never did.
+    """
+    for _ in range(TRIES):
+        if condition():
+            return
+        time.sleep(POLL_TIME)
+    raise TimeoutError("the condition never held")
+
+
+def fetch(
+    address: str,
+    path: str,
+    data: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    method: str | None = None,
+) -> tuple[int, bytes]:
+    """Return status and body of one HTTP exchange; status 0 without a reply."""
+    url = f"http://{address}{path}"
+    request = urllib.request.Request(url, data, headers or {}, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=30) as reply:
+            return reply.status, reply.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read()
+    except OSError:
+        return 0, b""
+
+
+def is_ready(address: str) -> bool:
+    """Return whether an instance says that it is ready."""
+    return fetch(address, "/readyz")[0] == 200
+
+
+class Processes:
+    """Starts programs and ends them all.
+
+    Args:
+        log_folder: where their output goes.
+    """
+
+    def __init__(self, log_folder: Path) -> None:
+        self.log_folder = log_folder
+        self.running: dict[str, subprocess.Popen] = {}
+
+    def start(self, name: str, module: str, *words: str) -> None:
+        """Start ``python -m module words`` under a name."""
+        environment = {
+            key: value
+            for key, value in os.environ.items()
+            if not key.startswith(ENVIRONMENT_PREFIX)
+        }
+        with (self.log_folder / f"{name}.log").open("wb") as log:
+            self.running[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *words],
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal."""
+        self.running[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        self.signal(name, signal.SIGKILL)
+        self.running.pop(name).wait()
+
+    def wait(self, name: str) -> int:
+        """Wait for the end of a process; return its exit code."""
+        return self.running.pop(name).wait()
+
+    def read_log(self, name: str) -> str:
+        """Return what a process wrote."""
+        return (self.log_folder / f"{name}.log").read_text()
+
+    def stop_all(self) -> None:
+        """End all processes."""
+        for process in self.running.values():
+            process.kill()
+        for process in self.running.values():
+            process.wait()
+        self.running.clear()
+
+    def cpu_seconds(self, name: str) -> float:
+        """Return the processor time that a process has used."""
+        stat = Path(f"/proc/{self.running[name].pid}/stat").read_text()
+        parts = stat.rpartition(")")[2].split()
+        return (int(parts[11]) + int(parts[12])) / CLOCK_TICK
+
+    def resident_mb(self, name: str) -> float:
+        """Return the resident memory of a process, in MB."""
+        statm = Path(f"/proc/{self.running[name].pid}/statm").read_text()
+        return int(statm.split()[1]) * PAGE_SIZE / 1e6
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Stand-ins and daemons as processes.
+
+    Args:
+        processes: that run.
+        folder: for files.
+        store: address of the store.
+        listing: address of the instance list.
+        entries: addresses for callers by daemon.
+    """
+
+    processes: Processes
+    folder: Path
+    store: str = ""
+    listing: str = ""
+    entries: dict[str, str] = field(default_factory=dict)
+
+    def start(
+        self, daemons: int, leaves: Iterable[str] = (), settings: Iterable[str] = ()
+    ) -> None:
+        """Start the platform, leaves and daemons.
+
+        Args:
+            daemons: how many.
+            leaves: ``GROUP:SHARDS:REPLICAS``; each is a process of its own.
+            settings: further flags of every daemon.
+        """
+        ports = take_ports(2 + 2 * daemons)
+        self.store, self.listing = (f"{HOST}:{port}" for port in ports[:2])
+        module = "walkcart.standins.main"
+        self.processes.start("store", module, "store", "--listen", self.store)
+        words = ["list", "--listen", self.listing]
+        for words_of_group in leaves:
+            words += ["--leaves", self._start_leaves(words_of_group)]
+        pairs = list(zip(ports[2::2], ports[3::2], strict=True))
+        for number, (entry, peer) in enumerate(pairs):
+            words += ["--instance", f"daemon-{number},{HOST}:{entry},{HOST}:{peer}"]
+        self.processes.start("list", module, *words)
+        for number, (entry, peer) in enumerate(pairs):
+            self.start_daemon(f"daemon-{number}", entry, peer, *settings)
+
+    def _start_leaves(self, words: str) -> str:
+        group, shards, replicas = words.split(":")
+        first = take_ports(int(shards) * int(replicas))[0]
+        full = f"{words}:{HOST}:{first}"
+        self.processes.start(
+            f"leaves-{group}", "walkcart.standins.main", "leaves", full
+        )
+        return full
+
+    def start_daemon(self, name: str, entry: int, peer: int, *settings: str) -> None:
+        """Start one daemon."""
+        self.entries[name] = f"{HOST}:{entry}"
+        self.processes.start(
+            name,
+            "walkcart.daemon.main",
+            *("--instance", name, "--listen", f"{HOST}:{entry}"),
+            *("--peer-listen", f"{HOST}:{peer}", "--store", self.store),
+            *("--instance-list", self.listing, "--operator-token", OPERATOR_TOKEN),
+            *settings,
+        )
+
+    def wait_healthy(self) -> None:
+        """Wait until every daemon answers."""
+        for entry in self.entries.values():
+            wait_until(lambda entry=entry: fetch(entry, "/healthz")[0] == 200)
+
+    def wait_ready(self) -> None:
+        """Wait until every daemon is ready."""
+        for entry in self.entries.values():
+            wait_until(lambda entry=entry: is_ready(entry))
+
+    def apply(self, text: str, *words: str) -> subprocess.CompletedProcess:
+        """Apply a configuration with the operators' tool."""
+        path = self.folder / "configuration.toml"
+        path.write_text(text)
+        return self.run_tool("apply", str(path), *words)
+
+    def run_tool(self, *words: str) -> subprocess.CompletedProcess:
+        """Run the operators' tool."""
+        return subprocess.run(
+            [
+                *(sys.executable, "-m", "walkcart.cli.main", *words),
+                *("--store", self.store, "--token", OPERATOR_TOKEN),
+                *("--instance", next(iter(self.entries.values()))),
+            ],
+            capture_output=True,
+            text=True,
+        )
+
+    def status(self, name: str) -> dict[str, Any]:
+        """Return what a daemon tells operators."""
+        headers = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
+        _, body = fetch(self.entries[name], "/v1/status", headers=headers)
+        return msgspec.json.decode(body)
--- /dev/null
+++ b/walkcart/bench/slopes.py
@@ -0,0 +1,104 @@
+"""Costs over several sizes, and the lines through them, for ``docs/CAPACITY.md``.
+
+What grows with the number of instances is measured on real processes; what
+grows with data is measured on the real modules in this process.
+"""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from walkcart.bench.fitting import Line, Point, fit_line
+from walkcart.bench.slopes_data import (
+    measure_admission,
+    measure_claims,
+    measure_configuration,
+    measure_forwarding,
+    measure_leaves_as_data,
+    measure_marks,
+)
+from walkcart.bench.slopes_fleet import (
+    measure_connections,
+    measure_fleet,
+    measure_leaf_requests,
+)
+
+Measured = dict[str, list[Point]]
+
+
+@dataclass(frozen=True, slots=True)
+class Measurement:
+    """One kind of measurement.
+
+    Args:
+        size: what is made larger, with its unit.
+        run: measures; the points of each quantity, named with its unit.
+    """
+
+    size: str
+    run: Callable[[Path], Measured]
+
+
+MEASUREMENTS = {
+    "fleet": Measurement("instances", measure_fleet),
+    "connections": Measurement("leaves with one connection", measure_connections),
+    "leaf_requests": Measurement("shards a question", measure_leaf_requests),
+    "forwarding": Measurement("attempts a message", measure_forwarding),
+    "configuration": Measurement("objects", measure_configuration),
+    "leaves_as_data": Measurement("leaves", measure_leaves_as_data),
+    "marks": Measurement("marks in a digest", measure_marks),
+    "claims": Measurement("requests a second", measure_claims),
+    "admission": Measurement("requests waiting", measure_admission),
+}
+
+
+def run_slopes(out: str, only: list[str] | None) -> int:
+    """Measure, print the lines and write them as JSON."""
+    names = only or list(MEASUREMENTS)
+    strange = [name for name in names if name not in MEASUREMENTS]
+    if strange:
+        known = ", ".join(MEASUREMENTS)
+        print(f"unknown: {', '.join(strange)}; expected {known}", file=sys.stderr)
+        return 2
+    path = Path(out)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    results: dict[str, Any] = {}
+    if path.exists():
+        results = msgspec.json.decode(path.read_bytes())
+    for name in names:
+        measurement = MEASUREMENTS[name]
+        with tempfile.TemporaryDirectory() as folder:
+            measured = measurement.run(Path(folder))
+        results[name] = {"size": measurement.size}
+        for quantity, points in measured.items():
+            line = fit_line(points)
+            print(describe_line(name, quantity, measurement.size, line), flush=True)
+            results[name][quantity] = to_plain(line)
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(results), indent=1))
+    return 0
+
+
+def describe_line(name: str, quantity: str, size: str, line: Line) -> str:
+    """Return a line of text."""
+    first, last = line.points[0][0], line.points[-1][0]
+    return (
+        f"{name}: {quantity}: {line.slope:.6g} for each of {size}, "
+        f"{line.intercept:.6g} at 0, r2 {line.r2:.3f}, measured {first:g} to {last:g}"
+    )
+
+
+def to_plain(line: Line) -> dict[str, Any]:
+    """Return a line as plain values."""
+    return {
+        "slope": line.slope,
+        "intercept": line.intercept,
+        "r2": line.r2,
+        "points": line.points,
+    }
--- /dev/null
+++ b/walkcart/bench/slopes_data.py
@@ -0,0 +1,283 @@
+"""Slopes of data: configuration, leaves, marks, forwarding, claims, admission."""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+from collections.abc import Callable
+from datetime import UTC, datetime
+from pathlib import Path
+from random import Random
+
+import trio
+
+from walkcart.bench.fitting import Point
+from walkcart.bench.harness import make_caller, open_estate, run_mocked
+from walkcart.intent.document import (
+    EMPTY_DOCUMENT,
+    Change,
+    make_document,
+    read_document,
+)
+from walkcart.intent.model import (
+    Configuration,
+    Layout,
+    RoutingIntent,
+    Service,
+    ShardGroup,
+)
+from walkcart.kernel.clock import TrioClock
+from walkcart.kernel.settings import HostPort
+from walkcart.leaves.table import LeafTable
+from walkcart.membership.gossip import GossipQueue
+from walkcart.membership.listing import ROLE_LEAF, ListedInstance
+from walkcart.membership.marks import LeafMarks
+from walkcart.membership.view import MembershipView
+from walkcart.once.keys import make_key
+from walkcart.routing.admission import Admission, Admitted
+from walkcart.wire.codec import decode_envelope, encode_envelope
+from walkcart.wire.messages import (
+    Envelope,
+    ForwardAsk,
+    ForwardedAttempt,
+    Gossip,
+    LeafMark,
+    MemberRecord,
+)
+from walkcart.wire.peers import NngTransport
+
+OBJECT_COUNTS = (100, 500, 1000, 2000, 4000)
+LEAF_COUNTS = (500, 1000, 2000, 4000)
+MARK_COUNTS = (0, 8, 16, 32)
+BATCH_SIZES = (1, 4, 16, 64)
+CLAIM_RATES = (50, 100, 250, 500)
+CLAIM_SECONDS = 4
+WAITING_COUNTS = (0, 16, 64, 256)
+REPEATS = 5
+ENVELOPES = 400
+
+Measured = dict[str, list[Point]]
+
+
+def time_cpu(action: Callable[[], object], repeats: int = REPEATS) -> float:
+    """Return the least CPU seconds of several runs."""
+    times = []
+    for _ in range(repeats):
+        start = time.process_time()
+        action()
+        times.append(time.process_time() - start)
+    return min(times)
+
+
+def weigh(action: Callable[[], object]) -> float:
+    """Return the MB that the result of an action takes."""
+    tracemalloc.start()
+    kept = action()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return size / 1e6
+
+
+def make_configuration(count: int) -> Configuration:
+    """Return a configuration of `count` services, groups and intents."""
+    groups = tuple(
+        ShardGroup(f"g{n:05}", (Layout(1, 100, f"group=g{n:05},layout=1"),))
+        for n in range(count // 3)
+    )
+    services = tuple(
+        Service(f"s{n:05}", f"g{n:05}", labels={"tier": "search"})
+        for n in range(count // 3)
+    )
+    intents = tuple(
+        RoutingIntent(f"i{n:05}", f"service=s{n:05}", 10, prefer="region=north")
+        for n in range(count // 3)
+    )
+    return Configuration(
+        shard_groups=groups, services=services, routing_intents=intents
+    )
+
+
+def measure_configuration(folder: Path) -> Measured:
+    """Measure the stored form of configurations of several sizes."""
+    found: Measured = {}
+    change = Change("id", 1, "operator", "2026-01-01T00:00:00", ())
+    for count in OBJECT_COUNTS:
+        configuration = make_configuration(count)
+        document = make_document(EMPTY_DOCUMENT, configuration, change)
+        data = document.data
+        points = {
+            "stored KB": len(data) / 1000,
+            "CPU ms to read": 1000 * time_cpu(lambda data=data: read_document(data)),
+            "memory MB": weigh(lambda data=data: read_document(data)),
+        }
+        for quantity, value in points.items():
+            found.setdefault(quantity, []).append((count, value))
+    return found
+
+
+def measure_leaves_as_data(folder: Path) -> Measured:
+    """Measure the table of leaves."""
+    found: Measured = {}
+    for count in LEAF_COUNTS:
+        shards = count // 2
+        layout = Layout(1, shards, "group=g,layout=1")
+        configuration = Configuration(shard_groups=(ShardGroup("g", (layout,)),))
+        change = Change("id", 1, "operator", "", ())
+        document = make_document(EMPTY_DOCUMENT, configuration, change)
+        rows = tuple(
+            ListedInstance(
+                f"leaf-{n}",
+                ROLE_LEAF,
+                f"127.0.{n // 250}.1:{7000 + n % 250}",
+                labels={"group": "g", "layout": "1", "shard": str(n // 2)},
+            )
+            for n in range(count)
+        )
+
+        def resolve(rows=rows, document=document) -> LeafTable:
+            table = LeafTable()
+            table.set_listed(rows)
+            table.find_group(document, "g")
+            return table
+
+        found.setdefault("CPU ms to resolve", []).append(
+            (count, 1000 * time_cpu(resolve))
+        )
+        found.setdefault("memory MB", []).append((count, weigh(resolve)))
+    return found
+
+
+def measure_marks(folder: Path) -> Measured:
+    """Measure messages that carry drain marks."""
+    found: Measured = {}
+    own = MemberRecord("a", 1, 0, 0, "127.0.0.1:1", "127.0.0.1:2", "dc", "r", 1)
+    for count in MARK_COUNTS:
+        marks = tuple(LeafMark(f"127.0.0.1:{7000 + n}", n + 1) for n in range(count))
+
+        def pass_on(marks=marks) -> int:
+            held = LeafMarks()
+            queue = GossipQueue(MembershipView(own), held)
+            for mark in marks:
+                held.note_leaving(mark.address, mark.incarnation)
+                queue.add_mark(mark.address)
+            envelope = Envelope("a", 1, "", 0, (Gossip(queue.make_digest()),))
+            data = encode_envelope(envelope)
+            receiver = GossipQueue(MembershipView(own), LeafMarks())
+            receiver.take_in(decode_envelope(data).messages[0].digest)
+            return len(data)
+
+        found.setdefault("bytes a message", []).append((count, pass_on()))
+        found.setdefault("CPU us a message", []).append(
+            (count, 1e6 * time_cpu(pass_on, 50))
+        )
+    return found
+
+
+def measure_forwarding(folder: Path) -> Measured:
+    """Measure one message there over nng by the attempts that it carries."""
+    found: Measured = {}
+    for size in BATCH_SIZES:
+        attempt = ForwardedAttempt(
+            "daemon-0.19ad8f3b1c2.1f",
+            "127.0.0.1:7000",
+            0.3,
+            "/query",
+            ((b"walkcart-shard", b"17"), (b"walkcart-pin", b"1:1")),
+            b"x" * 200,
+            True,
+        )
+        envelope = Envelope("a", 1, "", 0, (ForwardAsk((attempt,) * size),))
+        cpu = trio.run(_time_envelopes, envelope)
+        found.setdefault("CPU us a message, both ends", []).append((size, cpu * 1e6))
+        found.setdefault("CPU us an attempt, both ends", []).append(
+            (size, cpu * 1e6 / size)
+        )
+        found.setdefault("bytes a message", []).append(
+            (size, len(encode_envelope(envelope)))
+        )
+    return found
+
+
+async def _time_envelopes(envelope: Envelope) -> float:
+    transport = NngTransport()
+    listener = await transport.listen(HostPort("127.0.0.1", 0))
+    sender = await transport.dial(listener.address)
+    await sender.send(encode_envelope(envelope))
+    await listener.receive()
+    start = time.process_time()
+    for _ in range(ENVELOPES):
+        await sender.send(encode_envelope(envelope))
+        decode_envelope(await listener.receive())
+    used = time.process_time() - start
+    await sender.close()
+    await listener.close()
+    return used / ENVELOPES
+
+
+def measure_claims(folder: Path) -> Measured:
+    """Measure the store's writes for non-repeatable requests, at 7 instances."""
+    found: Measured = {}
+    for rate in CLAIM_RATES:
+        for quantity, value in run_mocked(_claim_at, rate).items():
+            found.setdefault(quantity, []).append((rate, value))
+    return found
+
+
+async def _claim_at(rate: int) -> dict[str, float]:
+    async with open_estate(instances=7) as world:
+        for item in world.leaves.values():
+            item.leaf.faults.slow = 0.1
+        caller = make_caller(world)
+        random = Random(1)
+        addresses = [item.address for item in world.instances.values()]
+        times: list[float] = []
+
+        async def execute(number: int) -> None:
+            key = make_key(world.clock.now(), random)
+            address = addresses[number % len(addresses)]
+            asked = await caller.execute(address, "cards", number, key)
+            if asked.status == 200:
+                times.append(asked.elapsed)
+
+        before = world.store.calls["write"]
+        async with trio.open_nursery() as nursery:
+            for number in range(rate * CLAIM_SECONDS):
+                nursery.start_soon(execute, number)
+                await trio.sleep(1 / rate)
+        await trio.sleep(1)
+        writes = world.store.calls["write"] - before
+    times.sort()
+    return {
+        "store writes/s": writes / CLAIM_SECONDS,
+        "requests a write": len(times) / writes,
+        "answered share": len(times) / (rate * CLAIM_SECONDS),
+        "p50 ms with the claim": 1000 * times[len(times) // 2],
+        "p99 ms with the claim": 1000 * times[int(len(times) * 0.99)],
+    }
+
+
+def measure_admission(folder: Path) -> Measured:
+    """Measure admitting and leaving while others wait."""
+    points = [(count, trio.run(_admit, count) * 1e6) for count in WAITING_COUNTS]
+    return {"CPU us a request": points}
+
+
+async def _admit(waiting: int) -> float:
+    admission = Admission(TrioClock(datetime(2026, 1, 1, tzinfo=UTC)))
+    async with trio.open_nursery() as nursery:
+        entered = [await admission.enter("a", 1.0, 8, 60.0) for _ in range(8)]
+        assert all(isinstance(item, Admitted) for item in entered)
+        admission.leave("a", None)
+        await admission.enter("a", 1.0, 8, 60.0)
+        for number in range(waiting):
+            nursery.start_soon(admission.enter, f"p{number % 8}", 1.0, 8, 6000.0)
+        await trio.sleep(0.01)
+        rounds = max(1, min(waiting, 200))
+        start = time.process_time()
+        for _ in range(rounds):
+            admission.leave("a", None)
+            await admission.enter("a", 1.0, 9, 0.0)
+        used = (time.process_time() - start) / rounds
+        nursery.cancel_scope.cancel()
+    return used
--- a/walkcart/daemon/tests/test_whole_path.py
+++ b/walkcart/daemon/tests/test_whole_path.py
@@ -1,95 +1,107 @@
 """The whole path in separate processes."""
 
 import json
-import subprocess
-import sys
+import signal
+import time
 
 import pytest
 
+from walkcart.bench.fleet import Fleet, Processes, fetch, wait_until
 from walkcart.bench.world import make_partner, make_service
-from walkcart.daemon.tests.processes import (
-    OPERATOR_TOKEN,
-    Processes,
-    fetch,
-    is_ready,
-    take_ports,
-    wait_until,
-)
+from walkcart.once.keys import make_key
 
 SHARDS, REPLICAS = 4, 2
+HEADERS = {"authorization": "Bearer secret", "content-type": "application/json"}
+SETTINGS = ("--fatal-invariants", "yes", "--span-ratio", "1", "--stop-grace", "0.5")
 
 
 @pytest.fixture
-def processes(tmp_path):
-    started = Processes(tmp_path)
-    yield started
-    started.stop_all()
-
-
-def start_estate(processes, tmp_path):
-    """Start 1 store, 8 leaves of 4 shards and 3 daemons; return their addresses."""
-    ports = take_ports(8 + SHARDS * REPLICAS)
-    store, listing, *rest = [f"127.0.0.1:{port}" for port in ports[:8]]
-    entries, peers = rest[:3], rest[3:6]
-    leaves = f"parts:{SHARDS}:{REPLICAS}:127.0.0.1:{ports[8]}"
-    processes.start("store", "walkcart.standins.main", "store", "--listen", store)
-    processes.start("leaves", "walkcart.standins.main", "leaves", leaves)
-    words = ["list", "--listen", listing, "--leaves", leaves]
-    for number, (entry, peer) in enumerate(zip(entries, peers, strict=True)):
-        words += ["--instance", f"daemon-{number},{entry},{peer}"]
-    processes.start("list", "walkcart.standins.main", *words)
-    for number, (entry, peer) in enumerate(zip(entries, peers, strict=True)):
-        processes.start(
-            f"daemon-{number}",
-            "walkcart.daemon.main",
-            *("--instance", f"daemon-{number}", "--listen", entry),
-            *("--peer-listen", peer, "--store", store, "--instance-list", listing),
-            *("--operator-token", OPERATOR_TOKEN, "--fatal-invariants", "yes"),
-        )
+def fleet(tmp_path):
+    started = Fleet(Processes(tmp_path), tmp_path)
+    leaves = (f"parts:{SHARDS}:{REPLICAS}", "cards:1:3")
+    spans = ("--span-output", str(tmp_path / "spans.jsonl"))
+    started.start(3, leaves, (*SETTINGS, *spans))
+    started.wait_healthy()
     text = make_partner("fitters", "secret") + make_service("parts", SHARDS)
-    path = tmp_path / "estate.toml"
-    path.write_text(text)
-    return store, entries, path
+    applied = started.apply(text + make_service("cards", 1, True), "--wait")
+    assert applied.returncode == 0, applied.stderr
+    assert "in force at every live instance" in applied.stdout
+    started.wait_ready()
+    yield started
+    started.processes.stop_all()
 
 
-def run_tool(*words):
-    return subprocess.run(
-        [sys.executable, "-m", "walkcart.cli.main", *words],
-        capture_output=True,
-        text=True,
-    )
+def ask(entry, headers=HEADERS):
+    body = json.dumps({"query": {"belt": "EP400"}}).encode()
+    status, data = fetch(entry, "/v1/services/parts/query", body, headers)
+    return status, json.loads(data) if data else None
 
 
-def ask(entry):
-    headers = {"authorization": "Bearer secret", "content-type": "application/json"}
-    body = json.dumps({"query": {"belt": "EP400"}}).encode()
-    status, _, data = fetch(entry, "/v1/services/parts/query", body, headers)
+def execute(entry, key):
+    body = json.dumps({"command": "card"}).encode()
+    headers = {**HEADERS, "idempotency-key": key}
+    status, data = fetch(entry, "/v1/services/cards/execute", body, headers)
     return status, json.loads(data) if data else None
 
 
-def test_any_daemon_gives_the_whole_answer_and_one_may_be_killed(processes, tmp_path):
-    store, entries, path = start_estate(processes, tmp_path)
-    for entry in entries:
-        wait_until(lambda entry=entry: fetch(entry, "/healthz")[0] == 200)
-    applied = run_tool(
-        *("apply", str(path), "--store", store, "--instance", entries[0]),
-        *("--token", OPERATOR_TOKEN, "--wait"),
-    )
-    assert applied.returncode == 0, applied.stderr
-    assert "in force at every live instance" in applied.stdout
+def new_key(seed):
+    from datetime import UTC, datetime
+    from random import Random
+
+    return make_key(datetime.now(UTC), Random(seed))
+
+
+def test_any_daemon_gives_the_whole_answer_and_one_may_be_killed(fleet):
+    entries = list(fleet.entries.values())
     for entry in entries:
-        wait_until(lambda entry=entry: is_ready(entry))
         status, content = ask(entry)
         assert status == 200, content
         assert content["coverage"]["answered"] == list(range(SHARDS))
         assert [row["shard"] for row in content["answer"]["rows"]] == [0, 1, 2, 3]
-    asked = run_tool(
-        *("query", "parts", '{"belt": "EP400"}', "--instance", entries[1]),
-        *("--partner-token", "secret"),
+    asked = fleet.run_tool(
+        "query", "parts", '{"belt": "EP400"}', "--partner-token", "secret"
     )
     assert asked.returncode == 0, asked.stderr
     assert f"{SHARDS} of {SHARDS} shards" in asked.stdout
-    processes.kill("daemon-0")
+    fleet.processes.kill("daemon-0")
     status, content = ask(entries[2])
     assert status == 200
     assert content["coverage"]["complete"]
+
+
+def test_one_request_is_followed_by_its_trace_id(fleet):
+    trace = "0af7651916cd43dd8448eb211c80319c"
+    traceparent = f"00-{trace}-b7ad6b7169203331-01"
+    ask(fleet.entries["daemon-1"], {**HEADERS, "traceparent": traceparent})
+    lines = (fleet.folder / "spans.jsonl").read_text().splitlines()
+    spans = [span for span in map(json.loads, lines) if span["trace_id"] == trace]
+    entry = [span for span in spans if span["name"] == "entry.query"]
+    attempts = [span for span in spans if span["name"] == "leaf.attempt"]
+    assert len(entry) == 1
+    assert len(attempts) >= SHARDS
+    assert all(span["parent_id"] == entry[0]["span_id"] for span in attempts)
+
+
+def test_sigterm_ends_with_exit_code_zero(fleet):
+    fleet.processes.signal("daemon-1", signal.SIGTERM)
+    assert fleet.processes.wait("daemon-1") == 0
+    assert '"stopped"' in fleet.processes.read_log("daemon-1")
+    assert ask(fleet.entries["daemon-2"])[0] == 200
+
+
+def test_paused_owner_of_a_bucket_grants_nothing_twice(fleet):
+    """Whoever owns the buckets is paused in turn, past every timeout."""
+    answered = []
+    for number, name in enumerate(fleet.entries):
+        others = [entry for key, entry in fleet.entries.items() if key != name]
+        fleet.processes.signal(name, signal.SIGSTOP)
+        key = new_key(number)
+        wait_until(lambda o=others, k=key: execute(o[0], k)[0] in (200, 409))
+        fleet.processes.signal(name, signal.SIGCONT)
+        time.sleep(1.0)
+        answered += [execute(entry, key)[1] for entry in fleet.entries.values()]
+    runs = [item["rows"][0]["leaf"] for item in answered if "rows" in item]
+    assert runs
+    for first in range(0, len(answered), 3):
+        kinds = {json.dumps(item) for item in answered[first : first + 3]}
+        assert len(kinds) == 1
--- a/walkcart/intent/loading.py
+++ b/walkcart/intent/loading.py
@@ -8,6 +8,7 @@
 import tomllib
 from dataclasses import dataclass, fields
 from datetime import timedelta
+from functools import cache
 from typing import Any, get_type_hints
 
 import msgspec
@@ -89,7 +90,7 @@
 ) -> Any:
     if not isinstance(row, dict):
         raise msgspec.ValidationError("expected a table")
-    known = {item.name for item in fields(cls)}
+    known = _field_names(cls)
     for key in row.keys() - known:
         expected = f"one of the fields {', '.join(sorted(known))}"
         faults.append(ConfigurationFault(f"{place}, {key}", expected))
@@ -107,9 +108,19 @@
     """Turn a number of seconds into a duration where the field wants one."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         return value
-    if "timedelta" not in str(get_type_hints(cls)[key]):
-        return value
-    return timedelta(seconds=value)
+    return timedelta(seconds=value) if key in _duration_fields(cls) else value
+
+
+@cache
+def _duration_fields(cls: type) -> frozenset[str]:
+    """Return the fields of a kind that hold durations."""
+    hints = get_type_hints(cls)
+    return frozenset(key for key, hint in hints.items() if "timedelta" in str(hint))
+
+
+@cache
+def _field_names(cls: type) -> frozenset[str]:
+    return frozenset(item.name for item in fields(cls))
 
 
 def to_tables(configuration: Configuration) -> dict[str, list[dict[str, Any]]]:
