--- /dev/null
+++ b/walkcart/bench/tests/test_soak.py
@@ -0,0 +1,27 @@
+"""A few seeds of the long randomised runs; more are run by hand."""
+
+from walkcart.bench.soak import run_soak
+
+
+def check(seed):
+    report = run_soak(seed, 0.7)
+    assert report.broken == []
+    assert report.outcomes["query complete"] > 100
+
+
+def test_seed_3():
+    check(3)
+
+
+def test_seed_7_once_opened_connections_without_pause():
+    check(7)
+
+
+def test_seed_16_once_passed_rubbish_on():
+    check(16)
+
+
+def test_same_seed_gives_the_same_run():
+    first, second = run_soak(5, 0.2), run_soak(5, 0.2)
+    assert first.outcomes == second.outcomes
+    assert first.faults == second.faults
