--- a/walkcart/bench/__main__.py
+++ b/walkcart/bench/__main__.py
@@ -15,6 +15,8 @@
     _add_soak(jobs.add_parser("soak", help="long randomised runs"))
     replay = jobs.add_parser("replay", help="recorded traces against their outcomes")
     replay.add_argument("traces", nargs="+", help="trace files")
+    sun = jobs.add_parser("sun", help="the busy region moves")
+    sun.add_argument("--out", default="out", help="folder of the plot")
     jobs.add_parser("pages", help="write the pages that are made from the code")
     slopes = jobs.add_parser("slopes", help="costs over several sizes")
     slopes.add_argument("--out", default="out/slopes.json")
@@ -56,6 +58,10 @@
             from walkcart.bench.replay import replay_files
 
             return replay_files(options.traces)
+        case "sun":
+            from walkcart.bench.sun import run_sun
+
+            return run_sun(options.out)
         case "pages":
             from walkcart.bench.pages import write_pages
 
