--- a/walkcart/bench/caller.py
+++ b/walkcart/bench/caller.py
@@ -131,7 +131,7 @@
         self._idle.clear()
 
 
-def find_lies(asked: Asked, scope: str, query: Any) -> list[str]:
+def find_violations(asked: Asked, scope: str, query: Any) -> list[str]:
     """Return the promises that an answer breaks, from its marked rows.
 
     Args:
@@ -143,18 +143,18 @@
         return []
     content = asked.content
     rows = content["answer"]["rows"]
-    lies = []
+    violations = []
     snapshots = {(row["layout"], row["version"]) for row in rows}
     stated = (content["snapshot"]["layout"], content["snapshot"]["version"])
     if snapshots - {stated}:
-        lies.append("mixed_versions")
+        violations.append("mixed_versions")
     coverage = content["coverage"]
     claimed = sorted([*coverage["answered"], *coverage["partial"]])
     if sorted(row["shard"] for row in rows) != claimed:
-        lies.append("wrong_coverage")
+        violations.append("wrong_coverage")
     if any(row["scope"] != scope or row["query"] != query for row in rows):
-        lies.append("wrong_caller")
+        violations.append("wrong_caller")
     missing = [item["shard"] for item in coverage["missing"]]
     if sorted([*claimed, *missing]) != list(range(coverage["asked"])):
-        lies.append("wrong_coverage")
-    return lies
+        violations.append("wrong_coverage")
+    return violations
--- a/walkcart/bench/experiments.py
+++ b/walkcart/bench/experiments.py
@@ -102,7 +102,7 @@
         seed: of the run.
         quantiles_ms: latency of the answers by share.
         outcomes: questions by how they ended.
-        lies: broken promises by kind, as callers saw them.
+        violations: broken promises by kind, as callers saw them.
         reasons: of the questions without an answer.
         by_partner: answers by partner.
         coverage: shards answered for each asked, over the answers.
@@ -119,7 +119,7 @@
     seed: int
     quantiles_ms: dict[str, float]
     outcomes: dict[str, int]
-    lies: dict[str, int]
+    violations: dict[str, int]
     reasons: dict[str, int]
     by_partner: dict[str, int]
     coverage: float
@@ -200,7 +200,7 @@
         seed,
         {name: round(tally.quantile(share), 3) for name, share in shares.items()},
         dict(tally.outcomes),
-        dict(tally.lies),
+        dict(tally.violations),
         dict(tally.reasons),
         dict(tally.by_partner),
         round(tally.coverage, 5),
--- a/walkcart/bench/fleet.py
+++ b/walkcart/bench/fleet.py
@@ -31,16 +31,41 @@
 PAGE_SIZE = os.sysconf("SC_PAGE_SIZE")
 
 
+class _Ports:
+    """Gives runs of ports, none of them twice in this process.
+
+    They lie below the range from which the system takes ports for outgoing
+    connections; one of those could take a port between its choice and its use.
+    """
+
+    FIRST, LAST = 10_000, 32_000
+
+    def __init__(self) -> None:
+        # Processes that run side by side start in different places.
+        self._next = self.FIRST + os.getpid() * 97 % (self.LAST - self.FIRST)
+
+    def take(self, count: int) -> list[int]:
+        """Return a run of free ports.
+
+        Raises:
+            OSError: there is none.
+        """
+        for _ in range(TRIES):
+            if self._next + count > self.LAST:
+                self._next = self.FIRST
+            ports = list(range(self._next, self._next + count))
+            self._next += count
+            if all(is_free(port) for port in ports):
+                return ports
+        raise OSError(f"no run of {count} free ports")
+
+
+_PORTS = _Ports()
+
+
 def take_ports(count: int) -> list[int]:
     """Return free ports, in a run one after the other."""
-    for _ in range(TRIES):
-        with socket.socket() as probe:
-            probe.bind((HOST, 0))
-            first = probe.getsockname()[1]
-        ports = list(range(first, first + count))
-        if first + count < 65536 and all(is_free(port) for port in ports):
-            return ports
-    raise OSError(f"no run of {count} free ports")
+    return _PORTS.take(count)
 
 
 def is_free(port: int) -> bool:
--- a/walkcart/bench/mischief.py
+++ b/walkcart/bench/injection.py
@@ -29,7 +29,7 @@
 )
 
 
-class Mischief:
+class FaultInjector:
     """Brings faults about until it is cancelled, then heals them all.
 
     Args:
@@ -55,7 +55,7 @@
         self._kinds: list[Callable[[], Awaitable[None]]] = [
             self._slow_leaf,
             self._hang_leaf,
-            self._spoil_replies,
+            self._corrupt_replies,
             self._shed_leaf,
             self._kill_leaf,
             self._drain_leaf,
@@ -116,7 +116,7 @@
         await self._last()
         faults.hang = False
 
-    async def _spoil_replies(self) -> None:
+    async def _corrupt_replies(self) -> None:
         faults = self._pick_leaf().leaf.faults
         name = self._random.choice(REPLY_FAULTS)
         setattr(faults, name, self._random.choice([0.2, 1.0]))
--- a/walkcart/bench/load.py
+++ b/walkcart/bench/load.py
@@ -9,7 +9,7 @@
 import trio
 from hdrh.histogram import HdrHistogram
 
-from walkcart.bench.caller import Asked, Caller, find_lies
+from walkcart.bench.caller import Asked, Caller, find_violations
 from walkcart.kernel.settings import HostPort
 from walkcart.standins.balancer import BalancerStandin
 
@@ -50,7 +50,7 @@
     latencies: HdrHistogram = field(default_factory=make_histogram)
     outcomes: Counter[str] = field(default_factory=Counter)
     by_partner: Counter[str] = field(default_factory=Counter)
-    lies: Counter[str] = field(default_factory=Counter)
+    violations: Counter[str] = field(default_factory=Counter)
     reasons: Counter[str] = field(default_factory=Counter)
     shards_asked: int = 0
     shards_answered: int = 0
@@ -76,8 +76,8 @@
         name = name_outcome(asked)
         self.outcomes[name] += 1
         self.timeline.append((at, asked.elapsed, name))
-        for lie in find_lies(asked, partner, query):
-            self.lies[lie] += 1
+        for violation in find_violations(asked, partner, query):
+            self.violations[violation] += 1
         if asked.status != 200:
             title = asked.content.get("title", "") if asked.content else "no reply"
             self.reasons[title] += 1
--- a/walkcart/bench/replay.py
+++ b/walkcart/bench/replay.py
@@ -27,7 +27,7 @@
 import trio
 
 from walkcart.bench import faults
-from walkcart.bench.caller import Caller, find_lies
+from walkcart.bench.caller import Caller, find_violations
 from walkcart.bench.harness import TOKENS, run_mocked
 from walkcart.bench.load import name_outcome
 from walkcart.bench.world import World, make_partner, make_service
@@ -192,8 +192,8 @@
             self._address(number), question["service"], question["query"], headers
         )
         self._seen[name_outcome(asked)] += 1
-        for lie in find_lies(asked, caller, question["query"]):
-            self._seen[lie] += 1
+        for violation in find_violations(asked, caller, question["query"]):
+            self._seen[violation] += 1
         if asked.status == 200:
             self._latencies.append(asked.elapsed)
 
--- a/walkcart/bench/report.py
+++ b/walkcart/bench/report.py
@@ -51,7 +51,7 @@
     write_json(folder / "experiments.json", figures, rows)
     plot_quantiles(folder / "quantiles.png", figures)
     plot_timelines(folder / "timelines.png", figures)
-    broken = any(item.lies or item.broken_invariants for item in figures)
+    broken = any(item.violations or item.broken_invariants for item in figures)
     return EXIT_BROKEN if broken else 0
 
 
@@ -75,7 +75,7 @@
     for name in ("partial", "refused", "uncertain", "lost"):
         row[name] = sum(item.outcomes.get(name, 0) for item in items)
     row["most connections"] = max(item.most_connections for item in items)
-    row["broken"] = sum(len(item.lies) + item.broken_invariants for item in items)
+    row["broken"] = sum(len(item.violations) + item.broken_invariants for item in items)
     return row
 
 
--- a/walkcart/bench/soak.py
+++ b/walkcart/bench/soak.py
@@ -17,8 +17,8 @@
 import trio
 from trio.testing import MockClock
 
-from walkcart.bench.caller import Asked, Caller, find_lies
-from walkcart.bench.mischief import Mischief
+from walkcart.bench.caller import Asked, Caller, find_violations
+from walkcart.bench.injection import FaultInjector
 from walkcart.bench.world import World, make_partner, make_service
 from walkcart.intent.distribution import ConfigurationKeeper
 from walkcart.once.keys import make_key
@@ -99,7 +99,7 @@
         self._accepted = 0
 
     async def run(self) -> SoakReport:
-        """Start the estate, make mischief, ask, heal, check."""
+        """Start the estate, make injector, ask, heal, check."""
         async with trio.open_nursery() as nursery:
             self._world = World(nursery, self._seed, MemoryNetwork(_latency))
             await self._start()
@@ -110,19 +110,19 @@
             self._callers = {
                 name: Caller(network, f"{name}-token") for name in ("red", "blue")
             }
-            mischief = Mischief(self._world, self._random, self._balancer, "parts")
+            injector = FaultInjector(self._world, self._random, self._balancer, "parts")
             with trio.move_on_after(self._seconds):
                 async with trio.open_nursery() as busy:
-                    busy.start_soon(mischief.run)
+                    busy.start_soon(injector.run)
                     busy.start_soon(self._ask_queries, nursery)
                     busy.start_soon(self._ask_executions, nursery)
                     busy.start_soon(self._watch_revisions)
-            self._report.faults = mischief.made
-            await mischief.heal()
+            self._report.faults = injector.made
+            await injector.heal()
             await trio.sleep(HEAL_TIME)
             await self._check_healed()
             self._check_records()
-            self._report.broken += mischief.broken
+            self._report.broken += injector.broken
             self._report.seconds = trio.current_time()
             nursery.cancel_scope.cancel()
         return self._report
@@ -160,8 +160,8 @@
         query = {"number": number}
         asked = await self._callers[partner].query(address, "parts", query)
         self._count("query", asked)
-        for lie in find_lies(asked, partner, query):
-            self._break(f"{lie} in the answer to query {number}")
+        for violation in find_violations(asked, partner, query):
+            self._break(f"{violation} in the answer to query {number}")
         if asked.verdict == "not_run":
             self._not_run.append(msgspec.json.encode(query))
 
--- a/walkcart/daemon/assembly.py
+++ b/walkcart/daemon/assembly.py
@@ -18,7 +18,7 @@
 from walkcart.entry.app import EntryService
 from walkcart.entry.credentials import Authenticator
 from walkcart.entry.executions import ExecuteHandler
-from walkcart.entry.operators import OperatorDesk
+from walkcart.entry.operators import OperatorInterface
 from walkcart.entry.queries import CallerTools, QueryHandler
 from walkcart.entry.stopping import PlannedStop
 from walkcart.fanout.gatherer import Gatherer
@@ -210,11 +210,11 @@
     listing.on_change(table.set_listed)
     gateway: LeafGateway | None = None
 
-    def note_word(leaf, word) -> None:
+    def note_status(leaf, status) -> None:
         assert gateway is not None
-        gateway.note_word(leaf, word)
+        gateway.note_status(leaf, status)
 
-    forwarder = Forwarder(links, view, around.clock, note_word)
+    forwarder = Forwarder(links, view, around.clock, note_status)
     gateway = LeafGateway(
         table,
         kernel.find("marks", LeafMarks),
@@ -296,7 +296,7 @@
     executions = ExecuteHandler(
         tools, kernel.find("claimant", Claimant), kernel.find("sender", SingleSender)
     )
-    desk = OperatorDesk(
+    operators = OperatorInterface(
         keeper,
         kernel.find("view", MembershipView),
         table,
@@ -311,7 +311,7 @@
         listener,
         QueryHandler(tools, gatherer),
         executions,
-        desk,
+        operators,
         keeper,
         kernel.find("listing", InstanceList),
         settings.operator_token,
--- a/walkcart/entry/app.py
+++ b/walkcart/entry/app.py
@@ -8,7 +8,7 @@
 
 from walkcart.entry.credentials import check_operator
 from walkcart.entry.executions import ExecuteHandler
-from walkcart.entry.operators import OperatorDesk
+from walkcart.entry.operators import OperatorInterface
 from walkcart.entry.queries import QueryHandler
 from walkcart.entry.replies import render_json, render_verdict
 from walkcart.entry.requests import BadRequest
@@ -40,7 +40,7 @@
         listener: where they come in.
         queries: handles queries.
         executions: handles non-repeatable requests.
-        desk: answers operators.
+        operators: answers operators.
         keeper: tells whether there is a configuration.
         listing: tells whether the leaves are known.
         operator_token: the operators' credential.
@@ -54,7 +54,7 @@
         listener: trio.abc.Listener[trio.abc.Stream],
         queries: QueryHandler,
         executions: ExecuteHandler,
-        desk: OperatorDesk,
+        operators: OperatorInterface,
         keeper: ConfigurationKeeper,
         listing: InstanceList,
         operator_token: str,
@@ -65,7 +65,7 @@
         self._listener = listener
         self._queries = queries
         self._executions = executions
-        self._desk = desk
+        self._operators = operators
         self._keeper = keeper
         self._listing = listing
         self._operator_token = operator_token
@@ -129,7 +129,7 @@
         if path == "/v1/status":
             self._expect(request, "GET")
             check_operator(request, self._operator_token)
-            return render_json(self._desk.describe_status())
+            return render_json(self._operators.describe_status())
         if path == "/v1/revision":
             self._expect(request, "GET")
             check_operator(request, self._operator_token)
@@ -152,7 +152,7 @@
             case _:
                 self._expect(request, "GET")
                 check_operator(request, self._operator_token)
-                return render_json(self._desk.explain_service(name))
+                return render_json(self._operators.explain_service(name))
 
     def _expect(self, request: HttpRequest, method: str) -> None:
         if request.method != method:
--- a/walkcart/entry/operators.py
+++ b/walkcart/entry/operators.py
@@ -21,7 +21,7 @@
 from walkcart.wire.verdicts import NotRun, Reason
 
 
-class OperatorDesk:
+class OperatorInterface:
     """Answers operators.
 
     Args:
--- a/walkcart/entry/stopping.py
+++ b/walkcart/entry/stopping.py
@@ -23,7 +23,7 @@
 #: Seconds between two looks at what is still in progress.
 LOOK_INTERVAL = 0.02
 #: Time for the last word to reach the peers.
-FAREWELL_TIME = 0.1
+LAST_GOSSIP_TIME = 0.1
 #: Longest wait for claims to settle: a reply kept for a repeat is worth that.
 SETTLE_BOUND = 2.0
 
@@ -81,7 +81,7 @@
         self._events.emit(event, in_progress=self._entry.server.in_progress)
         self._view.update_own(state=MemberState.DEAD)
         self._detector.push_soon()
-        await trio.sleep(FAREWELL_TIME)
+        await trio.sleep(LAST_GOSSIP_TIME)
         return ended
 
     async def _finish(self) -> None:
--- a/walkcart/fanout/tests/test_promises.py
+++ b/walkcart/fanout/tests/test_promises.py
@@ -2,14 +2,14 @@
 
 import trio
 
-from walkcart.bench.caller import Caller, find_lies
+from walkcart.bench.caller import Caller, find_violations
 from walkcart.bench.faults import IndexRoll, Repartition, bring_about
 from walkcart.bench.harness import make_caller, open_estate, run_mocked
 from walkcart.bench.world import make_partner
 
 
 async def ask_while(world, fault, seconds=6.0, gap=0.02):
-    """Ask all instances in turn while a fault happens; return replies and lies."""
+    """Ask all instances in turn during a fault; return replies and violations."""
     caller = make_caller(world)
     addresses = [item.address for item in world.instances.values()]
     found = []
@@ -17,7 +17,7 @@
     async def ask(number):
         query = {"number": number}
         asked = await caller.query(addresses[number % 3], "parts", query)
-        found.append((asked, find_lies(asked, "red", query)))
+        found.append((asked, find_violations(asked, "red", query)))
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(fault)
@@ -29,8 +29,8 @@
 
 def check_whole(found):
     assert found
-    for asked, lies in found:
-        assert not lies
+    for asked, violations in found:
+        assert not violations
         assert asked.status == 200, asked.content
         assert asked.content["coverage"]["complete"]
 
@@ -63,7 +63,7 @@
             return await ask_while(world, roll, seconds=5.0)
 
     found = run_mocked(run)
-    assert all(not lies for _, lies in found)
+    assert all(not violations for _, violations in found)
     assert all(asked.status == 200 for asked, _ in found)
 
 
@@ -78,7 +78,7 @@
             return await ask_while(world, trio.lowlevel.checkpoint, seconds=2.0)
 
     found = run_mocked(run)
-    assert all(not lies for _, lies in found)
+    assert all(not violations for _, violations in found)
 
 
 def test_repartition_mixes_no_layouts():
@@ -115,7 +115,7 @@
     assert partial.content["coverage"]["missing"] == [
         {"shard": 1, "reason": "unreachable"}
     ]
-    assert not find_lies(partial, "red", 1)
+    assert not find_violations(partial, "red", 1)
     assert (whole.status, whole.verdict) == (502, "may_have_run")
 
 
@@ -158,7 +158,7 @@
                 item.leaf.faults.stall_share = 0.05
             callers = {name: make_caller(world, name) for name in ("red", "blue")}
             addresses = [item.address for item in world.instances.values()]
-            lies, whole = [], 0
+            violations, whole = [], 0
 
             async def ask(number):
                 nonlocal whole
@@ -167,17 +167,17 @@
                 asked = await callers[partner].query(
                     addresses[number % 3], "parts", query
                 )
-                lies.extend(find_lies(asked, partner, query))
+                violations.extend(find_violations(asked, partner, query))
                 whole += asked.status == 200
 
             async with trio.open_nursery() as nursery:
                 for number in range(2000):
                     nursery.start_soon(ask, number)
                     await trio.sleep(0.01)
-            return lies, whole
+            return violations, whole
 
-    lies, whole = run_mocked(run)
-    assert not lies
+    violations, whole = run_mocked(run)
+    assert not violations
     assert whole > 1900
 
 
--- a/walkcart/leaves/forwarding.py
+++ b/walkcart/leaves/forwarding.py
@@ -15,14 +15,14 @@
 from walkcart.kernel.clock import Clock
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused, Replied
 from walkcart.leaves.leaf import BadSnapshot, Leaf
+from walkcart.leaves.outcome_headers import encode_outcome_headers
 from walkcart.leaves.protocol import (
-    LeafWord,
+    LeafStatus,
     decode_attempt,
     encode_attempt,
     read_outcome,
-    read_word,
+    read_status,
 )
-from walkcart.leaves.wordbook import encode_outcome_headers
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.view import MembershipView, MemberState
 from walkcart.wire.http import HttpReply
@@ -63,7 +63,7 @@
         links: to the peers.
         view: which of them live.
         clock: source of time.
-        on_word: told what a leaf said about itself.
+        on_status: told what a leaf said about itself.
     """
 
     def __init__(
@@ -71,11 +71,11 @@
         links: PeerLinks,
         view: MembershipView,
         clock: Clock,
-        on_word: Callable[[Leaf, LeafWord], None],
+        on_status: Callable[[Leaf, LeafStatus], None],
     ) -> None:
         self._links = links
         self._clock = clock
-        self._on_word = on_word
+        self._on_status = on_status
         self._submit_here: SubmitHere | None = None
         self._cancel_here: Callable[[str, str], None] | None = None
         self._find_leaf: Callable[[str], Leaf | None] | None = None
@@ -196,7 +196,7 @@
             if sent is None or sent.holder != sender:
                 continue
             if outcome.headers:
-                self._on_word(sent.leaf, read_word(outcome.headers))
+                self._on_status(sent.leaf, read_status(outcome.headers))
             self._end(outcome.id, _read_forwarded(sent.attempt, outcome))
 
     def _on_ask(self, sender: str, message: Message) -> None:
--- a/walkcart/leaves/gateway.py
+++ b/walkcart/leaves/gateway.py
@@ -17,7 +17,7 @@
 from walkcart.leaves.forwarding import Forwarder
 from walkcart.leaves.leaf import Leaf
 from walkcart.leaves.link import LeafLink, LinkTools
-from walkcart.leaves.protocol import LeafWord
+from walkcart.leaves.protocol import LeafStatus
 from walkcart.leaves.table import LeafTable, ResolvedGroup
 from walkcart.membership.marks import LeafMarks
 from walkcart.membership.view import MembershipView
@@ -69,7 +69,9 @@
         self._clock = clock
         self._events = events
         self._metrics = metrics
-        self._tools = LinkTools(network, clock, events, metrics, tracer, self.note_word)
+        self._tools = LinkTools(
+            network, clock, events, metrics, tracer, self.note_status
+        )
         self._links: dict[str, LeafLink] = {}
         self._caps: dict[str, int] = {}
         self._groups: dict[str, ResolvedGroup] = {}
@@ -124,18 +126,18 @@
         """Return whether `leaf` may get new work."""
         return not self._marks.is_leaving(leaf.address)
 
-    def note_word(self, leaf: Leaf, word: LeafWord) -> None:
+    def note_status(self, leaf: Leaf, status: LeafStatus) -> None:
         """Take in what a leaf said about itself."""
-        if word.incarnation:
-            leaf.note_incarnation(word.incarnation)
-        if word.leaving:
-            self._marks.note_leaving(leaf.address, word.incarnation)
-        elif word.incarnation:
-            self._marks.note_live(leaf.address, word.incarnation)
-        if word.load is not None:
-            leaf.note_stated(self._clock.monotonic(), word.load)
-        if word.held is not None and word.held != leaf.held:
-            leaf.held = word.held
+        if status.incarnation:
+            leaf.note_incarnation(status.incarnation)
+        if status.leaving:
+            self._marks.note_leaving(leaf.address, status.incarnation)
+        elif status.incarnation:
+            self._marks.note_live(leaf.address, status.incarnation)
+        if status.load is not None:
+            leaf.note_stated(self._clock.monotonic(), status.load)
+        if status.held is not None and status.held != leaf.held:
+            leaf.held = status.held
             self._table.version += 1
 
     def holders_of(self, leaf: Leaf) -> tuple[str, ...]:
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -27,11 +27,11 @@
     CANCEL_TARGET,
     REPLY_LIMIT,
     STATUS_TARGET,
-    LeafWord,
+    LeafStatus,
     encode_attempt,
     is_ours,
     read_outcome,
-    read_word,
+    read_status,
 )
 from walkcart.wire.http import ExchangeFailed, HttpConnection, HttpRequest
 from walkcart.wire.network import Network
@@ -68,7 +68,7 @@
     events: EventLog
     metrics: Metrics
     tracer: Tracer
-    on_word: Callable[[Leaf, LeafWord], None]
+    on_status: Callable[[Leaf, LeafStatus], None]
 
 
 class LeafLink:
@@ -212,7 +212,7 @@
     async def _check(self, connection: HttpConnection) -> None:
         """Exchange a status, which shows that the leaf serves this connection."""
         reply = await connection.exchange(HttpRequest("GET", STATUS_TARGET))
-        self._tools.on_word(self._leaf, read_word(reply.headers))
+        self._tools.on_status(self._leaf, read_status(reply.headers))
         if not connection.renew():
             raise OSError("the leaf closes the connection")
 
@@ -312,7 +312,7 @@
                     )
                     detail = "the reply isn't this attempt's"
                     return False, Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
-                tools.on_word(self._leaf, read_word(reply.headers))
+                tools.on_status(self._leaf, read_status(reply.headers))
                 return connection.renew(), read_outcome(attempt, reply, elapsed)
         return False, timed_out
 
--- a/walkcart/leaves/protocol.py
+++ b/walkcart/leaves/protocol.py
@@ -91,7 +91,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LeafWord:
+class LeafStatus:
     """What a leaf says about itself on each reply.
 
     Args:
@@ -107,14 +107,14 @@
     leaving: bool
 
 
-def read_word(headers: Headers) -> LeafWord:
+def read_status(headers: Headers) -> LeafStatus:
     """Read what the leaf says about itself; what can't be read is left out."""
     found = dict(headers)
     held = None
     if HELD in found:
         parts = found[HELD].split(b",")
         held = frozenset(int(part) for part in parts if part.strip().isdigit())
-    return LeafWord(
+    return LeafStatus(
         held,
         _read_number(found.get(LOAD)),
         _read_number(found.get(INCARNATION)) or 0,
--- a/walkcart/leaves/tests/test_link.py
+++ b/walkcart/leaves/tests/test_link.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from walkcart.bench.caller import find_lies
+from walkcart.bench.caller import find_violations
 from walkcart.bench.harness import make_caller, open_estate, run_mocked
 from walkcart.leaves.gateway import LeafGateway
 
@@ -46,8 +46,8 @@
         assert asked.content["coverage"]["complete"]
 
 
-def spoiled(fault, share=1.0):
-    """Ask while one leaf's replies are spoiled; return replies and lies."""
+def corrupted(fault, share=1.0):
+    """Ask while one leaf's replies are corrupted; return replies and violations."""
 
     async def run():
         async with open_estate() as world:
@@ -57,49 +57,49 @@
             found = []
             for number in range(30):
                 asked = await caller.query(address, "parts", {"number": number})
-                found.append((asked, find_lies(asked, "red", {"number": number})))
+                found.append((asked, find_violations(asked, "red", {"number": number})))
             return found
 
     return run_mocked(run)
 
 
-def check_spoiled(fault, share=1.0):
-    for asked, lies in spoiled(fault, share):
+def check_corrupted(fault, share=1.0):
+    for asked, violations in corrupted(fault, share):
         assert asked.status == 200
         assert asked.content["coverage"]["complete"]
-        assert not lies
+        assert not violations
 
 
 def test_rubbish_from_a_leaf_is_dropped():
-    check_spoiled("garbage")
+    check_corrupted("garbage")
 
 
 def test_body_cut_in_the_middle_is_dropped():
-    check_spoiled("cut_body")
+    check_corrupted("cut_body")
 
 
 def test_reply_sent_twice_is_taken_once():
-    check_spoiled("repeat_reply", 0.5)
+    check_corrupted("repeat_reply", 0.5)
 
 
 def test_reply_of_another_attempt_is_dropped():
-    check_spoiled("wrong_attempt")
+    check_corrupted("wrong_attempt")
 
 
 def test_reply_for_another_scope_is_dropped():
-    check_spoiled("wrong_scope")
+    check_corrupted("wrong_scope")
 
 
 def test_body_that_is_no_json_is_dropped():
-    check_spoiled("bad_rows")
+    check_corrupted("bad_rows")
 
 
 def test_endless_body_is_dropped():
-    check_spoiled("endless")
+    check_corrupted("endless")
 
 
 def test_reply_lost_after_the_run_is_made_up_by_the_sibling():
-    check_spoiled("drop_reply")
+    check_corrupted("drop_reply")
 
 
 def test_cap_of_connections_holds_over_all_instances():
--- a/walkcart/routing/replicas.py
+++ b/walkcart/routing/replicas.py
@@ -3,7 +3,7 @@
 With two slots a leaf, what decides is the work that already waits there, of
 this instance and of others, and how fast the leaf gets through it. Health and
 load that a leaf states about itself are only hints: they are capped, and a leaf
-that lies low is found out by its latency.
+that understates its load is found out by its latency.
 
 References:
     Wydrowski et al.: Load is not what you should balance: Introducing Prequal,
--- a/walkcart/standins/faulty.py
+++ b/walkcart/standins/faulty.py
@@ -1,4 +1,4 @@
-"""A stream whose sends can be spoiled."""
+"""A stream whose sends can be corrupted."""
 
 from __future__ import annotations
 
@@ -8,24 +8,24 @@
 
 #: Given the bytes of one send, returns what is sent instead and whether the
 #: connection closes after it.
-Spoil = Callable[[bytes], tuple[bytes, bool]]
+Corrupt = Callable[[bytes], tuple[bytes, bool]]
 
 
 class FaultyStream(trio.abc.Stream):
-    """Passes bytes on, spoiled.
+    """Passes bytes on, corrupted.
 
     Args:
         stream: the true stream.
-        spoil: what happens to each send.
+        corrupt: what happens to each send.
     """
 
-    def __init__(self, stream: trio.abc.Stream, spoil: Spoil) -> None:
+    def __init__(self, stream: trio.abc.Stream, corrupt: Corrupt) -> None:
         self._stream = stream
-        self._spoil = spoil
+        self._corrupt = corrupt
 
     async def send_all(self, data: bytes) -> None:
         """Send what is left of `data`."""
-        sent, close = self._spoil(bytes(data))
+        sent, close = self._corrupt(bytes(data))
         if sent:
             await self._stream.send_all(sent)
         if close:
--- a/walkcart/standins/leaf.py
+++ b/walkcart/standins/leaf.py
@@ -177,7 +177,7 @@
         if request.target == "/control":
             return apply_control(self.faults, request)
         if request.target == protocol.STATUS_TARGET:
-            return HttpReply(200, self._word())
+            return HttpReply(200, self._status_headers())
         if request.target.startswith(protocol.CANCEL_TARGET):
             return self._cancel(request.target[len(protocol.CANCEL_TARGET) :])
         if request.target != protocol.QUERY_TARGET:
@@ -188,7 +188,7 @@
         scope = self._running.get(attempt)
         if scope is not None:
             scope.cancel()
-        return HttpReply(204, self._word())
+        return HttpReply(204, self._status_headers())
 
     async def _query(self, request: HttpRequest) -> HttpReply:
         headers = dict(request.headers)
@@ -210,7 +210,7 @@
         if status == protocol.STATUS_TOO_LATE:
             return self._refuse(status, headers)
         if status != 200:
-            return HttpReply(status, (*self._echo(headers), *self._word()))
+            return HttpReply(status, (*self._echo(headers), *self._status_headers()))
         return self._answer(request, headers)
 
     def _find_refusal(self, headers: dict[bytes, bytes]) -> int | None:
@@ -231,7 +231,7 @@
     def _refuse(self, status: int, headers: dict[bytes, bytes]) -> HttpReply:
         self.refused += 1
         ran = (protocol.RAN, b"no")
-        return HttpReply(status, (*self._echo(headers), *self._word(), ran))
+        return HttpReply(status, (*self._echo(headers), *self._status_headers(), ran))
 
     async def _run(
         self, headers: dict[bytes, bytes], body: bytes, deadline: float
@@ -277,7 +277,7 @@
         snapshot = (protocol.SNAPSHOT, b"%d:%d" % (self.spec.layout, version))
         partial = (protocol.PARTIAL, b"yes" if self.faults.partial else b"no")
         echo = self._echo(headers)
-        return HttpReply(200, (*echo, *self._word(), snapshot, partial), body)
+        return HttpReply(200, (*echo, *self._status_headers(), snapshot, partial), body)
 
     def _version_for(self, headers: dict[bytes, bytes]) -> int:
         pin = parse_snapshot(headers.get(protocol.PIN, b"0:0").decode())
@@ -296,7 +296,7 @@
             scope = b"another"
         return ((protocol.ATTEMPT, attempt), (protocol.SCOPE, scope))
 
-    def _word(self) -> tuple[tuple[bytes, bytes], ...]:
+    def _status_headers(self) -> tuple[tuple[bytes, bytes], ...]:
         load = self._load if self.faults.lie_load is None else self.faults.lie_load
         told = self.faults.leaving and not self.faults.mute_leaving
         held = ",".join(str(version) for version in self.versions)
@@ -310,7 +310,7 @@
     def _happens(self, share: float) -> bool:
         return share > 0 and self._random.random() < share
 
-    def spoil(self, data: bytes) -> tuple[bytes, bool]:
+    def corrupt(self, data: bytes) -> tuple[bytes, bool]:
         """Return the bytes that leave in place of a reply, and whether to close."""
         faults = self.faults
         if b"walkcart-snapshot" not in data[:600]:
@@ -346,6 +346,6 @@
         leaf.most_connections = max(leaf.most_connections, leaf.connections)
         try:
             await trio.sleep(leaf.spec.connect_time)
-            await self.http.serve(FaultyStream(stream, leaf.spoil))
+            await self.http.serve(FaultyStream(stream, leaf.corrupt))
         finally:
             leaf.connections -= 1
--- /dev/null
+++ b/walkcart/store/tests/test_client.py
@@ -0,0 +1,151 @@
+"""The store's client: bad replies end in an error that says what is certain."""
+
+from random import Random
+
+import pytest
+import trio
+
+from walkcart.bench.harness import run_mocked
+from walkcart.bench.world import World
+from walkcart.kernel.clock import TrioClock
+from walkcart.standins.memory import MemoryNetwork
+from walkcart.store.backoff import Backoff
+from walkcart.store.budget import CallBudget
+from walkcart.store.client import Conflict, Entry, StoreUnavailable, Written
+
+
+def with_store(action):
+    """Run `action(world, client)` beside a store."""
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            world = World(nursery, 1, MemoryNetwork())
+            await world.start_platform()
+            result = await action(world, world.make_store_client())
+            nursery.cancel_scope.cancel()
+        return result
+
+    return run_mocked(run)
+
+
+def test_get_put_and_conflict():
+    async def act(world, client):
+        assert await client.get("a") is None
+        first = await client.put("a", b"1", 0)
+        second = await client.put("a", b"2", 0)
+        third = await client.put("a", b"3", first.revision)
+        return first, second, third, await client.get("a")
+
+    first, second, third, entry = with_store(act)
+    assert isinstance(first, Written)
+    assert second == Conflict(Entry(b"1", first.revision))
+    assert isinstance(third, Written)
+    assert entry == Entry(b"3", third.revision)
+
+
+def test_delete_needs_the_revision():
+    async def act(world, client):
+        first = await client.put("a", b"1", 0)
+        wrong = await client.delete("a", first.revision + 5)
+        right = await client.delete("a", first.revision)
+        return wrong, right, await client.get("a")
+
+    wrong, right, entry = with_store(act)
+    assert isinstance(wrong, Conflict)
+    assert isinstance(right, Written)
+    assert entry is None
+
+
+def test_watch_wakes_on_a_change_and_ends_without_one():
+    from datetime import timedelta
+
+    async def act(world, client):
+        first = await client.put("a", b"1", 0)
+        quiet = await client.watch("a", first.revision, timedelta(seconds=1))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(client.put, "a", b"2", first.revision)
+            woken = await client.watch("a", first.revision, timedelta(seconds=5))
+        return quiet, woken
+
+    quiet, woken = with_store(act)
+    assert quiet is None
+    assert woken.value == b"2"
+
+
+def failing(**faults):
+    """Return what a write raises under faults, and whether it took effect."""
+
+    async def act(world, client):
+        for name, value in faults.items():
+            setattr(world.store.faults, name, value)
+        with pytest.raises(StoreUnavailable) as raised:
+            await client.put("a", b"1", 0)
+        return raised.value.uncertain, world.store.peek("a")
+
+    return with_store(act)
+
+
+def test_lost_reply_is_uncertain():
+    assert failing(lose_reply=1.0) == (True, b"1")
+
+
+def test_late_write_is_uncertain():
+    assert failing(late_write=1.0) == (True, None)
+
+
+def test_outage_is_uncertain_once_the_call_was_sent():
+    assert failing(down=True) == (True, None)
+
+
+def test_slow_store_is_uncertain():
+    assert failing(delay=30.0)[0] is True
+
+
+def test_garbage_is_no_success():
+    assert failing(garbage=1.0)[0] is True
+
+
+def test_store_that_is_not_there_is_certain():
+    async def run():
+        async with trio.open_nursery() as nursery:
+            world = World(nursery, 1, MemoryNetwork())
+            with pytest.raises(StoreUnavailable) as raised:
+                await world.make_store_client().put("a", b"1", 0)
+            return raised.value.uncertain
+
+    assert run_mocked(run) is False
+
+
+def test_watch_that_repeats_an_old_revision_is_rejected():
+    from datetime import timedelta
+
+    async def act(world, client):
+        first = await client.put("a", b"1", 0)
+        world.store.faults.repeat_watches = True
+        with pytest.raises(StoreUnavailable):
+            await client.watch("a", first.revision, timedelta(seconds=1))
+
+    with_store(act)
+
+
+def test_backoff_grows_to_its_limit_with_jitter():
+    from datetime import timedelta
+
+    backoff = Backoff(timedelta(seconds=1), timedelta(seconds=8), Random(1))
+    waits = [backoff.advance().total_seconds() for _ in range(8)]
+    assert all(0.5 <= wait <= 8 for wait in waits)
+    assert max(waits[:1]) <= 1
+    assert min(waits[4:]) >= 4
+    backoff.reset()
+    assert backoff.advance().total_seconds() <= 1
+
+
+def test_call_budget_holds_the_rate():
+    async def run():
+        budget = CallBudget(10, 5, TrioClock())
+        start = trio.current_time()
+        for _ in range(25):
+            await budget.take()
+        return trio.current_time() - start
+
+    assert 1.9 <= run_mocked(run) <= 2.1
