--- a/walkcart/bench/injection.py
+++ b/walkcart/bench/injection.py
@@ -11,7 +11,7 @@
 from walkcart.bench.world import RunningLeaf, World, make_service
 from walkcart.intent.applying import Accepted, Raced, Unknown
 from walkcart.standins.balancer import BalancerStandin
-from walkcart.standins.leaf import LeafFaults
+from walkcart.standins.leaf_faults import LeafFaults
 from walkcart.standins.store import StoreFaults
 
 #: Mean seconds between two faults; each lasts for a few.
--- a/walkcart/fanout/gathering.py
+++ b/walkcart/fanout/gathering.py
@@ -21,9 +21,14 @@
 
 import trio
 
-from walkcart.fanout.answers import Answer, Coverage, MissingShard
+from walkcart.fanout.answers import Answer
 from walkcart.fanout.ids import IdSource
-from walkcart.fanout.progress import Sent, ShardProgress
+from walkcart.fanout.progress import (
+    Sent,
+    ShardProgress,
+    make_coverage,
+    typical_time,
+)
 from walkcart.fanout.questions import Question
 from walkcart.fanout.selection import LeafSelector
 from walkcart.kernel.clock import Clock
@@ -359,22 +364,8 @@
         )
         return Answer(
             snapshot,
-            self._make_coverage(replies),
+            make_coverage(self._progress, replies),
             tuple((shard, replies[shard].body) for shard in sorted(replies)),
             self._sent,
-            self._typical_time(),
+            typical_time(self._progress),
         )
-
-    def _typical_time(self) -> float | None:
-        times = sorted(item.time for item in self._progress if item.reply is not None)
-        return times[len(times) // 2] if times else None
-
-    def _make_coverage(self, replies: dict[int, Replied]) -> Coverage:
-        whole = sorted(shard for shard in replies if not replies[shard].partial)
-        partial = sorted(shard for shard in replies if replies[shard].partial)
-        missing = tuple(
-            MissingShard(item.shard, item.reason)
-            for item in self._progress
-            if item.shard not in replies
-        )
-        return Coverage(len(self._progress), tuple(whole), tuple(partial), missing)
--- a/walkcart/fanout/progress.py
+++ b/walkcart/fanout/progress.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from walkcart.fanout.answers import Coverage, MissingShard
 from walkcart.leaves.attempts import Replied
 from walkcart.leaves.leaf import Leaf
 from walkcart.wire.verdicts import Reason
@@ -55,3 +56,28 @@
     def lacks_version(self) -> bool:
         """Whether no leaf holds the pinned version any longer."""
         return bool(self.leaves) and len(self.lost_version) >= len(self.leaves)
+
+
+def make_coverage(
+    progress: list[ShardProgress], replies: dict[int, Replied]
+) -> Coverage:
+    """Return what accepted replies cover.
+
+    Args:
+        progress: of every shard.
+        replies: accepted, by shard.
+    """
+    whole = sorted(shard for shard in replies if not replies[shard].partial)
+    partial = sorted(shard for shard in replies if replies[shard].partial)
+    missing = tuple(
+        MissingShard(item.shard, item.reason)
+        for item in progress
+        if item.shard not in replies
+    )
+    return Coverage(len(progress), tuple(whole), tuple(partial), missing)
+
+
+def typical_time(progress: list[ShardProgress]) -> float | None:
+    """Return the median seconds to a reply, or None without replies."""
+    times = sorted(item.time for item in progress if item.reply is not None)
+    return times[len(times) // 2] if times else None
--- a/walkcart/standins/__init__.py
+++ b/walkcart/standins/__init__.py
@@ -5,7 +5,8 @@
 production.
 """
 
-from walkcart.standins.leaf import LeafFaults, LeafSpec, LeafStandin
+from walkcart.standins.leaf import LeafSpec, LeafStandin
+from walkcart.standins.leaf_faults import LeafFaults
 from walkcart.standins.listing import ListStandin
 from walkcart.standins.memory import MemoryNetwork, MemorySite
 from walkcart.standins.store import StoreFaults, StoreStandin
