Close connections to groups that are gone; keep a question's configuration whole

Found by reading: each question made its own revision's leaves the connected ones, so a question of the revision before set the division back, and a removed group kept its connections for ever. Change: only a change of configuration or list sets the groups; the ones before stay connected until the next change.

--- a/walkcart/daemon/assembly.py
+++ b/walkcart/daemon/assembly.py
@@ -245,8 +245,9 @@
     keeper = kernel.find("keeper", ConfigurationKeeper)
 
     def use_groups() -> None:
-        for group in keeper.document.configuration.shard_groups:
-            gateway.use_group(table.find_group(keeper.document, group.name))
+        document = keeper.document
+        names = [group.name for group in document.configuration.shard_groups]
+        gateway.set_groups([table.find_group(document, name) for name in names])
 
     keeper.on_change(lambda document: use_groups())
     listing.on_change(lambda leaves: use_groups())
--- a/walkcart/fanout/gatherer.py
+++ b/walkcart/fanout/gatherer.py
@@ -56,7 +56,6 @@
     def choose(self, question: Question) -> tuple[Snapshot, ResolvedLayout]:
         """Return the snapshot and layout that a question would use now."""
         resolved = self._tools.table.find_group(question.document, question.group)
-        self._tools.gateway.use_group(resolved)
         layout, pin = self._pins.choose(resolved)
         return pin, layout
 
--- a/walkcart/fanout/progress.py
+++ b/walkcart/fanout/progress.py
@@ -70,7 +70,7 @@
     whole = sorted(shard for shard in replies if not replies[shard].partial)
     partial = sorted(shard for shard in replies if replies[shard].partial)
     missing = tuple(
-        MissingShard(item.shard, item.reason)
+        MissingShard(item.shard, Reason.OTHER_VERSION if item.reply else item.reason)
         for item in progress
         if item.shard not in replies
     )
--- a/walkcart/leaves/gateway.py
+++ b/walkcart/leaves/gateway.py
@@ -75,6 +75,7 @@
         self._links: dict[str, LeafLink] = {}
         self._caps: dict[str, int] = {}
         self._groups: dict[str, ResolvedGroup] = {}
+        self._previous: tuple[ResolvedGroup, ...] = ()
         self._delays: dict[str, HedgeDelay] = {}
         self._holders = HolderTable()
         self._shares: dict[str, int] = {}
@@ -86,14 +87,17 @@
         """Return the learned latencies of a shard group."""
         return self._delays.setdefault(group, HedgeDelay())
 
-    def use_group(self, resolved: ResolvedGroup) -> None:
-        """Divide the connections of the group's leaves from now on."""
-        name = resolved.group.name
-        if self._groups.get(name) is resolved:
-            return
-        self._groups[name] = resolved
-        for leaf in resolved.leaves:
-            self._caps[leaf.address] = resolved.group.connections
+    def set_groups(self, groups: list[ResolvedGroup]) -> None:
+        """Divide the connections of these groups' leaves from now on.
+
+        The leaves of the groups before stay connected until the next change, for
+        questions that were admitted under the configuration before.
+        """
+        self._previous = tuple(self._groups.values())
+        self._groups = {resolved.group.name: resolved for resolved in groups}
+        for resolved in (*self._previous, *groups):
+            for leaf in resolved.leaves:
+                self._caps[leaf.address] = resolved.group.connections
         self._note_groups()
 
     def submit(
@@ -163,7 +167,7 @@
                 leaf.region,
                 ConnectionShares(resolved.group.connections),
             )
-            for resolved in self._groups.values()
+            for resolved in (*self._previous, *self._groups.values())
             for leaf in resolved.leaves
         }
         self._holders.set_leaves(list(held.values()))
--- a/walkcart/leaves/tests/test_link.py
+++ b/walkcart/leaves/tests/test_link.py
@@ -4,6 +4,7 @@
 
 from walkcart.bench.caller import find_violations
 from walkcart.bench.harness import make_caller, open_estate, run_mocked
+from walkcart.bench.world import make_partner
 from walkcart.leaves.gateway import LeafGateway
 
 
@@ -154,3 +155,35 @@
     from walkcart.bench.world import make_service
 
     return make_service("parts", 4, connections=connections)
+
+
+def test_connections_to_a_removed_group_are_closed():
+    async def run():
+        async with open_estate() as world:
+            from dataclasses import replace
+
+            def remove(base):
+                return replace(
+                    base,
+                    services=tuple(s for s in base.services if s.name != "parts"),
+                    shard_groups=tuple(
+                        g for g in base.shard_groups if g.name != "parts"
+                    ),
+                )
+
+            open_before = count_open(world, "parts")
+            await world.apply(edit=remove)
+            await trio.sleep(2)
+            await world.apply(make_partner("green", "green-token"))
+            await trio.sleep(2)
+            return open_before, count_open(world, "parts"), count_open(world, "cards")
+
+    before, after, others = run_mocked(run)
+    assert before > 0
+    assert after == 0
+    assert others > 0
+
+
+def count_open(world, group):
+    leaves = [item.leaf for item in world.leaves.values()]
+    return sum(leaf.connections for leaf in leaves if leaf.spec.group == group)
