--- a/walkcart/bench/slopes_fleet.py
+++ b/walkcart/bench/slopes_fleet.py
@@ -9,9 +9,9 @@
 
 from walkcart.bench.caller import Caller
 from walkcart.bench.fitting import Point
-from walkcart.bench.fleet import Fleet, Processes
+from walkcart.bench.fleet import HOST, Fleet, Processes, take_ports
 from walkcart.bench.world import make_partner, make_service
-from walkcart.kernel.settings import parse_host_port
+from walkcart.kernel.settings import HostPort, parse_host_port
 from walkcart.wire.http import HttpConnection, HttpRequest
 from walkcart.wire.network import TcpNetwork
 
@@ -186,25 +186,28 @@
 
 
 def measure_bare_client(folder: Path, requests: int = 3000) -> float:
-    """Return the CPU seconds of one request with h11 and trio alone."""
+    """Return the CPU seconds of one leaf request with h11 and trio alone."""
     fleet = Fleet(Processes(folder), folder)
     try:
-        words = fleet._start_leaves("bare:1:1")
-        address = parse_host_port(words.split(":", 3)[3])
+        port = take_ports(1)[0]
+        words = f"bare:1:1:{HOST}:{port}"
+        module = "walkcart.standins.main"
+        fleet.processes.start("bare", module, "leaves", words, "--median-ms", "0.01")
         time.sleep(1.0)
-        return trio.run(_time_bare, address, requests)
+        return trio.run(_time_bare, HostPort(HOST, port), requests)
     finally:
         fleet.processes.stop_all()
 
 
-async def _time_bare(address, requests: int) -> float:
+async def _time_bare(address: HostPort, requests: int) -> float:
+    """Exchange what a daemon exchanges with a leaf, and do nothing else."""
     stream = await TcpNetwork().connect(address)
     connection = HttpConnection(stream, str(address), 1 << 20)
-    # A status and not a query: the leaf then doesn't wait, only the wire counts.
-    request = HttpRequest("GET", "/status", _BARE_HEADERS, b'{"query": 1}')
+    request = HttpRequest("POST", "/query", _BARE_HEADERS, b"17")
     start = time.process_time()
     for _ in range(requests):
-        await connection.exchange(request)
+        reply = await connection.exchange(request)
+        assert reply.status == 200
         connection.renew()
     return (time.process_time() - start) / requests
 
--- a/walkcart/leaves/forwarding.py
+++ b/walkcart/leaves/forwarding.py
@@ -196,7 +196,7 @@
             if sent is None or sent.holder != sender:
                 continue
             if outcome.headers:
-                self._on_status(sent.leaf, read_status(outcome.headers))
+                self._on_status(sent.leaf, read_status(dict(outcome.headers)))
             self._end(outcome.id, _read_forwarded(sent.attempt, outcome))
 
     def _on_ask(self, sender: str, message: Message) -> None:
@@ -274,7 +274,8 @@
 def _read_forwarded(attempt: Attempt, outcome: ForwardedOutcome) -> Outcome:
     if outcome.status:
         reply = HttpReply(outcome.status, outcome.headers, outcome.body)
-        return read_outcome(attempt, reply, outcome.elapsed)
+        found = dict(outcome.headers)
+        return read_outcome(attempt, reply, found, outcome.elapsed)
     try:
         reason = Reason(outcome.reason)
     except ValueError:
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -212,7 +212,7 @@
     async def _check(self, connection: HttpConnection) -> None:
         """Exchange a status, which shows that the leaf serves this connection."""
         reply = await connection.exchange(HttpRequest("GET", STATUS_TARGET))
-        self._tools.on_status(self._leaf, read_status(reply.headers))
+        self._tools.on_status(self._leaf, read_status(dict(reply.headers)))
         if not connection.renew():
             raise OSError("the leaf closes the connection")
 
@@ -306,14 +306,16 @@
                 except ExchangeFailed as error:
                     return False, self._read_failure(error)
                 elapsed = tools.clock.monotonic() - start
-                if not is_ours(attempt, reply.headers):
+                found = dict(reply.headers)
+                if not is_ours(attempt, found):
                     tools.events.emit(
                         Events.LEAF_WRONG_ATTEMPT, leaf=self._leaf.address
                     )
                     detail = "the reply isn't this attempt's"
                     return False, Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
-                tools.on_status(self._leaf, read_status(reply.headers))
-                return connection.renew(), read_outcome(attempt, reply, elapsed)
+                tools.on_status(self._leaf, read_status(found))
+                outcome = read_outcome(attempt, reply, found, elapsed)
+                return connection.renew(), outcome
         return False, timed_out
 
     def _read_failure(self, error: ExchangeFailed) -> Failed:
--- a/walkcart/leaves/protocol.py
+++ b/walkcart/leaves/protocol.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -44,6 +45,9 @@
 STATUS_SHED = 503
 STATUS_TOO_LATE = 504
 
+#: Headers by name, made once for each reply.
+HeaderMap = Mapping[bytes, bytes]
+
 #: Reads over a body without keeping anything of it.
 _CHECK_JSON = msgspec.json.Decoder(dict[str, msgspec.Raw]).decode
 
@@ -107,9 +111,8 @@
     leaving: bool
 
 
-def read_status(headers: Headers) -> LeafStatus:
+def read_status(found: HeaderMap) -> LeafStatus:
     """Read what the leaf says about itself; what can't be read is left out."""
-    found = dict(headers)
     held = None
     if HELD in found:
         parts = found[HELD].split(b",")
@@ -128,17 +131,24 @@
     return int(value)
 
 
-def is_ours(attempt: Attempt, headers: Headers) -> bool:
+def is_ours(attempt: Attempt, found: HeaderMap) -> bool:
     """Return whether a reply echoes the attempt's id and scope."""
-    found = dict(headers)
     if found.get(ATTEMPT) != attempt.id.encode():
         return False
     return found.get(SCOPE, b"") == attempt.scope.encode()
 
 
-def read_outcome(attempt: Attempt, reply: HttpReply, elapsed: float) -> Outcome:
-    """Return what a reply that is ours means for its attempt."""
-    found = dict(reply.headers)
+def read_outcome(
+    attempt: Attempt, reply: HttpReply, found: HeaderMap, elapsed: float
+) -> Outcome:
+    """Return what a reply that is ours means for its attempt.
+
+    Args:
+        attempt: what was sent.
+        reply: what came back.
+        found: its headers by name.
+        elapsed: seconds from the send to the last byte.
+    """
     if found.get(RAN) == b"no":
         return Refused(_refusal_reason(reply.status), _read_retry(found))
     if reply.status == STATUS_CANCELLED:
@@ -168,7 +178,7 @@
             return Reason.LEAF_REFUSED
 
 
-def _read_retry(found: dict[bytes, bytes]) -> timedelta | None:
+def _read_retry(found: HeaderMap) -> timedelta | None:
     milliseconds = _read_number(found.get(RETRY_AFTER_MS))
     return None if milliseconds is None else timedelta(milliseconds=milliseconds)
 
