Read numbers of others safely; no odd reply ends an instance

Found by reading: digits such as a superscript pass str.isdigit but not int, and int refuses texts over 4,300 digits; either in a leaf's header raised ValueError in a connection's task, which ends the daemon. A pynng error in a send and a leaf's 204 with a body would have ended it too. Change: one reader of numbers, such errors end the link or connection alone.

--- a/walkcart/bench/pages.py
+++ b/walkcart/bench/pages.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Any
 
+from walkcart.bench.capacity import render_capacity
 from walkcart.intent.model import KINDS, Layout
 from walkcart.kernel.events import list_events
 from walkcart.kernel.metrics import CATALOGUE
@@ -102,6 +103,7 @@
     "EVENTS.md": render_events,
     "METRICS.md": render_metrics,
     "CONFIGURATION.md": render_configuration,
+    "CAPACITY.md": render_capacity,
 }
 
 
--- a/walkcart/entry/replies.py
+++ b/walkcart/entry/replies.py
@@ -26,6 +26,9 @@
 NOT_RUN = "not_run"
 MAY_HAVE_RUN = "may_have_run"
 
+#: Statuses of leaves that allow no body; the reply's verdict needs none of them.
+BODYLESS = (204, 205, 304)
+
 _ENCODE = msgspec.json.Encoder().encode
 
 #: Status of a request that did not run, by reason; 503 for the others.
@@ -142,6 +145,8 @@
 
 def render_executed(status: int, body: bytes, repeated: bool) -> HttpReply:
     """Return the reply of a non-repeatable request that ran once."""
+    if status in BODYLESS:
+        status = 200
     headers = (
         JSON,
         (VERDICT, ANSWERED.encode()),
--- a/walkcart/kernel/settings.py
+++ b/walkcart/kernel/settings.py
@@ -20,6 +20,8 @@
 from ipaddress import ip_address
 from typing import Any
 
+from walkcart.kernel.numbers import read_number
+
 ENVIRONMENT_PREFIX = "WALKCART_"
 #: Variables of the operators' tool, which the daemon leaves alone.
 TOOL_PREFIX = "WALKCART_TOOL_"
@@ -54,10 +56,11 @@
     """
     expected = "an IP number and a port, as in 127.0.0.1:7000"
     host, separator, port = text.rpartition(":")
-    if not separator or not port.isdigit() or int(port) > 65535:
+    number = read_number(port)
+    if not separator or number is None or number > 65535:
         raise BadValue(expected)
     try:
-        return HostPort(str(ip_address(host.strip("[]"))), int(port))
+        return HostPort(str(ip_address(host.strip("[]"))), number)
     except ValueError:
         raise BadValue(expected) from None
 
--- a/walkcart/leaves/leaf.py
+++ b/walkcart/leaves/leaf.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from walkcart.kernel.numbers import read_number
 from walkcart.routing.ejection import Ejection
 from walkcart.routing.latency import DecayedLatency
 
@@ -40,10 +41,11 @@
     Raises:
         BadSnapshot: not two whole numbers.
     """
-    layout, _, version = text.partition(":")
-    if not layout.isdigit() or not version.isdigit():
+    first, _, second = text.partition(":")
+    layout, version = read_number(first), read_number(second)
+    if layout is None or version is None:
         raise BadSnapshot(text[:40])
-    return Snapshot(int(layout), int(version))
+    return Snapshot(layout, version)
 
 
 class Leaf:
--- a/walkcart/leaves/protocol.py
+++ b/walkcart/leaves/protocol.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from walkcart.kernel.numbers import read_number
 from walkcart.leaves.attempts import Attempt, Failed, Outcome, Refused, Replied
 from walkcart.leaves.leaf import ANY_VERSION, BadSnapshot, Snapshot, parse_snapshot
 from walkcart.wire.http import Headers, HttpReply, HttpRequest
@@ -116,21 +117,16 @@
     held = None
     if HELD in found:
         parts = found[HELD].split(b",")
-        held = frozenset(int(part) for part in parts if part.strip().isdigit())
+        numbers = (read_number(part.strip()) for part in parts)
+        held = frozenset(number for number in numbers if number is not None)
     return LeafStatus(
         held,
-        _read_number(found.get(LOAD)),
-        _read_number(found.get(INCARNATION)) or 0,
+        read_number(found.get(LOAD)),
+        read_number(found.get(INCARNATION)) or 0,
         found.get(STATE) == b"leaving",
     )
 
 
-def _read_number(value: bytes | None) -> int | None:
-    if value is None or not value.isdigit() or len(value) > 18:
-        return None
-    return int(value)
-
-
 def is_ours(attempt: Attempt, found: HeaderMap) -> bool:
     """Return whether a reply echoes the attempt's id and scope."""
     if found.get(ATTEMPT) != attempt.id.encode():
@@ -179,7 +175,7 @@
 
 
 def _read_retry(found: HeaderMap) -> timedelta | None:
-    milliseconds = _read_number(found.get(RETRY_AFTER_MS))
+    milliseconds = read_number(found.get(RETRY_AFTER_MS))
     return None if milliseconds is None else timedelta(milliseconds=milliseconds)
 
 
--- a/walkcart/leaves/table.py
+++ b/walkcart/leaves/table.py
@@ -8,6 +8,7 @@
 from walkcart.intent.model import Layout, ShardGroup
 from walkcart.intent.policy import Policy, label_leaf, resolve_policy
 from walkcart.intent.selectors import parse_selector
+from walkcart.kernel.numbers import read_number
 from walkcart.kernel.settings import BadValue, parse_host_port
 from walkcart.leaves.leaf import Leaf
 from walkcart.membership.listing import ListedInstance
@@ -116,15 +117,15 @@
         selector = parse_selector(layout.selector)
         shards: list[list[Leaf]] = [[] for _ in range(layout.shards)]
         for row, labels in labelled:
-            shard = labels.get(SHARD_LABEL, "")
-            if not shard.isdigit() or int(shard) >= layout.shards:
+            shard = read_number(labels.get(SHARD_LABEL))
+            if shard is None or shard >= layout.shards:
                 # Not of this layout: the coverage shows the hole if it is one.
                 continue
             if not selector.matches(labels):
                 continue
             leaf = self._take_leaf(row, labels, group)
             if leaf is not None:
-                shards[int(shard)].append(leaf)
+                shards[shard].append(leaf)
                 found[leaf.address] = leaf
         return ResolvedLayout(layout.epoch, tuple(tuple(part) for part in shards))
 
--- a/walkcart/leaves/tests/test_link.py
+++ b/walkcart/leaves/tests/test_link.py
@@ -5,7 +5,11 @@
 from walkcart.bench.caller import find_violations
 from walkcart.bench.harness import make_caller, open_estate, run_mocked
 from walkcart.bench.world import make_partner
+from walkcart.leaves.attempts import Attempt, Failed
 from walkcart.leaves.gateway import LeafGateway
+from walkcart.leaves.leaf import Snapshot
+from walkcart.leaves.protocol import read_outcome, read_status
+from walkcart.wire.http import HttpReply
 
 
 def test_full_leaf_is_not_met_with_a_storm_of_connections():
@@ -187,3 +191,14 @@
 def count_open(world, group):
     leaves = [item.leaf for item in world.leaves.values()]
     return sum(leaf.connections for leaf in leaves if leaf.spec.group == group)
+
+
+def test_odd_numbers_from_a_leaf_end_no_instance():
+    """Digits that Python's int refuses came through the check by isdigit."""
+    attempt = Attempt("a", 0, Snapshot(1, 1), "red", 1.0, b"")
+    for text in (b"1:\xb2", b"1:" + b"9" * 5000, b"1", b":", b"-1:1"):
+        found = {b"walkcart-snapshot": text}
+        outcome = read_outcome(attempt, HttpReply(200, (), b"{}"), found, 0.1)
+        assert isinstance(outcome, Failed)
+    status = read_status({b"walkcart-held": b"\xb2, 7," + b"9" * 5000})
+    assert status.held == frozenset({7})
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -123,6 +123,9 @@
                     await sender.send(data)
                 if scope.cancelled_caught:
                     break
+        except OSError:
+            # The next message dials again; the detector tells whether it lives.
+            self._metrics.count("peer.dropped")
         finally:
             self._links.pop((name, address), None)
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
--- a/walkcart/store/client.py
+++ b/walkcart/store/client.py
@@ -27,6 +27,7 @@
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
+from walkcart.kernel.numbers import read_number
 from walkcart.kernel.settings import HostPort
 from walkcart.kernel.spans import Tracer
 from walkcart.store.budget import CallBudget
@@ -165,7 +166,7 @@
             return None
         entry = self._read_entry(reply)
         if entry.revision <= after:
-            self._reject(f"a watch after {after} gave {entry.revision}", False)
+            raise self._rejection(f"a watch after {after} gave {entry.revision}")
         return entry
 
     async def _call(self, request: HttpRequest, limit: timedelta) -> HttpReply:
@@ -208,26 +209,26 @@
         return HttpConnection(stream, str(self._address), VALUE_LIMIT)
 
     def _read_entry(self, reply: HttpReply) -> Entry:
-        revision = reply.header(b"revision") or ""
-        if reply.status != 200 or not revision.isdigit() or int(revision) < 1:
-            self._reject(f"status {reply.status}, revision {revision!r}", True)
-        return Entry(reply.body, int(revision))
+        revision = read_number(reply.header(b"revision"))
+        if reply.status != 200 or not revision:
+            raise self._rejection(f"status {reply.status}, revision {revision}")
+        return Entry(reply.body, revision)
 
     def _read_write(self, reply: HttpReply, expected: int) -> Written | Conflict:
         if reply.status == 409:
             present = reply.header(b"revision")
             return Conflict(self._read_present(reply) if present else None)
-        revision = reply.header(b"revision") or ""
-        if reply.status != 200 or not revision.isdigit() or int(revision) <= expected:
-            self._reject(f"status {reply.status}, revision {revision!r}", True)
-        return Written(int(revision))
+        revision = read_number(reply.header(b"revision"))
+        if reply.status != 200 or revision is None or revision <= expected:
+            raise self._rejection(f"status {reply.status}, revision {revision}")
+        return Written(revision)
 
     def _read_present(self, reply: HttpReply) -> Entry:
         return self._read_entry(HttpReply(200, reply.headers, reply.body))
 
-    def _reject(self, detail: str, uncertain: bool) -> None:
+    def _rejection(self, detail: str) -> StoreUnavailable:
         self._events.emit(Events.STORE_BAD_REPLY, detail=detail)
-        raise StoreUnavailable(uncertain, detail)
+        return StoreUnavailable(True, detail)
 
     def _failure(self, detail: str, uncertain: bool) -> StoreUnavailable:
         self._metrics.count("store.failed")
--- a/walkcart/wire/peers.py
+++ b/walkcart/wire/peers.py
@@ -25,7 +25,11 @@
     """Sends to one peer."""
 
     async def send(self, data: bytes) -> None:
-        """Send one envelope; wait while the peer can't take more."""
+        """Send one envelope; wait while the peer can't take more.
+
+        Raises:
+            OSError: it can't be sent any more.
+        """
         ...
 
     async def close(self) -> None:
@@ -70,7 +74,10 @@
 
     async def send(self, data: bytes) -> None:
         """Send one envelope."""
-        await self._socket.asend(data)
+        try:
+            await self._socket.asend(data)
+        except pynng.NNGException as error:
+            raise OSError(str(error)) from error
 
     async def close(self) -> None:
         """Close the socket."""
--- a/walkcart/wire/server.py
+++ b/walkcart/wire/server.py
@@ -113,6 +113,10 @@
                 connection.requests += 1
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             self._on_gone()
+        except h11.LocalProtocolError:
+            # A reply that can't be put into HTTP; better a closed connection
+            # than an instance that ends.
+            self._on_gone()
         finally:
             self._connections.discard(connection)
             await trio.aclose_forcefully(stream)
