--- a/walkcart/bench/injection.py
+++ b/walkcart/bench/injection.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from random import Random
+from typing import Any
 
 import trio
 
@@ -104,30 +105,29 @@
     async def _last(self) -> None:
         await trio.sleep(self._random.uniform(SHORTEST, LONGEST))
 
-    async def _slow_leaf(self) -> None:
-        faults = self._pick_leaf().leaf.faults
-        faults.slow = self._random.choice([3.0, 10.0])
+    async def _hold(self, faults: object, **values: Any) -> None:
+        """Set fields of a stand-in's faults for a while, then end those faults."""
+        for name, value in values.items():
+            setattr(faults, name, value)
         await self._last()
-        faults.slow = 1.0
+        healthy = type(faults)()
+        for name in values:
+            setattr(faults, name, getattr(healthy, name))
+
+    async def _slow_leaf(self) -> None:
+        factor = self._random.choice([3.0, 10.0])
+        await self._hold(self._pick_leaf().leaf.faults, slow=factor)
 
     async def _hang_leaf(self) -> None:
-        faults = self._pick_leaf().leaf.faults
-        faults.hang = True
-        await self._last()
-        faults.hang = False
+        await self._hold(self._pick_leaf().leaf.faults, hang=True)
 
     async def _corrupt_replies(self) -> None:
-        faults = self._pick_leaf().leaf.faults
         name = self._random.choice(REPLY_FAULTS)
-        setattr(faults, name, self._random.choice([0.2, 1.0]))
-        await self._last()
-        setattr(faults, name, 0.0)
+        share = self._random.choice([0.2, 1.0])
+        await self._hold(self._pick_leaf().leaf.faults, **{name: share})
 
     async def _shed_leaf(self) -> None:
-        faults = self._pick_leaf().leaf.faults
-        faults.shed = True
-        await self._last()
-        faults.shed = False
+        await self._hold(self._pick_leaf().leaf.faults, shed=True)
 
     async def _kill_leaf(self) -> None:
         item = self._pick_leaf()
@@ -152,16 +152,11 @@
             await self._world.restart_leaf(name)
 
     async def _partial_leaf(self) -> None:
-        faults = self._pick_leaf().leaf.faults
-        faults.partial = True
-        await self._last()
-        faults.partial = False
+        await self._hold(self._pick_leaf().leaf.faults, partial=True)
 
     async def _unpinned_leaf(self) -> None:
         faults = self._pick_leaf().leaf.faults
-        faults.no_pin = faults.late_version = True
-        await self._last()
-        faults.no_pin = faults.late_version = False
+        await self._hold(faults, no_pin=True, late_version=True)
 
     async def _roll_index(self) -> None:
         self._version += 1
@@ -190,32 +185,34 @@
         text = make_service(self._group, count, layouts=layouts)
         await self._world.apply(text, patience=30.0)
 
+    def _pick_instance(self) -> str | None:
+        """Return an instance that may end, None while too few run."""
+        running = {
+            name: item
+            for name, item in self._world.instances.items()
+            if not item.stopping
+        }
+        return self._random.choice(sorted(running)) if len(running) >= 4 else None
+
     async def _kill_instance(self) -> None:
-        if len(self._world.instances) < 4:
+        name = self._pick_instance()
+        if name is None:
             return
-        name = self._random.choice(sorted(self._world.instances))
         running = self._world.instances[name]
-        if running.stopping:
-            return
-        place = running.region, running.site
-        listed = self._random.random() < 0.5
-        await self._world.kill_instance(name, listed)
+        await self._world.kill_instance(name, listed=self._random.random() < 0.5)
         await self._last()
-        await self._start_instance(name, *place)
+        await self._start_instance(name, running.region, running.site)
 
     async def _stop_instance(self) -> None:
-        if len(self._world.instances) < 4:
+        name = self._pick_instance()
+        if name is None:
             return
-        name = self._random.choice(sorted(self._world.instances))
         running = self._world.instances[name]
-        if running.stopping:
-            return
-        place = running.region, running.site
         running.stopping = True
         if not await self._world.stop_instance(name):
             self.broken.append(f"{name} reached the bound of its planned stop")
         await self._last()
-        await self._start_instance(name, *place)
+        await self._start_instance(name, running.region, running.site)
 
     async def _start_instance(self, name: str, region: str, site: str) -> None:
         if name in self._world.instances:
@@ -224,29 +221,21 @@
         self._balancer.instances.append(running.address)
 
     async def _store_down(self) -> None:
-        self._world.store.faults.down = True
-        await self._last()
-        self._world.store.faults.down = False
+        await self._hold(self._world.store.faults, down=True)
 
     async def _store_slow(self) -> None:
-        self._world.store.faults.delay = self._random.choice([0.3, 1.5])
-        await self._last()
-        self._world.store.faults.delay = 0.0
+        delay = self._random.choice([0.3, 1.5])
+        await self._hold(self._world.store.faults, delay=delay)
 
     async def _store_loses(self) -> None:
+        late_by = self._random.choice([0.05, 0.5, 3.0])
         faults = self._world.store.faults
-        faults.lose_reply, faults.late_write = 0.3, 0.2
-        faults.late_by = self._random.choice([0.05, 0.5, 3.0])
-        await self._last()
-        faults.lose_reply = faults.late_write = 0.0
+        await self._hold(faults, lose_reply=0.3, late_write=0.2, late_by=late_by)
 
     async def _store_lags(self) -> None:
+        mute = self._random.random() < 0.5
         faults = self._world.store.faults
-        faults.stale_read, faults.garbage = 0.3, 0.1
-        faults.mute_watches = self._random.random() < 0.5
-        await self._last()
-        faults.stale_read = faults.garbage = 0.0
-        faults.mute_watches = False
+        await self._hold(faults, stale_read=0.3, garbage=0.1, mute_watches=mute)
 
     async def _list_down(self) -> None:
         self._world.listing.down = True
--- a/walkcart/intent/document.py
+++ b/walkcart/intent/document.py
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-import zlib
 from typing import Any
 
 import msgspec
 
 from walkcart.intent.loading import load_tables, to_tables
 from walkcart.intent.model import Configuration
+from walkcart.store.packing import BadValue, pack_value, unpack_value
 
 CONFIGURATION_KEY = "walkcart/configuration"
 KEPT_CHANGES = 256
@@ -75,7 +75,7 @@
     """Return the document that follows `base` by `change`."""
     changes = (*base.changes, change)[-KEPT_CHANGES:]
     stored = _Stored(change.revision, changes, to_tables(configuration))
-    data = zlib.compress(msgspec.msgpack.encode(stored), _COMPRESSION)
+    data = pack_value(stored, _COMPRESSION)
     return Document(change.revision, changes, configuration, data)
 
 
@@ -86,12 +86,8 @@
         DocumentError: they are not one.
     """
     try:
-        unpacker = zlib.decompressobj()
-        packed = unpacker.decompress(data, UNPACKED_LIMIT)
-        if unpacker.unconsumed_tail or not unpacker.eof:
-            raise DocumentError("too long or cut short")
-        stored = msgspec.msgpack.decode(packed, type=_Stored)
-    except (zlib.error, msgspec.MsgspecError) as error:
+        stored = unpack_value(data, _Stored, UNPACKED_LIMIT)
+    except BadValue as error:
         raise DocumentError(str(error)) from None
     loaded = load_tables(stored.tables)
     if loaded.faults:
--- a/walkcart/once/records.py
+++ b/walkcart/once/records.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
-import zlib
 from enum import Enum
 
 import msgspec
 
+from walkcart.store.packing import BadValue, pack_value, unpack_value
+
 #: Buckets that keys are divided into. All instances must agree on it; it can't
 #: be changed while keys are in use.
 BUCKETS = 2
@@ -25,6 +26,8 @@
 #: Status of a kept reply whose body was too long to be kept.
 BODY_TOO_LONG = b'{"detail":"the reply was too long to be kept"}'
 UNPACKED_LIMIT = 8 << 20
+#: Buckets are written often: speed goes before size.
+_COMPRESSION = 1
 
 
 class ClaimOutcome(Enum):
@@ -79,7 +82,7 @@
 
 def pack_bucket(bucket: Bucket) -> bytes:
     """Return the stored bytes of a bucket."""
-    return zlib.compress(msgspec.msgpack.encode(bucket), 1)
+    return pack_value(bucket, _COMPRESSION)
 
 
 def unpack_bucket(data: bytes) -> Bucket:
@@ -89,12 +92,8 @@
         BucketError: they are not one.
     """
     try:
-        unpacker = zlib.decompressobj()
-        packed = unpacker.decompress(data, UNPACKED_LIMIT)
-        if unpacker.unconsumed_tail or not unpacker.eof:
-            raise BucketError("too long or cut short")
-        return msgspec.msgpack.decode(packed, type=Bucket)
-    except (zlib.error, msgspec.MsgspecError) as error:
+        return unpack_value(data, Bucket, UNPACKED_LIMIT)
+    except BadValue as error:
         raise BucketError(str(error)) from None
 
 
--- a/walkcart/once/tests/test_at_most_once.py
+++ b/walkcart/once/tests/test_at_most_once.py
@@ -208,3 +208,53 @@
     writes, runs = run_mocked(run)
     assert runs > 300
     assert runs / writes >= 5
+
+
+def test_body_is_kept_for_a_repeat_only_up_to_its_limit():
+    async def run():
+        async with open_estate() as world:
+            caller, key = make_caller(world), new_key(world)
+            long = "x" * 5000
+            first = await execute_at(world, caller, "instance-0", key, command=long)
+            await trio.sleep(1)
+            second = await execute_at(world, caller, "instance-1", key, command=long)
+            return first, second, count_runs(world)
+
+    first, second, runs = run_mocked(run)
+    assert runs == 1
+    assert first.content["rows"]
+    assert second.status == 200
+    assert second.headers[b"walkcart-repeated"] == b"yes"
+    assert "too long" in second.content["detail"]
+
+
+def test_claims_move_into_segments_and_are_still_found():
+    async def run():
+        async with open_estate() as world:
+            caller, random = make_caller(world), Random(9)
+            keys = [make_key(world.clock.now(), random) for _ in range(400)]
+            padding = "x" * 700
+            async with trio.open_nursery() as nursery:
+                for key in keys:
+                    nursery.start_soon(
+                        execute_at, world, caller, "instance-0", key, random.random()
+                    )
+                    await trio.sleep(0.01)
+            segments = [key for key in world.store._slots if key.count("/") == 3]
+            again = [
+                await execute_at(world, caller, "instance-2", key, padding)
+                for key in keys[:20]
+            ]
+            return len(segments), again, count_runs(world)
+
+    import walkcart.once.owner as owner
+
+    size, owner.SEGMENT_SIZE = owner.SEGMENT_SIZE, 4000
+    try:
+        segments, again, runs = run_mocked(run)
+    finally:
+        owner.SEGMENT_SIZE = size
+    assert segments >= 2
+    assert runs == 400
+    # Another request under the same keys: found in the segments, refused.
+    assert {item.status for item in again} == {422}
