Take back a non-repeatable request that still waits at its deadline

Cause: at its deadline such a request was told 'may have run' even when it had never left the instance's own queue. Test failing first: 8 of 8 told so, 3 ran. Change: it is taken back, and its own outcome tells. After: 3 may have run, 5 not run, 3 ran.

--- a/walkcart/fanout/single.py
+++ b/walkcart/fanout/single.py
@@ -99,9 +99,14 @@
         )
         slot = _Slot()
         self._tools.gateway.submit(leaf, attempt, question.group, slot.deliver)
+        start = self._tools.clock.monotonic()
         with trio.move_on_at(question.deadline + GRACE):
             return await slot.wait()
-        # It may have been sent by now: only its own outcome could tell.
+        # If it still waits here it is taken back, and surely did not run.
+        waited = self._tools.clock.monotonic() - start
+        self._tools.gateway.cancel(leaf, attempt.id, waited)
+        if slot.outcome is not None:
+            return slot.outcome
         return Failed(MayHaveRun(Reason.DEADLINE, "no reply before the deadline"))
 
 
@@ -110,18 +115,18 @@
 
     def __init__(self) -> None:
         self._ended = trio.Event()
-        self._outcome: Outcome | None = None
+        self.outcome: Outcome | None = None
 
     def deliver(self, attempt: Attempt, outcome: Outcome) -> None:
         """Take the outcome."""
-        self._outcome = outcome
+        self.outcome = outcome
         self._ended.set()
 
     async def wait(self) -> Outcome:
         """Wait for the outcome."""
         await self._ended.wait()
-        assert self._outcome is not None
-        return self._outcome
+        assert self.outcome is not None
+        return self.outcome
 
 
 def choose_shard(routing_key: str, shards: int) -> int:
--- a/walkcart/once/tests/test_at_most_once.py
+++ b/walkcart/once/tests/test_at_most_once.py
@@ -258,3 +258,33 @@
     assert runs == 400
     # Another request under the same keys: found in the segments, refused.
     assert {item.status for item in again} == {422}
+
+
+def test_request_that_never_left_the_instance_is_told_as_not_run():
+    """One connection to each leaf, all taken by requests that hang."""
+
+    async def run():
+        async with open_estate(instances=1) as world:
+            from walkcart.bench.world import make_service
+
+            await world.apply(make_service("cards", 1, True, connections=1))
+            for item in world.leaves.values():
+                item.leaf.faults.hang = True
+            await trio.sleep(3)
+            caller, replies = make_caller(world), []
+
+            async def ask(seed):
+                key = new_key(world, seed)
+                asked = await execute_at(
+                    world, caller, "instance-0", key, seed, deadline=400
+                )
+                replies.append((key, asked.verdict))
+
+            async with trio.open_nursery() as nursery:
+                for seed in range(8):
+                    nursery.start_soon(ask, seed)
+            return [verdict for _, verdict in replies], count_runs(world)
+
+    verdicts, runs = run_mocked(run)
+    assert verdicts.count("may_have_run") == runs == 3
+    assert verdicts.count("not_run") == 5
