--- a/walkcart/bench/__main__.py
+++ b/walkcart/bench/__main__.py
@@ -36,7 +36,12 @@
 def _add_soak(soak: argparse.ArgumentParser) -> None:
     soak.add_argument("--seed", type=int, default=1)
     soak.add_argument("--seeds", type=int, default=1, help="so many from --seed on")
-    soak.add_argument("--minutes", type=float, default=2.0, help="of mocked time")
+    soak.add_argument("--minutes", type=float, default=2.0, help="of the run's time")
+    soak.add_argument(
+        "--processes",
+        action="store_true",
+        help="over real processes, on the real clock",
+    )
 
 
 def _dispatch(options: argparse.Namespace) -> int:
@@ -50,6 +55,10 @@
             from walkcart.bench.report import run_and_report
 
             return run_and_report(options)
+        case "soak" if options.processes:
+            from walkcart.bench.soak_processes import run_process_soak
+
+            return run_process_soak(options.seed, options.minutes)
         case "soak":
             from walkcart.bench.soak import run_soaks
 
--- a/walkcart/bench/fleet.py
+++ b/walkcart/bench/fleet.py
@@ -188,6 +188,7 @@
         store: address of the store.
         listing: address of the instance list.
         entries: addresses for callers by daemon.
+        leaves: addresses of all leaves.
     """
 
     processes: Processes
@@ -195,6 +196,8 @@
     store: str = ""
     listing: str = ""
     entries: dict[str, str] = field(default_factory=dict)
+    leaves: list[str] = field(default_factory=list)
+    _started: dict[str, tuple[int, int, tuple[str, ...]]] = field(default_factory=dict)
 
     def start(
         self, daemons: int, leaves: Iterable[str] = (), settings: Iterable[str] = ()
@@ -222,8 +225,9 @@
 
     def _start_leaves(self, words: str) -> str:
         group, shards, replicas = words.split(":")
-        first = take_ports(int(shards) * int(replicas))[0]
-        full = f"{words}:{HOST}:{first}"
+        ports = take_ports(int(shards) * int(replicas))
+        full = f"{words}:{HOST}:{ports[0]}"
+        self.leaves += [f"{HOST}:{port}" for port in ports]
         self.processes.start(
             f"leaves-{group}", "walkcart.standins.main", "leaves", full
         )
@@ -231,6 +235,7 @@
 
     def start_daemon(self, name: str, entry: int, peer: int, *settings: str) -> None:
         """Start one daemon."""
+        self._started[name] = (entry, peer, settings)
         self.entries[name] = f"{HOST}:{entry}"
         self.processes.start(
             name,
@@ -241,6 +246,11 @@
             *settings,
         )
 
+    def restart_daemon(self, name: str) -> None:
+        """Start a daemon again that has ended."""
+        entry, peer, settings = self._started[name]
+        self.start_daemon(name, entry, peer, *settings)
+
     def wait_healthy(self) -> None:
         """Wait until every daemon answers."""
         for entry in self.entries.values():
--- a/walkcart/standins/leaf.py
+++ b/walkcart/standins/leaf.py
@@ -18,7 +18,7 @@
 from walkcart.leaves.leaf import BadSnapshot, parse_snapshot
 from walkcart.standins.faulty import FaultyStream
 from walkcart.standins.leaf_faults import LeafFaults
-from walkcart.standins.serving import StandinServer
+from walkcart.standins.serving import StandinServer, reply_json
 from walkcart.standins.store import apply_control
 from walkcart.wire.http import HttpReply, HttpRequest
 
@@ -130,6 +130,8 @@
         """Serve one request."""
         if request.target == "/control":
             return apply_control(self.faults, request)
+        if request.target == "/record":
+            return self._tell_record()
         if request.target == protocol.STATUS_TARGET:
             return HttpReply(200, self._status_headers())
         if request.target.startswith(protocol.CANCEL_TARGET):
@@ -138,6 +140,11 @@
             return HttpReply(404)
         return await self._query(request)
 
+    def _tell_record(self) -> HttpReply:
+        """Tell what ran, for checks from another process."""
+        bodies = sorted({run.body.decode("utf-8", "replace") for run in self.runs})
+        return reply_json({"once": dict(self.once), "bodies": bodies})
+
     def _cancel(self, attempt: str) -> HttpReply:
         scope = self._running.get(attempt)
         if scope is not None:
