--- a/walkcart/bench/capacity.py
+++ b/walkcart/bench/capacity.py
@@ -1,4 +1,4 @@
-"""The tables of ``docs/CAPACITY.md``, worked out from ``docs/slopes.json``.
+"""The tables of ``docs/CAPACITY.md``, worked out from ``docs/sources/slopes.json``.
 
 Every figure is either a line that was measured or is computed from such lines
 here, in steps that the page shows.
@@ -36,9 +36,16 @@
     content: dict[str, Any]
 
     def at(self, measurement: str, quantity: str, size: float) -> float:
-        """Return the value on a line at a size."""
+        """Return the value on a line at a size, but none below what was measured.
+
+        A line that falls, or that scatters around a constant, must not make a
+        large fleet look cheaper than a small one.
+        """
         line = self.content[measurement][quantity]
-        return line["intercept"] + line["slope"] * size
+        measured = max(value for _, value in line["points"])
+        if size < line["points"][-1][0]:
+            return line["intercept"] + line["slope"] * size
+        return max(measured, line["intercept"] + line["slope"] * size)
 
     def last(self, measurement: str, quantity: str) -> float:
         """Return the value measured at the largest size."""
@@ -72,7 +79,7 @@
 
 def load_slopes() -> Slopes:
     """Return the committed measurements."""
-    return Slopes(msgspec.json.decode((DOCS / "slopes.json").read_bytes()))
+    return Slopes(msgspec.json.decode((DOCS / "sources" / "slopes.json").read_bytes()))
 
 
 def control_costs(slopes: Slopes) -> list[Cost]:
@@ -203,7 +210,7 @@
 def render_capacity() -> str:
     """Return ``docs/CAPACITY.md``: its text with the figures put in."""
     slopes = load_slopes()
-    text = (DOCS / "capacity-text.md").read_text(encoding="utf-8")
+    text = (DOCS / "sources" / "capacity.md").read_text(encoding="utf-8")
     figures = {
         "control": render_control(slopes),
         "lines": render_lines(slopes),
