Hold a suspect dead though its first suspecter is gone

Found by reading: only the instance that suspected another first counted down to its death; when a rack takes both, the rest held the second suspect for ever and its connections' shares with it. Test failing first (SUSPECT after 15 s), DEAD after the change. membership: 17 passed.

--- a/walkcart/membership/detector.py
+++ b/walkcart/membership/detector.py
@@ -166,10 +166,15 @@
         await self._suspect(target)
 
     async def _suspect(self, target: str) -> None:
-        if not self._view.mark(target, MemberState.SUSPECT):
-            return
+        """Suspect `target`; hold it dead unless it refutes that in time.
+
+        Also when another suspected it before: that one may be gone itself.
+        """
+        if self._view.mark(target, MemberState.SUSPECT):
+            self.push_soon()
         suspected = self._view.find(target)
-        self.push_soon()
+        if suspected is None or suspected.state != MemberState.SUSPECT:
+            return
         await trio.sleep(self._interval * SUSPICION_ROUNDS)
         if self._view.find(target) == suspected:
             self._view.mark(target, MemberState.DEAD)
--- a/walkcart/membership/tests/test_view.py
+++ b/walkcart/membership/tests/test_view.py
@@ -109,3 +109,18 @@
             ]
 
     assert set(run_mocked(run)) == {MemberState.LIVE}
+
+
+def test_suspect_dies_even_when_whoever_suspected_it_is_gone():
+    """As when a rack takes both: the others only heard of the suspicion."""
+
+    async def run():
+        async with open_estate(instances=3) as world:
+            view = world.instances["instance-0"].find("view", MembershipView)
+            await world.kill_instance("instance-2", listed=True)
+            view.mark("instance-2", MemberState.SUSPECT)
+            await world.kill_instance("instance-1", listed=True)
+            await trio.sleep(15)
+            return states_at(world, "instance-0", "instance-2")
+
+    assert run_mocked(run) == MemberState.DEAD
