Hedge only where a slot is likely free

The hedges queued at the sibling, late hedges cancelled work that would have ended, and both fed the queue; the group's median never reached 1.6 times its least, since that was learned under the same load. Ruled out: admission (limits fell only after the median had risen). Change: no hedge to a leaf whose known load, own and stated, fills its slots.

--- a/walkcart/fanout/gathering.py
+++ b/walkcart/fanout/gathering.py
@@ -280,7 +280,7 @@
         for item in late:
             # A second hedge may go back to the first leaf: it has other slots.
             leaf = self._select(item, now, {item.tried[-1]} | item.lost_version)
-            if leaf is None:
+            if leaf is None or not _has_free_slot(leaf, item, now):
                 continue
             if not self._hedges.take():
                 return
@@ -373,3 +373,13 @@
             typical_time(self._progress),
             self._may_have_run or any(item.under_way for item in self._progress),
         )
+
+
+def _has_free_slot(leaf: Leaf, item: ShardProgress, now: float) -> bool:
+    """Return whether a hedge would likely run at once at `leaf`.
+
+    One that has to queue there is no faster than what it hedges, and under load
+    it feeds the queue. What the shard has there itself is cancelled for it.
+    """
+    own = sum(1 for sent in item.under_way.values() if sent.leaf is leaf)
+    return leaf.outstanding - own + leaf.stated_load(now) < leaf.slots
