--- a/walkcart/daemon/assembly.py
+++ b/walkcart/daemon/assembly.py
@@ -214,7 +214,8 @@
         assert gateway is not None
         gateway.note_status(leaf, status)
 
-    forwarder = Forwarder(links, view, around.clock, note_status)
+    tracer = kernel.find("tracer", Tracer)
+    forwarder = Forwarder(links, view, around.clock, note_status, tracer)
     gateway = LeafGateway(
         table,
         kernel.find("marks", LeafMarks),
@@ -224,7 +225,7 @@
         around.clock,
         events,
         metrics,
-        kernel.find("tracer", Tracer),
+        tracer,
     )
     kernel.add("table", table)
     kernel.add("forwarder", forwarder)
--- a/walkcart/leaves/forwarding.py
+++ b/walkcart/leaves/forwarding.py
@@ -8,11 +8,12 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 
 from walkcart.kernel.clock import Clock
+from walkcart.kernel.spans import Span, Tracer
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused, Replied
 from walkcart.leaves.leaf import BadSnapshot, Leaf
 from walkcart.leaves.outcome_headers import encode_outcome_headers
@@ -49,6 +50,7 @@
     attempt: Attempt
     leaf: Leaf
     deliver: Deliver
+    span: Span | None
 
 
 #: Sends an attempt over this instance's own connections to a leaf's address;
@@ -64,6 +66,7 @@
         view: which of them live.
         clock: source of time.
         on_status: told what a leaf said about itself.
+        tracer: makes a span for each attempt's way by a holder.
     """
 
     def __init__(
@@ -72,10 +75,12 @@
         view: MembershipView,
         clock: Clock,
         on_status: Callable[[Leaf, LeafStatus], None],
+        tracer: Tracer,
     ) -> None:
         self._links = links
         self._clock = clock
         self._on_status = on_status
+        self._tracer = tracer
         self._submit_here: SubmitHere | None = None
         self._cancel_here: Callable[[str, str], None] | None = None
         self._find_leaf: Callable[[str], Leaf | None] | None = None
@@ -115,7 +120,11 @@
     ) -> None:
         """Send `attempt` by way of `holder`."""
         remaining = attempt.deadline - self._clock.monotonic()
-        request = encode_attempt(attempt, remaining)
+        span = self._tracer.start(
+            "peer.forward", attempt.traceparent, attempt=attempt.id, holder=holder
+        )
+        traceparent = self._tracer.inject(span, attempt.traceparent)
+        request = encode_attempt(replace(attempt, traceparent=traceparent), remaining)
         forwarded = ForwardedAttempt(
             attempt.id,
             leaf.address,
@@ -125,7 +134,7 @@
             request.body,
             attempt.repeatable,
         )
-        self._sent[attempt.id] = _Sent(holder, attempt, leaf, deliver)
+        self._sent[attempt.id] = _Sent(holder, attempt, leaf, deliver, span)
         self._at_holder[holder] += 1
         self._asks.setdefault(holder, []).append(forwarded)
         self._wakeup.set()
@@ -177,6 +186,8 @@
         sent = self._sent.pop(id, None)
         if sent is not None:
             self._at_holder[sent.holder] -= 1
+            if sent.span is not None:
+                sent.span.end()
             sent.deliver(sent.attempt, outcome)
 
     def _on_member_change(self, old: MemberRecord | None, new: MemberRecord) -> None:
@@ -218,7 +229,7 @@
             verdict = NotRun(Reason.INTERNAL, "the forwarded attempt can't be read")
             self._answer(sender, forwarded, Failed(verdict))
             return
-        attempt = _with_body(attempt, forwarded.body)
+        attempt = replace(attempt, body=forwarded.body)
         self._carried[attempt.id] = forwarded.leaf
         assert self._submit_here is not None
         if not self._submit_here(forwarded.leaf, attempt, answer):
@@ -242,20 +253,6 @@
         self._wakeup.set()
 
 
-def _with_body(attempt: Attempt, body: bytes) -> Attempt:
-    return Attempt(
-        attempt.id,
-        attempt.shard,
-        attempt.pin,
-        attempt.scope,
-        attempt.deadline,
-        body,
-        attempt.once_key,
-        attempt.expires,
-        attempt.traceparent,
-    )
-
-
 def _pack_outcome(id: str, outcome: Outcome, leaf: Leaf | None) -> ForwardedOutcome:
     headers = encode_outcome_headers(outcome, leaf)
     match outcome:
