--- a/walkcart/bench/slopes_data.py
+++ b/walkcart/bench/slopes_data.py
@@ -49,6 +49,9 @@
 from walkcart.wire.peers import NngTransport
 
 OBJECT_COUNTS = (100, 500, 1000, 2000, 4000)
+VALUE_SIZES = (50, 250, 500, 1000)
+#: Stored bytes of a service of `measure_document`, about.
+BYTES_OF_SERVICE = 63
 LEAF_COUNTS = (500, 1000, 2000, 4000)
 MARK_COUNTS = (0, 8, 16, 32)
 BATCH_SIZES = (1, 4, 16, 64)
@@ -120,6 +123,29 @@
     return found
 
 
+def measure_document(folder: Path) -> Measured:
+    """Measure stored values up to their limit, with labels that don't compress."""
+    found: Measured = {}
+    random = Random(1)
+    change = Change("id", 1, "operator", "2026-01-01T00:00:00", ())
+    for wanted in VALUE_SIZES:
+        services = tuple(
+            Service(f"s{n:06}", "g", labels={"a": f"{random.getrandbits(400):0100x}"})
+            for n in range(int(wanted * 1000 / BYTES_OF_SERVICE))
+        )
+        document = make_document(
+            EMPTY_DOCUMENT, Configuration(services=services), change
+        )
+        data = document.data
+        found.setdefault("CPU ms to read", []).append(
+            (len(data) / 1000, 1000 * time_cpu(lambda data=data: read_document(data)))
+        )
+        found.setdefault("memory MB", []).append(
+            (len(data) / 1000, weigh(lambda data=data: read_document(data)))
+        )
+    return found
+
+
 def measure_leaves_as_data(folder: Path) -> Measured:
     """Measure the table of leaves."""
     found: Measured = {}
