Ask leaving leaves now and then whether they started again

Cause: with a list that gives no incarnations a restarted leaf stayed out for ever, since it got no work on which to say so. Test failing first: 0 runs after the restart; passes after the change.

--- a/walkcart/bench/world.py
+++ b/walkcart/bench/world.py
@@ -111,6 +111,8 @@
         #: Every life of every leaf, for checks of what ran.
         self.leaves_ever: list[LeafStandin] = []
         self.instances: dict[str, RunningInstance] = {}
+        #: Whether the instance list tells the leaves' incarnations.
+        self.lists_incarnations = True
         self._changes = changes or {}
         self._log = log
         self._store_address = ANY_ADDRESS
@@ -155,7 +157,7 @@
                 spec.name,
                 ROLE_LEAF,
                 str(taken),
-                incarnation=incarnation,
+                incarnation=incarnation if self.lists_incarnations else 0,
                 labels=spec.all_labels(),
             )
         )
--- a/walkcart/leaves/gateway.py
+++ b/walkcart/leaves/gateway.py
@@ -30,6 +30,8 @@
 
 #: Seconds between two looks at the shares of connections.
 SHARE_INTERVAL = 0.5
+#: Seconds between two questions to a leaving leaf.
+CHECK_INTERVAL = 2.0
 #: Seconds for which a new division must stand before an instance grows into it:
 #: by then the others have seen the same change and closed what they gave up.
 SETTLE_TIME = 2.0
@@ -79,6 +81,7 @@
         self._delays: dict[str, HedgeDelay] = {}
         self._holders = HolderTable()
         self._view_version = -1
+        self._checked_at = clock.monotonic()
         self._shares: dict[str, int] = {}
         self._wanted_since: dict[str, tuple[int, float]] = {}
         self._nursery: trio.Nursery | None = None
@@ -156,6 +159,7 @@
             self._note_groups()
             while True:
                 self._look_at_instances()
+                self._check_leaving()
                 total = sum(link.connections for link in self._links.values())
                 self._metrics.gauge("leaf.connections", total)
                 await trio.sleep(SHARE_INTERVAL)
@@ -191,6 +195,19 @@
         if self._holders.set_instances(instances):
             self._divide()
 
+    def _check_leaving(self) -> None:
+        """Ask leaving leaves now and then whether they started again.
+
+        They get no work, so nothing else would tell when the list doesn't.
+        """
+        now = self._clock.monotonic()
+        if now - self._checked_at < CHECK_INTERVAL:
+            return
+        self._checked_at = now
+        for address, link in self._links.items():
+            if self._marks.is_leaving(address):
+                link.check()
+
     def _divide(self) -> None:
         """Work out this instance's share of each leaf's connections."""
         if self._nursery is not None:
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -51,7 +51,7 @@
 
 @dataclass(slots=True)
 class _Pending:
-    """An attempt with its receiver, or a cancel that has none."""
+    """An attempt with its receiver; without one a cancel, or else a check."""
 
     attempt: Attempt | None
     deliver: Deliver | None
@@ -135,6 +135,14 @@
         if self._connections == 0 and not self._closed:
             self._start_connection()
 
+    def check(self) -> None:
+        """Ask the leaf what it says of itself, over an idle connection or a new one."""
+        if len(self._idle):
+            self._queue.appendleft(_Pending(None, None))
+            self._idle.unpark()
+        elif self._connections == 0 and self._may_connect():
+            self.warm_up()
+
     def close(self) -> None:
         """Take no more attempts; connections close when idle."""
         self._closed = True
@@ -242,8 +250,10 @@
         self, connection: HttpConnection, pending: _Pending, last_used: float
     ) -> bool:
         """Carry one attempt or cancel; return whether the connection goes on."""
-        if pending.attempt is None:
+        if pending.attempt is None and pending.cancel_id:
             return await self._send_cancel(connection, pending.cancel_id)
+        if pending.attempt is None:
+            return await self._is_fresh(connection)
         attempt = pending.attempt
         now = self._tools.clock.monotonic()
         if attempt.deadline <= now:
--- a/walkcart/membership/tests/test_leaving_leaf.py
+++ b/walkcart/membership/tests/test_leaving_leaf.py
@@ -112,3 +112,18 @@
     assert marks.note_leaving("127.0.0.1:1", 0)
     assert not marks.note_live("127.0.0.1:1", 7)
     assert marks.is_leaving("127.0.0.1:1")
+
+
+def test_restart_is_found_out_when_the_list_knows_no_incarnations():
+    async def run():
+        async with open_estate() as world:
+            world.lists_incarnations = False
+            world.leaves[NAME].leaf.faults.leaving = True
+            await ask_all(world, 1.0)
+            world.kill_leaf(NAME)
+            await trio.sleep(0.5)
+            again = await world.restart_leaf(NAME)
+            await ask_all(world, 15.0)
+            return len(again.leaf.runs)
+
+    assert run_mocked(run) > 0
