Let holders serve before the regions of others are known

Found by growing by hand: at 40 daemons and 400 leaves a question got 15 of 200 shards. Cause, from the shares of each instance: an instance knows its own region at once and the others' only after hearing from them, and ranked itself behind all of them for leaves without a region; so holders that the others already used held nothing until the news had gone round (over 25 s at 40). Ruled out: refused connections (none), file limits, the kept candidates (they agreed). Change: an unknown region puts nobody last; a new holder opens its first connection at once, from the part of the cap that isn't given out.

--- a/walkcart/leaves/gateway.py
+++ b/walkcart/leaves/gateway.py
@@ -228,8 +228,10 @@
         """Shrink at once, but grow only after the division has stood a while."""
         address = leaf.address
         now = self._clock.monotonic()
-        present = self._shares.get(address)
-        if present is None:
+        present = self._shares.get(address, 0)
+        if not present:
+            # Others send through a new holder at once; the part of the cap that
+            # isn't given out is for this first connection.
             present = min(wanted, 1)
             self._set_share(leaf, present)
         if wanted <= present:
--- a/walkcart/leaves/tests/test_link.py
+++ b/walkcart/leaves/tests/test_link.py
@@ -1,5 +1,7 @@
 """Connections to leaves under failure."""
 
+from dataclasses import replace
+
 import trio
 
 from walkcart.bench.caller import find_violations
@@ -33,7 +35,6 @@
 
 
 def make_full(spec):
-    from dataclasses import replace
 
     return replace(spec, connections=1)
 
@@ -164,7 +165,6 @@
 def test_connections_to_a_removed_group_are_closed():
     async def run():
         async with open_estate() as world:
-            from dataclasses import replace
 
             def remove(base):
                 return replace(
@@ -202,3 +202,28 @@
         assert isinstance(outcome, Failed)
     status = read_status({b"walkcart-held": b"\xb2, 7," + b"9" * 5000})
     assert status.held == frozenset({7})
+
+
+def test_holders_serve_before_the_regions_of_others_are_known():
+    async def run():
+        async with open_estate(instances=14, connections=8) as world:
+            caller = make_caller(world)
+            # A new instance knows the others from the list alone, without regions.
+            rows = [row for _, row in world.listing._changes]
+            for row in rows:
+                if row.role == "walkcart":
+                    world.listing.put(replace(row, labels={}))
+            await world.apply(make_cap(8))
+            world.memory.lose = lambda: True
+            running = await world.start_instance("instance-20", "north", "north-a")
+            await trio.sleep(1.0)
+            gateway = running.find("gateway", LeafGateway)
+            held = sum(1 for share in gateway._shares.values() if share)
+            world.memory.lose = lambda: False
+            await trio.sleep(10)
+            asked = await caller.query(running.address, "parts", 1)
+            return held, asked
+
+    held, asked = run_mocked(run)
+    assert held > 0
+    assert asked.content["coverage"]["complete"]
--- a/walkcart/routing/shares.py
+++ b/walkcart/routing/shares.py
@@ -92,8 +92,13 @@
 def rank_holder(
     leaf: str, leaf_region: str, name: str, region: str
 ) -> tuple[bool, int, str]:
-    """Return the rank of an instance for a leaf; the lowest hold connections."""
-    return (region != leaf_region, rank_rendezvous(leaf, name), name)
+    """Return the rank of an instance for a leaf; the lowest hold connections.
+
+    A region that isn't known puts nobody last: an instance would rank itself, whose
+    region it does know, behind all that it hasn't heard of yet.
+    """
+    far = bool(region and leaf_region) and region != leaf_region
+    return (far, rank_rendezvous(leaf, name), name)
 
 
 def rank_rendezvous(key: str, name: str) -> int:
