--- a/walkcart/bench/slopes.py
+++ b/walkcart/bench/slopes.py
@@ -30,6 +30,7 @@
     measure_connections,
     measure_fleet,
     measure_leaf_requests,
+    measure_questions,
 )
 
 Measured = dict[str, list[Point]]
@@ -52,6 +53,7 @@
     "fleet": Measurement("instances", measure_fleet),
     "connections": Measurement("leaves with one connection", measure_connections),
     "leaf_requests": Measurement("shards a question", measure_leaf_requests),
+    "questions": Measurement("questions a second", measure_questions),
     "forwarding": Measurement("attempts a message", measure_forwarding),
     "configuration": Measurement("objects", measure_configuration),
     "document": Measurement("stored KB", measure_document),
--- a/walkcart/bench/slopes_fleet.py
+++ b/walkcart/bench/slopes_fleet.py
@@ -24,6 +24,8 @@
 LEAF_COUNTS = (40, 100, 200, 400)
 SHARD_COUNTS = (5, 20, 50, 100)
 QUESTIONS = 200
+QUESTION_RATES = (10, 20, 40, 80)
+RATE_SECONDS = 10.0
 TOKEN = "secret"
 
 
@@ -164,6 +166,39 @@
     return found
 
 
+def measure_questions(folder: Path) -> dict[str, list[Point]]:
+    """Measure a daemon's CPU and traffic by the rate of questions, at 20 shards."""
+    found: dict[str, list[Point]] = {}
+    fleet = Fleet(Processes(folder), folder)
+    try:
+        fleet.start(1, ("parts:20:2",))
+        fleet.wait_healthy()
+        text = make_partner("fitters", TOKEN) + make_service("parts", 20)
+        fleet.apply(text, "--wait")
+        fleet.wait_ready()
+        time.sleep(4)
+        address = parse_host_port(next(iter(fleet.entries.values())))
+        for rate in QUESTION_RATES:
+            before = fleet.processes.cpu_seconds("daemon-0")
+            trio.run(_ask_at, address, rate)
+            used = fleet.processes.cpu_seconds("daemon-0") - before
+            add = _adder(found, rate)
+            add("CPU s/s", used / RATE_SECONDS)
+            add("resident MB", fleet.processes.resident_mb("daemon-0"))
+    finally:
+        fleet.processes.stop_all()
+    return found
+
+
+async def _ask_at(address: HostPort, rate: int) -> None:
+    """Ask at a rate, not waiting for answers."""
+    caller = Caller(TcpNetwork(), TOKEN)
+    async with trio.open_nursery() as nursery:
+        for number in range(int(rate * RATE_SECONDS)):
+            nursery.start_soon(caller.query, address, "parts", number)
+            await trio.sleep(1 / rate)
+
+
 def _adder(found: dict[str, list[Point]], size: float):
     def add(quantity: str, value: float) -> None:
         found.setdefault(quantity, []).append((size, value))
