--- a/walkcart/entry/tests/test_stopping.py
+++ b/walkcart/entry/tests/test_stopping.py
@@ -127,3 +127,26 @@
             return await world.stop_instance("instance-1")
 
     assert run_mocked(run)
+
+
+def test_two_instances_stopped_at_once_under_load_of_both_kinds():
+    async def run():
+        async with open_estate(instances=5) as world:
+            addresses = [item.address for item in world.instances.values()]
+            balancer = BalancerStandin(world.network("client"), addresses)
+            outcomes, ended = [], []
+
+            async def stop(name):
+                ended.append(await world.stop_instance(name))
+
+            async with trio.open_nursery() as nursery:
+                await nursery.start(balancer.watch)
+                nursery.start_soon(stop, "instance-0")
+                nursery.start_soon(stop, "instance-1")
+                await load(world, balancer, 8.0, 0.03, outcomes, writes=True)
+                nursery.cancel_scope.cancel()
+            return outcomes, ended
+
+    outcomes, ended = run_mocked(run)
+    check_all_answered(outcomes)
+    assert ended == [True, True]
--- a/walkcart/once/tests/test_at_most_once.py
+++ b/walkcart/once/tests/test_at_most_once.py
@@ -288,3 +288,49 @@
     verdicts, runs = run_mocked(run)
     assert verdicts.count("may_have_run") == runs == 3
     assert verdicts.count("not_run") == 5
+
+
+def test_holder_that_dies_at_any_moment_makes_no_false_not_run():
+    """A request by way of a holder, which is killed before, while and after."""
+
+    def kill_after(delay):
+        async def run():
+            async with open_estate(instances=4) as world:
+                from walkcart.bench.world import make_service
+                from walkcart.leaves.gateway import LeafGateway
+
+                # One connection to each leaf, so each has a single holder.
+                await world.apply(make_service("cards", 1, True, connections=1))
+                await trio.sleep(6)
+                for item in world.leaves.values():
+                    item.leaf.faults.slow = 10.0
+                gateway = world.instances["instance-0"].find("gateway", LeafGateway)
+                leaves = gateway._groups["cards"].leaves
+                holders = {gateway.holders_of(leaf)[0] for leaf in leaves}
+                asker = min(set(world.instances) - holders)
+                replies = []
+
+                async def ask():
+                    replies.append(
+                        await execute_at(
+                            world, make_caller(world), asker, new_key(world)
+                        )
+                    )
+
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(ask)
+                    await trio.sleep(delay)
+                    for name in sorted(holders):
+                        await world.kill_instance(name, listed=True)
+                return replies[0].verdict, count_runs(world)
+
+        return run_mocked(run)
+
+    seen = set()
+    for delay in (0.0, 0.005, 0.02, 0.03, 0.032, 0.034, 0.036, 0.04, 0.08, 0.2):
+        verdict, runs = kill_after(delay)
+        seen.add(verdict)
+        assert runs <= 1
+        assert verdict != "not_run" or runs == 0
+        assert verdict != "answered" or runs == 1
+    assert len(seen) > 1
