--- a/walkcart/bench/capacity.py
+++ b/walkcart/bench/capacity.py
@@ -62,7 +62,9 @@
 
     Args:
         role: its name.
+        state: what it keeps.
         how: the steps.
+        messages: a second, sent and received.
         cpu: share of a core.
         memory: MB.
         bytes: a second.
@@ -70,7 +72,9 @@
     """
 
     role: str
+    state: str
     how: str
+    messages: float
     cpu: float
     memory: float
     bytes: float
@@ -104,7 +108,9 @@
     return [
         Cost(
             "heartbeats, suspicion, news",
+            f"{NODES} records",
             f"the fleet's lines at {NODES}",
+            slopes.at("fleet", "messages/s for each instance, mean", NODES),
             fleet_cpu,
             fleet_memory,
             fleet_bytes,
@@ -112,9 +118,12 @@
         ),
         Cost(
             "configuration",
+            "one document",
             f"{CHANGES_A_DAY} a day of {OBJECTS} objects: {stored / 1000:.1f} KB taken "
             f"and given once, {1000 * read:.1f} ms to read, {1000 * resolve:.1f} ms to "
             "resolve",
+            # A push to three peers, a pull and a document, there and back.
+            CHANGES_A_DAY * 10 / DAY,
             CHANGES_A_DAY * (read + resolve) / DAY,
             kept,
             CHANGES_A_DAY * 2 * stored / DAY,
@@ -122,8 +131,10 @@
         ),
         Cost(
             "list of leaves",
+            f"{LEAVES:,} leaves with their accounts",
             f"{leaf_changes:,.0f} changes a day, if leaves restart as nodes do: "
             f"{1000 * resolve:.1f} ms each",
+            2.0,
             leaf_changes * resolve / DAY,
             table,
             leaf_changes * 250 / DAY + 200,
@@ -131,8 +142,10 @@
         ),
         Cost(
             "division of connections",
+            f"30 candidates for each of {LEAVES:,} leaves",
             f"{comings} goings and comings a day, {1000 * turn:.1f} ms each for "
             f"{LEAVES:,} leaves ({HELD_LEAVES_MEASURED} measured)",
+            0.0,
             comings * turn / DAY,
             holders,
             0.0,
@@ -140,7 +153,9 @@
         ),
         Cost(
             "drain marks",
+            "two numbers for each leaf",
             f"{leaf_changes / 2:,.0f} a day, each on some 30 messages",
+            0.0,
             leaf_changes / 2 * 30 * mark / DAY,
             LEAVES * 300 / 1e6,
             leaf_changes / 2 * 30 * mark_bytes / DAY,
@@ -153,22 +168,25 @@
     """Return the table of control costs with their sum and the limits."""
     costs = control_costs(slopes)
     lines = [
-        "| role | worked out from | CPU, % of a core | memory MB | bytes/s "
-        "| carried by |",
-        "|---|---|---|---|---|---|",
+        "| role | state | worked out from | messages/s | CPU, % of a core "
+        "| memory MB | bytes/s | carried by |",
+        "|---|---|---|---|---|---|---|---|",
     ]
     for item in costs:
         lines.append(
-            f"| {item.role} | {item.how} | {100 * item.cpu:.3f} | {item.memory:.1f} "
-            f"| {item.bytes:,.0f} | {item.mechanism} |"
+            f"| {item.role} | {item.state} | {item.how} | {item.messages:.2f} "
+            f"| {100 * item.cpu:.3f} | {item.memory:.1f} | {item.bytes:,.0f} "
+            f"| {item.mechanism} |"
         )
     lines.append(
-        f"| **all** | | **{100 * sum(c.cpu for c in costs):.2f}** "
+        f"| **all** | | | **{sum(c.messages for c in costs):.1f}** "
+        f"| **{100 * sum(c.cpu for c in costs):.2f}** "
         f"| **{sum(c.memory for c in costs):.1f}** "
         f"| **{sum(c.bytes for c in costs):,.0f}** | |"
     )
     lines.append(
-        f"| limit | | {100 * CPU_LIMIT:.1f} | {MEMORY_LIMIT:.0f} | {BYTES_LIMIT:,} | |"
+        f"| limit | | | | {100 * CPU_LIMIT:.1f} | {MEMORY_LIMIT:.0f} "
+        f"| {BYTES_LIMIT:,} | |"
     )
     return "\n".join(lines)
 
