Test a missing credential and a leaf body over the limit

Two lines of the bad-input list had no test of their own; both passed at first run. The docstring of the pause test claimed 'past every timeout', which it doesn't measure; it says 'for a while' now.

--- a/walkcart/daemon/tests/test_whole_path.py
+++ b/walkcart/daemon/tests/test_whole_path.py
@@ -90,7 +90,7 @@
 
 
 def test_paused_owner_of_a_bucket_grants_nothing_twice(fleet):
-    """Whoever owns the buckets is paused in turn, past every timeout."""
+    """Each daemon, the buckets' owners among them, is paused in turn for a while."""
     answered = []
     for number, name in enumerate(fleet.entries):
         others = [entry for key, entry in fleet.entries.items() if key != name]
--- a/walkcart/entry/tests/test_bad_input.py
+++ b/walkcart/entry/tests/test_bad_input.py
@@ -174,3 +174,13 @@
         body=b'{"query": 1, "order_by": "shard", "descending": true, "limit": 2}'
     )
     assert [row["shard"] for row in asked.content["answer"]["rows"]] == [3, 2]
+
+
+def test_missing_credential():
+    received = send_raw(
+        b"POST /v1/services/parts/query HTTP/1.1\r\nhost: x\r\n"
+        b"content-type: application/json\r\nconnection: close\r\n"
+        b'content-length: 12\r\n\r\n{"query": 1}'
+    )
+    assert status_of(received) == 401
+    assert body_of(received)["verdict"] == "not_run"
--- a/walkcart/leaves/tests/test_link.py
+++ b/walkcart/leaves/tests/test_link.py
@@ -227,3 +227,22 @@
     held, asked = run_mocked(run)
     assert held > 0
     assert asked.content["coverage"]["complete"]
+
+
+def test_body_over_the_limit_is_dropped(monkeypatch):
+    from walkcart.leaves import link
+
+    # A body of this stand-in has some 100 bytes; a long query makes it longer.
+    monkeypatch.setattr(link, "REPLY_LIMIT", 2000)
+
+    async def run():
+        async with open_estate() as world:
+            caller = make_caller(world)
+            address = world.instances["instance-0"].address
+            long = await caller.query(address, "parts", "x" * 4000)
+            short = await caller.query(address, "parts", 1)
+            return long, short
+
+    long, short = run_mocked(run)
+    assert (long.status, long.verdict) == (502, "may_have_run")
+    assert short.content["coverage"]["complete"]
