--- a/walkcart/bench/world.py
+++ b/walkcart/bench/world.py
@@ -39,6 +39,7 @@
 from walkcart.standins.serving import StandinServer
 from walkcart.standins.store import StoreStandin
 from walkcart.store.budget import CallBudget
+from walkcart.store.calls import StoreCalls
 from walkcart.store.client import StoreClient
 from walkcart.wire.network import Network, TcpNetwork
 from walkcart.wire.peers import NngTransport, PeerTransport
@@ -277,13 +278,15 @@
         """Return a client of the store, as the operators' tool has."""
         events = EventLog("operator", self.clock, StringIO())
         return StoreClient(
-            self._store_address,
-            self.network(site),
-            self.clock,
-            CallBudget(100, 100, self.clock),
-            events,
-            Metrics(None, "operator"),
-            Tracer("operator", "none", 0.0),
+            StoreCalls(
+                self._store_address,
+                self.network(site),
+                self.clock,
+                CallBudget(100, 100, self.clock),
+                events,
+                Metrics(None, "operator"),
+                Tracer("operator", "none", 0.0),
+            )
         )
 
     async def apply(
--- a/walkcart/cli/clients.py
+++ b/walkcart/cli/clients.py
@@ -21,7 +21,8 @@
 from walkcart.kernel.spans import Tracer
 from walkcart.store.backoff import Backoff
 from walkcart.store.budget import CallBudget
-from walkcart.store.client import StoreClient, StoreUnavailable
+from walkcart.store.calls import StoreCalls, StoreUnavailable
+from walkcart.store.client import StoreClient
 from walkcart.wire.http import ExchangeFailed, HttpConnection, HttpReply, HttpRequest
 from walkcart.wire.network import TcpNetwork
 
@@ -52,13 +53,15 @@
     """Return a client of the store."""
     clock = TrioClock()
     return StoreClient(
-        settings.store,
-        TcpNetwork(),
-        clock,
-        CallBudget(20, 20, clock),
-        EventLog("tool", clock, StringIO()),
-        Metrics(None, "tool"),
-        Tracer("tool", "none", 0.0),
+        StoreCalls(
+            settings.store,
+            TcpNetwork(),
+            clock,
+            CallBudget(20, 20, clock),
+            EventLog("tool", clock, StringIO()),
+            Metrics(None, "tool"),
+            Tracer("tool", "none", 0.0),
+        )
     )
 
 
--- a/walkcart/daemon/__init__.py
+++ b/walkcart/daemon/__init__.py
@@ -1,5 +1,14 @@
 """The daemon, ``walkcartd``: one instance."""
 
-from walkcart.daemon.assembly import Instance, assemble_instance
+from walkcart.lazyimport import attach_names
 
-__all__ = ["Instance", "assemble_instance"]
+_MODULES = {
+    "Instance": "assembly",
+    "Tenant": "tenant",
+    "assemble_instance": "assembly",
+    "assemble_tenant": "tenant",
+}
+
+__all__ = sorted(_MODULES)
+
+__getattr__ = attach_names(__name__, _MODULES)
--- a/walkcart/daemon/assembly.py
+++ b/walkcart/daemon/assembly.py
@@ -48,6 +48,7 @@
 from walkcart.routing.replicas import ReplicaChooser
 from walkcart.store.backoff import Backoff
 from walkcart.store.budget import CallBudget
+from walkcart.store.calls import StoreCalls
 from walkcart.store.client import StoreClient
 from walkcart.wire.messages import MemberRecord
 from walkcart.wire.network import Network
@@ -123,7 +124,9 @@
     kernel.add("tracer", tracer)
     kernel.add("invariants", Invariants(events, metrics, settings.fatal_invariants))
     store = StoreClient(
-        settings.store, around.network, clock, budget, events, metrics, tracer
+        StoreCalls(
+            settings.store, around.network, clock, budget, events, metrics, tracer
+        )
     )
     kernel.add("store", store)
 
--- /dev/null
+++ b/walkcart/daemon/platform.py
@@ -0,0 +1,115 @@
+"""The program ``walkcartd`` on the users' platform.
+
+The settings come from the file that the platform lays on the machine.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from pathlib import Path
+from random import Random
+from typing import TextIO, cast
+
+import trio
+
+from walkcart.daemon.tenant import (
+    Tenant,
+    TenantSurroundings,
+    assemble_tenant,
+)
+from walkcart.kernel.clock import TrioClock
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
+from walkcart.kernel.logsink import LogSink
+from walkcart.platform.settings import (
+    FILE_VARIABLE,
+    BadSettings,
+    PlatformSettings,
+    read_settings,
+)
+from walkcart.store.calls import StoreCalls
+from walkcart.wire.network import TcpNetwork
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+#: Seconds between two looks whether the settings file changed: it may without a
+#: signal, and half of the time for a change to be in force is plenty.
+FILE_INTERVAL = 1.0
+
+
+def main() -> None:
+    """Run the daemon and exit the process."""
+    path = os.environ.get(FILE_VARIABLE)
+    if not path:
+        print(f"walkcartd: {FILE_VARIABLE} isn't set", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    try:
+        settings = read_settings(Path(path))
+    except BadSettings as error:
+        print(f"walkcartd: {error}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    sys.exit(trio.run(_run, settings, Path(path)))
+
+
+async def _run(settings: PlatformSettings, path: Path) -> int:
+    log = cast(TextIO, LogSink(sys.stdout.fileno()))
+    around = TenantSurroundings(TcpNetwork(), TrioClock(), Random(), log)
+    try:
+        tenant = await assemble_tenant(settings, around)
+    except OSError as error:
+        print(f"walkcartd: an address can't be had: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with trio.open_signal_receiver(*signals) as received:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(tenant.kernel.run)
+            nursery.start_soon(_follow_file, tenant, path)
+            await _wait_for_stop(received, tenant, path)
+            ended = await tenant.stop.stop()
+            nursery.cancel_scope.cancel()
+    return EXIT_OK if ended else EXIT_FAILED
+
+
+async def _wait_for_stop(received, tenant: Tenant, path: Path) -> None:
+    async for number in received:
+        if number != signal.SIGHUP:
+            return
+        reload_settings(tenant, path)
+
+
+async def _follow_file(tenant: Tenant, path: Path) -> None:
+    """Read the settings anew whenever the file changed."""
+    seen = _stamp(path)
+    while True:
+        await trio.sleep(FILE_INTERVAL)
+        now = _stamp(path)
+        if now != seen:
+            seen = now
+            reload_settings(tenant, path)
+
+
+def _stamp(path: Path) -> tuple[int, int] | None:
+    try:
+        found = path.stat()
+    except OSError:
+        return None
+    return (found.st_mtime_ns, found.st_size)
+
+
+def reload_settings(tenant: Tenant, path: Path) -> None:
+    """Take changed settings; those that can't be taken leave all as it was."""
+    events = tenant.kernel.find("events", EventLog)
+    try:
+        settings = read_settings(path)
+    except BadSettings as error:
+        events.emit(Events.SETTINGS_BAD, detail=str(error))
+        return
+    tenant.kernel.find("calls", StoreCalls).move(settings.store)
+    events.emit(Events.SETTINGS_RELOADED, store=str(settings.store))
+
+
+if __name__ == "__main__":
+    main()
--- a/walkcart/entry/__init__.py
+++ b/walkcart/entry/__init__.py
@@ -1,6 +1,15 @@
 """The callers' and operators' interface of an instance."""
 
-from walkcart.entry.app import EntryService
-from walkcart.entry.stopping import PlannedStop
+from walkcart.lazyimport import attach_names
 
-__all__ = ["EntryService", "PlannedStop"]
+_MODULES = {
+    "EntryService": "app",
+    "PlannedStop": "stopping",
+    "RoutedHandler": "routed",
+    "RoutedService": "routedservice",
+    "RoutedStop": "routedstop",
+}
+
+__all__ = sorted(_MODULES)
+
+__getattr__ = attach_names(__name__, _MODULES)
--- /dev/null
+++ b/walkcart/entry/routed.py
@@ -0,0 +1,256 @@
+"""Requests that are passed on by routing intents: from the caller and back.
+
+The protocol of the callers is a port: what a request means and how its answer looks
+is the adapter's, what is done with it is decided here.
+
+See Also:
+    `walkcart.fanout.routed.RoutedGathering`, which asks the leafs.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+from typing import Protocol
+
+from returns.result import Failure, Result, Success
+
+from walkcart.fanout.routed import RoutedGathering, RoutedTools
+from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure, RoutedQuestion
+from walkcart.intent.routekeeper import RouteKeeper
+from walkcart.intent.routes import Route, Target, ToService, ToShards, ToSplit
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
+from walkcart.kernel.metrics import Metrics
+from walkcart.kernel.spans import Tracer
+from walkcart.routing.splits import WeightedSplit
+from walkcart.wire.http import HttpReply, HttpRequest
+from walkcart.wire.server import Fault
+from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
+
+#: Time kept back from the caller's for the answer's way home.
+HOME_TIME = timedelta(milliseconds=10)
+#: Time kept back from a route's objective: the request's way here, which may have
+#: begun with a new connection, the answer's way home and the merge.
+OBJECTIVE_RESERVE = timedelta(milliseconds=14)
+#: When to come back while no routing document is known.
+START_TIME = timedelta(seconds=1)
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A request as the callers' protocol tells it.
+
+    Args:
+        id: that the caller gave it.
+        host: that it is meant for.
+        patience: for how long the caller waits; None when it doesn't say.
+        forwarded: what leafs get.
+        traceparent: of the caller's trace.
+    """
+
+    id: str
+    host: str
+    patience: timedelta | None
+    forwarded: HttpRequest
+    traceparent: str | None = None
+
+
+class CallerProtocol(Protocol):
+    """What callers speak."""
+
+    def read_request(self, request: HttpRequest) -> CallerRequest:
+        """Return what a request means."""
+        ...
+
+    def render_merged(self, answer: RoutedAnswer, target: ToShards) -> HttpReply:
+        """Return the answer of many shards."""
+        ...
+
+    def render_single(self, answer: RoutedAnswer) -> HttpReply:
+        """Return the answer of one leaf, unchanged."""
+        ...
+
+    def render_failure(self, failure: RoutedFailure) -> HttpReply:
+        """Return a leaf's failure unchanged, or why there is no answer."""
+        ...
+
+    def render_fault(self, fault: Fault) -> HttpReply:
+        """Return the answer to bytes that are no request."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedEntryTools:
+    """What the handler works with.
+
+    Args:
+        keeper: the routing document in force.
+        protocol: of the callers.
+        gathering: what routed questions use.
+        events: where each request's end is logged.
+        metrics: where requests are counted and timed.
+        tracer: makes a span for each request.
+        random: shifts where splits begin.
+    """
+
+    keeper: RouteKeeper
+    protocol: CallerProtocol
+    gathering: RoutedTools
+    events: EventLog
+    metrics: Metrics
+    tracer: Tracer
+    random: Random
+
+
+class RoutedHandler:
+    """Answers routed requests."""
+
+    def __init__(self, tools: RoutedEntryTools) -> None:
+        self._tools = tools
+        self._splits: dict[str, tuple[ToSplit, WeightedSplit]] = {}
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Answer one request; never raises but for cancellation."""
+        tools = self._tools
+        start = tools.gathering.clock.monotonic()
+        try:
+            caller = tools.protocol.read_request(request)
+            return await self._route(caller, start)
+        except Exception as error:  # the caller gets an answer, not a traceback
+            tools.events.emit(Events.REQUEST_FAILED, detail=repr(error)[:500])
+            verdict = MayHaveRun(Reason.INTERNAL, "a fault of walkcart")
+            return tools.protocol.render_failure(RoutedFailure(verdict))
+
+    async def _route(self, caller: CallerRequest, start: float) -> HttpReply:
+        tools = self._tools
+        table = tools.keeper.table
+        if not tools.keeper.known:
+            verdict = NotRun(Reason.NO_CONFIGURATION, "no routes are known", START_TIME)
+            return self._refuse(caller, verdict)
+        route = table.find(caller.host, caller.forwarded.target)
+        if route is None:
+            return self._refuse(caller, NotRun(Reason.NO_ROUTE, "no such route"))
+        question = self._make_question(caller, route, start)
+        span = tools.tracer.start(
+            "routed.request", caller.traceparent, request=caller.id, route=route.name
+        )
+        with tools.tracer.hold(span):
+            result = await RoutedGathering(tools.gathering, question).run()
+        self._note(caller, route, start, result)
+        match result:
+            case Success(answer) if isinstance(route.target, ToShards):
+                return tools.protocol.render_merged(answer, route.target)
+            case Success(answer):
+                return tools.protocol.render_single(answer)
+            case Failure(failure):
+                return tools.protocol.render_failure(failure)
+        raise AssertionError("a result is a success or a failure")
+
+    def _make_question(
+        self, caller: CallerRequest, route: Route, start: float
+    ) -> RoutedQuestion:
+        time = route.timeout
+        if caller.patience is not None:
+            time = min(time, caller.patience - HOME_TIME)
+        objective = float("inf")
+        sharded = isinstance(route.target, ToShards)
+        if sharded and route.objective is not None:
+            objective = (route.objective - OBJECTIVE_RESERVE).total_seconds()
+        return RoutedQuestion(
+            id=caller.id,
+            kind=route.name,
+            request=caller.forwarded,
+            services=self._choose_services(route),
+            deadline=start + max(0.0, time.total_seconds()),
+            objective_at=start + objective,
+            least_coverage=_least_coverage(route.target),
+            idempotent=route.idempotent,
+            most_attempts=route.most_attempts,
+            whole_parts=sharded,
+            traceparent=caller.traceparent,
+        )
+
+    def _choose_services(self, route: Route) -> tuple[str, ...]:
+        match route.target:
+            case ToService(service):
+                return (service,)
+            case ToShards(services):
+                return services
+            case ToSplit(parts) as target:
+                held = self._splits.get(route.name)
+                if held is None or held[0] != target:
+                    split = WeightedSplit(self._tools.random.random())
+                    held = self._splits[route.name] = (target, split)
+                weights = [(part.service, part.weight) for part in parts]
+                return (held[1].choose(weights),)
+
+    def _refuse(self, caller: CallerRequest, verdict: NotRun) -> HttpReply:
+        self._tools.metrics.count("query.refused")
+        self._tools.events.emit(
+            Events.REQUEST_UNSERVED,
+            request=caller.id,
+            host=caller.host,
+            target=caller.forwarded.target,
+            reason=verdict.reason.value,
+            version=self._tools.keeper.table.document.version,
+        )
+        return self._tools.protocol.render_failure(RoutedFailure(verdict))
+
+    def _note(
+        self,
+        caller: CallerRequest,
+        route: Route,
+        start: float,
+        result: Result[RoutedAnswer, RoutedFailure],
+    ) -> None:
+        """Log and count how a request ended."""
+        tools = self._tools
+        elapsed = tools.gathering.clock.monotonic() - start
+        fields = {
+            "request": caller.id,
+            "route": route.name,
+            "version": tools.keeper.table.document.version,
+            "ms": round(elapsed * 1000),
+        }
+        tools.metrics.time("query.time", elapsed * 1000)
+        match result:
+            case Success(answer):
+                tools.metrics.count("query.answered")
+                if answer.missing:
+                    tools.metrics.count("query.partial")
+                tools.events.emit(
+                    Events.REQUEST_DONE,
+                    **fields,
+                    replies=len(answer.replies),
+                    asked=answer.asked,
+                    sent=answer.sent,
+                    missing=_describe_missing(answer.missing),
+                )
+            case Failure(failure):
+                tools.metrics.count(_counter_of(failure))
+                tools.events.emit(
+                    Events.REQUEST_UNSERVED,
+                    **fields,
+                    ran=type(failure.verdict).__name__,
+                    reason=failure.verdict.reason.value,
+                    detail=failure.verdict.detail,
+                    sent=failure.sent,
+                    missing=_describe_missing(failure.missing),
+                )
+
+
+def _least_coverage(target: Target) -> float:
+    return target.least_coverage if isinstance(target, ToShards) else 1.0
+
+
+def _counter_of(failure: RoutedFailure) -> str:
+    if isinstance(failure.verdict, NotRun):
+        return "query.refused"
+    return "query.uncertain"
+
+
+def _describe_missing(missing: tuple[tuple[str, Reason], ...]) -> dict[str, str]:
+    """Return the missing services for the log, a few at the most."""
+    return {service: reason.value for service, reason in missing[:5]}
--- a/walkcart/fanout/__init__.py
+++ b/walkcart/fanout/__init__.py
@@ -1,20 +1,21 @@
 """One question to many shards and back: snapshot, attempts, gathering, coverage."""
 
-from walkcart.fanout.answers import Answer, Coverage, MissingShard
-from walkcart.fanout.gatherer import Gatherer
-from walkcart.fanout.gathering import GatherTools
-from walkcart.fanout.questions import Question
-from walkcart.fanout.single import OnceRequest, SingleSender
-from walkcart.fanout.snapshots import choose_snapshot
+from walkcart.lazyimport import attach_names
 
-__all__ = [
-    "Answer",
-    "Coverage",
-    "GatherTools",
-    "Gatherer",
-    "MissingShard",
-    "OnceRequest",
-    "Question",
-    "SingleSender",
-    "choose_snapshot",
-]
+_MODULES = {
+    "Answer": "answers",
+    "Coverage": "answers",
+    "GatherTools": "gathering",
+    "Gatherer": "gatherer",
+    "MissingShard": "answers",
+    "OnceRequest": "single",
+    "Question": "questions",
+    "RoutedGathering": "routed",
+    "RoutedQuestion": "routedquestion",
+    "SingleSender": "single",
+    "choose_snapshot": "snapshots",
+}
+
+__all__ = sorted(_MODULES)
+
+__getattr__ = attach_names(__name__, _MODULES)
--- /dev/null
+++ b/walkcart/fanout/routedquestion.py
@@ -0,0 +1,77 @@
+"""A routed request as the fan-out takes it, and how it ended."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from walkcart.leaves.attempts import Replied
+from walkcart.wire.http import HttpRequest
+from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedQuestion:
+    """A caller's request that goes to one leaf of each of some services.
+
+    Args:
+        id: of the request, as the caller gave it.
+        kind: names requests that take alike, for their usual time.
+        request: what each leaf gets.
+        services: a single one, or the shards.
+        deadline: on the kernel's monotonic clock, in seconds.
+        objective_at: when an answer begins to lose value, on that clock; infinite
+            when it doesn't.
+        least_coverage: share of the services that an answer must cover.
+        idempotent: whether it may run more than once at a service.
+        most_attempts: leafs that may run it, for each service.
+        whole_parts: whether only successes count, as over many shards.
+        traceparent: of the trace.
+    """
+
+    id: str
+    kind: str
+    request: HttpRequest
+    services: tuple[str, ...]
+    deadline: float
+    objective_at: float = float("inf")
+    least_coverage: float = 1.0
+    idempotent: bool = True
+    most_attempts: int = 1
+    whole_parts: bool = False
+    traceparent: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedAnswer:
+    """Replies of as many services as came in time.
+
+    Args:
+        replies: by service.
+        asked: number of services.
+        missing: the others, with the reason for each.
+        sent: requests that went to leafs.
+        repeats: those among them that were not the first to their service.
+    """
+
+    replies: tuple[tuple[str, Replied], ...]
+    asked: int
+    missing: tuple[tuple[str, Reason], ...]
+    sent: int
+    repeats: int
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedFailure:
+    """Too few services replied.
+
+    Args:
+        verdict: whether the request may have run, and why there is no answer.
+        reply: of a leaf that answered with a failure, to pass on; None without one.
+        sent: requests that went to leafs.
+        missing: services without a reply, with the reason for each.
+    """
+
+    verdict: NotRun | MayHaveRun
+    reply: Replied | None = None
+    sent: int = 0
+    missing: tuple[tuple[str, Reason], ...] = ()
--- /dev/null
+++ b/walkcart/fanout/routedverdict.py
@@ -0,0 +1,81 @@
+"""What a routed question comes to: an answer, or a failure that tells the truth."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from returns.result import Failure, Result, Success
+
+from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure, RoutedQuestion
+from walkcart.fanout.servicetry import ServiceTry
+from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
+
+#: When to come back after nothing could be run, in the absence of a leaf's word.
+COME_BACK = timedelta(seconds=0.5)
+
+
+def covers(question: RoutedQuestion, count: int) -> bool:
+    """Return whether replies of `count` services are enough for an answer."""
+    needed = question.least_coverage * len(question.services)
+    return count > 0 and count >= needed - 1e-9
+
+
+def judge(
+    question: RoutedQuestion,
+    tries: tuple[ServiceTry, ...],
+    now: float,
+    sent: int,
+    repeats: int,
+) -> Result[RoutedAnswer, RoutedFailure]:
+    """Return the answer if it covers enough, else why there is none.
+
+    Args:
+        question: what was asked.
+        tries: how it went at each service.
+        now: the present, in seconds.
+        sent: requests that went to leafs.
+        repeats: those that were not the first to their service.
+    """
+    replies = tuple(
+        (item.service, item.reply) for item in tries if item.reply is not None
+    )
+    if not covers(question, len(replies)):
+        return Failure(make_failure(tries, now >= question.deadline, sent))
+    return Success(RoutedAnswer(replies, len(tries), _missing(tries), sent, repeats))
+
+
+def make_failure(
+    tries: tuple[ServiceTry, ...], late: bool, sent: int = 0
+) -> RoutedFailure:
+    """Return the failure of a question; "not run" only when nothing may have run.
+
+    Args:
+        tries: how it went at each service.
+        late: whether its deadline has passed.
+        sent: requests that went to leafs.
+    """
+    missing = _missing(tries)
+    replied = len(tries) - len(missing)
+    reasons = ", ".join(sorted({reason.value for _, reason in missing}))
+    detail = f"{replied} of {len(tries)} services replied; missing: {reasons}"
+    failure = next((item.failure for item in tries if item.failure), None)
+    if any(item.may_run for item in tries):
+        reason = Reason.DEADLINE if late else Reason.LEAF_FAILED
+        return RoutedFailure(MayHaveRun(reason, detail), failure, sent, missing)
+    reason = missing[0][1] if missing else Reason.COVERAGE
+    verdict = NotRun(reason, detail, _find_retry_time(tries))
+    return RoutedFailure(verdict, failure, sent, missing)
+
+
+def _missing(tries: tuple[ServiceTry, ...]) -> tuple[tuple[str, Reason], ...]:
+    return tuple((item.service, item.reason) for item in tries if item.reply is None)
+
+
+def _find_retry_time(tries: tuple[ServiceTry, ...]) -> timedelta:
+    """Return when to come back: the longest time that a leaf asked for."""
+    asked = [
+        item.refusal.retry_after
+        for item in tries
+        if item.refusal is not None and item.refusal.retry_after is not None
+    ]
+    return max(asked, default=COME_BACK)
--- /dev/null
+++ b/walkcart/fanout/servicetry.py
@@ -0,0 +1,60 @@
+"""How far one routed question has come at one service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from walkcart.leaves.attempts import Replied
+from walkcart.leaves.leaf import Leaf
+from walkcart.wire.verdicts import NotRun, Reason
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """An attempt under way."""
+
+    leaf: Leaf
+    at: float
+
+
+@dataclass(slots=True)
+class ServiceTry:
+    """One service of one question.
+
+    Args:
+        service: its name.
+        reply: accepted.
+        failure: last reply that told of a failure.
+        under_way: attempts by id.
+        tried: ids of leafs that got it, in order.
+        arrived: attempts that may have reached a leaf.
+        ran: attempts that may have run.
+        next_at: when the next attempt is due; None when none is.
+        given_up: whether no further attempt will be made.
+        reason: why there is no reply yet.
+        refusal: the last word that an attempt did not run.
+    """
+
+    service: str
+    reply: Replied | None = None
+    failure: Replied | None = None
+    under_way: dict[str, Sent] = field(default_factory=dict)
+    tried: list[str] = field(default_factory=list)
+    arrived: int = 0
+    ran: int = 0
+    next_at: float | None = None
+    given_up: bool = False
+    reason: Reason = Reason.DEADLINE
+    refusal: NotRun | None = None
+
+    @property
+    def open(self) -> bool:
+        """Whether a reply may still come."""
+        if self.reply is not None:
+            return False
+        return bool(self.under_way) or self.next_at is not None
+
+    @property
+    def may_run(self) -> int:
+        """Attempts that ran, may have run, or may run yet."""
+        return self.ran + len(self.under_way)
--- a/walkcart/intent/__init__.py
+++ b/walkcart/intent/__init__.py
@@ -1,28 +1,27 @@
 """The operators' intent: objects, selectors, validation, acceptance, propagation."""
 
-from walkcart.intent.applying import Applier, Proposal
-from walkcart.intent.diffing import diff_configurations, merge_configurations
-from walkcart.intent.distribution import ConfigurationKeeper
-from walkcart.intent.document import Document, read_document
-from walkcart.intent.loading import load_toml
-from walkcart.intent.model import Configuration
-from walkcart.intent.policy import Policy, resolve_policy
-from walkcart.intent.selectors import Selector, parse_selector
-from walkcart.intent.validation import validate_configuration
+from walkcart.lazyimport import attach_names
 
-__all__ = [
-    "Applier",
-    "Configuration",
-    "ConfigurationKeeper",
-    "Document",
-    "Policy",
-    "Proposal",
-    "Selector",
-    "diff_configurations",
-    "load_toml",
-    "merge_configurations",
-    "parse_selector",
-    "read_document",
-    "resolve_policy",
-    "validate_configuration",
-]
+_MODULES = {
+    "Applier": "applying",
+    "Configuration": "model",
+    "ConfigurationKeeper": "distribution",
+    "Document": "document",
+    "Policy": "policy",
+    "Proposal": "applying",
+    "RouteKeeper": "routekeeper",
+    "RouteTable": "routes",
+    "RoutingDocument": "routes",
+    "Selector": "selectors",
+    "diff_configurations": "diffing",
+    "load_toml": "loading",
+    "merge_configurations": "diffing",
+    "parse_selector": "selectors",
+    "read_document": "document",
+    "resolve_policy": "policy",
+    "validate_configuration": "validation",
+}
+
+__all__ = sorted(_MODULES)
+
+__getattr__ = attach_names(__name__, _MODULES)
--- a/walkcart/intent/distribution.py
+++ b/walkcart/intent/distribution.py
@@ -33,7 +33,8 @@
 from walkcart.membership.view import MembershipView, MemberState
 from walkcart.routing.shares import rank_rendezvous
 from walkcart.store.backoff import Backoff
-from walkcart.store.client import StoreClient, StoreUnavailable
+from walkcart.store.calls import StoreUnavailable
+from walkcart.store.client import StoreClient
 from walkcart.wire.messages import (
     ConfigurationPull,
     ConfigurationPush,
--- /dev/null
+++ b/walkcart/intent/routekeeper.py
@@ -0,0 +1,75 @@
+"""The routing document in force at this instance.
+
+It is replaced only by one of a higher version, whoever brings it, so that what was
+in force never comes back.
+
+See Also:
+    `walkcart.store.following.PrefixFollower`, which brings stored documents.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from walkcart.intent.routes import RouteTable, RoutingDocument
+from walkcart.kernel.clock import Clock
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
+
+#: Told the new table; must not wait.
+RouteListener = Callable[[RouteTable], None]
+
+
+class RouteKeeper:
+    """Holds the routing document in force.
+
+    Args:
+        clock: source of time.
+        events: where changes are logged.
+    """
+
+    def __init__(self, clock: Clock, events: EventLog) -> None:
+        self._clock = clock
+        self._events = events
+        self._listeners: list[RouteListener] = []
+        self.table = RouteTable(RoutingDocument(0))
+        self.applied_at = clock.monotonic()
+
+    @property
+    def known(self) -> bool:
+        """Whether any document is in force."""
+        return self.table.document.version > 0
+
+    def on_change(self, listener: RouteListener) -> None:
+        """Call `listener` with each new table."""
+        self._listeners.append(listener)
+
+    def apply(self, document: RoutingDocument, source: str) -> bool:
+        """Put `document` in force if it is newer; return whether it was.
+
+        Args:
+            document: a routing document.
+            source: who brought it, for the log.
+        """
+        held = self.table.document.version
+        if document.version <= held:
+            self._events.emit(
+                Events.ROUTES_IGNORED,
+                version=document.version,
+                held=held,
+                source=source,
+            )
+            return False
+        self.table = RouteTable(document)
+        self.applied_at = self._clock.monotonic()
+        self._events.emit(
+            Events.ROUTES_IN_FORCE,
+            version=document.version,
+            replaced=held,
+            routes=len(document.routes),
+            services=len(document.services),
+            source=source,
+        )
+        for listener in self._listeners:
+            listener(self.table)
+        return True
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -58,6 +58,10 @@
         203, "request_failed", "A fault of walkcart's own; the caller got a 500."
     )
     CALLER_GONE = _info(204, "caller_gone", "The caller closed or hung half-way.")
+    REQUEST_DONE = _info(205, "request_done", "A routed request got its answer.")
+    REQUEST_UNSERVED = _info(
+        206, "request_unserved", "A routed request got no leaf's answer; says why."
+    )
     LEAF_BAD_REPLY = _warn(301, "leaf_bad_reply", "Not HTTP, cut short or too long.")
     LEAF_WRONG_ATTEMPT = _warn(
         302, "leaf_wrong_attempt", "The reply's attempt id or scope isn't ours."
@@ -67,6 +71,11 @@
     LEAF_RETURNED = _info(305, "leaf_returned", "An ejected leaf answered again.")
     LEAF_LEAVING = _info(306, "leaf_leaving", "Marked as leaving; no new work.")
     LEAF_RESTARTED = _info(307, "leaf_restarted", "A newer incarnation is live.")
+    LEAF_ADDED = _info(308, "leaf_added", "An entry of a leaf is known.")
+    LEAF_REMOVED = _info(309, "leaf_removed", "A leaf's entry is gone; no new work.")
+    LEAF_HELD = _info(
+        310, "leaf_held", "Its entry lapsed with the store away; kept for a while."
+    )
     MEMBER_SUSPECTED = _info(401, "member_suspected", "A peer misses heartbeats.")
     MEMBER_DEAD = _warn(402, "member_dead", "A suspected peer didn't answer in time.")
     MEMBER_JOINED = _info(403, "member_joined", "A peer is live.")
@@ -80,6 +89,22 @@
     STORE_BACK = _info(505, "store_back", "The store answers again.")
     STORE_BAD_REPLY = _warn(506, "store_bad_reply", "Garbage, or a wrong revision.")
     CONTROL_CUT = _warn(507, "control_cut", "Neither store nor peers are reached.")
+    STORE_HISTORY_LOST = _info(
+        508, "store_history_lost", "Changes were forgotten; all is read anew."
+    )
+    ROUTES_IN_FORCE = _info(509, "routes_in_force", "A routing document is applied.")
+    ROUTES_IGNORED = _info(510, "routes_ignored", "Not newer than what is in force.")
+    ROUTES_BAD = _error(511, "routes_bad", "A routing document can't be read.")
+    LEAF_ENTRY_BAD = _error(512, "leaf_entry_bad", "A leaf's entry can't be read.")
+    REGISTERED = _info(513, "registered", "This instance's leased key is stored.")
+    REGISTRATION_LOST = _warn(
+        514, "registration_lost", "The lease or its key is gone; stored again."
+    )
+    INSTANCES_CHANGED = _info(
+        515, "instances_changed", "Other instances came or went; shares change."
+    )
+    SETTINGS_RELOADED = _info(516, "settings_reloaded", "The settings were read anew.")
+    SETTINGS_BAD = _error(517, "settings_bad", "Changed settings can't be taken.")
     CLAIM_UNSETTLED = _warn(601, "claim_unsettled", "A bucket's write is uncertain.")
     CLAIM_WITHDRAWN = _info(602, "claim_withdrawn", "Given up; nothing was sent.")
     BUCKET_BAD = _error(603, "bucket_bad", "A claims bucket can't be read; refused.")
--- a/walkcart/kernel/metrics.py
+++ b/walkcart/kernel/metrics.py
@@ -32,6 +32,7 @@
     "leaf.hedged": Metric("counter", "requests", "Hedges among them."),
     "leaf.retried": Metric("counter", "requests", "Retries among them."),
     "leaf.failed": Metric("counter", "requests", "Attempts without a usable reply."),
+    "leaf.repeat_denied": Metric("counter", "requests", "Repeats past the budget."),
     "leaf.late": Metric("counter", "replies", "Replies that nobody waited for."),
     "leaf.connections": Metric("gauge", "connections", "Open to leaves."),
     "peer.sent": Metric("counter", "messages", "Messages to peers."),
--- a/walkcart/kernel/spans.py
+++ b/walkcart/kernel/spans.py
@@ -6,56 +6,15 @@
 
 from __future__ import annotations
 
-import json
-import sys
-from collections.abc import Sequence
 from contextlib import AbstractContextManager, nullcontext
-from typing import TextIO
-
-from opentelemetry.context import Context
-from opentelemetry.sdk.resources import Resource
-from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
-from opentelemetry.sdk.trace.export import (
-    SimpleSpanProcessor,
-    SpanExporter,
-    SpanExportResult,
-)
-from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
-from opentelemetry.trace import Span, SpanKind, set_span_in_context
-from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
-
-__all__ = ["Span", "Tracer"]
+from typing import TYPE_CHECKING
 
-OUTPUT_NONE = "none"
-OUTPUT_STDERR = "stderr"
-
-
-class JsonLinesExporter(SpanExporter):
-    """Writes each ended span as one JSON line."""
-
-    def __init__(self, stream: TextIO) -> None:
-        self._stream = stream
-
-    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
-        """Write `spans`."""
-        for span in spans:
-            self._stream.write(json.dumps(_describe(span)) + "\n")
-        self._stream.flush()
-        return SpanExportResult.SUCCESS
+if TYPE_CHECKING:
+    from opentelemetry.trace import Span
 
+__all__ = ["Tracer"]
 
-def _describe(span: ReadableSpan) -> dict[str, object]:
-    parent = f"{span.parent.span_id:016x}" if span.parent else None
-    return {
-        "trace_id": f"{span.context.trace_id:032x}",
-        "span_id": f"{span.context.span_id:016x}",
-        "parent_id": parent,
-        "name": span.name,
-        "start_ns": span.start_time,
-        "end_ns": span.end_time,
-        "instance": span.resource.attributes.get("service.instance.id"),
-        "attributes": dict(span.attributes or {}),
-    }
+OUTPUT_NONE = "none"
 
 
 class Tracer:
@@ -68,17 +27,13 @@
     """
 
     def __init__(self, instance: str, output: str, ratio: float) -> None:
-        self._propagator = TraceContextTextMapPropagator()
-        self._tracer = None
+        self._spans = None
         if output == OUTPUT_NONE:
             return
-        provider = TracerProvider(
-            sampler=ParentBased(TraceIdRatioBased(ratio)),
-            resource=Resource({"service.instance.id": instance}),
-        )
-        stream = sys.stderr if output == OUTPUT_STDERR else _open_file(output)
-        provider.add_span_processor(SimpleSpanProcessor(JsonLinesExporter(stream)))
-        self._tracer = provider.get_tracer("walkcart")
+        # OpenTelemetry takes memory and time to load: only where it is used.
+        from walkcart.kernel.spanexport import SpanStarter
+
+        self._spans = SpanStarter(instance, output, ratio)
 
     def start(self, name: str, parent: str | None, **attributes: object) -> Span | None:
         """Start a span below the ``traceparent`` in `parent`.
@@ -86,33 +41,21 @@
         Returns:
             The span, or None when tracing is off.
         """
-        if self._tracer is None:
+        if self._spans is None:
             return None
-        carrier = {"traceparent": parent} if parent else {}
-        context = self._propagator.extract(carrier)
-        return self._tracer.start_span(
-            name, context=context, kind=SpanKind.INTERNAL, attributes=attributes
-        )
+        return self._spans.start(name, parent, attributes)
 
     def inject(self, span: Span | None, parent: str | None) -> str | None:
         """Return the ``traceparent`` that the next hop gets."""
-        if span is None:
+        if span is None or self._spans is None:
             return parent
-        carrier: dict[str, str] = {}
-        context: Context = set_span_in_context(span)
-        self._propagator.inject(carrier, context=context)
-        return carrier.get("traceparent", parent)
+        return self._spans.inject(span, parent)
 
     def hold(self, span: Span | None) -> AbstractContextManager[object]:
         """Return a context manager that ends `span` when left."""
         return nullcontext() if span is None else _Ending(span)
 
 
-def _open_file(path: str) -> TextIO:
-    """Open the spans' file for as long as the process lives."""
-    return open(path, "a", encoding="utf-8")
-
-
 class _Ending:
     """Ends a span on leaving."""
 
--- a/walkcart/leaves/__init__.py
+++ b/walkcart/leaves/__init__.py
@@ -1,22 +1,25 @@
 """Leaves: what is known of them, connections to them, requests through holders."""
 
-from walkcart.leaves.attempts import Attempt, Failed, Outcome, Refused, Replied
-from walkcart.leaves.forwarding import Forwarder
-from walkcart.leaves.gateway import LeafGateway
-from walkcart.leaves.leaf import Leaf, Snapshot
-from walkcart.leaves.table import LeafTable, ResolvedGroup, ResolvedLayout
+from walkcart.lazyimport import attach_names
 
-__all__ = [
-    "Attempt",
-    "Failed",
-    "Forwarder",
-    "Leaf",
-    "LeafGateway",
-    "LeafTable",
-    "Outcome",
-    "Refused",
-    "Replied",
-    "ResolvedGroup",
-    "ResolvedLayout",
-    "Snapshot",
-]
+_MODULES = {
+    "Attempt": "attempts",
+    "Failed": "attempts",
+    "Forwarder": "forwarding",
+    "Leaf": "leaf",
+    "LeafDirectory": "directory",
+    "LeafEntry": "directory",
+    "LeafGateway": "gateway",
+    "LeafPool": "pool",
+    "LeafTable": "table",
+    "Outcome": "attempts",
+    "Refused": "attempts",
+    "Replied": "attempts",
+    "ResolvedGroup": "table",
+    "ResolvedLayout": "table",
+    "Snapshot": "leaf",
+}
+
+__all__ = sorted(_MODULES)
+
+__getattr__ = attach_names(__name__, _MODULES)
--- a/walkcart/leaves/attempts.py
+++ b/walkcart/leaves/attempts.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from walkcart.leaves.leaf import Snapshot
+from walkcart.leaves.leaf import UNPINNED, Snapshot
+from walkcart.wire.http import Headers, HttpRequest
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
 
@@ -17,30 +18,41 @@
     Args:
         id: unique; the leaf echoes it.
         shard: number of the shard.
+        deadline: on the kernel's monotonic clock, in seconds.
         pin: snapshot that the reply must be of; version 0 leaves it open.
         scope: partner scope that the leaf is told and echoes.
-        deadline: on the kernel's monotonic clock, in seconds.
         body: of the request.
         once_key: idempotency key of a non-repeatable request, else empty.
         expires: for a non-repeatable request, the time of day, in seconds since
             1970, after which the leaf must not begin it.
         traceparent: of the trace.
+        routed: the caller's request, which the leaf gets as it came; None for a
+            question of the product's own interface.
+        leaf_id: life of the leaf that it is meant for; empty where leaves don't
+            name theirs.
+        idempotent: whether a second run of the routed request does no harm.
+        whole_part: whether a reply other than a success is of no use, as it is to
+            a question over many shards.
     """
 
     id: str
     shard: int
-    pin: Snapshot
-    scope: str
     deadline: float
-    body: bytes
+    pin: Snapshot = UNPINNED
+    scope: str = ""
+    body: bytes = b""
     once_key: str = ""
     expires: float = 0.0
     traceparent: str | None = None
+    routed: HttpRequest | None = None
+    leaf_id: str = ""
+    idempotent: bool = True
+    whole_part: bool = False
 
     @property
     def repeatable(self) -> bool:
         """Whether a second run does no harm."""
-        return not self.once_key
+        return self.idempotent and not self.once_key
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +65,7 @@
         status: HTTP status of the leaf.
         body: of the reply.
         elapsed: seconds from the send to the last byte.
+        headers: of the reply; kept for routed requests only.
     """
 
     snapshot: Snapshot
@@ -60,6 +73,7 @@
     status: int
     body: bytes
     elapsed: float
+    headers: Headers = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkcart/leaves/leaf.py
+++ b/walkcart/leaves/leaf.py
@@ -29,6 +29,8 @@
 
 
 ANY_VERSION = 0
+#: The snapshot of a request that leaves it to the leaf.
+UNPINNED = Snapshot(0, ANY_VERSION)
 
 
 class BadSnapshot(ValueError):
@@ -55,9 +57,13 @@
         address: ``IP:port``.
         labels: as the instance list gives them.
         slots: requests that it runs at once.
+        id: of its process life, where leafs name theirs.
     """
 
-    def __init__(self, address: str, labels: dict[str, str], slots: int) -> None:
+    def __init__(
+        self, address: str, labels: dict[str, str], slots: int, id: str = ""
+    ) -> None:
+        self.id = id
         self.address = address
         self.labels = labels
         self.slots = slots
@@ -67,6 +73,11 @@
         self.ejection = Ejection()
         self.held: frozenset[int] | None = None
         self.first_used: float | None = None
+        #: Until when it is slow after its start, as it said itself.
+        self.cold_until = 0.0
+        #: When the oldest requests under way there were sent, by attempt.
+        self.under_way: dict[str, float] = {}
+        self.replied_at = 0.0
         self._stated = 0.0
         self._stated_at = 0.0
 
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -2,15 +2,16 @@
 
 Attempts wait in one queue and each connection's task carries one at a time, so
 a waiting attempt costs the leaf nothing and can be cancelled for nothing. A
-running one that nobody waits for is cancelled over another connection if one is
-idle; its own connection is drained and kept, since a new one costs time.
+running one that nobody waits for is cancelled: over another connection if one is
+idle, where the leaves' protocol has a request for that, and its own connection is
+drained and kept, since a new one costs time; else by closing its connection.
 """
 
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 import trio
@@ -24,16 +25,16 @@
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome
 from walkcart.leaves.leaf import Leaf
 from walkcart.leaves.protocol import (
-    CANCEL_TARGET,
     REPLY_LIMIT,
-    STATUS_TARGET,
+    LeafProtocol,
     LeafStatus,
-    encode_attempt,
-    is_ours,
-    read_outcome,
-    read_status,
+    QuestionProtocol,
+)
+from walkcart.wire.http import (
+    ExchangeFailed,
+    HttpConnection,
+    HttpReply,
 )
-from walkcart.wire.http import ExchangeFailed, HttpConnection, HttpRequest
 from walkcart.wire.network import Network
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
@@ -57,6 +58,7 @@
     deliver: Deliver | None
     cancel_id: str = ""
     abandoned: bool = False
+    scope: trio.CancelScope | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +71,7 @@
     metrics: Metrics
     tracer: Tracer
     on_status: Callable[[Leaf, LeafStatus], None]
+    protocol: LeafProtocol = field(default_factory=QuestionProtocol)
 
 
 class LeafLink:
@@ -95,6 +98,8 @@
         self._closed = False
         self._backoff = FIRST_BACKOFF
         self._connect_after = float("-inf")
+        #: Seconds that the leaf keeps an idle connection, as it said last.
+        self._idle_time = IDLE_TIME.total_seconds()
 
     @property
     def connections(self) -> int:
@@ -118,8 +123,13 @@
                 self._end(pending, Failed(NotRun(Reason.CANCELLED)))
                 return
         pending = self._running.get(attempt_id)
-        if pending is not None and not pending.abandoned:
-            pending.abandoned = True
+        if pending is None or pending.abandoned:
+            return
+        pending.abandoned = True
+        if self._tools.protocol.make_cancel_request(attempt_id) is None:
+            if pending.scope is not None:
+                pending.scope.cancel()
+        else:
             # Worth a new connection: until then a slot of the leaf is lost.
             if len(self._idle) or self._connections < self._share:
                 self._queue.appendleft(_Pending(None, None, cancel_id=attempt_id))
@@ -218,9 +228,18 @@
             return None
 
     async def _check(self, connection: HttpConnection) -> None:
-        """Exchange a status, which shows that the leaf serves this connection."""
-        reply = await connection.exchange(HttpRequest("GET", STATUS_TARGET))
-        self._tools.on_status(self._leaf, read_status(dict(reply.headers)))
+        """Exchange a status, which shows that the leaf serves this connection.
+
+        Where leaves aren't asked for it, what waits to be read must do.
+        """
+        protocol = self._tools.protocol
+        request = protocol.make_status_request()
+        if request is None:
+            if not connection.is_quiet():
+                raise OSError("the leaf closed the connection")
+            return
+        reply = await connection.exchange(request)
+        self._tools.on_status(self._leaf, protocol.read_status(dict(reply.headers)))
         if not connection.renew():
             raise OSError("the leaf closes the connection")
 
@@ -241,10 +260,12 @@
                 return None
             if self._queue:
                 return self._queue.popleft()
-            with trio.move_on_after(IDLE_TIME.total_seconds()) as scope:
+            with trio.move_on_after(self._idle_time) as scope:
                 await self._idle.park()
-            if scope.cancelled_caught and not self._queue and self._connections > 1:
-                return None
+            if scope.cancelled_caught and not self._queue:
+                told = self._idle_time < IDLE_TIME.total_seconds()
+                if told or self._connections > 1:
+                    return None
 
     async def _carry(
         self, connection: HttpConnection, pending: _Pending, last_used: float
@@ -260,7 +281,10 @@
             self._end(pending, Failed(NotRun(Reason.DEADLINE, "it waited too long")))
             return True
         stale = now - last_used > FRESH_TIME.total_seconds()
-        if not attempt.repeatable and stale and not await self._is_fresh(connection):
+        usable = connection.is_quiet() and now - last_used < self._idle_time
+        if usable and not attempt.repeatable and stale:
+            usable = await self._is_fresh(connection)
+        if not usable:
             # Nothing of the attempt was sent: it goes on over another one.
             self._queue.appendleft(pending)
             return False
@@ -308,26 +332,47 @@
             shard=attempt.shard,
         )
         with tools.tracer.hold(span):
-            with trio.move_on_after(remaining + DRAIN_TIME.total_seconds()):
+            limit = remaining + DRAIN_TIME.total_seconds()
+            with trio.move_on_after(limit) as self._running[attempt.id].scope:
                 tools.metrics.count("leaf.sent")
                 try:
-                    request = encode_attempt(attempt, remaining)
-                    reply = await connection.exchange(request)
+                    reply = await self._send_and_read(connection, attempt, remaining)
                 except ExchangeFailed as error:
                     return False, self._read_failure(error)
                 elapsed = tools.clock.monotonic() - start
                 found = dict(reply.headers)
-                if not is_ours(attempt, found):
+                if not tools.protocol.is_ours(attempt, found):
                     tools.events.emit(
                         Events.LEAF_WRONG_ATTEMPT, leaf=self._leaf.address
                     )
                     detail = "the reply isn't this attempt's"
                     return False, Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
-                tools.on_status(self._leaf, read_status(found))
-                outcome = read_outcome(attempt, reply, found, elapsed)
+                self._note_reply(found)
+                outcome = tools.protocol.read_outcome(attempt, reply, found, elapsed)
                 return connection.renew(), outcome
+        if self._running[attempt.id].abandoned:
+            return False, Failed(MayHaveRun(Reason.CANCELLED))
         return False, timed_out
 
+    async def _send_and_read(
+        self, connection: HttpConnection, attempt: Attempt, remaining: float
+    ) -> HttpReply:
+        protocol = self._tools.protocol
+        request = protocol.encode(attempt, remaining)
+        if not protocol.reads_over_strays:
+            return await connection.exchange(request)
+        return await connection.exchange(
+            request, lambda reply: protocol.is_ours(attempt, dict(reply.headers))
+        )
+
+    def _note_reply(self, found: Mapping[bytes, bytes]) -> None:
+        """Take in what the leaf says on a reply beside the reply itself."""
+        protocol = self._tools.protocol
+        self._tools.on_status(self._leaf, protocol.read_status(found))
+        idle_time = protocol.read_idle_time(found)
+        if idle_time is not None:
+            self._idle_time = min(idle_time, IDLE_TIME.total_seconds())
+
     def _read_failure(self, error: ExchangeFailed) -> Failed:
         self._tools.events.emit(
             Events.LEAF_BAD_REPLY, leaf=self._leaf.address, detail=str(error)
@@ -339,7 +384,8 @@
     async def _send_cancel(self, connection: HttpConnection, attempt_id: str) -> bool:
         if attempt_id not in self._running:
             return True
-        request = HttpRequest("DELETE", CANCEL_TARGET + attempt_id)
+        request = self._tools.protocol.make_cancel_request(attempt_id)
+        assert request is not None
         with trio.move_on_after(CONNECT_TIME.total_seconds()):
             try:
                 await connection.exchange(request)
--- /dev/null
+++ b/walkcart/leaves/pool.py
@@ -0,0 +1,218 @@
+"""The way of routed requests to leafs: links, shares of connections, accounts.
+
+Each instance holds its share of each leaf's connections, by the number of instances.
+The accounts of the leafs (load, slowness, silence, failures) are kept here, since
+every routed attempt passes.
+
+See Also:
+    `walkcart.leaves.gateway.LeafGateway`, the same for the product's own questions.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import trio
+
+from walkcart.intent.routekeeper import RouteKeeper
+from walkcart.kernel.events import Events
+from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused, Replied
+from walkcart.leaves.directory import LeafDirectory
+from walkcart.leaves.leaf import Leaf
+from walkcart.leaves.link import LeafLink, LinkTools
+from walkcart.leaves.protocol import LeafStatus
+from walkcart.routing.ejection import may_eject
+from walkcart.routing.hedging import HedgeDelay
+from walkcart.routing.placement import Standing, choose_leaf
+from walkcart.routing.shares import ConnectionShares
+from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
+
+#: Connections to a leaf whose service the routing document doesn't describe.
+UNKNOWN_CONNECTIONS = 8
+#: Seconds between two looks at links that nobody needs any longer.
+TIDY_INTERVAL = 1.0
+#: A leaf is stalled when nothing came for this many usual times, and at least
+#: `LEAST_STALL` seconds, while a request waits there.
+STALL_FACTOR = 3.0
+LEAST_STALL = 0.03
+
+
+@dataclass(frozen=True, slots=True)
+class PoolTools:
+    """What the pool works with.
+
+    Args:
+        directory: the leafs.
+        keeper: the routing document, for the services' connections.
+        link: what every link uses.
+        instances: returns the number of instances that share connections.
+        region: of this instance.
+        random: breaks ties.
+    """
+
+    directory: LeafDirectory
+    keeper: RouteKeeper
+    link: LinkTools
+    instances: Callable[[], int]
+    region: str
+    random: Random
+
+
+class LeafPool:
+    """Sends routed attempts to leafs and keeps their accounts."""
+
+    def __init__(self, tools: PoolTools) -> None:
+        self._tools = tools
+        self._links: dict[str, LeafLink] = {}
+        self._delays: dict[str, HedgeDelay] = {}
+        self._nursery: trio.Nursery | None = None
+
+    def times_of(self, kind: str) -> HedgeDelay:
+        """Return the learned times of one kind of request at leafs."""
+        if kind not in self._delays:
+            self._delays[kind] = HedgeDelay()
+        return self._delays[kind]
+
+    def leaves_of(self, service: str) -> tuple[Leaf, ...]:
+        """Return the leafs of a service that may get new work."""
+        return self._tools.directory.leaves_of(service)
+
+    def choose(
+        self, service: str, kind: str, without: frozenset[str], now: float
+    ) -> Leaf | None:
+        """Return the leaf for the next request, or None when none may get it.
+
+        Args:
+            service: whose leafs.
+            kind: of the request, for its usual time.
+            without: ids of leafs that it must not go to.
+            now: the present, in seconds.
+        """
+        leaves = [leaf for leaf in self.leaves_of(service) if leaf.id not in without]
+        if len(leaves) <= 1:
+            return leaves[0] if leaves else None
+        usual = self.times_of(kind).median(now)
+        standings = [self._describe(leaf, usual, now) for leaf in leaves]
+        chosen = choose_leaf(standings, usual, self._tools.random)
+        return next(leaf for leaf in leaves if chosen and leaf.id == chosen.key)
+
+    def submit(self, leaf: Leaf, attempt: Attempt, kind: str, deliver: Deliver) -> None:
+        """Send `attempt` to `leaf`; `deliver` is told once how it ended."""
+        leaf.outstanding += 1
+        leaf.under_way[attempt.id] = self._tools.link.clock.monotonic()
+
+        def account(attempt: Attempt, outcome: Outcome) -> None:
+            leaf.outstanding -= 1
+            leaf.under_way.pop(attempt.id, None)
+            self._account(leaf, attempt, kind, outcome)
+            deliver(attempt, outcome)
+
+        link = self._find_link(leaf)
+        if link is None:
+            account(attempt, Failed(NotRun(Reason.STOPPING, "the pool has stopped")))
+            return
+        link.submit(attempt, account)
+
+    def cancel(self, leaf: Leaf, attempt_id: str, kind: str, waited: float) -> None:
+        """Nobody waits for this attempt any longer; it had `waited` seconds."""
+        now = self._tools.link.clock.monotonic()
+        usual = self.times_of(kind).median(now)
+        leaf.latency.observe_at_least(now, waited / usual)
+        link = self._links.get(leaf.id)
+        if link is not None:
+            link.cancel(attempt_id)
+
+    def note_status(self, leaf: Leaf, status: LeafStatus) -> None:
+        """Take in what a leaf said about itself."""
+        if status.load is not None:
+            leaf.note_stated(self._tools.link.clock.monotonic(), status.load)
+
+    async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
+        """Carry attempts until cancelled."""
+        async with trio.open_nursery() as self._nursery:
+            task_status.started()
+            while True:
+                await trio.sleep(TIDY_INTERVAL)
+                self._tidy()
+
+    def _find_link(self, leaf: Leaf) -> LeafLink | None:
+        link = self._links.get(leaf.id)
+        if link is None and self._nursery is not None:
+            share = self._share_of(leaf)
+            link = LeafLink(leaf, share, self._tools.link, self._nursery)
+            self._links[leaf.id] = link
+        return link
+
+    def _share_of(self, leaf: Leaf) -> int:
+        """Return how many connections this instance may have to a leaf."""
+        spec = self._tools.keeper.table.services.get(leaf.labels["service"])
+        cap = spec.most_connections if spec else UNKNOWN_CONNECTIONS
+        return ConnectionShares(cap).share_of(self._tools.instances())
+
+    def _tidy(self) -> None:
+        """Close links to leafs that are gone, and keep the shares."""
+        for id in list(self._links):
+            leaf = self._tools.directory.find(id)
+            if leaf is None:
+                # What is in progress there still ends.
+                self._links.pop(id).close()
+            else:
+                self._links[id].set_share(self._share_of(leaf))
+        total = sum(link.connections for link in self._links.values())
+        self._tools.link.metrics.gauge("leaf.connections", total)
+
+    def _describe(self, leaf: Leaf, usual: float, now: float) -> Standing:
+        return Standing(
+            key=leaf.id,
+            load=leaf.outstanding + leaf.stated_load(now),
+            slots=leaf.slots,
+            slowness=leaf.latency.estimate(now, 1.0),
+            far=leaf.region != self._tools.region,
+            cold=now < leaf.cold_until,
+            stalled=is_stalled(leaf, usual, now),
+            ejected=leaf.ejection.is_ejected(now),
+        )
+
+    def _account(
+        self, leaf: Leaf, attempt: Attempt, kind: str, outcome: Outcome
+    ) -> None:
+        now = self._tools.link.clock.monotonic()
+        match outcome:
+            case Replied(status=status, elapsed=elapsed) if status < 500:
+                self._note_reply(leaf, kind, now, elapsed)
+            case Refused(reason=Reason.LEAF_REPLACED):
+                self._tools.directory.forget(leaf.id)
+            case Refused():
+                leaf.replied_at = now
+            case Failed(NotRun(Reason.CANCELLED | Reason.DEADLINE)):
+                pass
+            case Failed(MayHaveRun(Reason.CANCELLED)):
+                pass
+            case _:
+                self._note_failure(leaf, now)
+
+    def _note_reply(self, leaf: Leaf, kind: str, now: float, elapsed: float) -> None:
+        times = self.times_of(kind)
+        times.observe(now, elapsed)
+        leaf.latency.observe(now, elapsed / times.median(now))
+        leaf.replied_at = now
+        if leaf.ejection.note_success():
+            self._tools.link.events.emit(Events.LEAF_RETURNED, leaf=leaf.id)
+
+    def _note_failure(self, leaf: Leaf, now: float) -> None:
+        self._tools.link.metrics.count("leaf.failed")
+        leaves = self.leaves_of(leaf.labels["service"])
+        ejected = sum(1 for item in leaves if item.ejection.is_ejected(now))
+        if leaf.ejection.note_failure(now, may_eject(len(leaves), ejected)):
+            self._tools.link.events.emit(Events.LEAF_EJECTED, leaf=leaf.id)
+
+
+def is_stalled(leaf: Leaf, usual: float, now: float) -> bool:
+    """Return whether a leaf owes a reply for longer than it should."""
+    if not leaf.under_way:
+        return False
+    limit = max(STALL_FACTOR * usual, LEAST_STALL)
+    oldest = next(iter(leaf.under_way.values()))
+    return now - max(oldest, leaf.replied_at) > limit
--- a/walkcart/leaves/protocol.py
+++ b/walkcart/leaves/protocol.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import Protocol
 
 import msgspec
 
@@ -127,6 +128,83 @@
     )
 
 
+class LeafProtocol(Protocol):
+    """What a link has to know of the protocol that leaves speak.
+
+    Attributes:
+        reads_over_strays: whether a reply to an earlier request is read over; else
+            it ends the connection.
+    """
+
+    reads_over_strays: bool
+
+    def encode(self, attempt: Attempt, remaining: float) -> HttpRequest:
+        """Return the request of `attempt`, with `remaining` seconds to go."""
+        ...
+
+    def is_ours(self, attempt: Attempt, found: HeaderMap) -> bool:
+        """Return whether a reply with these headers answers `attempt`."""
+        ...
+
+    def read_status(self, found: HeaderMap) -> LeafStatus:
+        """Return what the leaf says about itself on a reply."""
+        ...
+
+    def read_outcome(
+        self, attempt: Attempt, reply: HttpReply, found: HeaderMap, elapsed: float
+    ) -> Outcome:
+        """Return what a reply that is ours means for `attempt`."""
+        ...
+
+    def read_idle_time(self, found: HeaderMap) -> float | None:
+        """Return the seconds for which the leaf keeps the connection, if it said."""
+        ...
+
+    def make_status_request(self) -> HttpRequest | None:
+        """Return what a new connection asks first; None when it asks nothing."""
+        ...
+
+    def make_cancel_request(self, attempt_id: str) -> HttpRequest | None:
+        """Return what cancels an attempt; None when closing its connection does."""
+        ...
+
+
+class QuestionProtocol:
+    """The protocol of the product's own leaves, as told above."""
+
+    reads_over_strays = False
+
+    def encode(self, attempt: Attempt, remaining: float) -> HttpRequest:
+        """Return the request of `attempt`, with `remaining` seconds to go."""
+        return encode_attempt(attempt, remaining)
+
+    def is_ours(self, attempt: Attempt, found: HeaderMap) -> bool:
+        """Return whether a reply with these headers answers `attempt`."""
+        return is_ours(attempt, found)
+
+    def read_status(self, found: HeaderMap) -> LeafStatus:
+        """Return what the leaf says about itself on a reply."""
+        return read_status(found)
+
+    def read_outcome(
+        self, attempt: Attempt, reply: HttpReply, found: HeaderMap, elapsed: float
+    ) -> Outcome:
+        """Return what a reply that is ours means for `attempt`."""
+        return read_outcome(attempt, reply, found, elapsed)
+
+    def read_idle_time(self, found: HeaderMap) -> float | None:
+        """Return None: these leaves keep connections until they leave."""
+        return None
+
+    def make_status_request(self) -> HttpRequest | None:
+        """Return the request for the leaf's status."""
+        return HttpRequest("GET", STATUS_TARGET)
+
+    def make_cancel_request(self, attempt_id: str) -> HttpRequest | None:
+        """Return the request that cancels an attempt over another connection."""
+        return HttpRequest("DELETE", CANCEL_TARGET + attempt_id)
+
+
 def is_ours(attempt: Attempt, found: HeaderMap) -> bool:
     """Return whether a reply echoes the attempt's id and scope."""
     if found.get(ATTEMPT) != attempt.id.encode():
--- a/walkcart/membership/__init__.py
+++ b/walkcart/membership/__init__.py
@@ -4,20 +4,20 @@
 equal. What must be exact goes through the store's compare-and-swap.
 """
 
-from walkcart.membership.detector import Detector
-from walkcart.membership.gossip import GossipQueue
-from walkcart.membership.links import PeerLinks
-from walkcart.membership.listing import InstanceList, ListedInstance
-from walkcart.membership.marks import LeafMarks
-from walkcart.membership.view import MembershipView, MemberState
+from walkcart.lazyimport import attach_names
 
-__all__ = [
-    "Detector",
-    "GossipQueue",
-    "InstanceList",
-    "LeafMarks",
-    "ListedInstance",
-    "MemberState",
-    "MembershipView",
-    "PeerLinks",
-]
+_MODULES = {
+    "Detector": "detector",
+    "GossipQueue": "gossip",
+    "InstanceList": "listing",
+    "LeafMarks": "marks",
+    "ListedInstance": "listing",
+    "MemberState": "view",
+    "MembershipView": "view",
+    "PeerLinks": "links",
+    "Registration": "registration",
+}
+
+__all__ = sorted(_MODULES)
+
+__getattr__ = attach_names(__name__, _MODULES)
--- /dev/null
+++ b/walkcart/membership/registration.py
@@ -0,0 +1,232 @@
+"""This instance's key in the shared store, and those of the others.
+
+Each instance stores a key that hangs on a lease of its own and renews the lease; the
+keys tell the instances of each other. The renewals are also what notices a store that
+went silent, since watches wait long.
+
+The number of instances that divide connections and budgets never shrinks at once: a
+key can vanish while its instance lives on.
+
+See Also:
+    `walkcart.store.items.SharedStore`.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+import msgspec
+import trio
+
+from walkcart.kernel.clock import Clock
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
+from walkcart.store.backoff import Backoff
+from walkcart.store.calls import StoreUnavailable
+from walkcart.store.items import (
+    Committed,
+    Item,
+    Lease,
+    LeaseOver,
+    Put,
+    SharedStore,
+    Transaction,
+)
+
+#: Start of the keys of instances.
+INSTANCE_PREFIX = "walkcart/instances/"
+#: Life of the lease: an instance that died is forgotten after this. Six renewals may
+#: fail before a living one loses its key.
+LEASE_TIME = timedelta(seconds=6)
+#: Between two renewals while there are few instances. A silent store is noticed after
+#: this and the time limit of a call.
+RENEW_INTERVAL = timedelta(seconds=1)
+#: Renewals a second of all instances together: past it each renews less often.
+FLEET_RENEWALS = 40.0
+#: Leases outlast this many renewals.
+RENEWALS_PER_LEASE = 6
+#: Between two readings of the others' keys, in renewals.
+READ_EVERY = 3
+#: How long an instance that vanished still counts: it may live on, cut off from the
+#: store, with its connections open and its repeats within the budgets' window.
+COUNT_MEMORY = timedelta(seconds=20)
+
+
+class InstanceRecord(msgspec.Struct, frozen=True):
+    """What an instance stores about itself.
+
+    Args:
+        name: of the instance.
+        started: names its process life.
+        data_centre: where it stands.
+        region: of that data centre.
+        peer_address: ``IP:port`` for other instances; empty when it takes no peers.
+    """
+
+    name: str
+    started: str
+    data_centre: str
+    region: str
+    peer_address: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Registered:
+    """A stored key and the lease that it hangs on."""
+
+    lease: Lease
+
+
+class Registration:
+    """Stores this instance's key and reads the others'.
+
+    Args:
+        store: the shared store.
+        own: what to store.
+        clock: source of time.
+        backoff: waits after failures.
+        events: where changes are logged.
+    """
+
+    def __init__(
+        self,
+        store: SharedStore,
+        own: InstanceRecord,
+        clock: Clock,
+        backoff: Backoff,
+        events: EventLog,
+    ) -> None:
+        self._store = store
+        self.own = own
+        self._clock = clock
+        self._backoff = backoff
+        self._events = events
+        self._others: dict[str, InstanceRecord] = {}
+        self._counts: deque[tuple[float, int]] = deque()
+        self._registered: Registered | None = None
+        self._turn = 0
+        self._left = False
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after instances came or went."""
+        self._listeners.append(listener)
+
+    def others(self) -> tuple[InstanceRecord, ...]:
+        """Return the other instances whose keys were read last."""
+        return tuple(self._others.values())
+
+    def count(self) -> int:
+        """Return the instances to divide by: the most of late, this one included."""
+        limit = self._clock.monotonic() - COUNT_MEMORY.total_seconds()
+        while self._counts and self._counts[0][0] < limit:
+            self._counts.popleft()
+        return max((count for _, count in self._counts), default=len(self._others) + 1)
+
+    async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
+        """Keep the key stored until cancelled."""
+        task_status.started()
+        while not self._left:
+            try:
+                await self._keep()
+                self._backoff.reset()
+                await trio.sleep(self._interval())
+            except StoreUnavailable:
+                # Logged by the calls, which know whether it is the first failure.
+                await trio.sleep(self._backoff.advance().total_seconds())
+
+    async def leave(self) -> None:
+        """End the lease, so that the others learn of a planned stop at once."""
+        self._left = True
+        if self._registered is None:
+            return
+        try:
+            await self._store.end_lease(self._registered.lease)
+        except StoreUnavailable as error:
+            self._events.emit(Events.STORE_FAILED, detail=f"lease not ended: {error}")
+        self._registered = None
+
+    def _interval(self) -> float:
+        """Return the seconds between renewals: the fleet's rate stays bounded."""
+        least = RENEW_INTERVAL.total_seconds()
+        return max(least, (len(self._others) + 1) / FLEET_RENEWALS)
+
+    def _lease_time(self) -> timedelta:
+        renewals = timedelta(seconds=self._interval() * RENEWALS_PER_LEASE)
+        return max(LEASE_TIME, renewals)
+
+    async def _keep(self) -> None:
+        """Renew the lease or store the key anew; read the others now and then."""
+        if self._registered is None:
+            self._registered = await self._register()
+        else:
+            renewed = await self._store.renew_lease(self._registered.lease)
+            if isinstance(renewed, LeaseOver):
+                self._lose("the lease ended")
+                return
+        if self._turn % READ_EVERY == 0:
+            await self._read_others()
+        self._turn += 1
+
+    async def _register(self) -> Registered | None:
+        lease = await self._store.grant_lease(self._lease_time())
+        key = INSTANCE_PREFIX + self.own.name
+        put = Put(key, msgspec.json.encode(self.own), lease.id)
+        match await self._store.commit(Transaction(puts=(put,))):
+            case Committed():
+                self._events.emit(Events.REGISTERED, key=key)
+                return Registered(lease)
+            case _:
+                self._lose("the lease ended before the key was stored")
+                return None
+
+    def _lose(self, reason: str) -> None:
+        self._registered = None
+        self._events.emit(Events.REGISTRATION_LOST, reason=reason)
+
+    async def _read_others(self) -> None:
+        """Read the keys of all instances; a reading seconds old will do."""
+        found: dict[str, InstanceRecord] = {}
+        own_key = INSTANCE_PREFIX + self.own.name
+        seen_own = False
+        after = ""
+        while True:
+            page = await self._store.list_items(INSTANCE_PREFIX, after, fresh=False)
+            for item in page.items:
+                seen_own |= item.key == own_key
+                record = self._read_record(item)
+                if record is not None and record.name != self.own.name:
+                    found[record.name] = record
+            if page.last or not page.items:
+                break
+            after = page.items[-1].key
+        self._take(found)
+        # A fresh key may be missing from a stale reading; not from the second one.
+        if not seen_own and self._turn >= READ_EVERY:
+            self._lose("the key is gone")
+
+    def _read_record(self, item: Item) -> InstanceRecord | None:
+        try:
+            return msgspec.json.decode(item.value, type=InstanceRecord)
+        except msgspec.MsgspecError as error:
+            self._events.emit(
+                Events.PEER_BAD_MESSAGE, key=item.key, detail=str(error)[:200]
+            )
+            return None
+
+    def _take(self, found: dict[str, InstanceRecord]) -> None:
+        self._counts.append((self._clock.monotonic(), len(found) + 1))
+        if found == self._others:
+            return
+        self._events.emit(
+            Events.INSTANCES_CHANGED,
+            instances=len(found) + 1,
+            came=sorted(set(found) - set(self._others))[:20],
+            went=sorted(set(self._others) - set(found))[:20],
+        )
+        self._others = found
+        for listener in self._listeners:
+            listener()
--- /dev/null
+++ b/walkcart/platform/callerprotocol.py
@@ -0,0 +1,108 @@
+"""What callers speak on the platform."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from walkcart.entry.routed import CallerRequest
+from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure
+from walkcart.intent.routes import ToShards
+from walkcart.kernel.numbers import read_number
+from walkcart.leaves.attempts import Replied
+from walkcart.platform.headers import (
+    DEADLINE_MS,
+    EXPECTED_LEAF,
+    MISSING_PARTS,
+    PART_STAMPS,
+    REQUEST_ID,
+    RETRY_AFTER,
+    STAMP,
+    strip_hop_headers,
+)
+from walkcart.platform.records import merge_records
+from walkcart.wire.http import HttpReply, HttpRequest, find_header
+from walkcart.wire.server import Fault
+from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
+
+#: Set anew for each leaf, whatever the caller sent.
+_SET_HERE = frozenset({DEADLINE_MS, EXPECTED_LEAF})
+_TRACEPARENT = b"traceparent"
+_OCTETS = (b"content-type", b"application/octet-stream")
+
+#: Statuses that promise that the request did not run and won't.
+_PROMISES = frozenset({408, 421, 429, 503})
+_NO_ROUTE = 404
+_BAD_GATEWAY = 502
+_NOT_RUN = 503
+_TIMED_OUT = 504
+
+
+class PlatformCallerProtocol:
+    """Reads callers' requests and makes their answers."""
+
+    def read_request(self, request: HttpRequest) -> CallerRequest:
+        """Return what a request means; it goes to leafs without this hop's headers."""
+        milliseconds = read_number(request.header(DEADLINE_MS))
+        patience = None
+        if milliseconds is not None:
+            patience = timedelta(milliseconds=min(milliseconds, 10**9))
+        headers = strip_hop_headers(request.headers, _SET_HERE)
+        return CallerRequest(
+            id=request.header(REQUEST_ID) or "",
+            host=request.header(b"host") or "",
+            patience=patience,
+            forwarded=HttpRequest(
+                request.method, request.target, headers, request.body
+            ),
+            traceparent=request.header(_TRACEPARENT),
+        )
+
+    def render_merged(self, answer: RoutedAnswer, target: ToShards) -> HttpReply:
+        """Return the greatest records of the parts, with the parts' stamps."""
+        stamps = (_stamp_of(reply) for _, reply in answer.replies)
+        headers = [_OCTETS, (PART_STAMPS, b", ".join(stamps))]
+        if answer.missing:
+            headers.append((MISSING_PARTS, b"%d" % len(answer.missing)))
+        bodies = [reply.body for _, reply in answer.replies]
+        return HttpReply(200, tuple(headers), merge_records(bodies, target.top))
+
+    def render_single(self, answer: RoutedAnswer) -> HttpReply:
+        """Return the leaf's answer unchanged."""
+        _, reply = answer.replies[0]
+        return _pass_on(reply)
+
+    def render_failure(self, failure: RoutedFailure) -> HttpReply:
+        """Return a leaf's failure unchanged, or why there is no answer."""
+        if failure.reply is not None:
+            return _pass_on(failure.reply)
+        match failure.verdict:
+            case NotRun(reason=Reason.NO_ROUTE):
+                return HttpReply(_NO_ROUTE)
+            case NotRun(retry_after=retry_after):
+                seconds = retry_after.total_seconds() if retry_after else 0.0
+                return HttpReply(_NOT_RUN, ((RETRY_AFTER, b"%.3f" % seconds),))
+            case MayHaveRun(reason=Reason.DEADLINE):
+                return HttpReply(_TIMED_OUT)
+            case MayHaveRun():
+                return HttpReply(_BAD_GATEWAY)
+
+    def render_fault(self, fault: Fault) -> HttpReply:
+        """Return the answer to bytes that are no request."""
+        return HttpReply(fault.value)
+
+
+def _stamp_of(reply: Replied) -> bytes:
+    stamp = find_header(reply.headers, STAMP)
+    assert stamp is not None
+    return stamp.encode("latin-1")
+
+
+def _pass_on(reply: Replied) -> HttpReply:
+    """Return a leaf's answer, unless its status would promise what isn't so.
+
+    A leaf that has not run a request says so in a header, and such an answer never
+    comes here: the status alone proves nothing, but callers would trust it.
+    """
+    if reply.status in _PROMISES:
+        return HttpReply(_BAD_GATEWAY)
+    return HttpReply(reply.status, reply.headers, reply.body)
--- /dev/null
+++ b/walkcart/platform/documents.py
@@ -0,0 +1,180 @@
+"""The operators' configuration and the leafs' entries, as they lie in the store."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from walkcart.intent.routes import (
+    CallerLimits,
+    Route,
+    RoutingDocument,
+    ServiceSpec,
+    SplitPart,
+    Target,
+    ToService,
+    ToShards,
+    ToSplit,
+)
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
+from walkcart.leaves.directory import LeafEntry
+from walkcart.platform.settings import parse_duration_ms
+from walkcart.store.items import Item
+
+#: The key of the configuration.
+CONFIGURATION_KEY = "op/config"
+#: Start of the keys of the leafs' entries; the rest is the id.
+LEAF_PREFIX = "servers/"
+
+#: Route types: requests that may run more than once, and those that may not.
+_IDEMPOTENT = "idempotent"
+_DRAINING = "draining"
+
+
+class _SplitPart(msgspec.Struct):
+    """A service of a split, named in one of two ways."""
+
+    weight: float
+    backend: str = ""
+    name: str = ""
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    route_type: str
+    # Longest time that a request is held, in ms.
+    timeout_ms: float
+    # Time within which an answer earns its full value, in ms.
+    target_latency_ms: float = 0.0
+    # Leafs that one request may be sent to; for each shard where there are shards.
+    max_attempts: int = 1
+    # Rank: 0 is the most urgent.
+    priority: int = 0
+    # One of three: a service, a split over services, or the shards of an index.
+    backend: str = ""
+    traffic_split: list[_SplitPart] = []
+    fanout_services: list[str] = []
+    # Records of the merged answer.
+    top_k: int = msgspec.field(default=0, name="topK")
+    # Least share of the shards that an answer must hold.
+    min_coverage: float = 0.0
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    # Connections that one leaf takes from all callers together.
+    max_conns: int = 8
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 32768
+    max_body_bytes: int = 1 << 20
+    header_timeout_ms: float = 10_000
+    idle_timeout_ms: float = 120_000
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _LeafEntry(msgspec.Struct, rename="camel"):
+    # The service that the leaf belongs to.
+    backend: str
+    address: str
+    # The data centre that it stands in.
+    zone: str
+    slots: int = 1
+    state: str = "ready"
+    # How much longer it is slow after its start, in ms.
+    warmup_left_ms: float = 0.0
+
+
+_CONFIGURATION = msgspec.json.Decoder(_Configuration)
+_LEAF_ENTRY = msgspec.json.Decoder(_LeafEntry)
+
+
+def read_configuration(value: bytes) -> RoutingDocument:
+    """Return the routing document that a stored configuration stands for.
+
+    Raises:
+        msgspec.MsgspecError: it can't be read.
+    """
+    stored = _CONFIGURATION.decode(value)
+    limits = stored.limits
+    return RoutingDocument(
+        version=stored.version,
+        routes=tuple(_read_route(route) for route in stored.routes),
+        services=tuple(
+            ServiceSpec(service.name, service.max_conns) for service in stored.services
+        ),
+        limits=CallerLimits(
+            header_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            head_time=parse_duration_ms(limits.header_timeout_ms),
+            idle_time=parse_duration_ms(limits.idle_timeout_ms),
+        ),
+    )
+
+
+def _read_route(route: _Route) -> Route:
+    objective = None
+    if route.target_latency_ms:
+        objective = parse_duration_ms(route.target_latency_ms)
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.path_prefix,
+        target=_read_target(route),
+        idempotent=route.route_type == _IDEMPOTENT,
+        timeout=parse_duration_ms(route.timeout_ms),
+        objective=objective,
+        most_attempts=max(1, route.max_attempts),
+        rank=route.priority,
+    )
+
+
+def _read_target(route: _Route) -> Target:
+    if route.fanout_services:
+        services = tuple(dict.fromkeys(route.fanout_services))
+        return ToShards(services, route.top_k, route.min_coverage)
+    parts = tuple(
+        SplitPart(part.backend or part.name, part.weight)
+        for part in route.traffic_split
+        if part.weight > 0
+    )
+    return ToSplit(parts) if parts else ToService(route.backend)
+
+
+def read_leaf_entries(
+    items: Mapping[str, Item], regions: Mapping[str, str], events: EventLog
+) -> Iterable[LeafEntry]:
+    """Yield the leafs whose entries can be read; log the others.
+
+    Args:
+        items: stored entries by key.
+        regions: region by data centre.
+        events: where unreadable entries are logged.
+    """
+    for key, item in items.items():
+        try:
+            stored = _LEAF_ENTRY.decode(item.value)
+        except msgspec.MsgspecError as error:
+            events.emit(Events.LEAF_ENTRY_BAD, key=key, detail=str(error)[:200])
+            continue
+        yield LeafEntry(
+            id=key.removeprefix(LEAF_PREFIX),
+            service=stored.backend,
+            address=stored.address,
+            data_centre=stored.zone,
+            region=regions.get(stored.zone, ""),
+            slots=max(1, stored.slots),
+            leaving=stored.state == _DRAINING,
+            cold_time=parse_duration_ms(stored.warmup_left_ms),
+        )
--- /dev/null
+++ b/walkcart/platform/leafprotocol.py
@@ -0,0 +1,108 @@
+"""What leafs speak on the platform."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from walkcart.kernel.numbers import read_number
+from walkcart.leaves.attempts import Attempt, Failed, Outcome, Refused, Replied
+from walkcart.leaves.protocol import HeaderMap, LeafStatus
+from walkcart.platform.headers import (
+    CONTENT_ENCODING,
+    DEADLINE_MS,
+    EXPECTED_LEAF,
+    KEEP_ALIVE,
+    LOAD,
+    NOT_RUN,
+    REQUEST_ID,
+    RETRY_AFTER,
+    STAMP,
+    strip_hop_headers,
+)
+from walkcart.wire.http import HttpReply, HttpRequest, find_header
+from walkcart.wire.verdicts import MayHaveRun, Reason
+
+#: Another life has the address; the request was not run.
+_MISDIRECTED = 421
+_TIMEOUT_PARAMETER = b"timeout="
+#: Headers that a leaf says about itself, not about the request.
+_OF_THE_LEAF = frozenset({LOAD})
+
+
+class PlatformLeafProtocol:
+    """Passes callers' requests to leafs unchanged and reads what comes back."""
+
+    reads_over_strays = True
+
+    def encode(self, attempt: Attempt, remaining: float) -> HttpRequest:
+        """Return the caller's request with this leaf's name and the time left."""
+        assert attempt.routed is not None
+        headers = (
+            *attempt.routed.headers,
+            (DEADLINE_MS, b"%d" % max(1, int(remaining * 1000))),
+            (EXPECTED_LEAF, attempt.leaf_id.encode()),
+        )
+        routed = attempt.routed
+        return HttpRequest(routed.method, routed.target, headers, routed.body)
+
+    def is_ours(self, attempt: Attempt, found: HeaderMap) -> bool:
+        """Return whether a reply echoes the id of this request, or none at all."""
+        assert attempt.routed is not None
+        echoed = found.get(REQUEST_ID)
+        if echoed is None:
+            return True
+        return echoed.decode("latin-1") == find_header(
+            attempt.routed.headers, REQUEST_ID
+        )
+
+    def read_status(self, found: HeaderMap) -> LeafStatus:
+        """Return the requests that run and wait at the leaf, if it said."""
+        parts = found.get(LOAD, b"").split(b",")
+        running = read_number(parts[0].strip())
+        waiting = read_number(parts[1].strip()) if len(parts) > 1 else None
+        load = None if running is None else running + (waiting or 0)
+        return LeafStatus(held=None, load=load, incarnation=0, leaving=False)
+
+    def read_outcome(
+        self, attempt: Attempt, reply: HttpReply, found: HeaderMap, elapsed: float
+    ) -> Outcome:
+        """Return what a reply means: run or not, and of use or not."""
+        if reply.status == _MISDIRECTED:
+            return Refused(Reason.LEAF_REPLACED)
+        if NOT_RUN in found:
+            return Refused(Reason.LEAF_REFUSED, _read_retry_after(found))
+        success = 200 <= reply.status < 300
+        if success and (STAMP not in found or CONTENT_ENCODING in found):
+            detail = "a success without a stamp, or with an encoding"
+            return Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
+        if attempt.whole_part and not success:
+            detail = f"the leaf answered {reply.status}"
+            return Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
+        headers = strip_hop_headers(reply.headers, _OF_THE_LEAF)
+        return Replied(
+            attempt.pin, False, reply.status, reply.body, elapsed, headers=headers
+        )
+
+    def read_idle_time(self, found: HeaderMap) -> float | None:
+        """Return the seconds for which the leaf keeps an idle connection."""
+        for part in found.get(KEEP_ALIVE, b"").split(b","):
+            part = part.strip()
+            if part.startswith(_TIMEOUT_PARAMETER):
+                seconds = read_number(part[len(_TIMEOUT_PARAMETER) :])
+                return None if seconds is None else float(seconds)
+        return None
+
+    def make_status_request(self) -> HttpRequest | None:
+        """Return None: leafs tell their load on replies, and checks cost."""
+        return None
+
+    def make_cancel_request(self, attempt_id: str) -> HttpRequest | None:
+        """Return None: leafs drop a request when its connection closes."""
+        return None
+
+
+def _read_retry_after(found: HeaderMap) -> timedelta | None:
+    try:
+        return timedelta(seconds=float(found[RETRY_AFTER]))
+    except (KeyError, ValueError, OverflowError):
+        return None
--- a/walkcart/routing/__init__.py
+++ b/walkcart/routing/__init__.py
@@ -1,23 +1,23 @@
 """Decisions under load: small modules whose inputs are plain data and a clock."""
 
-from walkcart.routing.admission import Admission, Admitted, TurnedAway
-from walkcart.routing.budgets import ShareBudget
-from walkcart.routing.ejection import Ejection
-from walkcart.routing.hedging import HedgeDelay
-from walkcart.routing.latency import DecayedLatency, LatencyWindow
-from walkcart.routing.replicas import Candidate, ReplicaChooser
-from walkcart.routing.shares import ConnectionShares
+from walkcart.lazyimport import attach_names
 
-__all__ = [
-    "Admission",
-    "Admitted",
-    "Candidate",
-    "ConnectionShares",
-    "DecayedLatency",
-    "Ejection",
-    "HedgeDelay",
-    "LatencyWindow",
-    "ReplicaChooser",
-    "ShareBudget",
-    "TurnedAway",
-]
+_MODULES = {
+    "Admission": "admission",
+    "Admitted": "admission",
+    "Candidate": "replicas",
+    "ConnectionShares": "shares",
+    "DecayedLatency": "latency",
+    "Ejection": "ejection",
+    "HedgeDelay": "hedging",
+    "LatencyWindow": "latency",
+    "RepeatBudget": "repeats",
+    "ReplicaChooser": "replicas",
+    "ShareBudget": "budgets",
+    "TurnedAway": "admission",
+    "WeightedSplit": "splits",
+}
+
+__all__ = sorted(_MODULES)
+
+__getattr__ = attach_names(__name__, _MODULES)
--- /dev/null
+++ b/walkcart/routing/placement.py
@@ -0,0 +1,92 @@
+"""Which leaf of a service gets the next request of a routed question.
+
+The leaf with the least expected time wins. That is the usual time of such requests,
+times how slow the leaf has been, plus the wait behind what is already there; a leaf
+in another region costs its way and the bytes that cross.
+
+Examples:
+    >>> near = Standing("near", load=0.0, slots=2, slowness=1.0, far=False)
+    >>> far = Standing("far", load=0.0, slots=2, slowness=1.0, far=True)
+    >>> choose_leaf([far, near], 0.03, Random(1)).key
+    'near'
+    >>> busy = Standing("near", load=6.0, slots=2, slowness=1.0, far=False)
+    >>> choose_leaf([far, busy], 0.03, Random(1)).key
+    'far'
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+#: Seconds that a leaf in another region costs: its way there and back, and its bytes,
+#: which operators pay for. Measured: see ``docs/design/platform.md``.
+FAR_COST = 0.035
+#: Seconds added for a leaf that has been silent for longer than it should: about the
+#: pause of a leaf that stopped to tidy up.
+STALLED_COST = 0.25
+#: A leaf that has just started is slower by up to this factor.
+COLD_FACTOR = 1.6
+#: Expected times closer than this share are drawn lots over.
+NEAR_TIE = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """One leaf, as its choice sees it.
+
+    Args:
+        key: names the leaf.
+        load: requests that wait or run there.
+        slots: requests that it runs at once.
+        slowness: its times over the usual ones.
+        far: whether it stands in another region.
+        cold: whether it has just started.
+        stalled: whether it owes replies for longer than it should.
+        ejected: whether it failed lately.
+    """
+
+    key: str
+    load: float
+    slots: int
+    slowness: float
+    far: bool
+    cold: bool = False
+    stalled: bool = False
+    ejected: bool = False
+
+
+def expect_time(standing: Standing, usual: float) -> float:
+    """Return the seconds that a request would likely take at a leaf.
+
+    Args:
+        standing: of the leaf.
+        usual: seconds that such a request usually takes.
+    """
+    service = usual * standing.slowness
+    if standing.cold:
+        service *= COLD_FACTOR
+    waiting = max(0.0, standing.load + 1.0 - standing.slots)
+    time = service * (1.0 + waiting / max(1, standing.slots))
+    if standing.far:
+        time += FAR_COST
+    if standing.stalled:
+        time += STALLED_COST
+    return time
+
+
+def choose_leaf(
+    standings: Sequence[Standing], usual: float, random: Random
+) -> Standing | None:
+    """Return the leaf for the next request, or None without any.
+
+    Ejected leafs are used only when no others are left.
+    """
+    usable = [item for item in standings if not item.ejected] or standings
+    if len(usable) <= 1:
+        return usable[0] if usable else None
+    timed = [(expect_time(item, usual), item) for item in usable]
+    least = min(time for time, _ in timed)
+    best = [item for time, item in timed if time <= least * (1.0 + NEAR_TIE)]
+    return best[0] if len(best) == 1 else random.choice(best)
--- a/walkcart/store/__init__.py
+++ b/walkcart/store/__init__.py
@@ -1,23 +1,21 @@
 """The client of the platform's key-value service."""
 
-from walkcart.store.backoff import Backoff
-from walkcart.store.budget import CallBudget
-from walkcart.store.client import (
-    VALUE_LIMIT,
-    Conflict,
-    Entry,
-    StoreClient,
-    StoreUnavailable,
-    Written,
-)
+from walkcart.lazyimport import attach_names
 
-__all__ = [
-    "VALUE_LIMIT",
-    "Backoff",
-    "CallBudget",
-    "Conflict",
-    "Entry",
-    "StoreClient",
-    "StoreUnavailable",
-    "Written",
-]
+_MODULES = {
+    "Backoff": "backoff",
+    "CallBudget": "budget",
+    "Conflict": "client",
+    "Entry": "client",
+    "PrefixFollower": "following",
+    "SharedStore": "items",
+    "StoreCalls": "calls",
+    "StoreClient": "client",
+    "StoreUnavailable": "calls",
+    "VALUE_LIMIT": "client",
+    "Written": "client",
+}
+
+__all__ = sorted(_MODULES)
+
+__getattr__ = attach_names(__name__, _MODULES)
--- /dev/null
+++ b/walkcart/store/calls.py
@@ -0,0 +1,176 @@
+"""Calls to the key-value service: connections, time limits, budget, reachability.
+
+What a call says on the wire is its client's matter; see `walkcart.store.client`
+for the product's own form.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import trio
+
+from walkcart.kernel.clock import Clock
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
+from walkcart.kernel.metrics import Metrics
+from walkcart.kernel.settings import HostPort
+from walkcart.kernel.spans import Tracer
+from walkcart.store.budget import CallBudget
+from walkcart.wire.http import (
+    ExchangeFailed,
+    HttpConnection,
+    HttpReply,
+    HttpRequest,
+)
+from walkcart.wire.network import Network
+
+#: Longest reply that is read, in bytes: a page of many values.
+REPLY_LIMIT = 4 << 20
+CALL_TIME = timedelta(seconds=2)
+IDLE_CONNECTIONS = 2
+
+
+class StoreUnavailable(Exception):
+    """A call has no usable reply.
+
+    Args:
+        uncertain: whether a write may have taken effect, or may do so yet.
+        detail: what happened.
+    """
+
+    def __init__(self, uncertain: bool, detail: str) -> None:
+        super().__init__(detail)
+        self.uncertain = uncertain
+        self.detail = detail
+
+
+class StoreCalls:
+    """Exchanges requests with the key-value service.
+
+    Args:
+        address: where it listens.
+        network: opens connections.
+        clock: source of time.
+        budget: holds the calls of this instance under a rate.
+        events: where failures are logged.
+        metrics: where calls are counted.
+        tracer: makes a span for each call.
+        call_time: a call without a reply after this has failed.
+    """
+
+    def __init__(
+        self,
+        address: HostPort,
+        network: Network,
+        clock: Clock,
+        budget: CallBudget,
+        events: EventLog,
+        metrics: Metrics,
+        tracer: Tracer,
+        call_time: timedelta = CALL_TIME,
+    ) -> None:
+        self._address = address
+        self._network = network
+        self._clock = clock
+        self._budget = budget
+        self._events = events
+        self._metrics = metrics
+        self._tracer = tracer
+        self._call_time = call_time
+        self._idle: list[HttpConnection] = []
+        self.reachable = True
+        self.last_success = clock.monotonic()
+        #: When calls began to succeed again after a failure, or since the start.
+        self.reachable_since = self.last_success
+        self._on_back: list[Callable[[], None]] = []
+
+    def on_back(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when calls succeed again after a failure."""
+        self._on_back.append(listener)
+
+    def move(self, address: HostPort) -> None:
+        """Call the service at another address from now on."""
+        if address != self._address:
+            self._address = address
+            self._idle.clear()
+
+    async def call(
+        self, request: HttpRequest, wait: timedelta = timedelta()
+    ) -> HttpReply:
+        """Exchange one call.
+
+        Args:
+            request: what to send.
+            wait: how long the service may hold the call on top of the usual time.
+
+        Raises:
+            StoreUnavailable: no reply.
+        """
+        await self._budget.take()
+        self._metrics.count("store.calls")
+        limit = wait + self._call_time
+        span = self._tracer.start("store.call", None, method=request.method)
+        with self._tracer.hold(span):
+            with trio.move_on_after(limit.total_seconds()):
+                return await self._exchange(request)
+        raise self.fail("no reply in time", True)
+
+    async def _exchange(self, request: HttpRequest) -> HttpReply:
+        """Send on a connection of this call's own; keep it when it is clean."""
+        connection = await self._take_idle()
+        if connection is None:
+            connection = await self._connect()
+        try:
+            reply = await connection.exchange(request)
+        except ExchangeFailed as error:
+            await connection.close()
+            raise self.fail(str(error), error.sent) from None
+        except BaseException:
+            await connection.close()
+            raise
+        if connection.renew() and len(self._idle) < IDLE_CONNECTIONS:
+            self._idle.append(connection)
+        else:
+            await connection.close()
+        return reply
+
+    async def _take_idle(self) -> HttpConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_quiet():
+                return connection
+            await connection.close()
+        return None
+
+    async def _connect(self) -> HttpConnection:
+        try:
+            stream = await self._network.connect(self._address)
+        except OSError as error:
+            raise self.fail(str(error), False) from None
+        return HttpConnection(stream, str(self._address), REPLY_LIMIT)
+
+    def reject(self, detail: str) -> StoreUnavailable:
+        """Return the error for a reply that can't be understood."""
+        self._events.emit(Events.STORE_BAD_REPLY, detail=detail)
+        return StoreUnavailable(True, detail)
+
+    def fail(self, detail: str, uncertain: bool) -> StoreUnavailable:
+        """Note that the service didn't serve a call, and return the error."""
+        self._metrics.count("store.failed")
+        if self.reachable:
+            self._events.emit(Events.STORE_FAILED, detail=detail)
+        self.reachable = False
+        return StoreUnavailable(uncertain, detail)
+
+    def note_success(self) -> None:
+        """Note that the service served a call."""
+        self.last_success = self._clock.monotonic()
+        if self.reachable:
+            return
+        self._events.emit(Events.STORE_BACK)
+        self.reachable = True
+        self.reachable_since = self.last_success
+        for listener in self._on_back:
+            listener()
--- a/walkcart/store/tests/test_client.py
+++ b/walkcart/store/tests/test_client.py
@@ -11,7 +11,8 @@
 from walkcart.standins.memory import MemoryNetwork
 from walkcart.store.backoff import Backoff
 from walkcart.store.budget import CallBudget
-from walkcart.store.client import Conflict, Entry, StoreUnavailable, Written
+from walkcart.store.calls import StoreUnavailable
+from walkcart.store.client import Conflict, Entry, Written
 
 
 def with_store(action):
--- a/walkcart/wire/__init__.py
+++ b/walkcart/wire/__init__.py
@@ -1,41 +1,33 @@
 """What passes between processes: verdicts, HTTP/1.1 by h11, peer messages."""
 
-from walkcart.wire.codec import BadMessage, decode_envelope, encode_envelope
-from walkcart.wire.http import (
-    ExchangeFailed,
-    FailureKind,
-    HttpConnection,
-    HttpReply,
-    HttpRequest,
-)
-from walkcart.wire.messages import Envelope, Message
-from walkcart.wire.network import Network, TcpNetwork
-from walkcart.wire.peers import NngTransport, PeerListener, PeerSender, PeerTransport
-from walkcart.wire.server import HttpServer, ServerLimits
-from walkcart.wire.verdicts import Answered, MayHaveRun, NotRun, Reason, Verdict
+from walkcart.lazyimport import attach_names
 
-__all__ = [
-    "Answered",
-    "BadMessage",
-    "Envelope",
-    "ExchangeFailed",
-    "FailureKind",
-    "HttpConnection",
-    "HttpReply",
-    "HttpRequest",
-    "HttpServer",
-    "MayHaveRun",
-    "Message",
-    "Network",
-    "NngTransport",
-    "NotRun",
-    "PeerListener",
-    "PeerSender",
-    "PeerTransport",
-    "Reason",
-    "ServerLimits",
-    "TcpNetwork",
-    "Verdict",
-    "decode_envelope",
-    "encode_envelope",
-]
+_MODULES = {
+    "Answered": "verdicts",
+    "BadMessage": "codec",
+    "Envelope": "messages",
+    "ExchangeFailed": "http",
+    "FailureKind": "http",
+    "HttpConnection": "http",
+    "HttpReply": "http",
+    "HttpRequest": "http",
+    "HttpServer": "server",
+    "MayHaveRun": "verdicts",
+    "Message": "messages",
+    "Network": "network",
+    "NngTransport": "peers",
+    "NotRun": "verdicts",
+    "PeerListener": "peers",
+    "PeerSender": "peers",
+    "PeerTransport": "peers",
+    "Reason": "verdicts",
+    "ServerLimits": "server",
+    "TcpNetwork": "network",
+    "Verdict": "verdicts",
+    "decode_envelope": "codec",
+    "encode_envelope": "codec",
+}
+
+__all__ = sorted(_MODULES)
+
+__getattr__ = attach_names(__name__, _MODULES)
--- a/walkcart/wire/http.py
+++ b/walkcart/wire/http.py
@@ -9,14 +9,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
 import h11
 import trio
 
+from walkcart.wire.network import is_quiet
+
 RECEIVE_SIZE = 65536
 HEADER_LIMIT = 32768
+#: Replies of earlier exchanges that are read over before a connection is given up;
+#: a leaf that sends more is at fault.
+MOST_STRAYS = 2
+#: Methods whose requests carry a length even without a body (RFC 9110, 8.6).
+_METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -91,12 +99,16 @@
         self.sent = sent
 
 
+#: Says whether a reply is the one to the request that was sent.
+Belongs = Callable[[HttpReply], bool]
+
+
 class HttpConnection:
     """The client's end of one connection.
 
     Args:
         stream: the bytes.
-        host: value of the ``Host`` header.
+        host: value of the ``Host`` header of requests that bring none.
         body_limit: longest reply body that is read, in bytes.
     """
 
@@ -106,9 +118,16 @@
         self._body_limit = body_limit
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT)
 
-    async def exchange(self, request: HttpRequest) -> HttpReply:
+    async def exchange(
+        self, request: HttpRequest, belongs: Belongs | None = None
+    ) -> HttpReply:
         """Send `request` and read its reply to the end.
 
+        Args:
+            request: what to send.
+            belongs: tells a late second reply to an earlier request, which is read
+                over, from the reply to this one; None takes the first reply.
+
         Raises:
             ExchangeFailed: no whole reply came; the connection is of no more use.
         """
@@ -118,7 +137,15 @@
             # A failing send may have put some bytes on the wire already.
             sent = True
             await self._stream.send_all(data)
-            return await self._read_reply()
+            reply = await self._read_reply()
+            strays = 0
+            while belongs is not None and not belongs(reply):
+                strays += 1
+                if strays > MOST_STRAYS:
+                    raise ExchangeFailed(FailureKind.GARBAGE, sent)
+                self._expect_another(request)
+                reply = await self._read_reply()
+            return reply
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             raise ExchangeFailed(FailureKind.CLOSED, sent) from None
         except h11.RemoteProtocolError as error:
@@ -127,9 +154,24 @@
                 kind = FailureKind.CLOSED
             raise ExchangeFailed(kind, sent) from error
 
+    def _expect_another(self, request: HttpRequest) -> None:
+        """Read on behind a reply of an earlier request, as if it hadn't come."""
+        following, ended = self._h11.trailing_data
+        if self._h11.their_state is not h11.DONE:
+            raise ExchangeFailed(FailureKind.CLOSED, True)
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT)
+        self._encode(request)
+        if following:
+            self._h11.receive_data(following)
+        if ended:
+            self._h11.receive_data(b"")
+
     def _encode(self, request: HttpRequest) -> bytes:
-        headers = [(b"host", self._host), *request.headers]
-        headers.append((b"content-length", str(len(request.body)).encode()))
+        headers = list(request.headers)
+        if find_header(request.headers, b"host") is None:
+            headers.insert(0, (b"host", self._host))
+        if request.body or request.method in _METHODS_WITH_BODY:
+            headers.append((b"content-length", str(len(request.body)).encode()))
         head = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
@@ -160,6 +202,14 @@
         assert head is not None
         return HttpReply(head.status_code, tuple(head.headers), b"".join(chunks))
 
+    def is_quiet(self) -> bool:
+        """Return whether nothing came while the connection was idle.
+
+        Bytes or an end that wait to be read mean that the server closed it or sent
+        what belongs to no request: it must not carry another one.
+        """
+        return is_quiet(self._stream)
+
     def renew(self) -> bool:
         """Make ready for the next exchange; return whether that can be."""
         if self._h11.our_state is not h11.DONE:
--- a/walkcart/wire/network.py
+++ b/walkcart/wire/network.py
@@ -6,12 +6,30 @@
 
 from __future__ import annotations
 
+import select
+import socket
 from typing import Protocol
 
 import trio
 
 from walkcart.kernel.settings import HostPort
 
+#: Milliseconds after which sent bytes that nobody acknowledged end a connection: a
+#: peer without power says nothing. Longer than any pause of a peer that lives.
+SILENCE_MS = 10_000
+
+
+def is_quiet(stream: trio.abc.Stream) -> bool:
+    """Return whether neither bytes nor an end wait to be read on `stream`.
+
+    A stream that isn't a socket counts as quiet: a reader finds out in any case.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return True
+    poll = select.poll()
+    poll.register(stream.socket.fileno(), select.POLLIN)
+    return not poll.poll(0)
+
 
 class Network(Protocol):
     """Opens and accepts byte streams."""
@@ -42,7 +60,15 @@
 
     async def connect(self, address: HostPort) -> trio.abc.Stream:
         """Open a TCP connection."""
-        return await trio.open_tcp_stream(address.host, address.port)
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        sock = trio.socket.socket(family, socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
+            await sock.connect((address.host, address.port))
+        except BaseException:
+            sock.close()
+            raise
+        return trio.SocketStream(sock)
 
     async def listen(self, address: HostPort) -> trio.abc.Listener[trio.abc.Stream]:
         """Listen on a TCP port."""
--- a/walkcart/wire/server.py
+++ b/walkcart/wire/server.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
@@ -27,11 +27,13 @@
         body: longest body, in bytes.
         read_time: a request must be whole this long after its first byte.
         idle_time: a connection without a request is closed after this.
+        head: longest head of a request, in bytes.
     """
 
     body: int = 1 << 20
     read_time: timedelta = timedelta(seconds=10)
     idle_time: timedelta = timedelta(seconds=120)
+    head: int = HEADER_LIMIT
 
 
 class Fault(Enum):
@@ -60,6 +62,7 @@
     idle_scope: trio.CancelScope | None = None
     idle_since: float = 0.0
     requests: int = field(default=0)
+    gone: bool = False
 
 
 class HttpServer:
@@ -70,6 +73,7 @@
         limits: what a client may ask.
         on_fault: makes the reply to bytes that are no request.
         on_gone: called when a client closes or breaks half-way.
+        cancel_on_gone: whether a request ends when its client closes.
     """
 
     def __init__(
@@ -78,9 +82,11 @@
         limits: ServerLimits,
         on_fault: Callable[[Fault], HttpReply],
         on_gone: Callable[[], None] = lambda: None,
+        cancel_on_gone: bool = False,
     ) -> None:
         self._handler = handler
-        self._limits = limits
+        self.limits = limits
+        self._cancel_on_gone = cancel_on_gone
         self._on_fault = on_fault
         self._on_gone = on_gone
         self._connections: set[_Connection] = set()
@@ -105,7 +111,7 @@
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection to its end."""
-        http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT)
+        http = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.head)
         connection = _Connection(stream, http)
         self._connections.add(connection)
         try:
@@ -135,20 +141,53 @@
             if request is None:
                 self._on_gone()
                 return False
-            reply = await self._handler(request)
+            reply = await self._run_handler(connection, request)
+            if reply is None:
+                self._on_gone()
+                return False
             await self._send(connection, reply, close=self._closing)
         finally:
             self.in_progress -= 1
         return self._renew(connection)
 
+    async def _run_handler(
+        self, connection: _Connection, request: HttpRequest
+    ) -> HttpReply | None:
+        """Make the reply; None when the client left and its request was cancelled."""
+        if not self._cancel_on_gone:
+            return await self._handler(request)
+        reply: HttpReply | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_client, connection, nursery.cancel_scope)
+            reply = await self._handler(request)
+            nursery.cancel_scope.cancel()
+        return None if connection.gone else reply
+
+    async def _watch_client(
+        self, connection: _Connection, scope: trio.CancelScope
+    ) -> None:
+        """Cancel `scope` when the client closes; keep what it sends meanwhile."""
+        read = 0
+        while read < RECEIVE_SIZE:
+            try:
+                data = await connection.stream.receive_some(RECEIVE_SIZE)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            if not data:
+                connection.gone = True
+                scope.cancel()
+                return
+            read += len(data)
+            connection.http.receive_data(data)
+
     async def _wait_for_bytes(self, connection: _Connection) -> bool:
         """Wait for the first byte of a request; False when none will come."""
         if connection.http.trailing_data[0]:
             return True
         data = b""
         connection.idle_since = trio.current_time()
-        idle_time = self._limits.idle_time.total_seconds()
-        with trio.move_on_after(idle_time) as connection.idle_scope:
+        limit = self.limits.idle_time.total_seconds()
+        with trio.move_on_after(limit) as connection.idle_scope:
             data = await connection.stream.receive_some(RECEIVE_SIZE)
         connection.idle_scope = None
         if not data:
@@ -158,7 +197,7 @@
 
     async def _read_request(self, connection: _Connection) -> HttpRequest | None:
         """Read one request; None when the client closed half-way."""
-        with trio.move_on_after(self._limits.read_time.total_seconds()):
+        with trio.move_on_after(self.limits.read_time.total_seconds()):
             try:
                 return await self._collect(connection)
             except h11.RemoteProtocolError as error:
@@ -180,9 +219,11 @@
                 connection.http.receive_data(data)
             elif type(event) is h11.Request:
                 head = event
+                if has_ambiguous_end(head.headers):
+                    raise RequestBad(Fault.MALFORMED)
             elif type(event) is h11.Data:
                 size += len(event.data)
-                if size > self._limits.body:
+                if size > self.limits.body:
                     raise RequestBad(Fault.BODY_TOO_LONG)
                 chunks.append(bytes(event.data))
             elif type(event) is h11.EndOfMessage:
@@ -221,6 +262,12 @@
         return True
 
 
+def has_ambiguous_end(headers: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether a request states its end in two ways (RFC 9112, 6.1)."""
+    names = {name for name, _ in headers}
+    return b"transfer-encoding" in names and b"content-length" in names
+
+
 def _fault_of(error: h11.RemoteProtocolError) -> Fault:
     if error.error_status_hint == Fault.HEADERS_TOO_LONG.value:
         return Fault.HEADERS_TOO_LONG
--- a/walkcart/wire/verdicts.py
+++ b/walkcart/wire/verdicts.py
@@ -31,6 +31,7 @@
     STOPPING = "stopping"
     NO_LEAF = "no_leaf"
     LEAF_REFUSED = "leaf_refused"
+    LEAF_REPLACED = "leaf_replaced"
     LEAF_FAILED = "leaf_failed"
     UNREACHABLE = "unreachable"
     VERSION_NOT_HELD = "version_not_held"
@@ -42,6 +43,8 @@
     KEY_IN_PROGRESS = "idempotency_key_in_progress"
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     NO_CONFIGURATION = "no_configuration"
+    NO_ROUTE = "no_route"
+    REPEAT_BUDGET = "repeat_budget"
     INTERNAL = "internal"
 
 
