Test the whole path on the platform against stand-ins

A young instance may spend the share of the repeats that its former life can't have taken, instead of none: a refused request right after a start got no second leaf.

--- a/walkcart/intent/applying.py
+++ b/walkcart/intent/applying.py
@@ -27,12 +27,12 @@
 from walkcart.intent.validation import validate_configuration
 from walkcart.kernel.clock import Clock
 from walkcart.store.backoff import Backoff
+from walkcart.store.calls import StoreUnavailable
 from walkcart.store.client import (
     VALUE_LIMIT,
     Conflict,
     Entry,
     StoreClient,
-    StoreUnavailable,
     Written,
 )
 
--- a/walkcart/leaves/forwarding.py
+++ b/walkcart/leaves/forwarding.py
@@ -9,11 +9,12 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
 
 import trio
 
 from walkcart.kernel.clock import Clock
-from walkcart.kernel.spans import Span, Tracer
+from walkcart.kernel.spans import Tracer
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused, Replied
 from walkcart.leaves.leaf import BadSnapshot, Leaf
 from walkcart.leaves.outcome_headers import encode_outcome_headers
@@ -38,6 +39,9 @@
 )
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
+if TYPE_CHECKING:
+    from opentelemetry.trace import Span
+
 #: Seconds that a holder's answer may come after the deadline.
 ANSWER_GRACE = 1.0
 
--- a/walkcart/once/owner.py
+++ b/walkcart/once/owner.py
@@ -37,11 +37,11 @@
     unpack_bucket,
 )
 from walkcart.store.backoff import Backoff
+from walkcart.store.calls import StoreUnavailable
 from walkcart.store.client import (
     Conflict,
     Entry,
     StoreClient,
-    StoreUnavailable,
     Written,
 )
 from walkcart.wire.messages import ClaimAsk, ClaimSettle, ClaimWithdraw
--- /dev/null
+++ b/walkcart/platform/tests/leafstandin.py
@@ -0,0 +1,83 @@
+"""A stand-in of the platform's leafs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import trio
+
+from walkcart.standins.serving import StandinServer
+from walkcart.wire.http import HttpReply, HttpRequest
+
+
+@dataclass(slots=True)
+class PlatformLeafFaults:
+    """What goes wrong; all off at first.
+
+    Args:
+        delay: seconds added to each request.
+        refuse: every request is turned away, not run.
+        status: of every answer, if not 0.
+        drop: every request is run and its connection closed without an answer.
+        other_id: echoes the id of another request.
+        unstamped: answers lack their stamp.
+    """
+
+    delay: float = 0.0
+    refuse: bool = False
+    status: int = 0
+    drop: bool = False
+    other_id: bool = False
+    unstamped: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class PlatformLeafStandin:
+    """Runs requests and says what it ran.
+
+    Args:
+        id: of its process life.
+        work: seconds that a request takes.
+        records: body of every answer; 16 bytes a record.
+    """
+
+    id: str
+    work: float = 0.01
+    records: bytes = b""
+    faults: PlatformLeafFaults = field(default_factory=PlatformLeafFaults)
+    arrived: list[HttpRequest] = field(default_factory=list)
+    ran: list[str] = field(default_factory=list)
+    finished: list[str] = field(default_factory=list)
+    running: int = 0
+
+    def make_server(self) -> StandinServer:
+        """Return the server of this leaf."""
+        server = StandinServer(self.handle)
+        server.http.cancel_on_gone = True
+        return server
+
+    async def handle(self, request: HttpRequest) -> HttpReply | None:
+        """Serve one request."""
+        self.arrived.append(request)
+        id = request.header(b"x-request-id") or ""
+        echo = (b"x-request-id", id.encode())
+        if request.header(b"x-expect-instance") != self.id:
+            return HttpReply(421, (echo, (b"x-instance-id", self.id.encode())))
+        if self.faults.refuse:
+            return HttpReply(503, (echo, (b"x-not-executed", b"1")))
+        self.ran.append(id)
+        self.running += 1
+        try:
+            await trio.sleep(self.work + self.faults.delay)
+        finally:
+            self.running -= 1
+        self.finished.append(id)
+        if self.faults.drop:
+            # The server closes the connection when there is no reply.
+            return None
+        if self.faults.other_id:
+            echo = (b"x-request-id", b"another")
+        headers = [echo, (b"x-server-load", b"%d,0,2" % self.running)]
+        if not self.faults.unstamped:
+            headers.append((b"x-response-stamp", f"stamp-{self.id}-{id}".encode()))
+        return HttpReply(self.faults.status or 200, tuple(headers), self.records)
--- /dev/null
+++ b/walkcart/platform/tests/platformworld.py
@@ -0,0 +1,241 @@
+"""Instances on a platform in memory: store, leafs, callers."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from datetime import timedelta
+from io import StringIO
+from random import Random
+from typing import Any, TextIO
+
+import trio
+
+from walkcart.daemon.tenant import Tenant, TenantSurroundings, assemble_tenant
+from walkcart.kernel.clock import TrioClock
+from walkcart.kernel.settings import HostPort
+from walkcart.platform.settings import PlatformSettings
+from walkcart.platform.tests.leafstandin import PlatformLeafStandin
+from walkcart.platform.tests.storestandin import PlatformStoreStandin
+from walkcart.standins.memory import MemoryNetwork
+from walkcart.standins.serving import StandinServer
+from walkcart.wire.http import HttpConnection, HttpReply, HttpRequest
+
+REGIONS = {"north-a": "north", "south-a": "south"}
+HOST = "shop.example"
+BODY_LIMIT = 1 << 20
+
+
+@dataclass(slots=True)
+class RunningTenant:
+    """An instance and the means to end it."""
+
+    tenant: Tenant
+    settings: PlatformSettings
+    scope: trio.CancelScope
+
+
+@dataclass(slots=True, eq=False)
+class PlatformWorld:
+    """Everything around the instances.
+
+    Args:
+        nursery: where all of it runs.
+        log: where instances write their lines.
+    """
+
+    nursery: trio.Nursery
+    log: TextIO = field(default_factory=StringIO)
+    network: MemoryNetwork = field(default_factory=MemoryNetwork)
+    store: PlatformStoreStandin = field(default_factory=PlatformStoreStandin)
+    leafs: dict[str, PlatformLeafStandin] = field(default_factory=dict)
+    servers: dict[str, StandinServer] = field(default_factory=dict)
+    entries: dict[str, dict[str, Any]] = field(default_factory=dict)
+    tenants: dict[str, RunningTenant] = field(default_factory=dict)
+    store_address: HostPort = HostPort("127.0.0.1", 0)
+    version: int = 0
+    _requests: int = 0
+
+    async def start_store(self) -> None:
+        """Start the store."""
+        self.store_address = await self.nursery.start(
+            self.store.make_server().run,
+            self.network.at("store"),
+            HostPort("127.0.0.1", 0),
+        )
+
+    async def start_leaf(
+        self, id: str, service: str, data_centre: str = "north-a", **details: Any
+    ) -> PlatformLeafStandin:
+        """Start a leaf and store its entry."""
+        leaf = PlatformLeafStandin(id, **details)
+        server = leaf.make_server()
+        address = await self.nursery.start(
+            server.run, self.network.at(data_centre), HostPort("127.0.0.1", 0)
+        )
+        self.leafs[id] = leaf
+        self.servers[id] = server
+        self.entries[id] = {
+            "backend": service,
+            "address": str(address),
+            "zone": data_centre,
+            "version": "v1",
+            "slots": 2,
+            "state": "ready",
+            "warmupLeftMs": 0,
+            "seq": 1,
+        }
+        self.store.put(f"servers/{id}", self.entries[id])
+        return leaf
+
+    def drain_leaf(self, id: str) -> None:
+        """Announce that a leaf is about to end."""
+        self.entries[id]["state"] = "draining"
+        self.store.put(f"servers/{id}", self.entries[id])
+
+    def configure(self, *routes: dict[str, Any], **limits: int) -> int:
+        """Store a new version of the configuration; return its number."""
+        self.version += 3
+        names = {name for route in routes for name in _services_of(route)}
+        self.store.put(
+            "op/config",
+            {
+                "version": self.version,
+                "routes": list(routes),
+                "services": [
+                    {
+                        "name": name,
+                        "healthPath": "/health",
+                        "maxConns": 26,
+                        "protocol": "h1",
+                        "tls": False,
+                    }
+                    for name in sorted(names)
+                ],
+                "limits": {
+                    "maxHeaderBytes": 16384,
+                    "maxBodyBytes": 262144,
+                    "headerTimeoutMs": 3000,
+                    "idleTimeoutMs": 15000,
+                    **limits,
+                },
+            },
+        )
+        return self.version
+
+    async def start_instance(
+        self, name: str = "one", data_centre: str = "north-a"
+    ) -> RunningTenant:
+        """Start an instance."""
+        settings = make_settings(name, data_centre, self.store_address)
+        around = TenantSurroundings(
+            self.network.at(data_centre), TrioClock(), Random(7), self.log
+        )
+        tenant = await assemble_tenant(settings, around)
+        scope = await self.nursery.start(_run_tenant, tenant)
+        self.tenants[name] = RunningTenant(tenant, settings, scope)
+        return self.tenants[name]
+
+    async def wait_ready(self, name: str = "one") -> None:
+        """Wait until an instance wants connections."""
+        while (await self.ask_ready(name)).status != 200:
+            await trio.sleep(0.05)
+
+    async def ask_ready(self, name: str = "one") -> HttpReply:
+        """Ask as the balancer does."""
+        address = self.tenants[name].settings.readiness
+        return await self._exchange(address, HttpRequest("GET", "/api/ready"))
+
+    async def ask(
+        self,
+        path: str,
+        name: str = "one",
+        method: str = "GET",
+        body: bytes = b"",
+        deadline_ms: int = 2000,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> HttpReply:
+        """Send a request as a caller does, on a connection of its own."""
+        self._requests += 1
+        request = HttpRequest(
+            method,
+            path,
+            (
+                (b"host", HOST.encode()),
+                (b"x-request-id", b"request-%d" % self._requests),
+                (b"x-deadline-ms", b"%d" % deadline_ms),
+                *headers,
+            ),
+            body,
+        )
+        return await self._exchange(self.tenants[name].settings.callers, request)
+
+    async def _exchange(self, address: HostPort, request: HttpRequest) -> HttpReply:
+        stream = await self.network.at("callers").connect(address)
+        connection = HttpConnection(stream, HOST, BODY_LIMIT)
+        try:
+            return await connection.exchange(request)
+        finally:
+            with trio.CancelScope(shield=True):
+                await connection.close()
+
+
+def make_settings(name: str, data_centre: str, store: HostPort) -> PlatformSettings:
+    """Return the settings of an instance; ports follow from its name."""
+    number = sum(name.encode()) % 1000
+    return PlatformSettings(
+        instance=name,
+        host="127.0.0.1",
+        data_centre=data_centre,
+        region=REGIONS[data_centre],
+        regions=REGIONS,
+        callers=HostPort("127.0.0.1", 20000 + number),
+        readiness=HostPort("127.0.0.1", 21000 + number),
+        peer_ports=(22000 + number, 22000 + number),
+        store=store,
+        store_rate=400.0,
+        repeat_ratio=0.2,
+        repeat_window=timedelta(seconds=10),
+        repeat_allowance=54.0,
+        grace=timedelta(seconds=6),
+    )
+
+
+def make_route(name: str, prefix: str, **fields: Any) -> dict[str, Any]:
+    """Return a route as operators store it."""
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "routeType": "idempotent",
+        "timeoutMs": 2000,
+        "targetLatencyMs": 200,
+        "priority": 1,
+        "maxAttempts": 2,
+        **fields,
+    }
+
+
+@asynccontextmanager
+async def open_platform():
+    """Open a world with a running store."""
+    async with trio.open_nursery() as nursery:
+        world = PlatformWorld(nursery)
+        await world.start_store()
+        yield world
+        nursery.cancel_scope.cancel()
+
+
+async def _run_tenant(tenant: Tenant, *, task_status) -> None:
+    with trio.CancelScope() as scope:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(tenant.kernel.run)
+            task_status.started(scope)
+
+
+def _services_of(route: dict[str, Any]) -> list[str]:
+    if "fanoutServices" in route:
+        return route["fanoutServices"]
+    if "trafficSplit" in route:
+        return [part["backend"] for part in route["trafficSplit"]]
+    return [route["backend"]]
--- /dev/null
+++ b/walkcart/platform/tests/storestandin.py
@@ -0,0 +1,203 @@
+"""A stand-in of the platform's store: items, watches, transactions, leases, faults."""
+
+from __future__ import annotations
+
+from base64 import b64decode, b64encode
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+import trio
+
+from walkcart.standins.serving import StandinServer, reply_json
+from walkcart.wire.http import HttpReply, HttpRequest
+
+#: Items of one page; small, so that tests see several.
+PAGE = 50
+
+
+@dataclass(slots=True)
+class PlatformStoreFaults:
+    """What goes wrong; all off at first.
+
+    Args:
+        silent: calls are held and never answered.
+        refusal: status that every call gets; 0 for none.
+        lose_writes: writes take effect and are never answered.
+        stale_by: revisions by which reads that may be stale are behind.
+    """
+
+    silent: bool = False
+    refusal: int = 0
+    lose_writes: bool = False
+    stale_by: int = 0
+
+
+@dataclass(slots=True)
+class _Row:
+    value: bytes
+    revision: int
+    lease: int
+
+
+@dataclass(slots=True, eq=False)
+class PlatformStoreStandin:
+    """Holds items; serves the calls of the store's page."""
+
+    faults: PlatformStoreFaults = field(default_factory=PlatformStoreFaults)
+    calls: list[str] = field(default_factory=list)
+    rows: dict[str, _Row] = field(default_factory=dict)
+    revision: int = 0
+    _history: list[dict[str, Any]] = field(default_factory=list)
+    _compacted: int = 0
+    _leases: dict[int, tuple[float, float]] = field(default_factory=dict)
+    _next_lease: int = 100
+    _changed: trio.Event = field(default_factory=trio.Event)
+
+    def make_server(self) -> StandinServer:
+        """Return the server of this store."""
+        return StandinServer(self.handle)
+
+    def put(self, key: str, content: Any, lease: int = 0) -> None:
+        """Store JSON as the operator or a leaf does."""
+        value = content if isinstance(content, bytes) else msgspec.json.encode(content)
+        self.revision += 1
+        self.rows[key] = _Row(value, self.revision, lease)
+        self._record(key)
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        self.revision += 1
+        del self.rows[key]
+        self._history.append(
+            {"tlsKey": key, "revision": self.revision, "deleted": True}
+        )
+        self._wake()
+
+    def compact(self) -> None:
+        """Forget the history; waiting watches are cut."""
+        self._history.clear()
+        self._compacted = self.revision
+        self._wake()
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Serve one call."""
+        parts = urlsplit(request.target)
+        self.calls.append(f"{request.method} {parts.path}")
+        await trio.sleep(0.004)
+        if self.faults.silent:
+            await trio.sleep_forever()
+        if self.faults.refusal:
+            return HttpReply(self.faults.refusal)
+        self._expire_leases()
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        content = msgspec.json.decode(request.body) if request.body else {}
+        name = parts.path.removeprefix("/api/kv-")
+        match name.split("/"):
+            case ["range"]:
+                return self._range(query)
+            case ["watch"]:
+                return await self._watch(query)
+            case ["txn"]:
+                reply = self._transact(content)
+                if self.faults.lose_writes:
+                    await trio.sleep_forever()
+                return reply
+            case ["lease"]:
+                return self._grant(content)
+            case ["keep", number]:
+                return self._renew(int(number))
+            case ["lease-end", number]:
+                self._end(int(number))
+                return HttpReply(200)
+            case _:
+                return HttpReply(404)
+
+    def _range(self, query: dict[str, str]) -> HttpReply:
+        stale = "serializable" in query
+        limit = self.revision - (self.faults.stale_by if stale else 0)
+        prefix, after = query["pathPrefix"], query.get("after", "")
+        keys = sorted(
+            key
+            for key, row in self.rows.items()
+            if key.startswith(prefix) and key > after and row.revision <= limit
+        )
+        items = [self._describe(key) for key in keys[:PAGE]]
+        return reply_json(
+            {"items": items, "truncated": len(keys) > PAGE, "asOf": self.revision}
+        )
+
+    async def _watch(self, query: dict[str, str]) -> HttpReply:
+        prefix, after = query["pathPrefix"], int(query["after"])
+        with trio.move_on_after(int(query["waitMs"]) / 1000):
+            while True:
+                if after < self._compacted:
+                    return HttpReply(410)
+                events = [
+                    event
+                    for event in self._history
+                    if event["revision"] > after and event["tlsKey"].startswith(prefix)
+                ]
+                if events:
+                    return reply_json({"events": events, "asOf": self.revision})
+                changed = self._changed
+                await changed.wait()
+        return reply_json({"events": [], "asOf": self.revision})
+
+    def _transact(self, content: dict[str, Any]) -> HttpReply:
+        for row in content["expectedRevision"]:
+            held = self.rows.get(row["tlsKey"])
+            if (held.revision if held else 0) != row["revision"]:
+                keys = [row["tlsKey"] for row in content["expectedRevision"]]
+                items = [self._describe(key) for key in keys if key in self.rows]
+                return reply_json({"items": items}, 412)
+        for put in content["puts"]:
+            if put["lease"] and put["lease"] not in self._leases:
+                return HttpReply(404)
+            self.put(put["tlsKey"], b64decode(put["value"]), put["lease"])
+        for key in content["remove"]:
+            if key in self.rows:
+                self.remove(key)
+        return reply_json({"revision": self.revision})
+
+    def _grant(self, content: dict[str, Any]) -> HttpReply:
+        self._next_lease += 1
+        seconds = content["ttlMs"] / 1000
+        self._leases[self._next_lease] = (trio.current_time() + seconds, seconds)
+        return reply_json({"lease": self._next_lease, "ttlMs": content["ttlMs"]})
+
+    def _renew(self, number: int) -> HttpReply:
+        if number not in self._leases:
+            return HttpReply(404)
+        _, seconds = self._leases[number]
+        self._leases[number] = (trio.current_time() + seconds, seconds)
+        return reply_json({"ttlMs": int(seconds * 1000)})
+
+    def _end(self, number: int) -> None:
+        self._leases.pop(number, None)
+        for key in [key for key, row in self.rows.items() if row.lease == number]:
+            self.remove(key)
+
+    def _expire_leases(self) -> None:
+        now = trio.current_time()
+        for number in [n for n, (end, _) in self._leases.items() if end < now]:
+            self._end(number)
+
+    def _describe(self, key: str) -> dict[str, Any]:
+        row = self.rows[key]
+        return {
+            "tlsKey": key,
+            "value": b64encode(row.value).decode(),
+            "revision": row.revision,
+            "created": row.revision,
+            "lease": row.lease,
+        }
+
+    def _record(self, key: str) -> None:
+        self._history.append(self._describe(key))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
--- a/walkcart/routing/repeats.py
+++ b/walkcart/routing/repeats.py
@@ -6,8 +6,8 @@
 at each repeat, so each one keeps to the ratio of its own requests and to an equal part
 of the allowance; the sums then keep to the whole.
 
-An instance that has just started doesn't know what its former life spent. It takes
-its whole part of the allowance as spent when it starts.
+An instance that has just started doesn't know what its former life spent. For one
+window it uses only what that life can't have taken: the share kept in reserve.
 
 Examples:
     >>> budget = RepeatBudget(RepeatLimits(0.2, 10.0, 14.0), now=-60.0)
@@ -114,10 +114,10 @@
 
     def _allowed(self, window: _Window, now: float, instances: int) -> float:
         limits = self.limits
-        allowed = limits.ratio * window.requests
-        if now - self._started >= limits.window:
-            allowed += limits.allowance / max(1, instances)
-        return allowed * SPENT_SHARE
+        allowance = limits.allowance / max(1, instances)
+        young = now - self._started < limits.window
+        share = 1.0 - SPENT_SHARE if young else SPENT_SHARE
+        return limits.ratio * window.requests * SPENT_SHARE + allowance * share
 
     def _window(self, service: str) -> _Window:
         if service not in self._windows:
--- a/walkcart/wire/server.py
+++ b/walkcart/wire/server.py
@@ -86,7 +86,7 @@
     ) -> None:
         self._handler = handler
         self.limits = limits
-        self._cancel_on_gone = cancel_on_gone
+        self.cancel_on_gone = cancel_on_gone
         self._on_fault = on_fault
         self._on_gone = on_gone
         self._connections: set[_Connection] = set()
@@ -154,7 +154,7 @@
         self, connection: _Connection, request: HttpRequest
     ) -> HttpReply | None:
         """Make the reply; None when the client left and its request was cancelled."""
-        if not self._cancel_on_gone:
+        if not self.cancel_on_gone:
             return await self._handler(request)
         reply: HttpReply | None = None
         async with trio.open_nursery() as nursery:
