Gather far shards by one peer in their region

Change: services without a leaf in this region are gathered by one instance of a region that has them, which sends back the merged records and stamps; without its word in time they are asked from here. An instance is chosen by its times and its questions in progress.

--- a/walkcart/daemon/platform.py
+++ b/walkcart/daemon/platform.py
@@ -31,6 +31,7 @@
 )
 from walkcart.store.calls import StoreCalls
 from walkcart.wire.network import TcpNetwork
+from walkcart.wire.peers import NngTransport
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -56,7 +57,9 @@
 
 async def _run(settings: PlatformSettings, path: Path) -> int:
     log = cast(TextIO, LogSink(sys.stdout.fileno()))
-    around = TenantSurroundings(TcpNetwork(), TrioClock(), Random(), log)
+    around = TenantSurroundings(
+        TcpNetwork(), NngTransport(), TrioClock(), Random(), log
+    )
     try:
         tenant = await assemble_tenant(settings, around)
     except OSError as error:
--- a/walkcart/daemon/tenant.py
+++ b/walkcart/daemon/tenant.py
@@ -17,20 +17,25 @@
 from walkcart.entry.routed import RoutedEntryTools, RoutedHandler
 from walkcart.entry.routedservice import RoutedService
 from walkcart.entry.routedstop import RoutedStop
+from walkcart.fanout.delegates import Delegates, DelegateTools, Outcome
 from walkcart.fanout.ids import IdSource
-from walkcart.fanout.routed import RoutedTools
+from walkcart.fanout.routed import RoutedGathering
+from walkcart.fanout.routedquestion import RoutedQuestion
+from walkcart.fanout.routedtools import RoutedTools
 from walkcart.intent.routekeeper import RouteKeeper
 from walkcart.kernel.clock import Clock
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.registry import Kernel
+from walkcart.kernel.settings import HostPort
 from walkcart.kernel.spans import OUTPUT_NONE, Tracer
 from walkcart.leaves.directory import LeafDirectory
 from walkcart.leaves.link import LinkTools
 from walkcart.leaves.pool import LeafPool, PoolTools
+from walkcart.membership.links import PeerLinks
 from walkcart.membership.registration import InstanceRecord, Registration
-from walkcart.platform.callerprotocol import PlatformCallerProtocol
+from walkcart.platform.callerprotocol import PlatformCallerProtocol, merge_parts
 from walkcart.platform.documents import (
     CONFIGURATION_KEY,
     LEAF_PREFIX,
@@ -40,12 +45,14 @@
 from walkcart.platform.leafprotocol import PlatformLeafProtocol
 from walkcart.platform.settings import PlatformSettings
 from walkcart.platform.store import PlatformStore
+from walkcart.routing.peerchoice import PeerAccounts
 from walkcart.routing.repeats import RepeatBudget, RepeatLimits
 from walkcart.store.backoff import Backoff
 from walkcart.store.budget import CallBudget
 from walkcart.store.calls import StoreCalls
 from walkcart.store.following import PrefixFollower
 from walkcart.wire.network import Network
+from walkcart.wire.peers import PeerListener, PeerTransport
 from walkcart.wire.server import HttpServer, ServerLimits
 
 #: Share of the store's rate that one instance may use at once; with seven instances
@@ -65,6 +72,7 @@
     """What the instance runs on."""
 
     network: Network
+    transport: PeerTransport
     clock: Clock
     random: Random
     log: TextIO | None = None
@@ -113,11 +121,13 @@
     """
     callers = await around.network.listen(settings.callers)
     readiness = await around.network.listen(settings.readiness)
+    peers = await listen_for_peers(settings, around.transport)
     kernel = Kernel()
     _add_base(kernel, settings, around)
-    _add_store(kernel, settings, around)
+    _add_store(kernel, settings, around, peers)
     _add_intent(kernel, around)
     _add_leaves(kernel, settings, around)
+    _add_delegates(kernel, settings, around, peers)
     _add_entry(kernel, settings, around, callers)
     service = kernel.find("entry", RoutedService)
     server = HttpServer(
@@ -126,6 +136,7 @@
     kernel.add("readiness", ListenerService(readiness, server))
     stop = RoutedStop(
         service,
+        kernel.find("delegates", Delegates),
         kernel.find("registration", Registration),
         kernel.find("events", EventLog),
         settings.grace,
@@ -133,6 +144,24 @@
     return Tenant(kernel, stop)
 
 
+async def listen_for_peers(
+    settings: PlatformSettings, transport: PeerTransport
+) -> PeerListener:
+    """Listen at the first free port of the range for other instances.
+
+    Raises:
+        OSError: none of the ports can be had.
+    """
+    first, last = settings.peer_ports
+    for port in range(first, last):
+        try:
+            return await transport.listen(HostPort(settings.host, port))
+        except OSError:
+            # Taken by the other role or the former process; the next one will do.
+            continue
+    return await transport.listen(HostPort(settings.host, last))
+
+
 def _add_base(
     kernel: Kernel, settings: PlatformSettings, around: TenantSurroundings
 ) -> None:
@@ -142,7 +171,10 @@
 
 
 def _add_store(
-    kernel: Kernel, settings: PlatformSettings, around: TenantSurroundings
+    kernel: Kernel,
+    settings: PlatformSettings,
+    around: TenantSurroundings,
+    peers: PeerListener,
 ) -> None:
     events = kernel.find("events", EventLog)
     rate = settings.store_rate * STORE_SHARE
@@ -159,7 +191,11 @@
     store = PlatformStore(calls)
     started = around.clock.now().isoformat()
     own = InstanceRecord(
-        settings.instance, started, settings.data_centre, settings.region
+        settings.instance,
+        started,
+        settings.data_centre,
+        settings.region,
+        str(peers.address),
     )
     registration = Registration(
         store, own, around.clock, make_store_backoff(around.random), events
@@ -262,16 +298,28 @@
     return pool
 
 
-def _add_entry(
+def _add_delegates(
     kernel: Kernel,
     settings: PlatformSettings,
     around: TenantSurroundings,
-    listener: trio.abc.Listener[trio.abc.Stream],
+    peers: PeerListener,
 ) -> None:
     events = kernel.find("events", EventLog)
     metrics = kernel.find("metrics", Metrics)
-    keeper = kernel.find("keeper", RouteKeeper)
-    protocol = PlatformCallerProtocol()
+    registration = kernel.find("registration", Registration)
+    links = PeerLinks(peers, around.transport, registration, events, metrics)
+    ids = IdSource(settings.instance, around.random.getrandbits(32))
+    delegates = Delegates(
+        DelegateTools(
+            links,
+            registration,
+            PeerAccounts(),
+            ids,
+            around.clock,
+            around.random,
+            events,
+        )
+    )
     limits = RepeatLimits(
         settings.repeat_ratio,
         settings.repeat_window.total_seconds(),
@@ -280,16 +328,39 @@
     gathering = RoutedTools(
         kernel.find("pool", LeafPool),
         RepeatBudget(limits, around.clock.monotonic()),
-        kernel.find("registration", Registration).count,
-        IdSource(settings.instance, around.random.getrandbits(32)),
+        registration.count,
+        ids,
         around.clock,
         metrics,
+        settings.region,
+        delegates,
     )
+
+    async def gather(question: RoutedQuestion, top: int) -> Outcome:
+        result = await RoutedGathering(gathering, question).run()
+        return result.map(lambda answer: merge_parts(answer, top))
+
+    delegates.connect(gather)
+    kernel.add("links", links)
+    kernel.add("delegates", delegates)
+    kernel.add("gathering", gathering)
+
+
+def _add_entry(
+    kernel: Kernel,
+    settings: PlatformSettings,
+    around: TenantSurroundings,
+    listener: trio.abc.Listener[trio.abc.Stream],
+) -> None:
+    events = kernel.find("events", EventLog)
+    metrics = kernel.find("metrics", Metrics)
+    keeper = kernel.find("keeper", RouteKeeper)
+    protocol = PlatformCallerProtocol()
     handler = RoutedHandler(
         RoutedEntryTools(
             keeper,
             protocol,
-            gathering,
+            kernel.find("gathering", RoutedTools),
             events,
             metrics,
             kernel.find("tracer", Tracer),
--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -16,8 +16,9 @@
 
 from returns.result import Failure, Result, Success
 
-from walkcart.fanout.routed import RoutedGathering, RoutedTools
+from walkcart.fanout.routed import RoutedGathering
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure, RoutedQuestion
+from walkcart.fanout.routedtools import RoutedTools
 from walkcart.intent.routekeeper import RouteKeeper
 from walkcart.intent.routes import Route, Target, ToService, ToShards, ToSplit
 from walkcart.kernel.eventlog import EventLog
@@ -64,7 +65,7 @@
         """Return what a request means."""
         ...
 
-    def render_merged(self, answer: RoutedAnswer, target: ToShards) -> HttpReply:
+    def render_merged(self, answer: RoutedAnswer, top: int) -> HttpReply:
         """Return the answer of many shards."""
         ...
 
@@ -136,17 +137,17 @@
         span = tools.tracer.start(
             "routed.request", caller.traceparent, request=caller.id, route=route.name
         )
+        top = route.target.top if isinstance(route.target, ToShards) else 0
         with tools.tracer.hold(span):
-            result = await RoutedGathering(tools.gathering, question).run()
+            result = await RoutedGathering(tools.gathering, question, top).run()
         self._note(caller, route, start, result)
         match result:
-            case Success(answer) if isinstance(route.target, ToShards):
-                return tools.protocol.render_merged(answer, route.target)
+            case Success(answer) if question.whole_parts:
+                return tools.protocol.render_merged(answer, top)
             case Success(answer):
                 return tools.protocol.render_single(answer)
-            case Failure(failure):
-                return tools.protocol.render_failure(failure)
-        raise AssertionError("a result is a success or a failure")
+            case _:
+                return tools.protocol.render_failure(result.failure())
 
     def _make_question(
         self, caller: CallerRequest, route: Route, start: float
@@ -223,9 +224,10 @@
                 tools.events.emit(
                     Events.REQUEST_DONE,
                     **fields,
-                    replies=len(answer.replies),
-                    asked=answer.asked,
                     sent=answer.sent,
+                    repeats=answer.repeats,
+                    direct=len(answer.replies),
+                    gathered=len(answer.merged),
                     missing=_describe_missing(answer.missing),
                 )
             case Failure(failure):
--- a/walkcart/entry/routedstop.py
+++ b/walkcart/entry/routedstop.py
@@ -12,6 +12,7 @@
 import trio
 
 from walkcart.entry.routedservice import RoutedService
+from walkcart.fanout.delegates import Delegates
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.membership.registration import Registration
@@ -32,6 +33,7 @@
 
     Args:
         service: takes the callers' requests.
+        delegates: have questions of other instances in progress.
         registration: tells the other instances.
         events: where the stop is logged.
         grace: time until the platform kills the process.
@@ -40,11 +42,13 @@
     def __init__(
         self,
         service: RoutedService,
+        delegates: Delegates,
         registration: Registration,
         events: EventLog,
         grace: timedelta,
     ) -> None:
         self._service = service
+        self._delegates = delegates
         self._registration = registration
         self._events = events
         self._grace = grace
@@ -68,7 +72,7 @@
 
     async def _finish(self) -> None:
         server = self._service.server
-        while server.connections:
+        while server.connections or self._delegates.carrying:
             server.close_idle(IDLE_TIME)
             await trio.sleep(LOOK_INTERVAL)
         await self._service.stop_accepting()
--- /dev/null
+++ b/walkcart/fanout/mergedanswer.py
@@ -0,0 +1,26 @@
+"""The answer to a question over shards: merged records and what they cover."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from walkcart.wire.verdicts import Reason
+
+
+@dataclass(frozen=True, slots=True)
+class MergedAnswer:
+    """Merged parts.
+
+    Args:
+        body: the merged records.
+        proofs: what the leafs gave as proof of each part.
+        missing: services that aren't in it, with the reason for each.
+        sent: requests that went to leafs.
+        repeats: those among them that were not the first to their service.
+    """
+
+    body: bytes
+    proofs: tuple[bytes, ...]
+    missing: tuple[tuple[str, Reason], ...]
+    sent: int
+    repeats: int
--- a/walkcart/fanout/routedquestion.py
+++ b/walkcart/fanout/routedquestion.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from walkcart.fanout.mergedanswer import MergedAnswer
 from walkcart.leaves.attempts import Replied
 from walkcart.wire.http import HttpRequest
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
@@ -47,6 +48,7 @@
 
     Args:
         replies: by service.
+        merged: parts that other instances gathered.
         asked: number of services.
         missing: the others, with the reason for each.
         sent: requests that went to leafs.
@@ -54,6 +56,7 @@
     """
 
     replies: tuple[tuple[str, Replied], ...]
+    merged: tuple[MergedAnswer, ...]
     asked: int
     missing: tuple[tuple[str, Reason], ...]
     sent: int
--- /dev/null
+++ b/walkcart/fanout/routedsends.py
@@ -0,0 +1,142 @@
+"""The requests that one routed question sends to leafs."""
+
+from __future__ import annotations
+
+from walkcart.fanout.routedquestion import RoutedQuestion
+from walkcart.fanout.routedtools import RoutedTools
+from walkcart.fanout.servicetry import Sent, ServiceTry
+from walkcart.leaves.attempts import Attempt, Deliver
+from walkcart.leaves.leaf import Leaf
+from walkcart.wire.verdicts import Reason
+
+#: Seconds before a service whose leafs all refused or can't be reached is tried again.
+RETRY_DELAY = 0.03
+#: Tries at one service at the most, whatever came of them.
+MOST_TRIES = 6
+#: Least share of its usual time that must be left for another attempt to be sent.
+WORTHWHILE_SHARE = 0.5
+
+
+class RoutedSends:
+    """Sends the attempts of one question, within its rules and its budget.
+
+    Args:
+        tools: what routed questions use.
+        question: whose attempts these are.
+        deliver: told how each attempt ended.
+    """
+
+    def __init__(
+        self, tools: RoutedTools, question: RoutedQuestion, deliver: Deliver
+    ) -> None:
+        self._tools = tools
+        self._question = question
+        self._deliver = deliver
+        self._attempts: dict[str, ServiceTry] = {}
+        self.hedge_delay = tools.pool.times_of(question.kind).current(
+            tools.clock.monotonic()
+        )
+        self.sent = 0
+        self.repeats = 0
+
+    def find(self, attempt: Attempt) -> ServiceTry:
+        """Return the service that an attempt was sent to."""
+        return self._attempts[attempt.id]
+
+    def try_next(self, item: ServiceTry, now: float) -> None:
+        """Send the next attempt, to a leaf that wasn't tried if there is one."""
+        item.next_at = None
+        leaf = self._choose(item, now)
+        if leaf is None:
+            item.reason = Reason.NO_LEAF
+            if not self._question.whole_parts:
+                self.plan(item, now)
+            return
+        if item.arrived and not self._take_repeat(item, now):
+            return
+        self._send(item, leaf, now)
+
+    def plan(self, item: ServiceTry, now: float) -> None:
+        """Decide whether and when a service is tried again after a failure."""
+        if item.covered or item.under_way:
+            return
+        if not self._may_try(item, now):
+            item.given_up = True
+            return
+        leaves = self._tools.pool.leaves_of(item.service)
+        untried = any(leaf.id not in item.tried for leaf in leaves)
+        item.next_at = now if untried else now + RETRY_DELAY
+
+    def hedge_at(self, item: ServiceTry) -> float:
+        """Return when a second attempt is due beside the one under way."""
+        if not self._question.idempotent or len(item.under_way) != 1:
+            return float("inf")
+        if item.given_up or item.may_run >= self._question.most_attempts:
+            return float("inf")
+        return next(iter(item.under_way.values())).at + self.hedge_delay
+
+    def hedge(self, item: ServiceTry, now: float) -> None:
+        """Send a second attempt beside the one that is late."""
+        pool = self._tools.pool
+        kind = self._question.kind
+        leaf = pool.choose(item.service, kind, frozenset(item.tried), now)
+        if leaf is None or not self._take_repeat(item, now):
+            item.given_up = True
+            return
+        usual = pool.times_of(kind).median(now)
+        for sent in item.under_way.values():
+            sent.leaf.latency.observe_at_least(now, (now - sent.at) / usual)
+        self._tools.metrics.count("leaf.hedged")
+        self._send(item, leaf, now)
+
+    def cancel(self, item: ServiceTry) -> None:
+        """Cancel what is under way at a service."""
+        now = self._tools.clock.monotonic()
+        for id, sent in list(item.under_way.items()):
+            self._tools.pool.cancel(sent.leaf, id, self._question.kind, now - sent.at)
+
+    def _may_try(self, item: ServiceTry, now: float) -> bool:
+        if item.ran and not self._question.idempotent:
+            return False
+        if item.may_run >= self._question.most_attempts:
+            return False
+        return len(item.tried) < MOST_TRIES and self._has_time(now)
+
+    def _has_time(self, now: float) -> bool:
+        usual = self._tools.pool.times_of(self._question.kind).median(now)
+        return now + usual * WORTHWHILE_SHARE < self._question.deadline
+
+    def _choose(self, item: ServiceTry, now: float) -> Leaf | None:
+        pool = self._tools.pool
+        kind = self._question.kind
+        leaf = pool.choose(item.service, kind, frozenset(item.tried), now)
+        if leaf is None and item.tried:
+            leaf = pool.choose(item.service, kind, frozenset(), now)
+        return leaf
+
+    def _take_repeat(self, item: ServiceTry, now: float) -> bool:
+        if self._tools.budget.take(item.service, now, self._tools.instances()):
+            self.repeats += 1
+            return True
+        self._tools.metrics.count("leaf.repeat_denied")
+        item.given_up = True
+        return False
+
+    def _send(self, item: ServiceTry, leaf: Leaf, now: float) -> None:
+        question = self._question
+        attempt = Attempt(
+            id=self._tools.ids.take(),
+            shard=0,
+            deadline=question.deadline,
+            routed=question.request,
+            leaf_id=leaf.id,
+            idempotent=question.idempotent,
+            whole_part=question.whole_parts,
+            traceparent=question.traceparent,
+        )
+        item.under_way[attempt.id] = Sent(leaf, now)
+        item.tried.append(leaf.id)
+        item.arrived += 1
+        self._attempts[attempt.id] = item
+        self.sent += 1
+        self._tools.pool.submit(leaf, attempt, question.kind, self._deliver)
--- /dev/null
+++ b/walkcart/fanout/routedtools.py
@@ -0,0 +1,38 @@
+"""What every routed question of an instance uses."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from walkcart.fanout.delegates import Delegates
+from walkcart.fanout.ids import IdSource
+from walkcart.kernel.clock import Clock
+from walkcart.kernel.metrics import Metrics
+from walkcart.leaves.pool import LeafPool
+from walkcart.routing.repeats import RepeatBudget
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedTools:
+    """What every routed question of an instance uses.
+
+    Args:
+        pool: sends attempts.
+        budget: of repeats.
+        instances: returns the number of instances that divide the budget.
+        ids: names attempts.
+        clock: source of time.
+        metrics: where repeats are counted.
+        region: of this instance.
+        delegates: other instances that gather; None where there are none.
+    """
+
+    pool: LeafPool
+    budget: RepeatBudget
+    instances: Callable[[], int]
+    ids: IdSource
+    clock: Clock
+    metrics: Metrics
+    region: str = ""
+    delegates: Delegates | None = None
--- a/walkcart/fanout/routedverdict.py
+++ b/walkcart/fanout/routedverdict.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
+from walkcart.fanout.mergedanswer import MergedAnswer
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure, RoutedQuestion
 from walkcart.fanout.servicetry import ServiceTry
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
@@ -23,6 +24,7 @@
 def judge(
     question: RoutedQuestion,
     tries: tuple[ServiceTry, ...],
+    merged: tuple[MergedAnswer, ...],
     now: float,
     sent: int,
     repeats: int,
@@ -32,16 +34,22 @@
     Args:
         question: what was asked.
         tries: how it went at each service.
+        merged: what other instances gathered.
         now: the present, in seconds.
-        sent: requests that went to leafs.
+        sent: requests that went to leafs from here.
         repeats: those that were not the first to their service.
     """
+    covered = sum(1 for item in tries if item.covered)
     replies = tuple(
         (item.service, item.reply) for item in tries if item.reply is not None
     )
-    if not covers(question, len(replies)):
+    sent += sum(part.sent for part in merged)
+    repeats += sum(part.repeats for part in merged)
+    if not covers(question, covered):
         return Failure(make_failure(tries, now >= question.deadline, sent))
-    return Success(RoutedAnswer(replies, len(tries), _missing(tries), sent, repeats))
+    return Success(
+        RoutedAnswer(replies, merged, len(tries), _missing(tries), sent, repeats)
+    )
 
 
 def make_failure(
@@ -59,7 +67,7 @@
     reasons = ", ".join(sorted({reason.value for _, reason in missing}))
     detail = f"{replied} of {len(tries)} services replied; missing: {reasons}"
     failure = next((item.failure for item in tries if item.failure), None)
-    if any(item.may_run for item in tries):
+    if any(item.may_run or item.gathered or item.delegated for item in tries):
         reason = Reason.DEADLINE if late else Reason.LEAF_FAILED
         return RoutedFailure(MayHaveRun(reason, detail), failure, sent, missing)
     reason = missing[0][1] if missing else Reason.COVERAGE
@@ -68,7 +76,7 @@
 
 
 def _missing(tries: tuple[ServiceTry, ...]) -> tuple[tuple[str, Reason], ...]:
-    return tuple((item.service, item.reason) for item in tries if item.reply is None)
+    return tuple((item.service, item.reason) for item in tries if not item.covered)
 
 
 def _find_retry_time(tries: tuple[ServiceTry, ...]) -> timedelta:
--- a/walkcart/fanout/servicetry.py
+++ b/walkcart/fanout/servicetry.py
@@ -24,6 +24,8 @@
     Args:
         service: its name.
         reply: accepted.
+        delegated: whether another instance is at work on it.
+        gathered: whether another instance gathered its part.
         failure: last reply that told of a failure.
         under_way: attempts by id.
         tried: ids of leafs that got it, in order.
@@ -37,6 +39,8 @@
 
     service: str
     reply: Replied | None = None
+    delegated: bool = False
+    gathered: bool = False
     failure: Replied | None = None
     under_way: dict[str, Sent] = field(default_factory=dict)
     tried: list[str] = field(default_factory=list)
@@ -47,12 +51,17 @@
     reason: Reason = Reason.DEADLINE
     refusal: NotRun | None = None
 
+    @property
+    def covered(self) -> bool:
+        """Whether its part is in."""
+        return self.gathered or self.reply is not None
+
     @property
     def open(self) -> bool:
-        """Whether a reply may still come."""
-        if self.reply is not None:
+        """Whether its part may still come."""
+        if self.covered:
             return False
-        return bool(self.under_way) or self.next_at is not None
+        return self.delegated or bool(self.under_way) or self.next_at is not None
 
     @property
     def may_run(self) -> int:
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -81,6 +81,9 @@
     MEMBER_JOINED = _info(403, "member_joined", "A peer is live.")
     MEMBER_LEAVING = _info(404, "member_leaving", "A peer began a planned stop.")
     PEER_BAD_MESSAGE = _warn(405, "peer_bad_message", "Can't be decoded; dropped.")
+    DELEGATE_LOST = _info(
+        407, "delegate_lost", "A peer didn't gather a question; done from here."
+    )
     LIST_FAILED = _warn(406, "instance_list_failed", "The instance list didn't answer.")
     REVISION_IN_FORCE = _info(501, "revision_in_force", "A configuration is applied.")
     REVISION_IGNORED = _info(502, "revision_ignored", "Not newer than what is held.")
--- a/walkcart/leaves/directory.py
+++ b/walkcart/leaves/directory.py
@@ -71,6 +71,7 @@
         self._entries: dict[str, LeafEntry] = {}
         self._leaves: dict[str, Leaf] = {}
         self._by_service: dict[str, tuple[Leaf, ...]] = {}
+        self._regions: dict[str, frozenset[str]] = {}
         self._lapsed: dict[str, float] = {}
         self._replaced: dict[str, None] = {}
         self._listeners: list[Callable[[], None]] = []
@@ -84,6 +85,10 @@
         """Return the leafs of a service that may get new work."""
         return self._by_service.get(service, ())
 
+    def regions_of(self, service: str) -> frozenset[str]:
+        """Return the regions where a service has leafs that may get new work."""
+        return self._regions.get(service, frozenset())
+
     def entries(self) -> Iterable[LeafEntry]:
         """Return all entries, of leaving leafs too."""
         return self._entries.values()
@@ -169,6 +174,10 @@
                 by_service.setdefault(entry.service, []).append(leaf)
         self._leaves = leaves
         self._by_service = {name: tuple(found) for name, found in by_service.items()}
+        self._regions = {
+            name: frozenset(leaf.region for leaf in found)
+            for name, found in by_service.items()
+        }
         for listener in self._listeners:
             listener()
 
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -79,6 +79,10 @@
         """Return the leafs of a service that may get new work."""
         return self._tools.directory.leaves_of(service)
 
+    def regions_of(self, service: str) -> frozenset[str]:
+        """Return the regions where a service has leafs that may get work."""
+        return self._tools.directory.regions_of(service)
+
     def choose(
         self, service: str, kind: str, without: frozenset[str], now: float
     ) -> Leaf | None:
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
+from typing import Protocol
 
 import trio
 
@@ -12,7 +13,6 @@
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.settings import BadValue, HostPort, parse_host_port
-from walkcart.membership.view import MembershipView
 from walkcart.wire.codec import BadMessage, decode_envelope, encode_envelope
 from walkcart.wire.messages import Envelope, Message
 from walkcart.wire.peers import PeerListener, PeerTransport
@@ -20,6 +20,8 @@
 #: Messages that wait for one peer; more are dropped and counted.
 OUTBOX_LIMIT = 2000
 MESSAGES_PER_ENVELOPE = 64
+#: Senders outside the book whose addresses are kept.
+STRANGER_LIMIT = 256
 #: A link without messages for this long is closed.
 IDLE_TIME = timedelta(seconds=30)
 SEND_TIME = timedelta(seconds=2)
@@ -28,6 +30,38 @@
 MessageHandler = Callable[[str, Message], None]
 
 
+class PeerEntry(Protocol):
+    """What a link has to know of an instance."""
+
+    @property
+    def name(self) -> str:
+        """Names the instance."""
+        ...
+
+    @property
+    def incarnation(self) -> int:
+        """Number of its process life; 0 when it doesn't matter."""
+        ...
+
+    @property
+    def peer_address(self) -> str:
+        """``IP:port`` for peers; empty when it takes none."""
+        ...
+
+
+class PeerBook(Protocol):
+    """The instances and their addresses."""
+
+    @property
+    def own(self) -> PeerEntry:
+        """This instance."""
+        ...
+
+    def find(self, name: str) -> PeerEntry | None:
+        """Return the instance called `name`, or None."""
+        ...
+
+
 class PeerLinks:
     """Sends to and receives from the other instances.
 
@@ -43,7 +77,7 @@
         self,
         listener: PeerListener,
         transport: PeerTransport,
-        view: MembershipView,
+        view: PeerBook,
         events: EventLog,
         metrics: Metrics,
     ) -> None:
@@ -54,6 +88,8 @@
         self._metrics = metrics
         self._handlers: dict[type[Message], MessageHandler] = {}
         self._links: dict[tuple[str, HostPort], _Link] = {}
+        #: Addresses that senders gave, for answers to those not yet in the book.
+        self._heard: dict[str, str] = {}
         self._nursery: trio.Nursery | None = None
         self.last_received = trio.current_time()
 
@@ -68,10 +104,11 @@
             False when it was not queued and so will surely not be sent.
         """
         record = self._view.find(name)
-        if record is None or self._nursery is None or not record.peer_address:
+        text = record.peer_address if record else self._heard.get(name, "")
+        if self._nursery is None or not text:
             return False
         try:
-            address = parse_host_port(record.peer_address)
+            address = parse_host_port(text)
         except BadValue:
             return False
         link = self._links.get((name, address))
@@ -107,12 +144,20 @@
             # Meant for an earlier process at this address.
             return
         self.last_received = trio.current_time()
+        if self._view.find(envelope.sender) is None:
+            self._note_stranger(envelope)
         self._metrics.count("peer.received", len(envelope.messages))
         for message in envelope.messages:
             handler = self._handlers.get(type(message))
             if handler is not None:
                 handler(envelope.sender, message)
 
+    def _note_stranger(self, envelope: Envelope) -> None:
+        """Keep the address of a sender that the book doesn't know yet."""
+        while len(self._heard) >= STRANGER_LIMIT:
+            del self._heard[next(iter(self._heard))]
+        self._heard[envelope.sender] = envelope.address
+
     async def _run_link(self, name: str, address: HostPort, link: _Link) -> None:
         """Send what is queued for one peer until it is idle or unreachable."""
         sender = await self._transport.dial(address)
--- a/walkcart/membership/registration.py
+++ b/walkcart/membership/registration.py
@@ -72,6 +72,11 @@
     region: str
     peer_address: str = ""
 
+    @property
+    def incarnation(self) -> int:
+        """Return 0: messages to any life of an instance may be taken by the present."""
+        return 0
+
 
 @dataclass(frozen=True, slots=True)
 class Registered:
@@ -119,6 +124,10 @@
         """Return the other instances whose keys were read last."""
         return tuple(self._others.values())
 
+    def find(self, name: str) -> InstanceRecord | None:
+        """Return the other instance called `name`, or None."""
+        return self._others.get(name)
+
     def count(self) -> int:
         """Return the instances to divide by: the most of late, this one included."""
         limit = self._clock.monotonic() - COUNT_MEMORY.total_seconds()
--- a/walkcart/platform/callerprotocol.py
+++ b/walkcart/platform/callerprotocol.py
@@ -5,8 +5,8 @@
 from datetime import timedelta
 
 from walkcart.entry.routed import CallerRequest
+from walkcart.fanout.mergedanswer import MergedAnswer
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure
-from walkcart.intent.routes import ToShards
 from walkcart.kernel.numbers import read_number
 from walkcart.leaves.attempts import Replied
 from walkcart.platform.headers import (
@@ -57,14 +57,13 @@
             traceparent=request.header(_TRACEPARENT),
         )
 
-    def render_merged(self, answer: RoutedAnswer, target: ToShards) -> HttpReply:
+    def render_merged(self, answer: RoutedAnswer, top: int) -> HttpReply:
         """Return the greatest records of the parts, with the parts' stamps."""
-        stamps = (_stamp_of(reply) for _, reply in answer.replies)
-        headers = [_OCTETS, (PART_STAMPS, b", ".join(stamps))]
-        if answer.missing:
-            headers.append((MISSING_PARTS, b"%d" % len(answer.missing)))
-        bodies = [reply.body for _, reply in answer.replies]
-        return HttpReply(200, tuple(headers), merge_records(bodies, target.top))
+        merged = merge_parts(answer, top)
+        headers = [_OCTETS, (PART_STAMPS, b", ".join(merged.proofs))]
+        if merged.missing:
+            headers.append((MISSING_PARTS, b"%d" % len(merged.missing)))
+        return HttpReply(200, tuple(headers), merged.body)
 
     def render_single(self, answer: RoutedAnswer) -> HttpReply:
         """Return the leaf's answer unchanged."""
@@ -91,6 +90,17 @@
         return HttpReply(fault.value)
 
 
+def merge_parts(answer: RoutedAnswer, top: int) -> MergedAnswer:
+    """Return the greatest records of the parts, with the parts' stamps."""
+    bodies = [reply.body for _, reply in answer.replies]
+    bodies += [part.body for part in answer.merged]
+    proofs = tuple(_stamp_of(reply) for _, reply in answer.replies)
+    proofs += tuple(proof for part in answer.merged for proof in part.proofs)
+    return MergedAnswer(
+        merge_records(bodies, top), proofs, answer.missing, answer.sent, answer.repeats
+    )
+
+
 def _stamp_of(reply: Replied) -> bytes:
     stamp = find_header(reply.headers, STAMP)
     assert stamp is not None
--- a/walkcart/platform/tests/platformworld.py
+++ b/walkcart/platform/tests/platformworld.py
@@ -128,8 +128,9 @@
     ) -> RunningTenant:
         """Start an instance."""
         settings = make_settings(name, data_centre, self.store_address)
+        site = self.network.at(data_centre)
         around = TenantSurroundings(
-            self.network.at(data_centre), TrioClock(), Random(7), self.log
+            site, site.transport(), TrioClock(), Random(7), self.log
         )
         tenant = await assemble_tenant(settings, around)
         scope = await self.nursery.start(_run_tenant, tenant)
--- /dev/null
+++ b/walkcart/routing/peerchoice.py
@@ -0,0 +1,118 @@
+"""Which other instance gathers the next question for this one.
+
+The one with the least expected time wins, among those that answered of late or that
+nothing bad is known of. Expected is its average time, times the questions of this
+instance that it has already.
+
+Examples:
+    >>> accounts = PeerAccounts()
+    >>> accounts.note_answer("a", 1.0, 0.05)
+    >>> accounts.note_answer("b", 1.0, 0.2)
+    >>> accounts.choose(["a", "b"], 1.1, Random(1))
+    'a'
+    >>> accounts.note_silent("a", 1.2)
+    >>> accounts.choose(["a", "b"], 1.3, Random(1))
+    'b'
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from walkcart.routing.latency import DecayedLatency
+
+#: Expected seconds of an instance that nothing is known of.
+FIRST_TIME = 0.1
+#: Seconds to wait for the word that a question was taken: so many round trips, within
+#: these bounds. The lower one covers a busy event loop, the upper one half of the
+#: shortest objective of the users' requests.
+TAKEN_ROUND_TRIPS = 2.5
+LEAST_PATIENCE = 0.03
+LONGEST_PATIENCE = 0.06
+#: Seconds for which an instance that stayed silent gets nothing; doubles each time.
+FIRST_SILENCE = 0.5
+LONGEST_SILENCE = 4.0
+#: How much each question in progress adds to the expected time, as a share of it.
+PER_QUESTION = 0.1
+#: Weight of a new round trip.
+ROUND_TRIP_GAIN = 0.2
+FIRST_ROUND_TRIP = 0.02
+
+
+@dataclass(slots=True)
+class _Account:
+    """How one instance did."""
+
+    time: DecayedLatency
+    in_progress: int = 0
+    heard_at: float = float("-inf")
+    silent_until: float = float("-inf")
+    silence: float = FIRST_SILENCE
+    round_trip: float = FIRST_ROUND_TRIP
+
+
+class PeerAccounts:
+    """Keeps how the other instances did."""
+
+    def __init__(self) -> None:
+        self._accounts: dict[str, _Account] = {}
+
+    def choose(self, names: Sequence[str], now: float, random: Random) -> str | None:
+        """Return the instance for the next question, or None when none may get it."""
+        usable = [name for name in names if self._account(name).silent_until <= now]
+        if not usable:
+            return None
+        timed = [(self._expect(name, now), random.random(), name) for name in usable]
+        return min(timed)[2]
+
+    def note_sent(self, name: str, now: float) -> None:
+        """Note that a question was sent."""
+        self._account(name).in_progress += 1
+
+    def note_ended(self, name: str) -> None:
+        """Note that a question is no longer waited for."""
+        self._account(name).in_progress -= 1
+
+    def note_taken(self, name: str, now: float, elapsed: float) -> None:
+        """Note the word that a question was taken, so many seconds after it went."""
+        account = self._account(name)
+        account.heard_at = now
+        account.round_trip += ROUND_TRIP_GAIN * (elapsed - account.round_trip)
+
+    def note_answer(self, name: str, now: float, elapsed: float) -> None:
+        """Note an answer, so many seconds after the question."""
+        account = self._account(name)
+        account.heard_at = now
+        account.time.observe(now, elapsed)
+        account.silence = FIRST_SILENCE
+
+    def note_silent(self, name: str, now: float) -> None:
+        """Note that an instance didn't answer in time."""
+        account = self._account(name)
+        account.silent_until = now + account.silence
+        account.silence = min(LONGEST_SILENCE, account.silence * 2)
+
+    def heard_at(self, name: str) -> float:
+        """Return when an instance was heard of last."""
+        return self._account(name).heard_at
+
+    def round_trip(self, name: str) -> float:
+        """Return the seconds to an instance and back."""
+        return self._account(name).round_trip
+
+    def patience(self, name: str) -> float:
+        """Return the seconds to wait for the word that a question was taken."""
+        wanted = TAKEN_ROUND_TRIPS * self._account(name).round_trip
+        return min(LONGEST_PATIENCE, max(LEAST_PATIENCE, wanted))
+
+    def _expect(self, name: str, now: float) -> float:
+        account = self._account(name)
+        time = account.time.estimate(now, FIRST_TIME)
+        return time * (1.0 + PER_QUESTION * account.in_progress)
+
+    def _account(self, name: str) -> _Account:
+        if name not in self._accounts:
+            self._accounts[name] = _Account(DecayedLatency())
+        return self._accounts[name]
--- /dev/null
+++ b/walkcart/wire/delegations.py
@@ -0,0 +1,94 @@
+"""Messages by which one instance has another gather a question's parts.
+
+Times are seconds that are left when the message is sent.
+"""
+
+from __future__ import annotations
+
+from walkcart.wire.messagebase import Message
+
+
+class DelegatedQuestion(Message, frozen=True):
+    """Asks the receiver to gather the parts of a question and merge them.
+
+    Args:
+        id: unique; names the question between the two instances.
+        request: id of the caller's request, for logs.
+        kind: of the request, for its usual time.
+        method: of the request.
+        target: of the request.
+        headers: of the request.
+        body: of the request.
+        services: to ask; the sender's configuration names them.
+        top: records of the merged reply at the most.
+        least_coverage: share of the services that the reply must cover.
+        most_attempts: leafs that may run it, for each service.
+        remaining: until the deadline.
+        objective: until an answer begins to lose value.
+        traceparent: of the trace.
+    """
+
+    id: str
+    request: str
+    kind: str
+    method: str
+    target: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    services: tuple[str, ...]
+    top: int
+    least_coverage: float
+    most_attempts: int
+    remaining: float
+    objective: float
+    traceparent: str | None = None
+
+
+class DelegatedTaken(Message, frozen=True):
+    """The receiver has a question and is at work on it."""
+
+    id: str
+
+
+class DelegatedAnswer(Message, frozen=True):
+    """The merged reply to a question.
+
+    Args:
+        id: of the question.
+        body: merged records.
+        proofs: of the parts in it, in any order.
+        missing: services that aren't in it, with the reason for each.
+        sent: requests that went to leafs.
+        repeats: those that were not the first to their service.
+    """
+
+    id: str
+    body: bytes
+    proofs: tuple[bytes, ...]
+    missing: tuple[tuple[str, str], ...]
+    sent: int
+    repeats: int
+
+
+class DelegatedFailure(Message, frozen=True):
+    """There is no answer.
+
+    Args:
+        id: of the question.
+        may_have_run: whether any leaf may have run it.
+        reason: a `walkcart.wire.verdicts.Reason` value.
+        detail: one sentence for a person.
+        sent: requests that went to leafs.
+    """
+
+    id: str
+    may_have_run: bool
+    reason: str
+    detail: str
+    sent: int
+
+
+class DelegatedCancel(Message, frozen=True):
+    """Nobody waits for this question any longer."""
+
+    id: str
--- a/walkcart/wire/messages.py
+++ b/walkcart/wire/messages.py
@@ -12,9 +12,14 @@
 
 import msgspec
 
-
-class Message(msgspec.Struct, frozen=True, tag=True):
-    """Base of the messages."""
+from walkcart.wire.delegations import (
+    DelegatedAnswer,
+    DelegatedCancel,
+    DelegatedFailure,
+    DelegatedQuestion,
+    DelegatedTaken,
+)
+from walkcart.wire.messagebase import Message
 
 
 class MemberRecord(msgspec.Struct, frozen=True):
@@ -236,6 +241,11 @@
     | ClaimAnswer
     | ClaimSettle
     | ClaimWithdraw
+    | DelegatedQuestion
+    | DelegatedTaken
+    | DelegatedAnswer
+    | DelegatedFailure
+    | DelegatedCancel
 )
 
 
