Hedge as late as an objective allows; learn near and far times apart

Cause: parts were left out of more answers once far shards were delegated. Logs of all instances: most lacked one shard, late at a paused leaf, hedged too late for its sibling in another region, since one window of times held near and far leafs.

Change: times are learned for near and far leafs apart; a second attempt is due as late as its own long time before the objective allows, not before the first one's long time; single requests hedge by the route's objective too. A far leaf must be faster by a fifth of the objective, for its bytes. 18 ms instead of 14 are kept back from the objective. Links to peers are opened before a question needs them. Idle connections wait without a time limit each.

--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -34,7 +34,7 @@
 HOME_TIME = timedelta(milliseconds=10)
 #: Time kept back from a route's objective: the request's way here, which may have
 #: begun with a new connection, the answer's way home and the merge.
-OBJECTIVE_RESERVE = timedelta(milliseconds=14)
+OBJECTIVE_RESERVE = timedelta(milliseconds=18)
 #: When to come back while no routing document is known.
 START_TIME = timedelta(seconds=1)
 
@@ -157,7 +157,7 @@
             time = min(time, caller.patience - HOME_TIME)
         objective = float("inf")
         sharded = isinstance(route.target, ToShards)
-        if sharded and route.objective is not None:
+        if route.objective is not None:
             objective = (route.objective - OBJECTIVE_RESERVE).total_seconds()
         return RoutedQuestion(
             id=caller.id,
--- a/walkcart/fanout/delegates.py
+++ b/walkcart/fanout/delegates.py
@@ -145,6 +145,8 @@
         self._carried: dict[str, trio.CancelScope] = {}
         self._ask_here: AskHere | None = None
         self._nursery: trio.Nursery | None = None
+        self._greeted: set[str] = set()
+        tools.registration.on_change(self.open_links)
         tools.links.on(DelegatedQuestion, self._on_question)
         tools.links.on(DelegatedTaken, self._on_taken)
         tools.links.on(DelegatedAnswer, self._on_answer)
@@ -156,6 +158,13 @@
         """Questions of other instances that are in progress here."""
         return len(self._carried)
 
+    def open_links(self) -> None:
+        """Have links ready to all others: a question waits for none to come up."""
+        for record in self._tools.registration.others():
+            if record.name not in self._greeted:
+                self._tools.links.send(record.name, DelegatedCancel(""))
+        self._greeted = {item.name for item in self._tools.registration.others()}
+
     def connect(self, ask_here: AskHere) -> None:
         """Name how questions of others are gathered."""
         self._ask_here = ask_here
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -7,6 +7,8 @@
 from walkcart.fanout.servicetry import Sent, ServiceTry
 from walkcart.leaves.attempts import Attempt, Deliver
 from walkcart.leaves.leaf import Leaf
+from walkcart.routing.kindtimes import find_hedge_time
+from walkcart.routing.placement import FAR_SHARE
 from walkcart.wire.verdicts import Reason
 
 #: Seconds before a service whose leafs all refused or can't be reached is tried again.
@@ -33,9 +35,8 @@
         self._question = question
         self._deliver = deliver
         self._attempts: dict[str, ServiceTry] = {}
-        self.hedge_delay = tools.pool.times_of(question.kind).current(
-            tools.clock.monotonic()
-        )
+        time = min(question.objective_at, question.deadline) - tools.clock.monotonic()
+        self._far_cost = max(0.0, time) * FAR_SHARE
         self.sent = 0
         self.repeats = 0
 
@@ -73,19 +74,20 @@
             return float("inf")
         if item.given_up or item.may_run >= self._question.most_attempts:
             return float("inf")
-        return next(iter(item.under_way.values())).at + self.hedge_delay
+        return next(iter(item.under_way.values())).hedge_at
 
     def hedge(self, item: ServiceTry, now: float) -> None:
         """Send a second attempt beside the one that is late."""
         pool = self._tools.pool
         kind = self._question.kind
-        leaf = pool.choose(item.service, kind, frozenset(item.tried), now)
+        leaf = pool.choose(
+            item.service, kind, frozenset(item.tried), self._far_cost, now
+        )
         if leaf is None or not self._take_repeat(item, now):
             item.given_up = True
             return
-        usual = pool.times_of(kind).median(now)
         for sent in item.under_way.values():
-            sent.leaf.latency.observe_at_least(now, (now - sent.at) / usual)
+            pool.note_waiting(sent.leaf, kind, now - sent.at)
         self._tools.metrics.count("leaf.hedged")
         self._send(item, leaf, now)
 
@@ -103,15 +105,17 @@
         return len(item.tried) < MOST_TRIES and self._has_time(now)
 
     def _has_time(self, now: float) -> bool:
-        usual = self._tools.pool.times_of(self._question.kind).median(now)
+        usual = self._tools.pool.times_of(self._question.kind, far=False).median(now)
         return now + usual * WORTHWHILE_SHARE < self._question.deadline
 
     def _choose(self, item: ServiceTry, now: float) -> Leaf | None:
         pool = self._tools.pool
         kind = self._question.kind
-        leaf = pool.choose(item.service, kind, frozenset(item.tried), now)
+        leaf = pool.choose(
+            item.service, kind, frozenset(item.tried), self._far_cost, now
+        )
         if leaf is None and item.tried:
-            leaf = pool.choose(item.service, kind, frozenset(), now)
+            leaf = pool.choose(item.service, kind, frozenset(), self._far_cost, now)
         return leaf
 
     def _take_repeat(self, item: ServiceTry, now: float) -> bool:
@@ -122,6 +126,20 @@
         item.given_up = True
         return False
 
+    def _find_hedge_time(self, leaf: Leaf, now: float) -> float:
+        """Return when a second attempt is due beside one at `leaf`."""
+        pool = self._tools.pool
+        kind = self._question.kind
+        service = leaf.labels["service"]
+        others = [item for item in pool.leaves_of(service) if item is not leaf]
+        far = all(pool.is_far(item) for item in others)
+        return find_hedge_time(
+            now,
+            self._question.objective_at,
+            pool.times_of(kind, pool.is_far(leaf)).high(now),
+            pool.times_of(kind, far).high(now),
+        )
+
     def _send(self, item: ServiceTry, leaf: Leaf, now: float) -> None:
         question = self._question
         attempt = Attempt(
@@ -134,7 +152,7 @@
             whole_part=question.whole_parts,
             traceparent=question.traceparent,
         )
-        item.under_way[attempt.id] = Sent(leaf, now)
+        item.under_way[attempt.id] = Sent(leaf, now, self._find_hedge_time(leaf, now))
         item.tried.append(leaf.id)
         item.arrived += 1
         self._attempts[attempt.id] = item
--- a/walkcart/fanout/servicetry.py
+++ b/walkcart/fanout/servicetry.py
@@ -11,10 +11,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Sent:
-    """An attempt under way."""
+    """An attempt under way.
+
+    Args:
+        leaf: that has it.
+        at: when it was sent, in seconds.
+        hedge_at: when a second one is due beside it.
+    """
 
     leaf: Leaf
     at: float
+    hedge_at: float
 
 
 @dataclass(slots=True)
--- a/walkcart/leaves/gateway.py
+++ b/walkcart/leaves/gateway.py
@@ -30,7 +30,7 @@
 
 #: Seconds between two looks at the shares of connections.
 SHARE_INTERVAL = 0.5
-#: Seconds between two questions to a leaving leaf.
+#: Seconds between two questions to a leaving leaf, and two looks at idle connections.
 CHECK_INTERVAL = 2.0
 #: Seconds for which a new division must stand before an instance grows into it:
 #: by then the others have seen the same change and closed what they gave up.
@@ -205,6 +205,7 @@
             return
         self._checked_at = now
         for address, link in self._links.items():
+            link.close_idle()
             if self._marks.is_leaving(address):
                 link.check()
 
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -255,17 +255,29 @@
 
     async def _next(self) -> _Pending | None:
         """Wait for something to carry; None when the connection should close."""
+        since = self._tools.clock.monotonic()
         while True:
             if self._connections > self._share or (self._closed and not self._queue):
                 return None
             if self._queue:
                 return self._queue.popleft()
-            with trio.move_on_after(self._idle_time) as scope:
-                await self._idle.park()
-            if scope.cancelled_caught and not self._queue:
-                told = self._idle_time < IDLE_TIME.total_seconds()
-                if told or self._connections > 1:
-                    return None
+            await self._idle.park()
+            if not self._queue and self._was_idle_too_long(since):
+                return None
+
+    def close_idle(self) -> None:
+        """Close connections that have been idle for long; called now and then.
+
+        One look at all of a link's connections costs less than a time limit for each
+        wait of each of them.
+        """
+        if len(self._idle) and not self._queue:
+            self._idle.unpark_all()
+
+    def _was_idle_too_long(self, since: float) -> bool:
+        idle = self._tools.clock.monotonic() - since
+        told = self._idle_time < IDLE_TIME.total_seconds()
+        return idle >= self._idle_time and (told or self._connections > 1)
 
     async def _carry(
         self, connection: HttpConnection, pending: _Pending, last_used: float
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -24,15 +24,21 @@
 from walkcart.leaves.link import LeafLink, LinkTools
 from walkcart.leaves.protocol import LeafStatus
 from walkcart.routing.ejection import may_eject
-from walkcart.routing.hedging import HedgeDelay
+from walkcart.routing.kindtimes import KindTimes
 from walkcart.routing.placement import Standing, choose_leaf
 from walkcart.routing.shares import ConnectionShares
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
 #: Connections to a leaf whose service the routing document doesn't describe.
 UNKNOWN_CONNECTIONS = 8
-#: Seconds between two looks at links that nobody needs any longer.
+#: Seconds between two looks at links that nobody needs any longer, and at the shares.
 TIDY_INTERVAL = 1.0
+#: Such looks between two at idle connections, each of which wakes their tasks.
+IDLE_LOOKS = 4
+#: Seconds that a request is taken to need before any was observed: at a leaf of this
+#: region, and of another one.
+FIRST_NEAR = 0.03
+FIRST_FAR = 0.05
 #: A leaf is stalled when nothing came for this many usual times, and at least
 #: `LEAST_STALL` seconds, while a request waits there.
 STALL_FACTOR = 3.0
@@ -66,14 +72,23 @@
     def __init__(self, tools: PoolTools) -> None:
         self._tools = tools
         self._links: dict[str, LeafLink] = {}
-        self._delays: dict[str, HedgeDelay] = {}
+        self._times: dict[tuple[str, bool], KindTimes] = {}
         self._nursery: trio.Nursery | None = None
 
-    def times_of(self, kind: str) -> HedgeDelay:
-        """Return the learned times of one kind of request at leafs."""
-        if kind not in self._delays:
-            self._delays[kind] = HedgeDelay()
-        return self._delays[kind]
+    def times_of(self, kind: str, far: bool) -> KindTimes:
+        """Return the learned times of one kind of request at near or far leafs."""
+        key = (kind, far)
+        if key not in self._times:
+            self._times[key] = KindTimes(FIRST_FAR if far else FIRST_NEAR)
+        return self._times[key]
+
+    def is_far(self, leaf: Leaf) -> bool:
+        """Return whether a leaf stands in another region."""
+        return leaf.region != self._tools.region
+
+    def usual_time(self, leaf: Leaf, kind: str, now: float) -> float:
+        """Return the seconds that such a request usually takes at such a leaf."""
+        return self.times_of(kind, self.is_far(leaf)).median(now)
 
     def leaves_of(self, service: str) -> tuple[Leaf, ...]:
         """Return the leafs of a service that may get new work."""
@@ -84,7 +99,12 @@
         return self._tools.directory.regions_of(service)
 
     def choose(
-        self, service: str, kind: str, without: frozenset[str], now: float
+        self,
+        service: str,
+        kind: str,
+        without: frozenset[str],
+        far_cost: float,
+        now: float,
     ) -> Leaf | None:
         """Return the leaf for the next request, or None when none may get it.
 
@@ -92,14 +112,14 @@
             service: whose leafs.
             kind: of the request, for its usual time.
             without: ids of leafs that it must not go to.
+            far_cost: seconds that a leaf in another region must be faster by.
             now: the present, in seconds.
         """
         leaves = [leaf for leaf in self.leaves_of(service) if leaf.id not in without]
         if len(leaves) <= 1:
             return leaves[0] if leaves else None
-        usual = self.times_of(kind).median(now)
-        standings = [self._describe(leaf, usual, now) for leaf in leaves]
-        chosen = choose_leaf(standings, usual, self._tools.random)
+        standings = [self._describe(leaf, kind, now) for leaf in leaves]
+        chosen = choose_leaf(standings, far_cost, self._tools.random)
         return next(leaf for leaf in leaves if chosen and leaf.id == chosen.key)
 
     def submit(self, leaf: Leaf, attempt: Attempt, kind: str, deliver: Deliver) -> None:
@@ -121,13 +141,17 @@
 
     def cancel(self, leaf: Leaf, attempt_id: str, kind: str, waited: float) -> None:
         """Nobody waits for this attempt any longer; it had `waited` seconds."""
-        now = self._tools.link.clock.monotonic()
-        usual = self.times_of(kind).median(now)
-        leaf.latency.observe_at_least(now, waited / usual)
+        self.note_waiting(leaf, kind, waited)
         link = self._links.get(leaf.id)
         if link is not None:
             link.cancel(attempt_id)
 
+    def note_waiting(self, leaf: Leaf, kind: str, waited: float) -> None:
+        """Take in that a request has been waiting at a leaf for some seconds."""
+        now = self._tools.link.clock.monotonic()
+        slowness = waited / self.usual_time(leaf, kind, now)
+        leaf.latency.observe_at_least(now, slowness)
+
     def note_status(self, leaf: Leaf, status: LeafStatus) -> None:
         """Take in what a leaf said about itself."""
         if status.load is not None:
@@ -137,9 +161,11 @@
         """Carry attempts until cancelled."""
         async with trio.open_nursery() as self._nursery:
             task_status.started()
+            looks = 0
             while True:
                 await trio.sleep(TIDY_INTERVAL)
-                self._tidy()
+                looks += 1
+                self._tidy(with_idle=looks % IDLE_LOOKS == 0)
 
     def _find_link(self, leaf: Leaf) -> LeafLink | None:
         link = self._links.get(leaf.id)
@@ -155,7 +181,7 @@
         cap = spec.most_connections if spec else UNKNOWN_CONNECTIONS
         return ConnectionShares(cap).share_of(self._tools.instances())
 
-    def _tidy(self) -> None:
+    def _tidy(self, with_idle: bool) -> None:
         """Close links to leafs that are gone, and keep the shares."""
         for id in list(self._links):
             leaf = self._tools.directory.find(id)
@@ -164,16 +190,19 @@
                 self._links.pop(id).close()
             else:
                 self._links[id].set_share(self._share_of(leaf))
+                if with_idle:
+                    self._links[id].close_idle()
         total = sum(link.connections for link in self._links.values())
         self._tools.link.metrics.gauge("leaf.connections", total)
 
-    def _describe(self, leaf: Leaf, usual: float, now: float) -> Standing:
+    def _describe(self, leaf: Leaf, kind: str, now: float) -> Standing:
+        usual = self.usual_time(leaf, kind, now)
         return Standing(
             key=leaf.id,
             load=leaf.outstanding + leaf.stated_load(now),
             slots=leaf.slots,
-            slowness=leaf.latency.estimate(now, 1.0),
-            far=leaf.region != self._tools.region,
+            time=usual * leaf.latency.estimate(now, 1.0),
+            far=self.is_far(leaf),
             cold=now < leaf.cold_until,
             stalled=is_stalled(leaf, usual, now),
             ejected=leaf.ejection.is_ejected(now),
@@ -198,8 +227,8 @@
                 self._note_failure(leaf, now)
 
     def _note_reply(self, leaf: Leaf, kind: str, now: float, elapsed: float) -> None:
-        times = self.times_of(kind)
-        times.observe(now, elapsed)
+        times = self.times_of(kind, self.is_far(leaf))
+        times.observe(elapsed)
         leaf.latency.observe(now, elapsed / times.median(now))
         leaf.replied_at = now
         if leaf.ejection.note_success():
--- a/walkcart/routing/placement.py
+++ b/walkcart/routing/placement.py
@@ -1,16 +1,16 @@
 """Which leaf of a service gets the next request of a routed question.
 
-The leaf with the least expected time wins. That is the usual time of such requests,
-times how slow the leaf has been, plus the wait behind what is already there; a leaf
-in another region costs its way and the bytes that cross.
+The leaf with the least expected time wins. That is what such a request takes there
+by itself, plus the wait behind what is already there; the bytes that a leaf in another
+region costs count as a longer time.
 
 Examples:
-    >>> near = Standing("near", load=0.0, slots=2, slowness=1.0, far=False)
-    >>> far = Standing("far", load=0.0, slots=2, slowness=1.0, far=True)
-    >>> choose_leaf([far, near], 0.03, Random(1)).key
+    >>> near = Standing("near", load=0.0, slots=2, time=0.03, far=False)
+    >>> far = Standing("far", load=0.0, slots=2, time=0.046, far=True)
+    >>> choose_leaf([far, near], 0.02, Random(1)).key
     'near'
-    >>> busy = Standing("near", load=6.0, slots=2, slowness=1.0, far=False)
-    >>> choose_leaf([far, busy], 0.03, Random(1)).key
+    >>> busy = Standing("near", load=6.0, slots=2, time=0.03, far=False)
+    >>> choose_leaf([far, busy], 0.02, Random(1)).key
     'far'
 """
 
@@ -20,9 +20,9 @@
 from dataclasses import dataclass
 from random import Random
 
-#: Seconds that a leaf in another region costs: its way there and back, and its bytes,
-#: which operators pay for. Measured: see ``docs/design/platform.md``.
-FAR_COST = 0.035
+#: Share of a request's objective that the bytes of a leaf in another region are worth:
+#: operators pay for them. Measured: see ``docs/design/platform.md``.
+FAR_SHARE = 0.2
 #: Seconds added for a leaf that has been silent for longer than it should: about the
 #: pause of a leaf that stopped to tidy up.
 STALLED_COST = 0.25
@@ -40,7 +40,7 @@
         key: names the leaf.
         load: requests that wait or run there.
         slots: requests that it runs at once.
-        slowness: its times over the usual ones.
+        time: seconds that such a request likely takes there by itself.
         far: whether it stands in another region.
         cold: whether it has just started.
         stalled: whether it owes replies for longer than it should.
@@ -50,34 +50,34 @@
     key: str
     load: float
     slots: int
-    slowness: float
+    time: float
     far: bool
     cold: bool = False
     stalled: bool = False
     ejected: bool = False
 
 
-def expect_time(standing: Standing, usual: float) -> float:
+def expect_time(standing: Standing, far_cost: float) -> float:
     """Return the seconds that a request would likely take at a leaf.
 
     Args:
         standing: of the leaf.
-        usual: seconds that such a request usually takes.
+        far_cost: seconds that a leaf in another region must be faster by.
     """
-    service = usual * standing.slowness
+    service = standing.time
     if standing.cold:
         service *= COLD_FACTOR
     waiting = max(0.0, standing.load + 1.0 - standing.slots)
     time = service * (1.0 + waiting / max(1, standing.slots))
     if standing.far:
-        time += FAR_COST
+        time += far_cost
     if standing.stalled:
         time += STALLED_COST
     return time
 
 
 def choose_leaf(
-    standings: Sequence[Standing], usual: float, random: Random
+    standings: Sequence[Standing], far_cost: float, random: Random
 ) -> Standing | None:
     """Return the leaf for the next request, or None without any.
 
@@ -86,7 +86,7 @@
     usable = [item for item in standings if not item.ejected] or standings
     if len(usable) <= 1:
         return usable[0] if usable else None
-    timed = [(expect_time(item, usual), item) for item in usable]
+    timed = [(expect_time(item, far_cost), item) for item in usable]
     least = min(time for time, _ in timed)
     best = [item for time, item in timed if time <= least * (1.0 + NEAR_TIE)]
     return best[0] if len(best) == 1 else random.choice(best)
