Group shards by data centre; feed most instances from a few that watch the store

Change: services of a question are grouped by data centre and cut into chunks that one processor handles, each gathered by one of few instances; distance has three steps.

--- a/walkcart/daemon/tenant.py
+++ b/walkcart/daemon/tenant.py
@@ -35,6 +35,7 @@
 from walkcart.leaves.pool import LeafPool, PoolTools
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.registration import InstanceRecord, Registration
+from walkcart.membership.relaying import Relay
 from walkcart.platform.callerprotocol import PlatformCallerProtocol, merge_parts
 from walkcart.platform.documents import (
     CONFIGURATION_KEY,
@@ -45,6 +46,7 @@
 from walkcart.platform.leafprotocol import PlatformLeafProtocol
 from walkcart.platform.settings import PlatformSettings
 from walkcart.platform.store import PlatformStore
+from walkcart.routing.distance import Place
 from walkcart.routing.peerchoice import PeerAccounts
 from walkcart.routing.repeats import RepeatBudget, RepeatLimits
 from walkcart.store.backoff import Backoff
@@ -291,7 +293,7 @@
             kernel.find("keeper", RouteKeeper),
             link,
             kernel.find("registration", Registration).count,
-            settings.region,
+            Place(settings.region, settings.data_centre),
             around.random,
         )
     )
@@ -332,7 +334,8 @@
         ids,
         around.clock,
         metrics,
-        settings.region,
+        Place(settings.region, settings.data_centre),
+        around.random,
         delegates,
     )
 
@@ -341,7 +344,20 @@
         return result.map(lambda answer: merge_parts(answer, top))
 
     delegates.connect(gather)
+    relay = Relay(
+        [
+            kernel.find("configuration", PrefixFollower),
+            kernel.find("leaf_entries", PrefixFollower),
+        ],
+        kernel.find("calls", StoreCalls),
+        links,
+        registration,
+        around.clock,
+        events,
+    )
+    registration.follow_watching(lambda: relay.watches)
     kernel.add("links", links)
+    kernel.add("relay", relay)
     kernel.add("delegates", delegates)
     kernel.add("gathering", gathering)
 
--- a/walkcart/fanout/delegates.py
+++ b/walkcart/fanout/delegates.py
@@ -5,19 +5,20 @@
 the answer is overdue, the asker goes on without it.
 
 See Also:
-    `walkcart.fanout.regions.divide_services`, which decides what is asked of others.
+    `walkcart.fanout.groups.divide_services`, which decides what is asked of others.
 """
 
 from __future__ import annotations
 
 import math
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from random import Random
 
 import trio
 from returns.result import Failure, Result, Success
 
+from walkcart.fanout.groups import Group
 from walkcart.fanout.ids import IdSource
 from walkcart.fanout.mergedanswer import MergedAnswer
 from walkcart.fanout.routedquestion import RoutedFailure, RoutedQuestion
@@ -27,6 +28,7 @@
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.registration import InstanceRecord, Registration
 from walkcart.routing.peerchoice import PeerAccounts
+from walkcart.routing.shares import rank_rendezvous
 from walkcart.wire.delegations import (
     DelegatedAnswer,
     DelegatedCancel,
@@ -42,6 +44,9 @@
 #: since is waited for.
 OVERDUE_TIME = 0.05
 
+#: Instances of a data centre among which a group's is chosen: one may be silent.
+CANDIDATES = 3
+
 Outcome = Result[MergedAnswer, RoutedFailure]
 #: Gathers a question from this instance and merges it to so many records.
 AskHere = Callable[[RoutedQuestion, int], Awaitable[Outcome]]
@@ -178,24 +183,23 @@
     def submit(
         self,
         question: RoutedQuestion,
-        services: tuple[str, ...],
+        wanted: Group,
         top: int,
-        regions: Sequence[str],
         on_end: Callable[[], None],
     ) -> DelegatedGroup | None:
         """Have another instance gather some services; None when none can.
 
         Args:
             question: what to ask.
-            services: those of the question that it should gather.
+            wanted: the services to gather, and where.
             top: records of the merged reply at the most.
-            regions: where the other instance may stand.
             on_end: told when the group ended.
         """
-        peer = self._choose(regions)
+        peer = self._choose(wanted)
         if peer is None or self._nursery is None:
             return None
         now = self._tools.clock.monotonic()
+        services = wanted.services
         group = DelegatedGroup(services, peer.name, now, on_end)
         id = self._tools.ids.take()
         message = self._encode(id, question, services, top, peer.name, now)
@@ -224,16 +228,24 @@
                 self._tools.links.send(group.peer, DelegatedCancel(id))
             group.end(outcome)
 
-    def _choose(self, regions: Sequence[str]) -> InstanceRecord | None:
+    def _choose(self, wanted: Group) -> InstanceRecord | None:
+        """Return the instance for a group, among few that get all like it.
+
+        Where instances are many, the same ones are asked for the same services: they
+        keep connections to the leafs and know how they are.
+        """
         now = self._tools.clock.monotonic()
-        peers = [
-            record
+        place = wanted.place
+        peers = {
+            record.name: record
             for record in self._tools.registration.others()
-            if record.region in regions and record.peer_address
-        ]
-        names = [record.name for record in peers]
+            if record.data_centre == place.data_centre and record.peer_address
+        }
+        key = wanted.services[0]
+        ranked = sorted(peers, key=lambda name: rank_rendezvous(key, name))
+        names = ranked[:CANDIDATES]
         name = self._tools.accounts.choose(names, now, self._tools.random)
-        return next((record for record in peers if record.name == name), None)
+        return peers.get(name) if name else None
 
     def _encode(
         self,
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -8,7 +8,7 @@
 * a request that must not be repeated is sent again only after a word that it surely
   did not run;
 * repeats keep to the budget of their service over all instances;
-* shards whose leafs are all in other regions are gathered there, by another instance;
+* shards whose leafs are elsewhere are gathered there, by another instance;
 * an answer covers what was accepted, and when its objective nears, one that covers
   enough isn't held back for the rest.
 
@@ -23,9 +23,9 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from walkcart.fanout.delegates import DelegatedGroup
+from walkcart.fanout.delegates import DelegatedGroup, Delegates
+from walkcart.fanout.groups import divide_services
 from walkcart.fanout.mergedanswer import MergedAnswer
-from walkcart.fanout.regions import divide_services
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure, RoutedQuestion
 from walkcart.fanout.routedsends import RoutedSends
 from walkcart.fanout.routedtools import RoutedTools
@@ -109,16 +109,14 @@
                 self._tools.budget.note_request(item.service, now)
                 self._sends.try_next(item, now)
 
-    def _delegate(self, delegates) -> set[str]:
-        """Have other instances gather what has no leaf here; return the services."""
+    def _delegate(self, delegates: Delegates) -> set[str]:
+        """Have other instances gather what they are near to; return the services."""
         far: set[str] = set()
-        regions = self._tools.pool.regions_of
+        places = self._tools.pool.places_of
         for group in divide_services(
-            self._question.services, regions, self._tools.region
+            self._question.services, places, self._tools.place, self._tools.random
         ):
-            asked = delegates.submit(
-                self._question, group.services, self._top, group.regions, self._wake
-            )
+            asked = delegates.submit(self._question, group, self._top, self._wake)
             if asked is None:
                 continue
             self._groups.append(asked)
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -7,6 +7,7 @@
 from walkcart.fanout.servicetry import Sent, ServiceTry
 from walkcart.leaves.attempts import Attempt, Deliver
 from walkcart.leaves.leaf import Leaf
+from walkcart.routing.distance import Distance
 from walkcart.routing.kindtimes import find_hedge_time
 from walkcart.routing.placement import FAR_SHARE
 from walkcart.wire.verdicts import Reason
@@ -105,7 +106,10 @@
         return len(item.tried) < MOST_TRIES and self._has_time(now)
 
     def _has_time(self, now: float) -> bool:
-        usual = self._tools.pool.times_of(self._question.kind, far=False).median(now)
+        times = self._tools.pool.times_of(
+            self._question.kind, Distance.SAME_DATA_CENTRE
+        )
+        usual = times.median(now)
         return now + usual * WORTHWHILE_SHARE < self._question.deadline
 
     def _choose(self, item: ServiceTry, now: float) -> Leaf | None:
@@ -132,12 +136,14 @@
         kind = self._question.kind
         service = leaf.labels["service"]
         others = [item for item in pool.leaves_of(service) if item is not leaf]
-        far = all(pool.is_far(item) for item in others)
+        nearest = min(
+            (pool.distance_to(item) for item in others), default=pool.distance_to(leaf)
+        )
         return find_hedge_time(
             now,
             self._question.objective_at,
-            pool.times_of(kind, pool.is_far(leaf)).high(now),
-            pool.times_of(kind, far).high(now),
+            pool.times_of(kind, pool.distance_to(leaf)).high(now),
+            pool.times_of(kind, nearest).high(now),
         )
 
     def _send(self, item: ServiceTry, leaf: Leaf, now: float) -> None:
--- a/walkcart/fanout/routedtools.py
+++ b/walkcart/fanout/routedtools.py
@@ -4,12 +4,14 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 
 from walkcart.fanout.delegates import Delegates
 from walkcart.fanout.ids import IdSource
 from walkcart.kernel.clock import Clock
 from walkcart.kernel.metrics import Metrics
 from walkcart.leaves.pool import LeafPool
+from walkcart.routing.distance import Place
 from walkcart.routing.repeats import RepeatBudget
 
 
@@ -24,7 +26,8 @@
         ids: names attempts.
         clock: source of time.
         metrics: where repeats are counted.
-        region: of this instance.
+        place: of this instance.
+        random: chooses among what is equally good.
         delegates: other instances that gather; None where there are none.
     """
 
@@ -34,5 +37,6 @@
     ids: IdSource
     clock: Clock
     metrics: Metrics
-    region: str = ""
+    place: Place
+    random: Random
     delegates: Delegates | None = None
--- a/walkcart/leaves/directory.py
+++ b/walkcart/leaves/directory.py
@@ -19,6 +19,7 @@
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.leaves.leaf import Leaf
+from walkcart.routing.distance import Place
 
 #: How long after the store's return a lapsed entry is kept: living leafs have stored
 #: theirs again by then, as the platform's operators state.
@@ -71,7 +72,7 @@
         self._entries: dict[str, LeafEntry] = {}
         self._leaves: dict[str, Leaf] = {}
         self._by_service: dict[str, tuple[Leaf, ...]] = {}
-        self._regions: dict[str, frozenset[str]] = {}
+        self._places: dict[str, frozenset[Place]] = {}
         self._lapsed: dict[str, float] = {}
         self._replaced: dict[str, None] = {}
         self._listeners: list[Callable[[], None]] = []
@@ -85,9 +86,9 @@
         """Return the leafs of a service that may get new work."""
         return self._by_service.get(service, ())
 
-    def regions_of(self, service: str) -> frozenset[str]:
-        """Return the regions where a service has leafs that may get new work."""
-        return self._regions.get(service, frozenset())
+    def places_of(self, service: str) -> frozenset[Place]:
+        """Return the places where a service has leafs that may get new work."""
+        return self._places.get(service, frozenset())
 
     def entries(self) -> Iterable[LeafEntry]:
         """Return all entries, of leaving leafs too."""
@@ -174,8 +175,8 @@
                 by_service.setdefault(entry.service, []).append(leaf)
         self._leaves = leaves
         self._by_service = {name: tuple(found) for name, found in by_service.items()}
-        self._regions = {
-            name: frozenset(leaf.region for leaf in found)
+        self._places = {
+            name: frozenset(leaf.place for leaf in found)
             for name, found in by_service.items()
         }
         for listener in self._listeners:
--- a/walkcart/leaves/leaf.py
+++ b/walkcart/leaves/leaf.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from walkcart.kernel.numbers import read_number
+from walkcart.routing.distance import Place
 from walkcart.routing.ejection import Ejection
 from walkcart.routing.latency import DecayedLatency
 
@@ -91,6 +92,11 @@
         """Data centre that it stands in."""
         return self.labels.get("data-centre", "")
 
+    @property
+    def place(self) -> Place:
+        """Where it stands."""
+        return Place(self.region, self.data_centre)
+
     def note_stated(self, now: float, outstanding: int) -> None:
         """Take in the leaf's word on its load; this instance's part is taken off."""
         self._stated = max(0.0, float(outstanding - self.outstanding))
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -23,6 +23,7 @@
 from walkcart.leaves.leaf import Leaf
 from walkcart.leaves.link import LeafLink, LinkTools
 from walkcart.leaves.protocol import LeafStatus
+from walkcart.routing.distance import Distance, Place, measure_distance
 from walkcart.routing.ejection import may_eject
 from walkcart.routing.kindtimes import KindTimes
 from walkcart.routing.placement import Standing, choose_leaf
@@ -35,10 +36,12 @@
 TIDY_INTERVAL = 1.0
 #: Such looks between two at idle connections, each of which wakes their tasks.
 IDLE_LOOKS = 4
-#: Seconds that a request is taken to need before any was observed: at a leaf of this
-#: region, and of another one.
-FIRST_NEAR = 0.03
-FIRST_FAR = 0.05
+#: Seconds that a request is taken to need before any was observed, by distance.
+FIRST_TIMES = {
+    Distance.SAME_DATA_CENTRE: 0.03,
+    Distance.SAME_REGION: 0.032,
+    Distance.OTHER_REGION: 0.05,
+}
 #: A leaf is stalled when nothing came for this many usual times, and at least
 #: `LEAST_STALL` seconds, while a request waits there.
 STALL_FACTOR = 3.0
@@ -54,7 +57,7 @@
         keeper: the routing document, for the services' connections.
         link: what every link uses.
         instances: returns the number of instances that share connections.
-        region: of this instance.
+        place: of this instance.
         random: breaks ties.
     """
 
@@ -62,7 +65,7 @@
     keeper: RouteKeeper
     link: LinkTools
     instances: Callable[[], int]
-    region: str
+    place: Place
     random: Random
 
 
@@ -72,31 +75,31 @@
     def __init__(self, tools: PoolTools) -> None:
         self._tools = tools
         self._links: dict[str, LeafLink] = {}
-        self._times: dict[tuple[str, bool], KindTimes] = {}
+        self._times: dict[tuple[str, Distance], KindTimes] = {}
         self._nursery: trio.Nursery | None = None
 
-    def times_of(self, kind: str, far: bool) -> KindTimes:
-        """Return the learned times of one kind of request at near or far leafs."""
-        key = (kind, far)
+    def times_of(self, kind: str, distance: Distance) -> KindTimes:
+        """Return the learned times of one kind of request at leafs so far away."""
+        key = (kind, distance)
         if key not in self._times:
-            self._times[key] = KindTimes(FIRST_FAR if far else FIRST_NEAR)
+            self._times[key] = KindTimes(FIRST_TIMES[distance])
         return self._times[key]
 
-    def is_far(self, leaf: Leaf) -> bool:
-        """Return whether a leaf stands in another region."""
-        return leaf.region != self._tools.region
+    def distance_to(self, leaf: Leaf) -> Distance:
+        """Return how far away a leaf is."""
+        return measure_distance(leaf.place, self._tools.place)
 
     def usual_time(self, leaf: Leaf, kind: str, now: float) -> float:
         """Return the seconds that such a request usually takes at such a leaf."""
-        return self.times_of(kind, self.is_far(leaf)).median(now)
+        return self.times_of(kind, self.distance_to(leaf)).median(now)
 
     def leaves_of(self, service: str) -> tuple[Leaf, ...]:
         """Return the leafs of a service that may get new work."""
         return self._tools.directory.leaves_of(service)
 
-    def regions_of(self, service: str) -> frozenset[str]:
-        """Return the regions where a service has leafs that may get work."""
-        return self._tools.directory.regions_of(service)
+    def places_of(self, service: str) -> frozenset[Place]:
+        """Return the places where a service has leafs that may get work."""
+        return self._tools.directory.places_of(service)
 
     def choose(
         self,
@@ -202,7 +205,7 @@
             load=leaf.outstanding + leaf.stated_load(now),
             slots=leaf.slots,
             time=usual * leaf.latency.estimate(now, 1.0),
-            far=self.is_far(leaf),
+            distance=self.distance_to(leaf),
             cold=now < leaf.cold_until,
             stalled=is_stalled(leaf, usual, now),
             ejected=leaf.ejection.is_ejected(now),
@@ -227,7 +230,7 @@
                 self._note_failure(leaf, now)
 
     def _note_reply(self, leaf: Leaf, kind: str, now: float, elapsed: float) -> None:
-        times = self.times_of(kind, self.is_far(leaf))
+        times = self.times_of(kind, self.distance_to(leaf))
         times.observe(elapsed)
         leaf.latency.observe(now, elapsed / times.median(now))
         leaf.replied_at = now
--- a/walkcart/membership/registration.py
+++ b/walkcart/membership/registration.py
@@ -44,8 +44,11 @@
 #: Between two renewals while there are few instances. A silent store is noticed after
 #: this and the time limit of a call.
 RENEW_INTERVAL = timedelta(seconds=1)
-#: Renewals a second of all instances together: past it each renews less often.
-FLEET_RENEWALS = 40.0
+#: Renewals a second of all instances together, but for those that watch the store:
+#: past it each renews less often.
+FLEET_RENEWALS = 10.0
+#: A lease is replaced when one this many times as long is wanted.
+LEASE_SLACK = 1.5
 #: Leases outlast this many renewals.
 RENEWALS_PER_LEASE = 6
 #: Between two readings of the others' keys, in renewals.
@@ -114,6 +117,7 @@
         self._registered: Registered | None = None
         self._turn = 0
         self._left = False
+        self._watches: Callable[[], bool] = lambda: True
         self._listeners: list[Callable[[], None]] = []
 
     def on_change(self, listener: Callable[[], None]) -> None:
@@ -158,13 +162,24 @@
             self._events.emit(Events.STORE_FAILED, detail=f"lease not ended: {error}")
         self._registered = None
 
+    def follow_watching(self, watches: Callable[[], bool]) -> None:
+        """Renew often while `watches` says that this instance watches the store."""
+        self._watches = watches
+
     def _interval(self) -> float:
         """Return the seconds between renewals: the fleet's rate stays bounded."""
         least = RENEW_INTERVAL.total_seconds()
-        return max(least, (len(self._others) + 1) / FLEET_RENEWALS)
+        if self._watches():
+            return least
+        wanted = max(least, (len(self._others) + 1) / FLEET_RENEWALS)
+        if self._registered is None:
+            return wanted
+        granted = self._registered.lease.time_to_live.total_seconds()
+        return min(wanted, granted / RENEWALS_PER_LEASE * LEASE_SLACK)
 
     def _lease_time(self) -> timedelta:
-        renewals = timedelta(seconds=self._interval() * RENEWALS_PER_LEASE)
+        interval = (len(self._others) + 1) / FLEET_RENEWALS
+        renewals = timedelta(seconds=interval * RENEWALS_PER_LEASE)
         return max(LEASE_TIME, renewals)
 
     async def _keep(self) -> None:
@@ -176,6 +191,10 @@
             if isinstance(renewed, LeaseOver):
                 self._lose("the lease ended")
                 return
+            if self._lease_time() > self._registered.lease.time_to_live * LEASE_SLACK:
+                # The fleet grew: renewals come less often and need a longer lease.
+                await self._store.end_lease(self._registered.lease)
+                self._registered = await self._register()
         if self._turn % READ_EVERY == 0:
             await self._read_others()
         self._turn += 1
--- a/walkcart/routing/placement.py
+++ b/walkcart/routing/placement.py
@@ -5,11 +5,12 @@
 region costs count as a longer time.
 
 Examples:
-    >>> near = Standing("near", load=0.0, slots=2, time=0.03, far=False)
-    >>> far = Standing("far", load=0.0, slots=2, time=0.046, far=True)
+    >>> here, there = Distance.SAME_DATA_CENTRE, Distance.OTHER_REGION
+    >>> near = Standing("near", load=0.0, slots=2, time=0.03, distance=here)
+    >>> far = Standing("far", load=0.0, slots=2, time=0.046, distance=there)
     >>> choose_leaf([far, near], 0.02, Random(1)).key
     'near'
-    >>> busy = Standing("near", load=6.0, slots=2, time=0.03, far=False)
+    >>> busy = Standing("near", load=6.0, slots=2, time=0.03, distance=here)
     >>> choose_leaf([far, busy], 0.02, Random(1)).key
     'far'
 """
@@ -20,9 +21,18 @@
 from dataclasses import dataclass
 from random import Random
 
+from walkcart.routing.distance import Distance
+
 #: Share of a request's objective that the bytes of a leaf in another region are worth:
 #: operators pay for them. Measured: see ``docs/design/platform.md``.
 FAR_SHARE = 0.2
+#: That cost by distance, as a share of the one for another region: bytes within a
+#: region cost operators about a quarter.
+COST_SHARES = {
+    Distance.SAME_DATA_CENTRE: 0.0,
+    Distance.SAME_REGION: 0.25,
+    Distance.OTHER_REGION: 1.0,
+}
 #: Seconds added for a leaf that has been silent for longer than it should: about the
 #: pause of a leaf that stopped to tidy up.
 STALLED_COST = 0.25
@@ -41,7 +51,7 @@
         load: requests that wait or run there.
         slots: requests that it runs at once.
         time: seconds that such a request likely takes there by itself.
-        far: whether it stands in another region.
+        distance: how far away it is.
         cold: whether it has just started.
         stalled: whether it owes replies for longer than it should.
         ejected: whether it failed lately.
@@ -51,7 +61,7 @@
     load: float
     slots: int
     time: float
-    far: bool
+    distance: Distance
     cold: bool = False
     stalled: bool = False
     ejected: bool = False
@@ -69,8 +79,7 @@
         service *= COLD_FACTOR
     waiting = max(0.0, standing.load + 1.0 - standing.slots)
     time = service * (1.0 + waiting / max(1, standing.slots))
-    if standing.far:
-        time += far_cost
+    time += far_cost * COST_SHARES[standing.distance]
     if standing.stalled:
         time += STALLED_COST
     return time
--- a/walkcart/store/following.py
+++ b/walkcart/store/following.py
@@ -1,16 +1,19 @@
-"""A copy of all items under a prefix, kept by watches.
+"""A copy of all items under a prefix, kept by watches or by another instance.
 
 The copy only moves forward: an item is replaced by a later revision alone. When the
-store has forgotten the changes since the last watch, or nothing was heard for a
-while, everything is read anew. While the store can't be reached the copy stands.
+store has forgotten the changes since the last watch everything is read anew. While the
+store can't be reached the copy stands. While another instance feeds the copy, the store
+isn't watched from here.
 
 See Also:
     `walkcart.store.items.SharedStore`, which is followed.
+    `walkcart.membership.relaying.Relay`, which feeds copies.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 
 import trio
@@ -19,13 +22,22 @@
 from walkcart.kernel.events import Events
 from walkcart.store.backoff import Backoff
 from walkcart.store.calls import StoreCalls, StoreUnavailable
-from walkcart.store.items import Changes, HistoryLost, Item, Removal, SharedStore
+from walkcart.store.items import (
+    Change,
+    Changes,
+    HistoryLost,
+    Item,
+    Removal,
+    SharedStore,
+)
 
 #: How long one watch waits; a call each, so long is cheap. A connection that went
 #: silent is noticed by the renewals of the lease, not by this.
 WATCH_WAIT = timedelta(seconds=20)
 #: Pause after a watch returned with changes: a burst of changes is taken at once.
 BURST_PAUSE = timedelta(milliseconds=100)
+#: Changes that are kept for instances that are a little behind.
+KEPT_CHANGES = 1000
 
 #: Told the whole copy and the keys that changed; must not wait.
 CopyListener = Callable[[Mapping[str, Item], frozenset[str]], None]
@@ -41,6 +53,7 @@
         backoff: waits after failures.
         events: where a lost history is logged.
         listener: told the copy after each change, and once when it was first read.
+        pause: after a watch that brought changes.
     """
 
     def __init__(
@@ -51,36 +64,74 @@
         backoff: Backoff,
         events: EventLog,
         listener: CopyListener,
+        pause: timedelta = BURST_PAUSE,
     ) -> None:
         self._store = store
-        self._prefix = prefix
         self._backoff = backoff
         self._events = events
         self._listener = listener
+        self._pause = pause
         self._items: dict[str, Item] = {}
-        self._revision = 0
+        self._history: deque[Change] = deque()
+        self._history_from = 0
         self._must_read = True
-        self._watching: trio.CancelScope | None = None
+        self._working: trio.CancelScope | None = None
+        self._fed = False
+        self._feed_lost = trio.Event()
+        self.prefix = prefix
+        self.revision = 0
         self.known = False
+        self.on_change: Callable[[PrefixFollower], None] = lambda follower: None
         calls.on_back(self.watch_anew)
 
+    def items(self) -> Iterable[Item]:
+        """Return the items of the copy."""
+        return self._items.values()
+
+    def changes_after(self, revision: int) -> tuple[Change, ...] | None:
+        """Return what changed after a revision; None when that isn't known any more."""
+        if not self.known or revision < self._history_from:
+            return None
+        return tuple(change for change in self._history if change.revision > revision)
+
     def watch_anew(self) -> None:
         """Give up the present watch: its connection may have gone silent."""
-        if self._watching is not None:
-            self._watching.cancel()
+        if self._working is not None:
+            self._working.cancel()
+
+    def set_fed(self, fed: bool) -> None:
+        """Note whether another instance feeds the copy."""
+        if fed == self._fed:
+            return
+        self._fed = fed
+        if fed:
+            self.watch_anew()
+        else:
+            self._feed_lost.set()
+            self._feed_lost = trio.Event()
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Follow until cancelled."""
         task_status.started()
         while True:
-            try:
-                if self._must_read:
-                    await self._read_all()
-                await self._watch()
-                self._backoff.reset()
-            except StoreUnavailable:
-                # Logged by the calls, which know whether it is the first failure.
-                await trio.sleep(self._backoff.advance().total_seconds())
+            if self._fed:
+                await self._feed_lost.wait()
+                continue
+            with trio.CancelScope() as self._working:
+                await self._work()
+            self._working = None
+
+    async def _work(self) -> None:
+        """Read everything if that is needed, then watch once."""
+        try:
+            if self._must_read:
+                await self._read_all()
+            result = await self._store.watch(self.prefix, self.revision, WATCH_WAIT)
+            await self._take(result)
+            self._backoff.reset()
+        except StoreUnavailable:
+            # Logged by the calls, which know whether it is the first failure.
+            await trio.sleep(self._backoff.advance().total_seconds())
 
     async def _read_all(self) -> None:
         """Read every page and take it as the copy.
@@ -91,22 +142,16 @@
         first = 0
         after = ""
         while True:
-            page = await self._store.list_items(self._prefix, after, fresh=True)
+            page = await self._store.list_items(self.prefix, after, fresh=True)
             first = first or page.revision
             found.update((item.key, item) for item in page.items)
             if page.last or not page.items:
                 break
             after = page.items[-1].key
-        changed = self._replace(found, first)
-        self._revision = max(first, self._revision)
-        self._must_read = False
-        newly_known = not self.known
-        self.known = True
-        if changed or newly_known:
-            self._listener(self._items, changed)
+        self.replace(found, first)
 
-    def _replace(self, found: dict[str, Item], first: int) -> frozenset[str]:
-        """Take a full reading; an item known from a later revision is kept."""
+    def replace(self, found: Mapping[str, Item], revision: int) -> None:
+        """Take a full copy; an item known from a later revision is kept."""
         changed = set()
         for key, item in found.items():
             held = self._items.get(key)
@@ -114,39 +159,53 @@
                 self._items[key] = item
                 changed.add(key)
         for key in [key for key in self._items if key not in found]:
-            if self._items[key].revision <= first:
+            if self._items[key].revision <= revision:
                 del self._items[key]
                 changed.add(key)
-        return frozenset(changed)
-
-    async def _watch(self) -> None:
-        with trio.CancelScope() as self._watching:
-            result = await self._store.watch(self._prefix, self._revision, WATCH_WAIT)
-            self._watching = None
-            await self._take(result)
-            return
-        self._watching = None
+        self.revision = max(revision, self.revision)
+        self._history.clear()
+        self._history_from = self.revision
+        self._must_read = False
+        newly_known = not self.known
+        self.known = True
+        if changed or newly_known:
+            self._listener(self._items, frozenset(changed))
+            self.on_change(self)
 
     async def _take(self, result: Changes | HistoryLost) -> None:
         match result:
             case HistoryLost():
                 self._events.emit(
                     Events.STORE_HISTORY_LOST,
-                    prefix=self._prefix,
-                    revision=self._revision,
+                    prefix=self.prefix,
+                    revision=self.revision,
                 )
                 self._must_read = True
             case Changes(changes, revision):
-                changed = frozenset(
-                    change.key for change in changes if self._apply(change)
-                )
-                self._revision = max(self._revision, revision)
-                if changed:
-                    self._listener(self._items, changed)
-                    await trio.sleep(BURST_PAUSE.total_seconds())
+                if self.apply(changes, revision):
+                    await trio.sleep(self._pause.total_seconds())
+
+    def apply(self, changes: Iterable[Change], revision: int) -> bool:
+        """Take changes in order; return whether any was news.
 
-    def _apply(self, change: Item | Removal) -> bool:
-        """Apply one change; return whether it was news."""
+        Args:
+            changes: all since the copy's revision.
+            revision: of the copy afterwards.
+        """
+        changed = set()
+        for change in changes:
+            if self._apply_one(change):
+                changed.add(change.key)
+                self._history.append(change)
+        while len(self._history) > KEPT_CHANGES:
+            self._history_from = self._history.popleft().revision
+        self.revision = max(self.revision, revision)
+        if changed:
+            self._listener(self._items, frozenset(changed))
+            self.on_change(self)
+        return bool(changed)
+
+    def _apply_one(self, change: Change) -> bool:
         held = self._items.get(change.key)
         if held is not None and held.revision >= change.revision:
             return False
--- a/walkcart/wire/messages.py
+++ b/walkcart/wire/messages.py
@@ -20,6 +20,7 @@
     DelegatedTaken,
 )
 from walkcart.wire.messagebase import Message
+from walkcart.wire.relays import RelayChanges, RelayCopy, RelaySubscribe
 
 
 class MemberRecord(msgspec.Struct, frozen=True):
@@ -246,6 +247,9 @@
     | DelegatedAnswer
     | DelegatedFailure
     | DelegatedCancel
+    | RelaySubscribe
+    | RelayChanges
+    | RelayCopy
 )
 
 
