Count attempts of lost groups; metrics page; fewer calls; tests of the boundary

Change: missing parts say how many attempts may have run; a lost group that was taken counts as all that are allowed. Two watchers of each data centre instead of each region, so that what they pass on stays inside; the lease is 15 s and renewed by a quarter; leaf changes are taken in every 0.5 s. A metrics page with counters and histograms. The delegates are split into the asking and the carrying side.

--- a/walkcart/daemon/platform.py
+++ b/walkcart/daemon/platform.py
@@ -23,6 +23,7 @@
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.logsink import LogSink
+from walkcart.kernel.numbers import read_number
 from walkcart.platform.settings import (
     FILE_VARIABLE,
     BadSettings,
@@ -33,6 +34,9 @@
 from walkcart.wire.network import TcpNetwork
 from walkcart.wire.peers import NngTransport
 
+#: The port of the metrics page; the deploy file names the same one.
+METRICS_VARIABLE = "WALKCART_METRICS_PORT"
+LAST_PORT = 65535
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -52,13 +56,17 @@
     except BadSettings as error:
         print(f"walkcartd: {error}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
-    sys.exit(trio.run(_run, settings, Path(path)))
+    port = read_number(os.environ.get(METRICS_VARIABLE, "0"))
+    if port is None or port > LAST_PORT:
+        print(f"walkcartd: {METRICS_VARIABLE} must be a port number", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    sys.exit(trio.run(_run, settings, Path(path), port))
 
 
-async def _run(settings: PlatformSettings, path: Path) -> int:
+async def _run(settings: PlatformSettings, path: Path, port: int) -> int:
     log = cast(TextIO, LogSink(sys.stdout.fileno()))
     around = TenantSurroundings(
-        TcpNetwork(), NngTransport(), TrioClock(), Random(), log
+        TcpNetwork(), NngTransport(), TrioClock(), Random(), log, port
     )
     try:
         tenant = await assemble_tenant(settings, around)
--- a/walkcart/daemon/tenant.py
+++ b/walkcart/daemon/tenant.py
@@ -17,7 +17,9 @@
 from walkcart.entry.routed import RoutedEntryTools, RoutedHandler
 from walkcart.entry.routedservice import RoutedService
 from walkcart.entry.routedstop import RoutedStop
-from walkcart.fanout.delegates import Delegates, DelegateTools, Outcome
+from walkcart.fanout.carrying import Carrier
+from walkcart.fanout.delegatedgroup import Outcome
+from walkcart.fanout.delegates import Delegates, DelegateTools
 from walkcart.fanout.ids import IdSource
 from walkcart.fanout.routed import RoutedGathering
 from walkcart.fanout.routedquestion import RoutedQuestion
@@ -53,6 +55,7 @@
 from walkcart.store.budget import CallBudget
 from walkcart.store.calls import StoreCalls
 from walkcart.store.following import PrefixFollower
+from walkcart.wire.http import HttpReply, HttpRequest
 from walkcart.wire.network import Network
 from walkcart.wire.peers import PeerListener, PeerTransport
 from walkcart.wire.server import HttpServer, ServerLimits
@@ -65,19 +68,32 @@
 #: A call of the store without a reply after this has failed: it answers in
 #: milliseconds, and watches wait on top.
 STORE_CALL_TIME = timedelta(seconds=1)
+#: Pause after leafs' entries changed: many leafs change theirs at once when they start,
+#: and a change may take three seconds to be heeded.
+LEAF_PAUSE = timedelta(seconds=0.5)
 STORE_FIRST_BACKOFF = timedelta(seconds=0.1)
 STORE_LONGEST_BACKOFF = timedelta(seconds=0.8)
 
 
 @dataclass(frozen=True, slots=True)
 class TenantSurroundings:
-    """What the instance runs on."""
+    """What the instance runs on.
+
+    Args:
+        network: opens and accepts connections.
+        transport: carries messages between instances.
+        clock: source of time.
+        random: source of chance.
+        log: where log lines go; standard error when None.
+        metrics_port: where the metrics page is served; 0 for nowhere.
+    """
 
     network: Network
     transport: PeerTransport
     clock: Clock
     random: Random
     log: TextIO | None = None
+    metrics_port: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,9 +152,11 @@
         service.tell_readiness, ServerLimits(), PlatformCallerProtocol().render_fault
     )
     kernel.add("readiness", ListenerService(readiness, server))
+    if around.metrics_port:
+        await _add_metrics_page(kernel, settings, around)
     stop = RoutedStop(
         service,
-        kernel.find("delegates", Delegates),
+        kernel.find("carrier", Carrier),
         kernel.find("registration", Registration),
         kernel.find("events", EventLog),
         settings.grace,
@@ -259,6 +277,7 @@
         make_store_backoff(around.random),
         events,
         take,
+        LEAF_PAUSE,
     )
     pool = _make_pool(kernel, settings, around, directory)
     kernel.add("directory", directory)
@@ -343,7 +362,7 @@
         result = await RoutedGathering(gathering, question).run()
         return result.map(lambda answer: merge_parts(answer, top))
 
-    delegates.connect(gather)
+    carrier = Carrier(links, around.clock, gather)
     relay = Relay(
         [
             kernel.find("configuration", PrefixFollower),
@@ -359,6 +378,7 @@
     kernel.add("links", links)
     kernel.add("relay", relay)
     kernel.add("delegates", delegates)
+    kernel.add("carrier", carrier)
     kernel.add("gathering", gathering)
 
 
@@ -392,3 +412,21 @@
         events,
     )
     kernel.add("entry", service)
+
+
+async def _add_metrics_page(
+    kernel: Kernel, settings: PlatformSettings, around: TenantSurroundings
+) -> None:
+    metrics = kernel.find("metrics", Metrics)
+    address = HostPort(settings.host, around.metrics_port)
+    listener = await around.network.listen(address)
+
+    async def answer(request: HttpRequest) -> HttpReply:
+        # Loaded with the first question: most instances are never asked.
+        from walkcart.kernel.exposition import CONTENT_TYPE, render_metrics
+
+        headers = ((b"content-type", CONTENT_TYPE.encode()),)
+        return HttpReply(200, headers, render_metrics(metrics))
+
+    server = HttpServer(answer, ServerLimits(), PlatformCallerProtocol().render_fault)
+    kernel.add("metrics_page", ListenerService(listener, server))
--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -16,6 +16,7 @@
 
 from returns.result import Failure, Result, Success
 
+from walkcart.fanout.mergedanswer import MissingPart
 from walkcart.fanout.routed import RoutedGathering
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure, RoutedQuestion
 from walkcart.fanout.routedtools import RoutedTools
@@ -253,6 +254,6 @@
     return "query.uncertain"
 
 
-def _describe_missing(missing: tuple[tuple[str, Reason], ...]) -> dict[str, str]:
+def _describe_missing(missing: tuple[MissingPart, ...]) -> dict[str, str]:
     """Return the missing services for the log, a few at the most."""
-    return {service: reason.value for service, reason in missing[:5]}
+    return {part.service: part.reason.value for part in missing[:5]}
--- a/walkcart/entry/routedstop.py
+++ b/walkcart/entry/routedstop.py
@@ -12,7 +12,7 @@
 import trio
 
 from walkcart.entry.routedservice import RoutedService
-from walkcart.fanout.delegates import Delegates
+from walkcart.fanout.carrying import Carrier
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.membership.registration import Registration
@@ -33,7 +33,7 @@
 
     Args:
         service: takes the callers' requests.
-        delegates: have questions of other instances in progress.
+        carrier: has questions of other instances in progress.
         registration: tells the other instances.
         events: where the stop is logged.
         grace: time until the platform kills the process.
@@ -42,13 +42,13 @@
     def __init__(
         self,
         service: RoutedService,
-        delegates: Delegates,
+        carrier: Carrier,
         registration: Registration,
         events: EventLog,
         grace: timedelta,
     ) -> None:
         self._service = service
-        self._delegates = delegates
+        self._carrier = carrier
         self._registration = registration
         self._events = events
         self._grace = grace
@@ -72,7 +72,7 @@
 
     async def _finish(self) -> None:
         server = self._service.server
-        while server.connections or self._delegates.carrying:
+        while server.connections or self._carrier.carrying:
             server.close_idle(IDLE_TIME)
             await trio.sleep(LOOK_INTERVAL)
         await self._service.stop_accepting()
--- /dev/null
+++ b/walkcart/fanout/carrying.py
@@ -0,0 +1,158 @@
+"""Parts of questions that this instance gathers for others.
+
+See Also:
+    `walkcart.fanout.delegates.Delegates`, the asking side.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from returns.result import Success
+
+from walkcart.fanout.delegatedgroup import Outcome
+from walkcart.fanout.mergedanswer import MissingPart
+from walkcart.fanout.routedquestion import RoutedQuestion
+from walkcart.kernel.clock import Clock
+from walkcart.membership.links import PeerLinks
+from walkcart.wire.delegations import (
+    DelegatedAnswer,
+    DelegatedCancel,
+    DelegatedFailure,
+    DelegatedMissing,
+    DelegatedQuestion,
+    DelegatedTaken,
+)
+from walkcart.wire.http import HttpRequest
+from walkcart.wire.messagebase import Message
+from walkcart.wire.verdicts import MayHaveRun, Reason
+
+#: Gathers a question from this instance and merges it to so many records.
+Gather = Callable[[RoutedQuestion, int], Awaitable[Outcome]]
+
+
+class Carrier:
+    """Gathers for other instances.
+
+    Args:
+        links: to them.
+        clock: source of time.
+        gather: gathers one question.
+    """
+
+    def __init__(self, links: PeerLinks, clock: Clock, gather: Gather) -> None:
+        self._links = links
+        self._clock = clock
+        self._gather = gather
+        self._carried: dict[str, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
+        links.on(DelegatedQuestion, self._on_question)
+        links.on(DelegatedCancel, self._on_cancel)
+
+    @property
+    def carrying(self) -> int:
+        """Questions of other instances that are in progress here."""
+        return len(self._carried)
+
+    async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
+        """Carry questions until cancelled."""
+        async with trio.open_nursery() as self._nursery:
+            task_status.started()
+            await trio.sleep_forever()
+
+    def _on_question(self, sender: str, message: Message) -> None:
+        assert isinstance(message, DelegatedQuestion)
+        if self._nursery is None:
+            return
+        self._links.send(sender, DelegatedTaken(message.id))
+        scope = self._carried[message.id] = trio.CancelScope()
+        self._nursery.start_soon(self._carry, sender, message, scope)
+
+    def _on_cancel(self, sender: str, message: Message) -> None:
+        assert isinstance(message, DelegatedCancel)
+        scope = self._carried.get(message.id)
+        if scope is not None:
+            scope.cancel()
+
+    async def _carry(
+        self, sender: str, message: DelegatedQuestion, scope: trio.CancelScope
+    ) -> None:
+        """Gather one question of another instance and send what came of it."""
+        try:
+            with scope:
+                # A cancellation that came with the question is seen here, before
+                # anything is sent.
+                await trio.lowlevel.checkpoint()
+                question = decode_question(message, self._clock.monotonic())
+                outcome = await self._gather(question, message.top)
+                self._links.send(sender, encode_outcome(message.id, outcome))
+        finally:
+            del self._carried[message.id]
+
+
+def decode_question(message: DelegatedQuestion, now: float) -> RoutedQuestion:
+    """Return the question that a message asks for, on this instance's clock."""
+    return RoutedQuestion(
+        id=message.request,
+        kind=message.kind,
+        request=HttpRequest(
+            message.method, message.target, message.headers, message.body
+        ),
+        services=message.services,
+        deadline=now + message.remaining,
+        objective_at=now + message.objective,
+        least_coverage=message.least_coverage,
+        most_attempts=message.most_attempts,
+        whole_parts=True,
+        traceparent=message.traceparent,
+    )
+
+
+def encode_outcome(id: str, outcome: Outcome) -> Message:
+    """Return the message that tells how a question ended."""
+    match outcome:
+        case Success(answer):
+            return DelegatedAnswer(
+                id,
+                answer.body,
+                answer.proofs,
+                _encode_missing(answer.missing),
+                answer.sent,
+                answer.repeats,
+            )
+        case _:
+            failure = outcome.failure()
+            verdict = failure.verdict
+            return DelegatedFailure(
+                id,
+                isinstance(verdict, MayHaveRun),
+                verdict.reason.value,
+                verdict.detail,
+                failure.sent,
+                _encode_missing(failure.missing),
+            )
+
+
+def _encode_missing(
+    missing: tuple[MissingPart, ...],
+) -> tuple[DelegatedMissing, ...]:
+    return tuple(
+        DelegatedMissing(part.service, part.reason.value, part.ran) for part in missing
+    )
+
+
+def decode_missing(missing: tuple[DelegatedMissing, ...]) -> tuple[MissingPart, ...]:
+    """Return the missing parts that a message tells of."""
+    return tuple(
+        MissingPart(part.service, read_reason(part.reason), part.ran)
+        for part in missing
+    )
+
+
+def read_reason(text: str) -> Reason:
+    """Return the reason that a text names; a later version may know others."""
+    try:
+        return Reason(text)
+    except ValueError:
+        return Reason.INTERNAL
--- a/walkcart/fanout/mergedanswer.py
+++ b/walkcart/fanout/mergedanswer.py
@@ -7,6 +7,21 @@
 from walkcart.wire.verdicts import Reason
 
 
+@dataclass(frozen=True, slots=True)
+class MissingPart:
+    """A service whose part isn't in an answer.
+
+    Args:
+        service: its name.
+        reason: why.
+        ran: requests to it that ran, may have run or may run yet.
+    """
+
+    service: str
+    reason: Reason
+    ran: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class MergedAnswer:
     """Merged parts.
@@ -14,13 +29,13 @@
     Args:
         body: the merged records.
         proofs: what the leafs gave as proof of each part.
-        missing: services that aren't in it, with the reason for each.
+        missing: services that aren't in it.
         sent: requests that went to leafs.
         repeats: those among them that were not the first to their service.
     """
 
     body: bytes
     proofs: tuple[bytes, ...]
-    missing: tuple[tuple[str, Reason], ...]
+    missing: tuple[MissingPart, ...]
     sent: int
     repeats: int
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -23,7 +23,8 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from walkcart.fanout.delegates import DelegatedGroup, Delegates
+from walkcart.fanout.delegatedgroup import DelegatedGroup
+from walkcart.fanout.delegates import Delegates
 from walkcart.fanout.groups import divide_services
 from walkcart.fanout.mergedanswer import MergedAnswer
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure, RoutedQuestion
@@ -214,7 +215,7 @@
     def _take_group(self, group: DelegatedGroup) -> None:
         """Take what another instance gathered; ask here for what it didn't."""
         now = self._tools.clock.monotonic()
-        missing = dict(group.missing())
+        missing = group.missing()
         match group.outcome:
             case Success(merged):
                 self._merged.append(merged)
@@ -223,14 +224,14 @@
         for name in group.services:
             item = self._tries[name]
             item.delegated = False
-            if name not in missing:
+            part = missing.get(name)
+            if part is None:
                 item.gathered = True
                 self._covered += 1
                 continue
-            item.reason = missing[name]
-            if group.may_have_run:
-                # The other instance's request counts as the first to the service.
-                item.arrived += 1
+            item.reason = part.reason
+            item.ran += part.ran
+            item.arrived += part.ran
             self._sends.plan(item, now)
 
     def _act(self) -> None:
--- a/walkcart/fanout/routedquestion.py
+++ b/walkcart/fanout/routedquestion.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass
 
-from walkcart.fanout.mergedanswer import MergedAnswer
+from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
 from walkcart.leaves.attempts import Replied
 from walkcart.wire.http import HttpRequest
-from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
+from walkcart.wire.verdicts import MayHaveRun, NotRun
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +50,7 @@
         replies: by service.
         merged: parts that other instances gathered.
         asked: number of services.
-        missing: the others, with the reason for each.
+        missing: the others.
         sent: requests that went to leafs.
         repeats: those among them that were not the first to their service.
     """
@@ -58,7 +58,7 @@
     replies: tuple[tuple[str, Replied], ...]
     merged: tuple[MergedAnswer, ...]
     asked: int
-    missing: tuple[tuple[str, Reason], ...]
+    missing: tuple[MissingPart, ...]
     sent: int
     repeats: int
 
@@ -71,10 +71,10 @@
         verdict: whether the request may have run, and why there is no answer.
         reply: of a leaf that answered with a failure, to pass on; None without one.
         sent: requests that went to leafs.
-        missing: services without a reply, with the reason for each.
+        missing: services without a reply.
     """
 
     verdict: NotRun | MayHaveRun
     reply: Replied | None = None
     sent: int = 0
-    missing: tuple[tuple[str, Reason], ...] = ()
+    missing: tuple[MissingPart, ...] = ()
--- a/walkcart/fanout/routedverdict.py
+++ b/walkcart/fanout/routedverdict.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
-from walkcart.fanout.mergedanswer import MergedAnswer
+from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure, RoutedQuestion
 from walkcart.fanout.servicetry import ServiceTry
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
@@ -64,19 +64,23 @@
     """
     missing = _missing(tries)
     replied = len(tries) - len(missing)
-    reasons = ", ".join(sorted({reason.value for _, reason in missing}))
+    reasons = ", ".join(sorted({part.reason.value for part in missing}))
     detail = f"{replied} of {len(tries)} services replied; missing: {reasons}"
     failure = next((item.failure for item in tries if item.failure), None)
     if any(item.may_run or item.gathered or item.delegated for item in tries):
         reason = Reason.DEADLINE if late else Reason.LEAF_FAILED
         return RoutedFailure(MayHaveRun(reason, detail), failure, sent, missing)
-    reason = missing[0][1] if missing else Reason.COVERAGE
+    reason = missing[0].reason if missing else Reason.COVERAGE
     verdict = NotRun(reason, detail, _find_retry_time(tries))
     return RoutedFailure(verdict, failure, sent, missing)
 
 
-def _missing(tries: tuple[ServiceTry, ...]) -> tuple[tuple[str, Reason], ...]:
-    return tuple((item.service, item.reason) for item in tries if not item.covered)
+def _missing(tries: tuple[ServiceTry, ...]) -> tuple[MissingPart, ...]:
+    return tuple(
+        MissingPart(item.service, item.reason, item.may_run)
+        for item in tries
+        if not item.covered
+    )
 
 
 def _find_retry_time(tries: tuple[ServiceTry, ...]) -> timedelta:
--- /dev/null
+++ b/walkcart/kernel/exposition.py
@@ -0,0 +1,68 @@
+"""The metrics as a page of text, in the form that Prometheus reads.
+
+References:
+    Prometheus, text-based exposition format, version 0.0.4.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+)
+from prometheus_client.metrics_core import Metric as MetricFamily
+from prometheus_client.registry import Collector
+
+from walkcart.kernel.metrics import BUCKET_BOUNDS, CATALOGUE, Metrics
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+PREFIX = "walkcart_"
+
+
+class MetricsCollector(Collector):
+    """Gives the values of one instance to the library.
+
+    Args:
+        metrics: the values.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def collect(self) -> Iterator[MetricFamily]:
+        """Yield every metric of the catalogue."""
+        for name, metric in CATALOGUE.items():
+            full = PREFIX + name.replace(".", "_")
+            match metric.kind:
+                case "counter":
+                    value = self._metrics.read(name)
+                    yield CounterMetricFamily(full, metric.help, value)
+                case "gauge":
+                    value = self._metrics.read(name)
+                    yield GaugeMetricFamily(full, metric.help, value)
+                case _:
+                    yield self._collect_histogram(name, full, metric.help)
+
+    def _collect_histogram(
+        self, name: str, full: str, text: str
+    ) -> HistogramMetricFamily:
+        found = self._metrics.read_histogram(name)
+        buckets = []
+        sum_so_far = 0
+        for bound, count in zip((*BUCKET_BOUNDS, "+Inf"), found.counts, strict=True):
+            sum_so_far += count
+            buckets.append((str(bound), sum_so_far))
+        return HistogramMetricFamily(
+            f"{full}_ms", text, buckets=buckets, sum_value=found.total
+        )
+
+
+def render_metrics(metrics: Metrics) -> bytes:
+    """Return the page."""
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(MetricsCollector(metrics))
+    return generate_latest(registry)
--- a/walkcart/kernel/metrics.py
+++ b/walkcart/kernel/metrics.py
@@ -1,11 +1,13 @@
-"""Metrics by statsd, from a fixed catalogue.
+"""Metrics from a fixed catalogue: by statsd, and for a page that is fetched.
 
 See Also:
+    `walkcart.kernel.exposition`, the page.
     ``docs/METRICS.md``, which a test holds against `CATALOGUE`.
 """
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from dataclasses import dataclass
 
 from statsd import StatsClient
@@ -28,6 +30,7 @@
     "query.refused": Metric("counter", "replies", "Requests refused, not run."),
     "query.uncertain": Metric("counter", "replies", "Replies 'may have run'."),
     "query.time": Metric("timer", "ms", "From the request's last byte to the reply."),
+    "leaf.time": Metric("timer", "ms", "From a request's send to the leaf's reply."),
     "leaf.sent": Metric("counter", "requests", "Requests sent to leaves."),
     "leaf.hedged": Metric("counter", "requests", "Hedges among them."),
     "leaf.retried": Metric("counter", "requests", "Retries among them."),
@@ -51,6 +54,25 @@
 }
 
 
+#: Upper bounds of the histograms' buckets, in ms: two for each doubling around the
+#: latency objectives of the users, from 84 to 860 ms.
+BUCKET_BOUNDS = (1, 2, 5, 10, 20, 35, 50, 70, 85, 100, 135, 170, 235, 350, 500, 700)
+BUCKET_BOUNDS += (1000, 2000, 5000, 10000)
+
+
+@dataclass(frozen=True, slots=True)
+class Histogram:
+    """How often a duration fell into each bucket.
+
+    Args:
+        counts: for each of `BUCKET_BOUNDS`, and for all above the last.
+        total: sum of the durations, in ms.
+    """
+
+    counts: tuple[int, ...]
+    total: float
+
+
 class Metrics:
     """Counts, times and gauges, sent over UDP and kept for `read`.
 
@@ -66,6 +88,12 @@
             else None
         )
         self._values: dict[str, float] = dict.fromkeys(CATALOGUE, 0.0)
+        self._buckets = {
+            name: [0] * (len(BUCKET_BOUNDS) + 1)
+            for name, metric in CATALOGUE.items()
+            if metric.kind == "timer"
+        }
+        self._totals = dict.fromkeys(self._buckets, 0.0)
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add `amount` to a counter."""
@@ -76,6 +104,8 @@
     def time(self, name: str, milliseconds: float) -> None:
         """Record a duration; `read` gives the last one."""
         self._values[name] = milliseconds
+        self._buckets[name][bisect_left(BUCKET_BOUNDS, milliseconds)] += 1
+        self._totals[name] += milliseconds
         if self._client:
             self._client.timing(name, milliseconds)
 
@@ -89,6 +119,10 @@
         """Return a counter's sum, a gauge's value or a timer's last value."""
         return self._values[name]
 
+    def read_histogram(self, name: str) -> Histogram:
+        """Return how a timer's durations are spread."""
+        return Histogram(tuple(self._buckets[name]), self._totals[name])
+
     def all(self) -> dict[str, float]:
         """Return all values by name."""
         return dict(self._values)
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -232,6 +232,7 @@
     def _note_reply(self, leaf: Leaf, kind: str, now: float, elapsed: float) -> None:
         times = self.times_of(kind, self.distance_to(leaf))
         times.observe(elapsed)
+        self._tools.link.metrics.time("leaf.time", elapsed * 1000)
         leaf.latency.observe(now, elapsed / times.median(now))
         leaf.replied_at = now
         if leaf.ejection.note_success():
--- a/walkcart/membership/registration.py
+++ b/walkcart/membership/registration.py
@@ -38,9 +38,9 @@
 
 #: Start of the keys of instances.
 INSTANCE_PREFIX = "walkcart/instances/"
-#: Life of the lease: an instance that died is forgotten after this. Six renewals may
+#: Life of the lease: an instance that died is forgotten after this. Four renewals may
 #: fail before a living one loses its key.
-LEASE_TIME = timedelta(seconds=6)
+LEASE_TIME = timedelta(seconds=15)
 #: Between two renewals while there are few instances. A silent store is noticed after
 #: this and the time limit of a call.
 RENEW_INTERVAL = timedelta(seconds=1)
@@ -48,11 +48,14 @@
 #: past it each renews less often.
 FLEET_RENEWALS = 10.0
 #: A lease is replaced when one this many times as long is wanted.
-LEASE_SLACK = 1.5
+LEASE_SLACK = 3.0
 #: Leases outlast this many renewals.
-RENEWALS_PER_LEASE = 6
+RENEWALS_PER_LEASE = 4
 #: Between two readings of the others' keys, in renewals.
 READ_EVERY = 3
+#: Seconds from the first reading to the second: instances that start together have
+#: stored their keys by then.
+SECOND_READ = 0.5
 #: How long an instance that vanished still counts: it may live on, cut off from the
 #: store, with its connections open and its repeats within the budgets' window.
 COUNT_MEMORY = timedelta(seconds=20)
@@ -146,7 +149,8 @@
             try:
                 await self._keep()
                 self._backoff.reset()
-                await trio.sleep(self._interval())
+                early = self._turn <= 1
+                await trio.sleep(SECOND_READ if early else self._interval())
             except StoreUnavailable:
                 # Logged by the calls, which know whether it is the first failure.
                 await trio.sleep(self._backoff.advance().total_seconds())
@@ -175,7 +179,7 @@
         if self._registered is None:
             return wanted
         granted = self._registered.lease.time_to_live.total_seconds()
-        return min(wanted, granted / RENEWALS_PER_LEASE * LEASE_SLACK)
+        return min(wanted, granted / RENEWALS_PER_LEASE)
 
     def _lease_time(self) -> timedelta:
         interval = (len(self._others) + 1) / FLEET_RENEWALS
@@ -195,7 +199,7 @@
                 # The fleet grew: renewals come less often and need a longer lease.
                 await self._store.end_lease(self._registered.lease)
                 self._registered = await self._register()
-        if self._turn % READ_EVERY == 0:
+        if self._turn % READ_EVERY == 0 or self._turn == 1:
             await self._read_others()
         self._turn += 1
 
--- a/walkcart/membership/relaying.py
+++ b/walkcart/membership/relaying.py
@@ -1,8 +1,8 @@
 """What instances read from the shared store, passed on to each other.
 
-Two uses. In a large fleet a few instances of each region watch the store and feed the
-others, so that the store's calls don't grow with the fleet. In any fleet an instance
-that the store turns away, while it serves others, is fed by one that it serves.
+Two uses. In a large fleet a few instances of each data centre watch the store and feed
+the others, so that the store's calls don't grow with the fleet. In any fleet an
+instance that the store turns away while it serves others is fed by one of those.
 
 A feed is a subscription that the receiver renews. The feeder sends changes as they
 come, and signs of life while its own calls of the store succeed. A receiver that hears
@@ -38,13 +38,14 @@
 
 #: Fleets up to this size watch the store with every instance: few calls, no detour.
 FEW_INSTANCES = 12
-#: Instances of each region that watch the store in a larger fleet.
+#: Instances of each data centre that watch the store in a larger fleet: what they pass
+#: on stays inside.
 WATCHERS = 2
 #: Between two signs of life of a feeder.
-BEAT = timedelta(seconds=0.5)
+BEAT = timedelta(seconds=0.7)
 #: A receiver that heard nothing for this long watches the store itself: within the
 #: three seconds that operators allow for a change it must still read it.
-SILENCE = timedelta(seconds=1.3)
+SILENCE = timedelta(seconds=1.6)
 #: A subscription ends this long after it was renewed last.
 SUBSCRIPTION = timedelta(seconds=3)
 #: A feeder whose last successful call is older sends no signs of life.
@@ -109,16 +110,17 @@
         return len(self._registration.others()) + 1 <= FEW_INSTANCES
 
     def _rank(self, own: bool) -> list[str]:
-        """Return the instances of this region in the order in which they watch."""
+        """Return the instances of this data centre in the order in which they watch."""
         me = self._registration.own
         names = [
             record.name
             for record in self._registration.others()
-            if record.peer_address and (record.region == me.region or self._is_few())
+            if record.peer_address
+            and (record.data_centre == me.data_centre or self._is_few())
         ]
         if own:
             names.append(me.name)
-        return sorted(names, key=lambda name: rank_rendezvous(me.region, name))
+        return sorted(names, key=lambda name: rank_rendezvous(me.data_centre, name))
 
     def _look_at_feed(self) -> None:
         """Choose a feeder where one is wanted, and note whether it feeds."""
--- /dev/null
+++ b/walkcart/platform/tests/test_documents.py
@@ -0,0 +1,150 @@
+"""Settings, configurations and entries of the platform, good and bad."""
+
+from datetime import timedelta
+from io import StringIO
+
+import msgspec
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from walkcart.bench.harness import run_mocked
+from walkcart.intent.routes import ToService, ToShards, ToSplit
+from walkcart.kernel.clock import TrioClock
+from walkcart.kernel.eventlog import EventLog
+from walkcart.platform.documents import read_configuration, read_leaf_entries
+from walkcart.platform.records import RECORD_SIZE, merge_records
+from walkcart.platform.settings import BadSettings, read_settings
+from walkcart.store.items import Item
+
+SETTINGS = """
+nodeName = "entry-7"
+ip = "10.0.0.7"
+zone = "south-b"
+region = "south"
+portRange = [7000, 7010]
+unknown = 5
+[zones]
+south-b = "south"
+north-a = "north"
+[listen]
+front = "10.0.0.7:8000"
+ready = "10.0.0.7:8001"
+[bounds]
+retryBudgetRatio = 0.3
+retryWindowS = 12
+budgetSlack = 40
+graceS = 8
+[platform]
+address = "10.9.0.1:9000"
+writesPerS = 300
+readsPerS = 900
+"""
+
+
+def test_settings_are_read_and_unknown_ones_left_alone(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS, encoding="utf-8")
+    settings = read_settings(path)
+    assert settings.instance == "entry-7"
+    assert str(settings.callers) == "10.0.0.7:8000"
+    assert settings.peer_ports == (7000, 7010)
+    assert settings.regions["north-a"] == "north"
+    assert settings.repeat_ratio == 0.3
+    assert settings.repeat_window == timedelta(seconds=12)
+    assert settings.grace == timedelta(seconds=8)
+
+
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        ('nodeName = "entry-7"', ""),
+        ('"10.0.0.7:8000"', '"nowhere"'),
+        ("portRange = [7000, 7010]", 'portRange = "7000"'),
+        ("[listen]", "[listen"),
+    ],
+)
+def test_wrong_settings_are_told_with_what_is_wrong(tmp_path, old, new):
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS.replace(old, new), encoding="utf-8")
+    with pytest.raises(BadSettings, match="wrong"):
+        read_settings(path)
+
+
+def test_missing_settings_are_told(tmp_path):
+    with pytest.raises(BadSettings, match="read"):
+        read_settings(tmp_path / "none.toml")
+
+
+def make_configuration(**route):
+    return msgspec.json.encode(
+        {
+            "version": 9,
+            "routes": [
+                {
+                    "name": "r",
+                    "host": "Shop.Example",
+                    "pathPrefix": "/a/",
+                    "routeType": "non_idempotent",
+                    "timeoutMs": 1500,
+                    **route,
+                }
+            ],
+            "services": [{"name": "s", "maxConns": 26}],
+        }
+    )
+
+
+def test_each_kind_of_target_is_read():
+    single = read_configuration(make_configuration(backend="s")).routes[0]
+    assert single.target == ToService("s")
+    assert (single.host, single.idempotent) == ("shop.example", False)
+    assert single.timeout == timedelta(seconds=1.5)
+    parts = [{"backend": "a", "weight": 2}, {"backend": "b", "weight": 0}]
+    split = read_configuration(make_configuration(trafficSplit=parts)).routes[0]
+    assert isinstance(split.target, ToSplit)
+    assert [part.service for part in split.target.parts] == ["a"]
+    shards = read_configuration(
+        make_configuration(fanoutServices=["x", "y", "x"], topK=4, minCoverage=0.5)
+    ).routes[0]
+    assert shards.target == ToShards(("x", "y"), 4, 0.5)
+
+
+def test_a_configuration_that_cannot_be_read_is_an_error():
+    with pytest.raises(msgspec.MsgspecError):
+        read_configuration(b'{"version": "nine"}')
+
+
+def test_an_unreadable_entry_is_logged_and_the_others_are_read():
+    log = StringIO()
+
+    async def run():
+        events = EventLog("one", TrioClock(), log)
+        good = {"backend": "s", "address": "10.0.0.1:1", "zone": "north-a"}
+        items = {
+            "servers/a": Item("servers/a", msgspec.json.encode(good), 1),
+            "servers/b": Item("servers/b", b"rubbish", 2),
+        }
+        await trio.lowlevel.checkpoint()
+        return list(read_leaf_entries(items, {"north-a": "north"}, events))
+
+    entries = run_mocked(run)
+    assert [(entry.id, entry.region) for entry in entries] == [("a", "north")]
+    assert "leaf_entry_bad" in log.getvalue()
+
+
+@given(st.lists(st.binary(max_size=200), max_size=6), st.integers(1, 12))
+def test_merging_is_a_plain_sort(bodies, top):
+    records = []
+    for body in bodies:
+        whole = len(body) // RECORD_SIZE * RECORD_SIZE
+        records += [body[n : n + RECORD_SIZE] for n in range(0, whole, RECORD_SIZE)]
+    assert merge_records(bodies, top) == b"".join(sorted(records, reverse=True)[:top])
+
+
+@given(st.lists(st.lists(st.binary(min_size=16, max_size=16), max_size=9), max_size=5))
+def test_merging_merged_parts_changes_nothing(parts):
+    bodies = [b"".join(part) for part in parts]
+    once = merge_records(bodies, 4)
+    assert merge_records([merge_records(bodies[:2], 4), *bodies[2:]], 4) == once
--- /dev/null
+++ b/walkcart/platform/tests/test_relay.py
@@ -0,0 +1,111 @@
+"""Instances that pass on to each other what they read from the store."""
+
+import trio
+
+from walkcart.bench.harness import run_mocked
+from walkcart.membership import relaying
+from walkcart.platform.tests.platformworld import make_route, open_platform
+
+
+def with_instances(action, count, data_centres=("north-a",)):
+    """Run `action(world)` with a plain service and some instances."""
+
+    async def run():
+        async with open_platform() as world:
+            for number in range(2):
+                await world.start_leaf(f"p-{number}", "plain", records=b"body")
+            world.configure(make_route("one", "/one/", backend="plain"))
+            for number in range(count):
+                place = data_centres[number % len(data_centres)]
+                await world.start_instance(f"w{number}", place)
+                await world.wait_ready(f"w{number}")
+            await trio.sleep(10)
+            return await action(world)
+
+    return run_mocked(run)
+
+
+def count_calls(world, word):
+    return sum(1 for call in world.store.calls if word in call)
+
+
+def test_an_instance_that_the_store_turns_away_is_fed_by_another():
+    async def act(world):
+        world.network.cut("store", "south-a")
+        await trio.sleep(4)
+        world.configure(make_route("two", "/two/", backend="plain"))
+        await trio.sleep(1)
+        return (await world.ask("/two/x", "w1")).status
+
+    assert with_instances(act, 2, ("north-a", "south-a")) == 200
+
+
+def test_a_fed_instance_watches_again_when_the_store_serves_it():
+    async def act(world):
+        world.network.cut("store", "south-a")
+        await trio.sleep(4)
+        world.network.heal("store", "south-a")
+        await trio.sleep(4)
+        world.tenants["w0"].scope.cancel()
+        world.configure(make_route("two", "/two/", backend="plain"))
+        await trio.sleep(1)
+        return (await world.ask("/two/x", "w1")).status
+
+    assert with_instances(act, 2, ("north-a", "south-a")) == 200
+
+
+def test_in_a_large_fleet_few_instances_watch_and_all_learn(monkeypatch):
+    monkeypatch.setattr(relaying, "FEW_INSTANCES", 3)
+
+    async def act(world):
+        await trio.sleep(30)
+        before = count_calls(world, "watch")
+        await trio.sleep(60)
+        watches = count_calls(world, "watch") - before
+        world.configure(make_route("two", "/two/", backend="plain"))
+        world.drain_leaf("p-0")
+        await trio.sleep(1.5)
+        statuses = [(await world.ask("/two/x", f"w{n}")).status for n in range(6)]
+        return watches, statuses, world.leafs["p-0"].arrived
+
+    watches, statuses, arrived = with_instances(act, 6)
+    # Two instances watch two prefixes, for 20 seconds at a time.
+    assert watches <= 2 * 2 * 4
+    assert statuses == [200] * 6
+    assert arrived == []
+
+
+def test_when_the_watchers_die_the_others_read_for_themselves(monkeypatch):
+    monkeypatch.setattr(relaying, "FEW_INSTANCES", 3)
+
+    async def act(world):
+        await trio.sleep(30)
+        watching = [
+            name
+            for name, running in world.tenants.items()
+            if running.tenant.kernel.find("relay", relaying.Relay).watches
+        ]
+        for name in watching:
+            world.tenants[name].scope.cancel()
+        world.configure(make_route("two", "/two/", backend="plain"))
+        await trio.sleep(3)
+        left = [name for name in world.tenants if name not in watching]
+        statuses = [(await world.ask("/two/x", name)).status for name in left]
+        return len(watching), statuses
+
+    watching, statuses = with_instances(act, 6)
+    assert watching == 2
+    assert statuses == [200] * 4
+
+
+def test_a_feed_outlasts_a_lost_history(monkeypatch):
+    monkeypatch.setattr(relaying, "FEW_INSTANCES", 1)
+
+    async def act(world):
+        await trio.sleep(30)
+        world.store.compact()
+        world.configure(make_route("two", "/two/", backend="plain"))
+        await trio.sleep(2)
+        return [(await world.ask("/two/x", f"w{n}")).status for n in range(4)]
+
+    assert with_instances(act, 4) == [200] * 4
--- /dev/null
+++ b/walkcart/platform/tests/test_store_trouble.py
@@ -0,0 +1,144 @@
+"""Trouble with the store: away, silent, forgetful, and keys that vanish."""
+
+import trio
+
+from walkcart.bench.harness import run_mocked
+from walkcart.leaves.directory import LeafDirectory
+from walkcart.membership.registration import INSTANCE_PREFIX, Registration
+from walkcart.platform.tests.platformworld import make_route, open_platform
+
+
+def with_instance(action):
+    """Run `action(world)` with one instance and two leafs of one service."""
+
+    async def run():
+        async with open_platform() as world:
+            for number in range(2):
+                await world.start_leaf(f"p-{number}", "plain", records=b"body")
+            world.configure(make_route("one", "/one/", backend="plain"))
+            await world.start_instance()
+            await world.wait_ready()
+            await trio.sleep(10)
+            return await action(world)
+
+    return run_mocked(run)
+
+
+def find_service(world, kind, name):
+    return world.tenants["one"].tenant.kernel.find(name, kind)
+
+
+def test_requests_are_served_while_the_store_is_away():
+    async def act(world):
+        world.store.faults.silent = True
+        statuses = []
+        for _ in range(20):
+            statuses.append((await world.ask("/one/x")).status)
+            await trio.sleep(1)
+        return statuses, (await world.ask_ready()).status
+
+    statuses, ready = with_instance(act)
+    assert set(statuses) == {200}
+    assert ready == 200
+
+
+def test_a_change_made_in_silence_is_in_force_soon_after_it():
+    async def act(world):
+        # The waiting watches never hear of it: their connections went silent.
+        world.store.faults.silent = True
+        world.network.cut("store", "north-a")
+        await trio.sleep(5)
+        world.configure(make_route("two", "/two/", backend="plain"))
+        world.store.faults.silent = False
+        world.network.heal("store", "north-a")
+        await trio.sleep(3)
+        return (await world.ask("/two/x")).status
+
+    assert with_instance(act) == 200
+
+
+def test_lapsed_entries_are_kept_until_leafs_had_time_to_store_them_again():
+    async def act(world):
+        directory = find_service(world, LeafDirectory, "directory")
+        world.store.faults.refusal = 503
+        await trio.sleep(5)
+        world.store.remove("servers/p-0")
+        world.store.remove("servers/p-1")
+        world.store.faults.refusal = 0
+        await trio.sleep(1.2)
+        kept = len(directory.leaves_of("plain"))
+        world.store.put("servers/p-0", world.entries["p-0"])
+        await trio.sleep(3)
+        return kept, [leaf.id for leaf in directory.leaves_of("plain")]
+
+    assert with_instance(act) == (2, ["p-0"])
+
+
+def test_an_entry_that_goes_while_the_store_is_well_is_gone_at_once():
+    async def act(world):
+        world.store.remove("servers/p-0")
+        await trio.sleep(0.7)
+        directory = find_service(world, LeafDirectory, "directory")
+        return [leaf.id for leaf in directory.leaves_of("plain")]
+
+    assert with_instance(act) == ["p-1"]
+
+
+def test_a_forgotten_history_is_read_anew():
+    async def act(world):
+        world.store.remove("servers/p-0")
+        world.store.compact()
+        world.configure(make_route("two", "/two/", backend="plain"))
+        await trio.sleep(1.5)
+        return (await world.ask("/two/x")).status, world.leafs["p-0"].arrived
+
+    assert with_instance(act) == (200, [])
+
+
+def test_a_key_that_was_taken_away_is_stored_again():
+    async def act(world):
+        world.store.remove(INSTANCE_PREFIX + "one")
+        await trio.sleep(8)
+        return INSTANCE_PREFIX + "one" in world.store.rows
+
+    assert with_instance(act)
+
+
+def test_a_lost_answer_to_the_registration_is_no_harm():
+    async def act(world):
+        world.store.faults.lose_writes = True
+        world.store.remove(INSTANCE_PREFIX + "one")
+        await trio.sleep(12)
+        world.store.faults.lose_writes = False
+        await trio.sleep(6)
+        return INSTANCE_PREFIX + "one" in world.store.rows
+
+    assert with_instance(act)
+
+
+def test_an_instance_that_vanished_still_counts_for_a_while():
+    async def act(world):
+        await world.start_instance("two")
+        await trio.sleep(10)
+        registration = find_service(world, Registration, "registration")
+        both = registration.count()
+        world.store.remove(INSTANCE_PREFIX + "two")
+        world.tenants["two"].scope.cancel()
+        await trio.sleep(10)
+        soon = registration.count()
+        await trio.sleep(30)
+        return both, soon, registration.count()
+
+    assert with_instance(act) == (2, 2, 1)
+
+
+def test_entries_over_many_pages_are_all_read():
+    async def act(world):
+        for number in range(130):
+            entry = {**world.entries["p-0"], "backend": f"s-{number}"}
+            world.store.put(f"servers/x-{number:03}", entry)
+        world.store.compact()
+        await trio.sleep(2)
+        return len(list(find_service(world, LeafDirectory, "directory").entries()))
+
+    assert with_instance(act) == 132
--- a/walkcart/routing/placement.py
+++ b/walkcart/routing/placement.py
@@ -26,11 +26,11 @@
 #: Share of a request's objective that the bytes of a leaf in another region are worth:
 #: operators pay for them. Measured: see ``docs/design/platform.md``.
 FAR_SHARE = 0.2
-#: That cost by distance, as a share of the one for another region: bytes within a
-#: region cost operators about a quarter.
+#: That cost by distance, as a share of the one for another region: one user pays more
+#: for bytes between data centres than between regions, the other a quarter.
 COST_SHARES = {
     Distance.SAME_DATA_CENTRE: 0.0,
-    Distance.SAME_REGION: 0.25,
+    Distance.SAME_REGION: 0.5,
     Distance.OTHER_REGION: 1.0,
 }
 #: Seconds added for a leaf that has been silent for longer than it should: about the
--- /dev/null
+++ b/walkcart/routing/tests/test_repeats.py
@@ -0,0 +1,49 @@
+"""The budget of repeats over any window, all instances together."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from walkcart.routing.repeats import RepeatBudget, RepeatLimits
+
+LIMITS = RepeatLimits(ratio=0.2, window=10.0, allowance=54.0)
+
+EVENTS = st.lists(
+    st.tuples(
+        st.floats(0, 0.5),
+        st.integers(0, 2),
+        st.sampled_from(["request", "repeat", "repeat", "restart"]),
+    ),
+    max_size=400,
+)
+
+
+@given(EVENTS)
+def test_no_window_gets_more_than_is_allowed(events):
+    now = 100.0
+    budgets = [RepeatBudget(LIMITS, now - 50) for _ in range(3)]
+    requests, repeats = [], []
+    restarted = set()
+    for gap, number, what in events:
+        now += gap
+        if what == "request":
+            budgets[number].note_request("s", now)
+            requests.append(now)
+        elif what == "restart" and number not in restarted:
+            # Once each: what a former life spent is covered by the reserve.
+            restarted.add(number)
+            budgets[number] = RepeatBudget(LIMITS, now)
+        elif budgets[number].take("s", now, 3):
+            repeats.append(now)
+    for end in repeats:
+        start = end - LIMITS.window
+        spent = sum(1 for at in repeats if start < at <= end)
+        asked = sum(1 for at in requests if start <= at <= end)
+        # A window here is up to one part longer than the one that is counted.
+        before = sum(1 for at in requests if start - 1 <= at < start)
+        assert spent <= LIMITS.allowance + LIMITS.ratio * (asked + before) + 1e-9
+
+
+def test_a_service_without_requests_keeps_to_its_part_of_the_allowance():
+    budget = RepeatBudget(LIMITS, 0.0)
+    taken = sum(budget.take("s", 50.0, 6) for _ in range(100))
+    assert taken == int(54 / 6 * 0.8)
--- a/walkcart/wire/delegations.py
+++ b/walkcart/wire/delegations.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from walkcart.wire.messagebase import Message
 
 
@@ -50,6 +52,20 @@
     id: str
 
 
+class DelegatedMissing(msgspec.Struct, frozen=True):
+    """A service whose part didn't come.
+
+    Args:
+        service: its name.
+        reason: a `walkcart.wire.verdicts.Reason` value.
+        ran: requests to it that ran, may have run or may run yet.
+    """
+
+    service: str
+    reason: str
+    ran: int
+
+
 class DelegatedAnswer(Message, frozen=True):
     """The merged reply to a question.
 
@@ -57,7 +73,7 @@
         id: of the question.
         body: merged records.
         proofs: of the parts in it, in any order.
-        missing: services that aren't in it, with the reason for each.
+        missing: services that aren't in it.
         sent: requests that went to leafs.
         repeats: those that were not the first to their service.
     """
@@ -65,7 +81,7 @@
     id: str
     body: bytes
     proofs: tuple[bytes, ...]
-    missing: tuple[tuple[str, str], ...]
+    missing: tuple[DelegatedMissing, ...]
     sent: int
     repeats: int
 
@@ -79,6 +95,7 @@
         reason: a `walkcart.wire.verdicts.Reason` value.
         detail: one sentence for a person.
         sent: requests that went to leafs.
+        missing: services without a part.
     """
 
     id: str
@@ -86,6 +103,7 @@
     reason: str
     detail: str
     sent: int
+    missing: tuple[DelegatedMissing, ...] = ()
 
 
 class DelegatedCancel(Message, frozen=True):
