--- a/walkcart/__init__.py
+++ b/walkcart/__init__.py
@@ -5,4 +5,4 @@
 one index version and states truly which shards it covers.
 """
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -26,6 +26,7 @@
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.spans import Tracer
+from walkcart.routing.overshoot import Overshoot
 from walkcart.routing.splits import WeightedSplit
 from walkcart.wire.http import HttpReply, HttpRequest
 from walkcart.wire.server import Fault
@@ -34,8 +35,9 @@
 #: Time kept back from the caller's for the answer's way home.
 HOME_TIME = timedelta(milliseconds=10)
 #: Time kept back from a route's objective: the request's way here, which may have
-#: begun with a new connection, the answer's way home and the merge.
-OBJECTIVE_RESERVE = timedelta(milliseconds=18)
+#: begun with a new connection, and the answer's way home. What this instance itself
+#: needs is learned and comes on top.
+OBJECTIVE_RESERVE = timedelta(milliseconds=15)
 #: When to come back while no routing document is known.
 START_TIME = timedelta(seconds=1)
 
@@ -112,6 +114,7 @@
     def __init__(self, tools: RoutedEntryTools) -> None:
         self._tools = tools
         self._splits: dict[str, tuple[ToSplit, WeightedSplit]] = {}
+        self._overshoot = Overshoot()
 
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Answer one request; never raises but for cancellation."""
@@ -144,7 +147,11 @@
         self._note(caller, route, start, result)
         match result:
             case Success(answer) if question.whole_parts:
-                return tools.protocol.render_merged(answer, top)
+                reply = tools.protocol.render_merged(answer, top)
+                if answer.missing:
+                    now = tools.gathering.clock.monotonic()
+                    self._overshoot.observe(max(0.0, now - question.objective_at))
+                return reply
             case Success(answer):
                 return tools.protocol.render_single(answer)
             case _:
@@ -160,6 +167,7 @@
         sharded = isinstance(route.target, ToShards)
         if route.objective is not None:
             objective = (route.objective - OBJECTIVE_RESERVE).total_seconds()
+            objective -= self._overshoot.estimate(start)
         return RoutedQuestion(
             id=caller.id,
             kind=route.name,
--- a/walkcart/fanout/delegates.py
+++ b/walkcart/fanout/delegates.py
@@ -46,6 +46,9 @@
 #: since is waited for.
 OVERDUE_TIME = 0.05
 
+#: Fleets up to this size have links to all others; past it each one opens those that
+#: it needs, with its first question there.
+MOST_GREETED = 100
 #: Instances of a data centre among which a group's is chosen: one may be silent.
 CANDIDATES = 3
 
@@ -88,11 +91,13 @@
         tools.links.on(DelegatedFailure, self._on_failure)
 
     def open_links(self) -> None:
-        """Have links ready to all others: a question waits for none to come up."""
-        for record in self._tools.registration.others():
-            if record.name not in self._greeted:
-                self._tools.links.send(record.name, DelegatedCancel(""))
-        self._greeted = {item.name for item in self._tools.registration.others()}
+        """Have links ready to others: a question waits for none to come up."""
+        others = self._tools.registration.others()
+        if len(others) <= MOST_GREETED:
+            for record in others:
+                if record.name not in self._greeted:
+                    self._tools.links.send(record.name, DelegatedCancel(""))
+        self._greeted = {item.name for item in others}
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Follow what others were asked until cancelled."""
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -295,7 +295,10 @@
         stale = now - last_used > FRESH_TIME.total_seconds()
         usable = connection.is_quiet() and now - last_used < self._idle_time
         if usable and not attempt.repeatable and stale:
-            usable = await self._is_fresh(connection)
+            # The leaf may have dropped it without a word; where it can't be asked,
+            # a new connection costs less than a request that may have run.
+            can_ask = self._tools.protocol.make_status_request() is not None
+            usable = can_ask and await self._is_fresh(connection)
         if not usable:
             # Nothing of the attempt was sent: it goes on over another one.
             self._queue.appendleft(pending)
--- a/walkcart/routing/kindtimes.py
+++ b/walkcart/routing/kindtimes.py
@@ -4,8 +4,9 @@
 that are late by a little need none, and each one costs a leaf work and bytes.
 
 Examples:
-    >>> find_hedge_time(sent=0.0, objective=0.2, usual_high=0.06, other_high=0.08)
-    0.115
+    >>> time = find_hedge_time(0.0, objective=0.2, usual_high=0.05, other_high=0.08)
+    >>> round(time, 3)
+    0.075
     >>> find_hedge_time(sent=0.0, objective=0.1, usual_high=0.06, other_high=0.08)
     0.06
 """
@@ -23,6 +24,9 @@
 #: Seconds kept back from the objective for what happens after the reply: its way
 #: through this instance's event loop and the merge.
 HEDGE_RESERVE = 0.005
+#: High times of the second attempt's leaf that must be left until the objective: it
+#: may be busy too.
+OTHER_FACTOR = 1.5
 #: Second attempts without an objective are due after this many high times.
 PLAIN_FACTOR = 1.5
 
@@ -66,5 +70,5 @@
     """
     if objective == float("inf"):
         return sent + PLAIN_FACTOR * max(usual_high, other_high)
-    latest = objective - other_high - HEDGE_RESERVE
+    latest = objective - OTHER_FACTOR * other_high - HEDGE_RESERVE
     return max(sent + usual_high, latest)
--- a/walkcart/standins/memory.py
+++ b/walkcart/standins/memory.py
@@ -108,6 +108,10 @@
         self._incoming.reader_gone = True
         await trio.lowlevel.checkpoint()
 
+    def forget(self) -> None:
+        """Lose the connection at this end; the other one learns it when it sends."""
+        self._incoming.reader_gone = True
+
     def reset(self) -> None:
         """Lose the connection at both ends."""
         self._incoming.break_off()
--- a/walkcart/standins/serving.py
+++ b/walkcart/standins/serving.py
@@ -37,6 +37,7 @@
         self.http = HttpServer(handler, LIMITS, reply_fault)
         self.address = HostPort("127.0.0.1", 0)
         self._scope = trio.CancelScope()
+        self._streams: set[trio.abc.Stream] = set()
 
     async def run(
         self,
@@ -58,7 +59,16 @@
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection."""
-        await self.http.serve(stream)
+        self._streams.add(stream)
+        try:
+            await self.http.serve(stream)
+        finally:
+            self._streams.discard(stream)
+
+    def forget_connections(self) -> None:
+        """Drop all connections without a word: what comes next is reset."""
+        for stream in tuple(self._streams):
+            stream.forget()
 
     def stop(self) -> None:
         """Drop the listener and all connections, as a kill does."""
