Check leaving leafs before idle connections are closed

Cause: test_restart_is_found_out_when_the_list_knows_no_incarnations failed: closing idle connections woke the tasks that the check of a leaving leaf was to use, so the leaf was never asked.

Change: a leaving leaf is checked, the others' idle connections are closed.

--- a/walkcart/leaves/gateway.py
+++ b/walkcart/leaves/gateway.py
@@ -205,9 +205,10 @@
             return
         self._checked_at = now
         for address, link in self._links.items():
-            link.close_idle()
             if self._marks.is_leaving(address):
                 link.check()
+            else:
+                link.close_idle()
 
     def _divide(self) -> None:
         """Work out this instance's share of each leaf's connections."""
