Take back what waits for a connection; plan for the processor's time

Change: an attempt that still waits for a connection is taken back after 0.12 s and goes to another leaf. The reserve of an objective also holds what sending a question's requests takes the processor. The factor 1.5 on hedges is taken back.

--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -168,6 +168,7 @@
         if route.objective is not None:
             objective = (route.objective - OBJECTIVE_RESERVE).total_seconds()
             objective -= self._overshoot.estimate(start)
+            objective -= self._tools.gathering.send_time.estimate(start)
         return RoutedQuestion(
             id=caller.id,
             kind=route.name,
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -109,6 +109,9 @@
             if item.service not in far:
                 self._tools.budget.note_request(item.service, now)
                 self._sends.try_next(item, now)
+        if self._top:
+            spent = self._tools.clock.monotonic() - now
+            self._tools.send_time.observe(spent)
 
     def _delegate(self, delegates: Delegates) -> set[str]:
         """Have other instances gather what they are near to; return the services."""
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -16,6 +16,9 @@
 RETRY_DELAY = 0.03
 #: Tries at one service at the most, whatever came of them.
 MOST_TRIES = 6
+#: Seconds after which a request that must not repeat, and of which nothing was sent for
+#: want of a connection, goes to another leaf: some round trips between regions.
+CONNECTION_TIME = 0.12
 #: Least share of its usual time that must be left for another attempt to be sent.
 WORTHWHILE_SHARE = 0.5
 
@@ -70,17 +73,27 @@
         item.next_at = now if untried else now + RETRY_DELAY
 
     def hedge_at(self, item: ServiceTry) -> float:
-        """Return when a second attempt is due beside the one under way."""
-        if not self._question.idempotent or len(item.under_way) != 1:
+        """Return when a second attempt is due beside, or instead of, the first."""
+        if len(item.under_way) != 1:
             return float("inf")
         if item.given_up or item.may_run >= self._question.most_attempts:
             return float("inf")
         return next(iter(item.under_way.values())).hedge_at
 
     def hedge(self, item: ServiceTry, now: float) -> None:
-        """Send a second attempt beside the one that is late."""
+        """Send a second attempt beside the one that is late, or instead of it.
+
+        One that still waits for a connection is taken back, which costs nothing, and
+        goes elsewhere. Only what may be repeated is sent beside one that was sent.
+        """
         pool = self._tools.pool
         kind = self._question.kind
+        for id, sent in list(item.under_way.items()):
+            if pool.withdraw(sent.leaf, id):
+                return
+        if not self._question.idempotent:
+            item.given_up = True
+            return
         leaf = pool.choose(
             item.service, kind, frozenset(item.tried), self._far_cost, now
         )
@@ -134,6 +147,8 @@
         """Return when a second attempt is due beside one at `leaf`."""
         pool = self._tools.pool
         kind = self._question.kind
+        if not self._question.idempotent:
+            return now + CONNECTION_TIME
         service = leaf.labels["service"]
         others = [item for item in pool.leaves_of(service) if item is not leaf]
         nearest = min(
--- a/walkcart/fanout/routedtools.py
+++ b/walkcart/fanout/routedtools.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from walkcart.fanout.delegates import Delegates
@@ -12,6 +12,7 @@
 from walkcart.kernel.metrics import Metrics
 from walkcart.leaves.pool import LeafPool
 from walkcart.routing.distance import Place
+from walkcart.routing.overshoot import Overshoot
 from walkcart.routing.repeats import RepeatBudget
 
 
@@ -29,6 +30,8 @@
         place: of this instance.
         random: chooses among what is equally good.
         delegates: other instances that gather; None where there are none.
+        send_time: how long sending a question's requests keeps the processor: what
+            reading it and writing its answer take is about the same.
     """
 
     pool: LeafPool
@@ -40,3 +43,4 @@
     place: Place
     random: Random
     delegates: Delegates | None = None
+    send_time: Overshoot = field(default_factory=Overshoot)
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -115,6 +115,19 @@
         self._queue.append(_Pending(attempt, deliver))
         self._call_worker()
 
+    def withdraw(self, attempt_id: str) -> bool:
+        """Take back an attempt that waits still; return whether it did.
+
+        Nothing of it was sent; its outcome tells that the leaf couldn't be reached.
+        """
+        for pending in self._queue:
+            if pending.attempt is not None and pending.attempt.id == attempt_id:
+                self._queue.remove(pending)
+                detail = f"no connection to {self._leaf.address} in time"
+                self._end(pending, Failed(NotRun(Reason.UNREACHABLE, detail)))
+                return True
+        return False
+
     def cancel(self, attempt_id: str) -> None:
         """Nobody waits for this attempt any longer; its outcome is still told."""
         for pending in self._queue:
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -142,6 +142,11 @@
             return
         link.submit(attempt, account)
 
+    def withdraw(self, leaf: Leaf, attempt_id: str) -> bool:
+        """Take back an attempt of which nothing was sent; return whether it did."""
+        link = self._links.get(leaf.id)
+        return link is not None and link.withdraw(attempt_id)
+
     def cancel(self, leaf: Leaf, attempt_id: str, kind: str, waited: float) -> None:
         """Nobody waits for this attempt any longer; it had `waited` seconds."""
         self.note_waiting(leaf, kind, waited)
--- a/walkcart/routing/kindtimes.py
+++ b/walkcart/routing/kindtimes.py
@@ -6,7 +6,7 @@
 Examples:
     >>> time = find_hedge_time(0.0, objective=0.2, usual_high=0.05, other_high=0.08)
     >>> round(time, 3)
-    0.075
+    0.115
     >>> find_hedge_time(sent=0.0, objective=0.1, usual_high=0.06, other_high=0.08)
     0.06
 """
@@ -24,9 +24,9 @@
 #: Seconds kept back from the objective for what happens after the reply: its way
 #: through this instance's event loop and the merge.
 HEDGE_RESERVE = 0.005
-#: High times of the second attempt's leaf that must be left until the objective: it
-#: may be busy too.
-OTHER_FACTOR = 1.5
+#: High times of the second attempt's leaf that must be left until the objective. 1.5
+#: was tried and gained nothing.
+OTHER_FACTOR = 1.0
 #: Second attempts without an objective are due after this many high times.
 PLAIN_FACTOR = 1.5
 
--- a/walkcart/routing/overshoot.py
+++ b/walkcart/routing/overshoot.py
@@ -1,8 +1,8 @@
-"""How late answers leave after the time that they were meant to leave at.
+"""How long an instance itself delays answers: a busy or slow one begins earlier.
 
-An answer that is given at its objective with what is in leaves a little later: tasks
-that are ready wait for the processor, and the merge takes time. A busy or slow instance
-must therefore begin earlier.
+Two delays are learned with this: how late an answer leaves that was to be given at its
+objective, since tasks that are ready wait for the processor and the merge takes time;
+and how long the processor is kept by sending a question's requests.
 
 Examples:
     >>> overshoot = Overshoot()
@@ -26,7 +26,7 @@
 
 
 class Overshoot:
-    """Learns the delay of one instance."""
+    """Learns one delay of an instance."""
 
     def __init__(self) -> None:
         self._window = LatencyWindow()
