--- a/walkcart/platform/tests/platformworld.py
+++ b/walkcart/platform/tests/platformworld.py
@@ -96,31 +96,8 @@
     def configure(self, *routes: dict[str, Any], **limits: int) -> int:
         """Store a new version of the configuration; return its number."""
         self.version += 3
-        names = {name for route in routes for name in _services_of(route)}
-        self.store.put(
-            "op/config",
-            {
-                "version": self.version,
-                "routes": list(routes),
-                "services": [
-                    {
-                        "name": name,
-                        "healthPath": "/health",
-                        "maxConns": 26,
-                        "protocol": "h1",
-                        "tls": False,
-                    }
-                    for name in sorted(names)
-                ],
-                "limits": {
-                    "maxHeaderBytes": 16384,
-                    "maxBodyBytes": 262144,
-                    "headerTimeoutMs": 3000,
-                    "idleTimeoutMs": 15000,
-                    **limits,
-                },
-            },
-        )
+        content = make_configuration(self.version, list(routes), **limits)
+        self.store.put("op/config", content)
         return self.version
 
     async def start_instance(
@@ -202,6 +179,34 @@
     )
 
 
+def make_configuration(
+    version: int, routes: list[dict[str, Any]], **limits: int
+) -> dict[str, Any]:
+    """Return a configuration as operators store it."""
+    names = {name for route in routes for name in _services_of(route)}
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {
+                "name": name,
+                "healthPath": "/health",
+                "maxConns": 26,
+                "protocol": "h1",
+                "tls": False,
+            }
+            for name in sorted(names)
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 262144,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+            **limits,
+        },
+    }
+
+
 def make_route(name: str, prefix: str, **fields: Any) -> dict[str, Any]:
     """Return a route as operators store it."""
     return {
