Keep a fault of one connection from ending the instance

Change: such an error is logged (207) and ends its connection. A peer that can't be dialled is logged. Tests of both framings and of an unexpected error.

--- a/walkcart/entry/routedservice.py
+++ b/walkcart/entry/routedservice.py
@@ -60,6 +60,7 @@
             self._tell_fault,
             self._note_gone,
             cancel_on_gone=True,
+            on_error=self._note_error,
         )
         keeper.on_change(self._take_limits)
 
@@ -95,6 +96,9 @@
         self._events.emit(Events.REQUEST_BAD, detail=fault.name)
         return self._render_fault(fault)
 
+    def _note_error(self, error: Exception) -> None:
+        self._events.emit(Events.TASK_FAILED, task="caller", detail=repr(error)[:500])
+
     def _note_gone(self) -> None:
         self._events.emit(Events.CALLER_GONE)
 
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -58,6 +58,9 @@
         203, "request_failed", "A fault of walkcart's own; the caller got a 500."
     )
     CALLER_GONE = _info(204, "caller_gone", "The caller closed or hung half-way.")
+    TASK_FAILED = _error(
+        207, "task_failed", "A fault of walkcart's own ended one connection."
+    )
     REQUEST_DONE = _info(205, "request_done", "A routed request got its answer.")
     REQUEST_UNSERVED = _info(
         206, "request_unserved", "A routed request got no leaf's answer; says why."
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -195,6 +195,11 @@
             connection = await self._open()
             if connection is not None:
                 await self._carry_all(connection)
+        except Exception as error:
+            # A fault of one connection must not end the instance.
+            self._tools.events.emit(
+                Events.TASK_FAILED, task=self._leaf.address, detail=repr(error)[:500]
+            )
         finally:
             self._connections -= 1
             if connection is not None:
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -160,7 +160,14 @@
 
     async def _run_link(self, name: str, address: HostPort, link: _Link) -> None:
         """Send what is queued for one peer until it is idle or unreachable."""
-        sender = await self._transport.dial(address)
+        try:
+            sender = await self._transport.dial(address)
+        except OSError as error:
+            self._links.pop((name, address), None)
+            self._events.emit(
+                Events.PEER_BAD_MESSAGE, peer=name, detail=f"not dialled: {error}"
+            )
+            return
         try:
             while await link.wait():
                 data = self._pack(name, link.take())
--- a/walkcart/wire/peers.py
+++ b/walkcart/wire/peers.py
@@ -121,5 +121,12 @@
             raise OSError(str(error)) from error
 
     async def dial(self, address: HostPort) -> PeerSender:
-        """Dial with a push socket."""
-        return NngSender(address)
+        """Dial with a push socket.
+
+        Raises:
+            OSError: the address can't be dialled.
+        """
+        try:
+            return NngSender(address)
+        except pynng.NNGException as error:
+            raise OSError(str(error)) from error
--- a/walkcart/wire/server.py
+++ b/walkcart/wire/server.py
@@ -74,6 +74,8 @@
         on_fault: makes the reply to bytes that are no request.
         on_gone: called when a client closes or breaks half-way.
         cancel_on_gone: whether a request ends when its client closes.
+        on_error: told of an error that nobody expected, which ends only its
+            connection; without it such an error ends the instance.
     """
 
     def __init__(
@@ -83,12 +85,14 @@
         on_fault: Callable[[Fault], HttpReply],
         on_gone: Callable[[], None] = lambda: None,
         cancel_on_gone: bool = False,
+        on_error: Callable[[Exception], None] | None = None,
     ) -> None:
         self._handler = handler
         self.limits = limits
         self.cancel_on_gone = cancel_on_gone
         self._on_fault = on_fault
         self._on_gone = on_gone
+        self._on_error = on_error
         self._connections: set[_Connection] = set()
         self._closing = False
         self.in_progress = 0
@@ -123,6 +127,10 @@
             # A reply that can't be put into HTTP; better a closed connection
             # than an instance that ends.
             self._on_gone()
+        except Exception as error:
+            if self._on_error is None:
+                raise
+            self._on_error(error)
         finally:
             self._connections.discard(connection)
             await trio.aclose_forcefully(stream)
--- /dev/null
+++ b/walkcart/wire/tests/test_server_errors.py
@@ -0,0 +1,57 @@
+"""Errors that nobody expected end a connection, not the server."""
+
+import trio
+from trio.testing import memory_stream_pair
+
+from walkcart.bench.harness import run_mocked
+from walkcart.wire.http import HttpReply, HttpRequest
+from walkcart.wire.server import HttpServer, ServerLimits
+
+
+async def fail(request: HttpRequest) -> HttpReply:
+    raise KeyError("a fault")
+
+
+def test_an_unexpected_error_ends_its_connection_and_is_told():
+    async def run():
+        told = []
+        server = HttpServer(
+            fail,
+            ServerLimits(),
+            lambda fault: HttpReply(fault.value),
+            cancel_on_gone=True,
+            on_error=told.append,
+        )
+        ours, theirs = memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.serve, theirs)
+            await ours.send_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+            rest = await ours.receive_some()
+        return rest, len(told), server.connections
+
+    assert run_mocked(run) == (b"", 1, 0)
+
+
+def test_a_request_with_both_framings_is_refused_and_its_connection_closed():
+    async def run():
+        async def answer(request):
+            return HttpReply(200)
+
+        server = HttpServer(
+            answer, ServerLimits(), lambda fault: HttpReply(fault.value)
+        )
+        ours, theirs = memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.serve, theirs)
+            await ours.send_all(
+                b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n"
+                b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n"
+            )
+            received = b""
+            while data := await ours.receive_some():
+                received += data
+        return received
+
+    received = run_mocked(run).lower()
+    assert received.startswith(b"http/1.1 400")
+    assert b"connection: close" in received
