--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -37,7 +37,7 @@
 #: Time kept back from a route's objective: the request's way here, which may have
 #: begun with a new connection, and the answer's way home. What this instance itself
 #: needs is learned and comes on top.
-OBJECTIVE_RESERVE = timedelta(milliseconds=15)
+OBJECTIVE_RESERVE = timedelta(milliseconds=20)
 #: When to come back while no routing document is known.
 START_TIME = timedelta(seconds=1)
 
