--- a/walkcart/platform/tests/soakestate.py
+++ b/walkcart/platform/tests/soakestate.py
@@ -29,8 +29,10 @@
 TOP = 4
 LEAST_COVERAGE = 0.6
 LOOPBACK = HostPort("127.0.0.1", 0)
-#: First port for the daemons' own addresses; each takes four from here on.
+#: First port for the daemons' own addresses, of which each takes four, and the runs
+#: that find room below the ports that the machine gives out by itself.
 FIRST_PORT = 23000
+PORT_RUNS = 120
 
 
 class SoakEstate:
@@ -51,7 +53,7 @@
         self.leaf_proxies: dict[str, Proxy] = {}
         self.store_proxies: dict[str, Proxy] = {}
         self.places: dict[str, str] = {}
-        self.first_port = FIRST_PORT + 64 * random.randrange(200)
+        self.first_port = FIRST_PORT + 64 * random.randrange(PORT_RUNS)
 
     async def start(self, names: list[str], data_centres: tuple[str, ...]) -> None:
         """Start everything for daemons of these names."""
