--- /dev/null
+++ b/walkcart/daemon/tenantserving.py
@@ -0,0 +1,175 @@
+"""The services of an instance that serve: gathering, callers, metrics.
+
+See Also:
+    `walkcart.daemon.tenant.assemble_tenant`, which puts them together.
+"""
+
+from __future__ import annotations
+
+import trio
+
+from walkcart.daemon.surroundings import ListenerService, TenantSurroundings
+from walkcart.entry.routed import RoutedEntryTools, RoutedHandler
+from walkcart.entry.routedservice import RoutedService
+from walkcart.fanout.carrying import Carrier
+from walkcart.fanout.delegatedgroup import Outcome
+from walkcart.fanout.delegates import Delegates, DelegateTools
+from walkcart.fanout.ids import IdSource
+from walkcart.fanout.routed import RoutedGathering
+from walkcart.fanout.routedquestion import RoutedQuestion
+from walkcart.fanout.routedtools import RoutedTools
+from walkcart.intent.routekeeper import RouteKeeper
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.metrics import Metrics
+from walkcart.kernel.registry import Kernel
+from walkcart.kernel.settings import HostPort
+from walkcart.kernel.spans import Tracer
+from walkcart.leaves.directory import LeafDirectory
+from walkcart.leaves.pool import LeafPool
+from walkcart.membership.links import PeerLinks
+from walkcart.membership.registration import Registration
+from walkcart.membership.relaying import Relay
+from walkcart.platform.callerprotocol import PlatformCallerProtocol, merge_parts
+from walkcart.platform.settings import PlatformSettings
+from walkcart.routing.distance import Place
+from walkcart.routing.peerchoice import PeerAccounts
+from walkcart.routing.repeats import RepeatBudget, RepeatLimits
+from walkcart.store.calls import StoreCalls
+from walkcart.store.following import PrefixFollower
+from walkcart.wire.http import HttpReply, HttpRequest
+from walkcart.wire.peers import PeerListener, PeerTransport
+from walkcart.wire.server import HttpServer, ServerLimits
+
+
+async def listen_for_peers(
+    settings: PlatformSettings, transport: PeerTransport
+) -> PeerListener:
+    """Listen at the first free port of the range for other instances.
+
+    Raises:
+        OSError: none of the ports can be had.
+    """
+    first, last = settings.peer_ports
+    for port in range(first, last):
+        try:
+            return await transport.listen(HostPort(settings.host, port))
+        except OSError:
+            # Taken by the other role or the former process; the next one will do.
+            continue
+    return await transport.listen(HostPort(settings.host, last))
+
+
+def add_delegates(
+    kernel: Kernel,
+    settings: PlatformSettings,
+    around: TenantSurroundings,
+    peers: PeerListener,
+) -> None:
+    """Add the links to other instances and what gathers by them."""
+    events = kernel.find("events", EventLog)
+    metrics = kernel.find("metrics", Metrics)
+    registration = kernel.find("registration", Registration)
+    links = PeerLinks(peers, around.transport, registration, events, metrics)
+    ids = IdSource(settings.instance, around.random.getrandbits(32))
+    delegates = Delegates(
+        DelegateTools(
+            links,
+            registration,
+            PeerAccounts(),
+            ids,
+            around.clock,
+            around.random,
+            events,
+        )
+    )
+    limits = RepeatLimits(
+        settings.repeat_ratio,
+        settings.repeat_window.total_seconds(),
+        settings.repeat_allowance,
+    )
+    gathering = RoutedTools(
+        kernel.find("pool", LeafPool),
+        RepeatBudget(limits, around.clock.monotonic()),
+        registration.count,
+        ids,
+        around.clock,
+        metrics,
+        Place(settings.region, settings.data_centre),
+        around.random,
+        delegates,
+    )
+
+    async def gather(question: RoutedQuestion, top: int) -> Outcome:
+        result = await RoutedGathering(gathering, question).run()
+        return result.map(lambda answer: merge_parts(answer, top))
+
+    carrier = Carrier(links, around.clock, gather)
+    relay = Relay(
+        [
+            kernel.find("configuration", PrefixFollower),
+            kernel.find("leaf_entries", PrefixFollower),
+        ],
+        kernel.find("calls", StoreCalls),
+        links,
+        registration,
+        around.clock,
+        events,
+    )
+    registration.follow_watching(lambda: relay.watches)
+    kernel.add("links", links)
+    kernel.add("relay", relay)
+    kernel.add("delegates", delegates)
+    kernel.add("carrier", carrier)
+    kernel.add("gathering", gathering)
+
+
+def add_entry(
+    kernel: Kernel,
+    settings: PlatformSettings,
+    around: TenantSurroundings,
+    listener: trio.abc.Listener[trio.abc.Stream],
+) -> None:
+    """Add the callers' service."""
+    events = kernel.find("events", EventLog)
+    metrics = kernel.find("metrics", Metrics)
+    keeper = kernel.find("keeper", RouteKeeper)
+    protocol = PlatformCallerProtocol()
+    handler = RoutedHandler(
+        RoutedEntryTools(
+            keeper,
+            protocol,
+            kernel.find("gathering", RoutedTools),
+            events,
+            metrics,
+            kernel.find("tracer", Tracer),
+            around.random,
+        )
+    )
+    service = RoutedService(
+        listener,
+        handler,
+        protocol.render_fault,
+        keeper,
+        kernel.find("directory", LeafDirectory),
+        events,
+    )
+    kernel.add("entry", service)
+
+
+async def add_metrics_page(
+    kernel: Kernel, settings: PlatformSettings, around: TenantSurroundings
+) -> None:
+    """Add the page of metrics."""
+    metrics = kernel.find("metrics", Metrics)
+    address = HostPort(settings.host, around.metrics_port)
+    listener = await around.network.listen(address)
+
+    async def answer(request: HttpRequest) -> HttpReply:
+        # Loaded with the first question: most instances are never asked.
+        from walkcart.kernel.exposition import CONTENT_TYPE, render_metrics
+
+        headers = ((b"content-type", CONTENT_TYPE.encode()),)
+        return HttpReply(200, headers, render_metrics(metrics))
+
+    server = HttpServer(answer, ServerLimits(), PlatformCallerProtocol().render_fault)
+    kernel.add("metrics_page", ListenerService(listener, server))
--- /dev/null
+++ b/walkcart/daemon/tenantstore.py
@@ -0,0 +1,195 @@
+"""The services of an instance that follow the shared store: routes and leafs.
+
+See Also:
+    `walkcart.daemon.tenant.assemble_tenant`, which puts them together.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from random import Random
+
+import msgspec
+
+from walkcart.daemon.surroundings import TenantSurroundings
+from walkcart.intent.routekeeper import RouteKeeper
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
+from walkcart.kernel.metrics import Metrics
+from walkcart.kernel.registry import Kernel
+from walkcart.kernel.spans import OUTPUT_NONE, Tracer
+from walkcart.leaves.directory import LeafDirectory
+from walkcart.leaves.exchange import LinkTools
+from walkcart.leaves.pool import LeafPool, PoolTools
+from walkcart.membership.registration import InstanceRecord, Registration
+from walkcart.platform.documents import (
+    CONFIGURATION_KEY,
+    LEAF_PREFIX,
+    read_configuration,
+    read_leaf_entries,
+)
+from walkcart.platform.leafprotocol import PlatformLeafProtocol
+from walkcart.platform.settings import PlatformSettings
+from walkcart.platform.store import PlatformStore
+from walkcart.routing.distance import Place
+from walkcart.store.backoff import Backoff
+from walkcart.store.budget import CallBudget
+from walkcart.store.calls import StoreCalls
+from walkcart.store.following import PrefixFollower
+from walkcart.wire.peers import PeerListener
+
+#: Share of the store's rate that one instance may use at once; with seven instances
+#: that leaves more than half to the others.
+STORE_SHARE = 0.05
+#: Calls at once after a quiet time: a start reads everything.
+STORE_BURST = 40.0
+#: A call of the store without a reply after this has failed: it answers in
+#: milliseconds, and watches wait on top.
+STORE_CALL_TIME = timedelta(seconds=1)
+#: Pause after leafs' entries changed: many leafs change theirs at once when they start,
+#: and a change may take three seconds to be heeded.
+LEAF_PAUSE = timedelta(seconds=0.5)
+STORE_FIRST_BACKOFF = timedelta(seconds=0.1)
+STORE_LONGEST_BACKOFF = timedelta(seconds=0.8)
+
+
+def add_base(
+    kernel: Kernel, settings: PlatformSettings, around: TenantSurroundings
+) -> None:
+    """Add log, metrics and spans."""
+    kernel.add("events", EventLog(settings.instance, around.clock, around.log))
+    kernel.add("metrics", Metrics(None, settings.instance))
+    kernel.add("tracer", Tracer(settings.instance, OUTPUT_NONE, 0.0))
+
+
+def add_store(
+    kernel: Kernel,
+    settings: PlatformSettings,
+    around: TenantSurroundings,
+    peers: PeerListener,
+) -> None:
+    """Add the store and this instance's registration."""
+    events = kernel.find("events", EventLog)
+    rate = settings.store_rate * STORE_SHARE
+    calls = StoreCalls(
+        settings.store,
+        around.network,
+        around.clock,
+        CallBudget(rate, STORE_BURST, around.clock),
+        events,
+        kernel.find("metrics", Metrics),
+        kernel.find("tracer", Tracer),
+        STORE_CALL_TIME,
+    )
+    store = PlatformStore(calls)
+    started = around.clock.now().isoformat()
+    own = InstanceRecord(
+        settings.instance,
+        started,
+        settings.data_centre,
+        settings.region,
+        str(peers.address),
+    )
+    registration = Registration(
+        store, own, around.clock, make_store_backoff(around.random), events
+    )
+    kernel.add("calls", calls)
+    kernel.add("store", store)
+    kernel.add("registration", registration)
+
+
+def make_store_backoff(random: Random) -> Backoff:
+    """Return the back-off for calls of the store."""
+    return Backoff(STORE_FIRST_BACKOFF, STORE_LONGEST_BACKOFF, random)
+
+
+def add_intent(kernel: Kernel, around: TenantSurroundings) -> None:
+    """Add the routing document in force and what follows it."""
+    events = kernel.find("events", EventLog)
+    keeper = RouteKeeper(around.clock, events)
+
+    def take(items, changed) -> None:
+        item = items.get(CONFIGURATION_KEY)
+        if item is None:
+            return
+        try:
+            keeper.apply(read_configuration(item.value), "store")
+        except msgspec.MsgspecError as error:
+            events.emit(Events.ROUTES_BAD, detail=str(error)[:300])
+
+    follower = PrefixFollower(
+        kernel.find("store", PlatformStore),
+        kernel.find("calls", StoreCalls),
+        CONFIGURATION_KEY,
+        make_store_backoff(around.random),
+        events,
+        take,
+    )
+    kernel.add("keeper", keeper)
+    kernel.add("configuration", follower)
+
+
+def add_leaves(
+    kernel: Kernel, settings: PlatformSettings, around: TenantSurroundings
+) -> None:
+    """Add the leafs, what follows them, and the pool of links."""
+    events = kernel.find("events", EventLog)
+    calls = kernel.find("calls", StoreCalls)
+    clock = around.clock
+
+    def find_return() -> float:
+        return calls.reachable_since if calls.reachable else clock.monotonic()
+
+    directory = LeafDirectory(clock, events, find_return)
+
+    def take(items, changed) -> None:
+        directory.set_entries(read_leaf_entries(items, settings.regions, events))
+
+    follower = PrefixFollower(
+        kernel.find("store", PlatformStore),
+        calls,
+        LEAF_PREFIX,
+        make_store_backoff(around.random),
+        events,
+        take,
+        LEAF_PAUSE,
+    )
+    pool = make_pool(kernel, settings, around, directory)
+    kernel.add("directory", directory)
+    kernel.add("leaf_entries", follower)
+    kernel.add("pool", pool)
+
+
+def make_pool(
+    kernel: Kernel,
+    settings: PlatformSettings,
+    around: TenantSurroundings,
+    directory: LeafDirectory,
+) -> LeafPool:
+    """Return the pool of links to leafs."""
+    pool: LeafPool | None = None
+
+    def note_status(leaf, status) -> None:
+        assert pool is not None
+        pool.note_status(leaf, status)
+
+    link = LinkTools(
+        around.network,
+        around.clock,
+        kernel.find("events", EventLog),
+        kernel.find("metrics", Metrics),
+        kernel.find("tracer", Tracer),
+        note_status,
+        PlatformLeafProtocol(),
+    )
+    pool = LeafPool(
+        PoolTools(
+            directory,
+            kernel.find("keeper", RouteKeeper),
+            link,
+            kernel.find("registration", Registration).count,
+            Place(settings.region, settings.data_centre),
+            around.random,
+        )
+    )
+    return pool
--- a/walkcart/leaves/gateway.py
+++ b/walkcart/leaves/gateway.py
@@ -14,9 +14,10 @@
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.spans import Tracer
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused, Replied
+from walkcart.leaves.exchange import LinkTools
 from walkcart.leaves.forwarding import Forwarder
 from walkcart.leaves.leaf import Leaf
-from walkcart.leaves.link import LeafLink, LinkTools
+from walkcart.leaves.link import LeafLink
 from walkcart.leaves.protocol import LeafStatus
 from walkcart.leaves.table import LeafTable, ResolvedGroup
 from walkcart.membership.marks import LeafMarks
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -10,39 +10,25 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
 from datetime import timedelta
 
 import trio
 
-from walkcart.kernel.clock import Clock
-from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
-from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.settings import parse_host_port
-from walkcart.kernel.spans import Tracer
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome
+from walkcart.leaves.exchange import IDLE_TIME, LeafExchanges, LinkTools, Pending
 from walkcart.leaves.leaf import Leaf
 from walkcart.leaves.protocol import (
     REPLY_LIMIT,
-    LeafProtocol,
-    LeafStatus,
-    QuestionProtocol,
 )
 from walkcart.wire.http import (
     ExchangeFailed,
     HttpConnection,
-    HttpReply,
 )
-from walkcart.wire.network import Network
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
 CONNECT_TIME = timedelta(seconds=1)
-IDLE_TIME = timedelta(seconds=30)
-#: A reply that comes this long after its deadline is still read to the end, so
-#: that the connection can be kept.
-DRAIN_TIME = timedelta(milliseconds=500)
 #: Seconds without a new try after a failure to connect; doubles up to the longest.
 FIRST_BACKOFF = 0.05
 LONGEST_BACKOFF = 2.0
@@ -50,30 +36,6 @@
 FRESH_TIME = timedelta(seconds=1)
 
 
-@dataclass(slots=True)
-class _Pending:
-    """An attempt with its receiver; without one a cancel, or else a check."""
-
-    attempt: Attempt | None
-    deliver: Deliver | None
-    cancel_id: str = ""
-    abandoned: bool = False
-    scope: trio.CancelScope | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class LinkTools:
-    """What every link of an instance uses."""
-
-    network: Network
-    clock: Clock
-    events: EventLog
-    metrics: Metrics
-    tracer: Tracer
-    on_status: Callable[[Leaf, LeafStatus], None]
-    protocol: LeafProtocol = field(default_factory=QuestionProtocol)
-
-
 class LeafLink:
     """Carries attempts to one leaf.
 
@@ -91,15 +53,14 @@
         self._share = share
         self._tools = tools
         self._nursery = nursery
-        self._queue: deque[_Pending] = deque()
-        self._running: dict[str, _Pending] = {}
+        self._queue: deque[Pending] = deque()
+        self._running: dict[str, Pending] = {}
         self._idle = trio.lowlevel.ParkingLot()
         self._connections = 0
         self._closed = False
         self._backoff = FIRST_BACKOFF
         self._connect_after = float("-inf")
-        #: Seconds that the leaf keeps an idle connection, as it said last.
-        self._idle_time = IDLE_TIME.total_seconds()
+        self._exchanges = LeafExchanges(leaf, tools)
 
     @property
     def connections(self) -> int:
@@ -112,7 +73,7 @@
             detail = f"no connection to {self._leaf.address}"
             deliver(attempt, Failed(NotRun(Reason.UNREACHABLE, detail)))
             return
-        self._queue.append(_Pending(attempt, deliver))
+        self._queue.append(Pending(attempt, deliver))
         self._call_worker()
 
     def withdraw(self, attempt_id: str) -> bool:
@@ -145,7 +106,7 @@
         else:
             # Worth a new connection: until then a slot of the leaf is lost.
             if len(self._idle) or self._connections < self._share:
-                self._queue.appendleft(_Pending(None, None, cancel_id=attempt_id))
+                self._queue.appendleft(Pending(None, None, cancel_id=attempt_id))
                 self._call_worker()
 
     def set_share(self, share: int) -> None:
@@ -161,7 +122,7 @@
     def check(self) -> None:
         """Ask the leaf what it says of itself, over an idle connection or a new one."""
         if len(self._idle):
-            self._queue.appendleft(_Pending(None, None))
+            self._queue.appendleft(Pending(None, None))
             self._idle.unpark()
         elif self._connections == 0 and self._may_connect():
             self.warm_up()
@@ -271,7 +232,7 @@
                 return
             last_used = self._tools.clock.monotonic()
 
-    async def _next(self) -> _Pending | None:
+    async def _next(self) -> Pending | None:
         """Wait for something to carry; None when the connection should close."""
         since = self._tools.clock.monotonic()
         while True:
@@ -294,11 +255,11 @@
 
     def _was_idle_too_long(self, since: float) -> bool:
         idle = self._tools.clock.monotonic() - since
-        told = self._idle_time < IDLE_TIME.total_seconds()
-        return idle >= self._idle_time and (told or self._connections > 1)
+        told = self._exchanges.idle_time < IDLE_TIME.total_seconds()
+        return idle >= self._exchanges.idle_time and (told or self._connections > 1)
 
     async def _carry(
-        self, connection: HttpConnection, pending: _Pending, last_used: float
+        self, connection: HttpConnection, pending: Pending, last_used: float
     ) -> bool:
         """Carry one attempt or cancel; return whether the connection goes on."""
         if pending.attempt is None and pending.cancel_id:
@@ -311,7 +272,7 @@
             self._end(pending, Failed(NotRun(Reason.DEADLINE, "it waited too long")))
             return True
         stale = now - last_used > FRESH_TIME.total_seconds()
-        usable = connection.is_quiet() and now - last_used < self._idle_time
+        usable = connection.is_quiet() and now - last_used < self._exchanges.idle_time
         if usable and not attempt.repeatable and stale:
             # The leaf may have dropped it without a word; where it can't be asked,
             # a new connection costs less than a request that may have run.
@@ -333,13 +294,15 @@
         return False
 
     async def _exchange(
-        self, connection: HttpConnection, pending: _Pending, attempt: Attempt
+        self, connection: HttpConnection, pending: Pending, attempt: Attempt
     ) -> bool:
         self._running[attempt.id] = pending
         clean = False
         outcome: Outcome = Failed(MayHaveRun(Reason.DEADLINE, "no reply in time"))
         try:
-            clean, outcome = await self._try_exchange(connection, attempt, outcome)
+            clean, outcome = await self._exchanges.run(
+                connection, pending, attempt, outcome
+            )
         except trio.Cancelled:
             outcome = Failed(MayHaveRun(Reason.STOPPING, "stopped while it ran"))
             raise
@@ -350,70 +313,6 @@
             self._idle.unpark()
         return clean
 
-    async def _try_exchange(
-        self, connection: HttpConnection, attempt: Attempt, timed_out: Outcome
-    ) -> tuple[bool, Outcome]:
-        """Return whether the connection is clean afterwards, and the outcome."""
-        tools = self._tools
-        start = tools.clock.monotonic()
-        remaining = attempt.deadline - start
-        span = tools.tracer.start(
-            "leaf.attempt",
-            attempt.traceparent,
-            attempt=attempt.id,
-            leaf=self._leaf.address,
-            shard=attempt.shard,
-        )
-        with tools.tracer.hold(span):
-            limit = remaining + DRAIN_TIME.total_seconds()
-            with trio.move_on_after(limit) as self._running[attempt.id].scope:
-                tools.metrics.count("leaf.sent")
-                try:
-                    reply = await self._send_and_read(connection, attempt, remaining)
-                except ExchangeFailed as error:
-                    return False, self._read_failure(error)
-                elapsed = tools.clock.monotonic() - start
-                found = dict(reply.headers)
-                if not tools.protocol.is_ours(attempt, found):
-                    tools.events.emit(
-                        Events.LEAF_WRONG_ATTEMPT, leaf=self._leaf.address
-                    )
-                    detail = "the reply isn't this attempt's"
-                    return False, Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
-                self._note_reply(found)
-                outcome = tools.protocol.read_outcome(attempt, reply, found, elapsed)
-                return connection.renew(), outcome
-        if self._running[attempt.id].abandoned:
-            return False, Failed(MayHaveRun(Reason.CANCELLED))
-        return False, timed_out
-
-    async def _send_and_read(
-        self, connection: HttpConnection, attempt: Attempt, remaining: float
-    ) -> HttpReply:
-        protocol = self._tools.protocol
-        request = protocol.encode(attempt, remaining)
-        if not protocol.reads_over_strays:
-            return await connection.exchange(request)
-        return await connection.exchange(
-            request, lambda reply: protocol.is_ours(attempt, dict(reply.headers))
-        )
-
-    def _note_reply(self, found: Mapping[bytes, bytes]) -> None:
-        """Take in what the leaf says on a reply beside the reply itself."""
-        protocol = self._tools.protocol
-        self._tools.on_status(self._leaf, protocol.read_status(found))
-        idle_time = protocol.read_idle_time(found)
-        if idle_time is not None:
-            self._idle_time = min(idle_time, IDLE_TIME.total_seconds())
-
-    def _read_failure(self, error: ExchangeFailed) -> Failed:
-        self._tools.events.emit(
-            Events.LEAF_BAD_REPLY, leaf=self._leaf.address, detail=str(error)
-        )
-        if error.sent:
-            return Failed(MayHaveRun(Reason.LEAF_FAILED, str(error)))
-        return Failed(NotRun(Reason.UNREACHABLE, str(error)))
-
     async def _send_cancel(self, connection: HttpConnection, attempt_id: str) -> bool:
         if attempt_id not in self._running:
             return True
@@ -427,7 +326,7 @@
             return connection.renew()
         return False
 
-    def _end(self, pending: _Pending, outcome: Outcome) -> None:
+    def _end(self, pending: Pending, outcome: Outcome) -> None:
         if pending.attempt is None or pending.deliver is None:
             return
         if pending.abandoned:
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -20,8 +20,9 @@
 from walkcart.kernel.events import Events
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused, Replied
 from walkcart.leaves.directory import LeafDirectory
+from walkcart.leaves.exchange import LinkTools
 from walkcart.leaves.leaf import Leaf
-from walkcart.leaves.link import LeafLink, LinkTools
+from walkcart.leaves.link import LeafLink
 from walkcart.leaves.protocol import LeafStatus
 from walkcart.routing.distance import Distance, Place, measure_distance
 from walkcart.routing.ejection import may_eject
