--- a/walkcart/platform/leafprotocol.py
+++ b/walkcart/platform/leafprotocol.py
@@ -102,7 +102,9 @@
 
 
 def _read_retry_after(found: HeaderMap) -> timedelta | None:
+    """Return when to come back; None where the leaf gave no time that can be."""
     try:
-        return timedelta(seconds=float(found[RETRY_AFTER]))
+        wait = timedelta(seconds=float(found[RETRY_AFTER]))
     except (KeyError, ValueError, OverflowError):
         return None
+    return wait if wait >= timedelta() else None
--- /dev/null
+++ b/walkcart/platform/tests/test_leaf_replies.py
@@ -0,0 +1,73 @@
+"""What replies of leafs mean, whatever they hold."""
+
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from walkcart.leaves.attempts import Attempt, Failed, Refused, Replied
+from walkcart.platform.leafprotocol import PlatformLeafProtocol
+from walkcart.wire.http import HttpReply, HttpRequest
+from walkcart.wire.verdicts import MayHaveRun
+
+PROTOCOL = PlatformLeafProtocol()
+NAMES = st.sampled_from(
+    [
+        b"x-request-id",
+        b"x-response-stamp",
+        b"x-not-executed",
+        b"x-server-load",
+        b"content-encoding",
+        b"retry-after",
+        b"keep-alive",
+        b"x-other",
+    ]
+)
+VALUES = st.one_of(
+    st.sampled_from(
+        [b"1", b"3,0,2", b"timeout=5", b"0.5", b"nan", b"-1", b"", b"\xff"]
+    ),
+    st.binary(max_size=20),
+)
+REPLIES = st.builds(
+    HttpReply,
+    st.integers(200, 599),
+    st.lists(st.tuples(NAMES, VALUES), max_size=6).map(tuple),
+    st.binary(max_size=40),
+)
+
+
+def make_attempt(whole_part):
+    headers = ((b"x-request-id", b"id"),)
+    request = HttpRequest("GET", "/", headers)
+    return Attempt("a", 0, 1.0, routed=request, leaf_id="i", whole_part=whole_part)
+
+
+@given(REPLIES, st.booleans())
+def test_a_reply_is_never_taken_for_more_than_it_says(reply, whole_part):
+    attempt = make_attempt(whole_part)
+    found = dict(reply.headers)
+    status = PROTOCOL.read_status(found)
+    assert status.load is None or status.load >= 0
+    idle = PROTOCOL.read_idle_time(found)
+    assert idle is None or idle >= 0
+    match PROTOCOL.read_outcome(attempt, reply, found, 0.1):
+        case Refused(retry_after=retry_after):
+            # Not run only by the leaf's own word.
+            assert reply.status == 421 or b"x-not-executed" in found
+            assert retry_after is None or retry_after >= timedelta()
+        case Replied(status=code, body=body):
+            assert (code, body) == (reply.status, reply.body)
+            success = 200 <= code < 300
+            assert not success or b"x-response-stamp" in found
+            assert not success or b"content-encoding" not in found
+            assert success or not whole_part
+        case Failed(verdict):
+            assert isinstance(verdict, MayHaveRun)
+
+
+@given(st.one_of(st.none(), st.binary(max_size=10)))
+def test_only_this_requests_id_or_none_is_ours(echoed):
+    found = {} if echoed is None else {b"x-request-id": echoed}
+    ours = PROTOCOL.is_ours(make_attempt(False), found)
+    assert ours == (echoed in (None, b"id"))
--- a/walkcart/store/calls.py
+++ b/walkcart/store/calls.py
@@ -86,6 +86,11 @@
         self.reachable_since = self.last_success
         self._on_back: list[Callable[[], None]] = []
 
+    @property
+    def address(self) -> HostPort:
+        """Where the service is called."""
+        return self._address
+
     def on_back(self, listener: Callable[[], None]) -> None:
         """Call `listener` when calls succeed again after a failure."""
         self._on_back.append(listener)
