--- a/walkcart/platform/tests/test_leaf_replies.py
+++ b/walkcart/platform/tests/test_leaf_replies.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from walkcart.leaves.attempts import Attempt, Failed, Refused, Replied
@@ -44,6 +44,7 @@
 
 
 @given(REPLIES, st.booleans())
+@example(HttpReply(503, ((b"x-not-executed", b"1"), (b"retry-after", b"-1"))), False)
 def test_a_reply_is_never_taken_for_more_than_it_says(reply, whole_part):
     attempt = make_attempt(whole_part)
     found = dict(reply.headers)
