End every wait of the soak

Change: a daemon that is asked to stop is woken first, the wait is bounded and can be given up, and what the soak started never outlives it.

--- a/walkcart/platform/tests/soak.py
+++ b/walkcart/platform/tests/soak.py
@@ -77,7 +77,18 @@
         """Send a signal and wait for the end; return the exit code."""
         process = self.running.pop(name)
         process.send_signal(number)
-        return await trio.to_thread.run_sync(process.wait)
+        # Another series may have paused it, and can't wake it any longer.
+        process.send_signal(signal.SIGCONT)
+        try:
+            return await trio.to_thread.run_sync(
+                process.wait, STOP_SECONDS, abandon_on_cancel=True
+            )
+        except subprocess.TimeoutExpired:
+            return -signal.SIGALRM
+        finally:
+            # Also when the run ends meanwhile: nothing that it started outlives it.
+            process.kill()
+            process.wait()
 
     def kill_all(self) -> None:
         """End what this soak started."""
