Make feeds of the store's content complete and small

The copies filled 20 Mbit/s links; routes reached 34 of 84 instances 2 to 6 s after the first.

Change: a full reading is kept as what differs from the copy before it (the revisions in between are marked: nobody whose copy ends there gets the difference). A subscriber is sent from what it has when it lacks more than was sent since it told before. Silence counts for each prefix. A feeder that had no successful call for 1.6 s says nothing more (2.5 s before). Entries of leafs that differ only in sign of life and warming up are no change, and only changed entries are decoded. A starting instance reads the store before it asks to be fed.

Ruled out: slow routing by the receivers (those with other feeders were in time), the store (watchers had each version within 0.3 s).

--- a/walkcart/daemon/tenantstore.py
+++ b/walkcart/daemon/tenantstore.py
@@ -25,8 +25,9 @@
 from walkcart.platform.documents import (
     CONFIGURATION_KEY,
     LEAF_PREFIX,
+    LeafEntries,
+    leaf_entry_differs,
     read_configuration,
-    read_leaf_entries,
 )
 from walkcart.platform.leafprotocol import PlatformLeafProtocol
 from walkcart.platform.settings import PlatformSettings
@@ -141,9 +142,10 @@
         return calls.reachable_since if calls.reachable else clock.monotonic()
 
     directory = LeafDirectory(clock, events, find_return)
+    entries = LeafEntries(settings.regions, events)
 
     def take(items, changed) -> None:
-        directory.set_entries(read_leaf_entries(items, settings.regions, events))
+        directory.set_entries(entries.read(items, changed))
 
     follower = PrefixFollower(
         kernel.find("store", PlatformStore),
@@ -153,6 +155,7 @@
         events,
         take,
         LEAF_PAUSE,
+        leaf_entry_differs,
     )
     pool = make_pool(kernel, settings, around, directory)
     kernel.add("directory", directory)
--- a/walkcart/membership/relaying.py
+++ b/walkcart/membership/relaying.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 from datetime import timedelta
 
 import trio
@@ -46,10 +47,37 @@
 #: A receiver that heard nothing for this long watches the store itself: within the
 #: three seconds that operators allow for a change it must still read it.
 SILENCE = timedelta(seconds=1.6)
+#: An instance that has just started reads the store itself; only after this is it fed
+#: all of the copies. A reading takes some 50 ms.
+FIRST_READ_TIME = timedelta(seconds=0.3)
 #: A subscription ends this long after it was renewed last.
 SUBSCRIPTION = timedelta(seconds=3)
-#: A feeder whose last successful call is older sends no signs of life.
-FRESH = timedelta(seconds=2.5)
+#: A feeder whose last successful call is older sends no signs of life: it renews its
+#: lease each second, and a slow store answers within half of one.
+FRESH = timedelta(seconds=1.6)
+
+
+@dataclass(frozen=True, slots=True)
+class _SentState:
+    """What a subscriber was sent of one prefix last.
+
+    Args:
+        revision: that it then has.
+        earlier: that it was sent up to when it told last what it has.
+    """
+
+    revision: int
+    earlier: int
+
+    def take_word(self, told: int) -> _SentState:
+        """Return the state after a subscriber told what it has.
+
+        What was sent since it told before may be on its way. If it lacks more than
+        that, a message was lost, or its process is new: it is sent all from there.
+        """
+        if told < self.earlier:
+            return _SentState(told, told)
+        return _SentState(self.revision, self.revision)
 
 
 class Relay:
@@ -80,9 +108,10 @@
         self._clock = clock
         self._events = events
         self._subscribers: dict[str, float] = {}
-        self._sent: dict[tuple[str, str], int] = {}
+        self._sent: dict[tuple[str, str], _SentState] = {}
         self._feeder: str | None = None
-        self._heard_at = float("-inf")
+        #: When each prefix was brought up to date last: one may be, another not.
+        self._heard_at = dict.fromkeys(self._followers, float("-inf"))
         self._silent: dict[str, float] = {}
         self._fed = False
         for follower in self._followers.values():
@@ -101,6 +130,7 @@
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Subscribe, feed and look at the feed, until cancelled."""
         task_status.started()
+        await trio.sleep(FIRST_READ_TIME.total_seconds())
         while True:
             self._look_at_feed()
             self._beat()
@@ -130,7 +160,7 @@
             self._set_fed(False, "watches itself")
             self._feeder = None
             return
-        if now - self._heard_at > SILENCE.total_seconds():
+        if now - min(self._heard_at.values()) > SILENCE.total_seconds():
             self._set_fed(False, "silence")
             if self._feeder is not None:
                 self._silent[self._feeder] = now
@@ -181,7 +211,8 @@
             self._send_changes(name, follower)
 
     def _send_changes(self, name: str, follower: PrefixFollower) -> None:
-        base = self._sent.get((name, follower.prefix), 0)
+        sent = self._sent.get((name, follower.prefix))
+        base = sent.revision if sent else 0
         changes = follower.changes_after(base)
         if changes is None:
             message: Message = RelayCopy(
@@ -193,7 +224,9 @@
             encoded = tuple(_encode(change) for change in changes)
             message = RelayChanges(follower.prefix, base, follower.revision, encoded)
         if self._links.send(name, message):
-            self._sent[(name, follower.prefix)] = follower.revision
+            earlier = sent.earlier if sent else 0
+            state = _SentState(follower.revision, earlier)
+            self._sent[(name, follower.prefix)] = state
 
     def _on_subscribe(self, sender: str, message: Message) -> None:
         assert isinstance(message, RelaySubscribe)
@@ -203,10 +236,10 @@
             follower = self._followers.get(prefix)
             if follower is None:
                 continue
-            sent = self._sent.get((sender, prefix), 0)
-            # Less than what was sent: a message was lost, or its process is new.
-            if first or revision < sent:
-                self._sent[(sender, prefix)] = revision
+            sent = self._sent.get((sender, prefix))
+            if first or sent is None:
+                sent = _SentState(revision, revision)
+            self._sent[(sender, prefix)] = sent.take_word(revision)
             if first and self._feeds() and follower.known:
                 self._send_changes(sender, follower)
 
@@ -218,7 +251,7 @@
         if follower.known and follower.revision >= message.base:
             changes = [_decode(item) for item in message.changes]
             follower.apply(changes, message.revision)
-            self._note_heard()
+            self._note_heard(message.prefix)
 
     def _on_copy(self, sender: str, message: Message) -> None:
         assert isinstance(message, RelayCopy)
@@ -231,13 +264,13 @@
                 for item in message.items
             }
             follower.replace(found, message.revision)
-        self._note_heard()
+        self._note_heard(message.prefix)
 
     def _take_from(self, sender: str, prefix: str) -> PrefixFollower | None:
         return self._followers.get(prefix) if sender == self._feeder else None
 
-    def _note_heard(self) -> None:
-        self._heard_at = self._clock.monotonic()
+    def _note_heard(self, prefix: str) -> None:
+        self._heard_at[prefix] = self._clock.monotonic()
         if all(follower.known for follower in self._followers.values()):
             self._set_fed(True, "heard")
 
--- a/walkcart/platform/documents.py
+++ b/walkcart/platform/documents.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import msgspec
 
@@ -152,28 +152,62 @@
     return ToSplit(parts) if parts else ToService(route.backend)
 
 
-def read_leaf_entries(
-    items: Mapping[str, Item], regions: Mapping[str, str], events: EventLog
-) -> Iterable[LeafEntry]:
-    """Yield the leafs whose entries can be read; log the others.
+def leaf_entry_differs(old: bytes, new: bytes) -> bool:
+    """Return whether a leaf's entry says anything new that is acted on.
+
+    Leafs write theirs anew all the time; that they are still alive, and how much longer
+    they are slow, changes nothing for who has the entry already.
+    """
+    try:
+        before, after = _LEAF_ENTRY.decode(old), _LEAF_ENTRY.decode(new)
+    except msgspec.MsgspecError:
+        # Logged by who reads the new one.
+        return True
+    before.warmup_left_ms = after.warmup_left_ms
+    return before != after
+
+
+class LeafEntries:
+    """The leafs' entries as they were read last, for reading only what changed.
 
     Args:
-        items: stored entries by key.
         regions: region by data centre.
         events: where unreadable entries are logged.
     """
-    for key, item in items.items():
+
+    def __init__(self, regions: Mapping[str, str], events: EventLog) -> None:
+        self._regions = regions
+        self._events = events
+        self._entries: dict[str, LeafEntry] = {}
+
+    def read(
+        self, items: Mapping[str, Item], changed: Collection[str]
+    ) -> Iterable[LeafEntry]:
+        """Return all leafs whose entries can be read; log the others.
+
+        Args:
+            items: stored entries by key.
+            changed: keys of those that came, changed or went since the last call.
+        """
+        for key in changed:
+            self._entries.pop(key, None)
+            item = items.get(key)
+            if item is not None:
+                self._read_one(key, item.value)
+        return self._entries.values()
+
+    def _read_one(self, key: str, value: bytes) -> None:
         try:
-            stored = _LEAF_ENTRY.decode(item.value)
+            stored = _LEAF_ENTRY.decode(value)
         except msgspec.MsgspecError as error:
-            events.emit(Events.LEAF_ENTRY_BAD, key=key, detail=str(error)[:200])
-            continue
-        yield LeafEntry(
+            self._events.emit(Events.LEAF_ENTRY_BAD, key=key, detail=str(error)[:200])
+            return
+        self._entries[key] = LeafEntry(
             id=key.removeprefix(LEAF_PREFIX),
             service=stored.backend,
             address=stored.address,
             data_centre=stored.zone,
-            region=regions.get(stored.zone, ""),
+            region=self._regions.get(stored.zone, ""),
             slots=max(1, stored.slots),
             leaving=stored.state == _DRAINING,
             cold_time=parse_duration_ms(stored.warmup_left_ms),
--- a/walkcart/platform/tests/test_documents.py
+++ b/walkcart/platform/tests/test_documents.py
@@ -13,7 +13,11 @@
 from walkcart.intent.routes import ToService, ToShards, ToSplit
 from walkcart.kernel.clock import TrioClock
 from walkcart.kernel.eventlog import EventLog
-from walkcart.platform.documents import read_configuration, read_leaf_entries
+from walkcart.platform.documents import (
+    LeafEntries,
+    leaf_entry_differs,
+    read_configuration,
+)
 from walkcart.platform.records import RECORD_SIZE, merge_records
 from walkcart.platform.settings import BadSettings, read_settings
 from walkcart.store.items import Item
@@ -127,13 +131,44 @@
             "servers/b": Item("servers/b", b"rubbish", 2),
         }
         await trio.lowlevel.checkpoint()
-        return list(read_leaf_entries(items, {"north-a": "north"}, events))
+        return list(LeafEntries({"north-a": "north"}, events).read(items, items))
 
     entries = run_mocked(run)
     assert [(entry.id, entry.region) for entry in entries] == [("a", "north")]
     assert "leaf_entry_bad" in log.getvalue()
 
 
+def test_entries_are_read_again_only_where_they_changed():
+    async def run():
+        entries = LeafEntries({}, EventLog("one", TrioClock(), StringIO()))
+        await trio.lowlevel.checkpoint()
+        items = {f"servers/{name}": make_entry() for name in "abc"}
+        first = {entry.id: entry for entry in entries.read(items, items)}
+        items["servers/b"] = make_entry(state="draining")
+        del items["servers/c"]
+        changed = ["servers/b", "servers/c"]
+        return first, {entry.id: entry for entry in entries.read(items, changed)}
+
+    first, second = run_mocked(run)
+    assert sorted(first) == ["a", "b", "c"]
+    assert sorted(second) == ["a", "b"]
+    assert second["a"] is first["a"]
+    assert second["b"].leaving
+
+
+def make_entry(**fields):
+    content = {"backend": "s", "address": "10.0.0.1:1", "zone": "z", **fields}
+    return Item("servers/x", msgspec.json.encode(content), 1)
+
+
+def test_an_entry_that_only_tells_of_life_and_warming_up_is_no_news():
+    old = make_entry(seq=1, warmupLeftMs=3000).value
+    assert not leaf_entry_differs(old, make_entry(seq=2, warmupLeftMs=1800).value)
+    assert leaf_entry_differs(old, make_entry(seq=2, state="draining").value)
+    assert leaf_entry_differs(old, make_entry(seq=2, address="10.0.0.2:1").value)
+    assert leaf_entry_differs(old, b"rubbish")
+
+
 @given(st.lists(st.binary(max_size=200), max_size=6), st.integers(1, 12))
 def test_merging_is_a_plain_sort(bodies, top):
     records = []
--- a/walkcart/platform/tests/test_relay.py
+++ b/walkcart/platform/tests/test_relay.py
@@ -4,7 +4,9 @@
 
 from walkcart.bench.harness import run_mocked
 from walkcart.membership import relaying
+from walkcart.membership.links import PeerLinks
 from walkcart.platform.tests.platformworld import make_route, open_platform
+from walkcart.wire.relays import RelayChanges, RelayCopy
 
 
 def with_instances(action, count, data_centres=("north-a",)):
@@ -109,3 +111,61 @@
         return [(await world.ask("/two/x", f"w{n}")).status for n in range(4)]
 
     assert with_instances(act, 4) == [200] * 4
+
+
+def test_a_lost_history_costs_no_full_copies(monkeypatch):
+    monkeypatch.setattr(relaying, "FEW_INSTANCES", 1)
+    copies = []
+
+    send = PeerLinks.send
+
+    def note_copies(links, name, message):
+        if isinstance(message, RelayCopy):
+            copies.append(name)
+        return send(links, name, message)
+
+    async def act(world):
+        await trio.sleep(30)
+        monkeypatch.setattr(PeerLinks, "send", note_copies)
+        world.drain_leaf("p-0")
+        world.configure(make_route("two", "/two/", backend="plain"))
+        world.store.compact()
+        await trio.sleep(5)
+        lost = world.log.getvalue().count("store_history_lost")
+        return lost, [(await world.ask("/two/x", f"w{n}")).status for n in range(4)]
+
+    lost, statuses = with_instances(act, 4)
+    assert lost
+    assert statuses == [200] * 4
+    assert copies == []
+
+
+def test_a_lost_message_of_one_prefix_is_made_good_while_others_come(monkeypatch):
+    monkeypatch.setattr(relaying, "FEW_INSTANCES", 1)
+    send = PeerLinks.send
+    lost = []
+
+    async def act(world):
+        def lose_once(links, name, message):
+            match message:
+                case RelayChanges(changes=changes) if changes and name not in lost:
+                    lost.append(name)
+                    return True
+            return send(links, name, message)
+
+        await trio.sleep(30)
+        monkeypatch.setattr(PeerLinks, "send", lose_once)
+        world.drain_leaf("p-0")
+        await trio.sleep(0.9)
+        # Changes go on: what was lost before must not be passed over.
+        for number in range(12):
+            world.configure(make_route("one", "/one/", backend="plain"))
+            await world.start_leaf(f"q-{number}", "other")
+            await trio.sleep(0.3)
+        world.leafs["p-0"].arrived.clear()
+        for name in world.tenants:
+            for _ in range(4):
+                await world.ask("/one/x", name)
+        return len(lost), len(world.leafs["p-0"].arrived)
+
+    assert with_instances(act, 4) == (2, 0)
--- a/walkcart/store/following.py
+++ b/walkcart/store/following.py
@@ -36,11 +36,24 @@
 WATCH_WAIT = timedelta(seconds=20)
 #: Pause after a watch returned with changes: a burst of changes is taken at once.
 BURST_PAUSE = timedelta(milliseconds=100)
-#: Changes that are kept for instances that are a little behind.
+#: Times as long a pause after a watch that brought only changes that matter to nobody:
+#: leafs that start together change their entries each second or so.
+IDLE_PAUSES = 2
+#: Changes that are kept for instances that are a little behind: an index that is cut
+#: anew at twice the largest deployment that was measured (405 leafs).
 KEPT_CHANGES = 1000
+#: Full readings that are remembered; before the first of them nothing is known.
+KEPT_GAPS = 20
 
 #: Told the whole copy and the keys that changed; must not wait.
 CopyListener = Callable[[Mapping[str, Item], frozenset[str]], None]
+#: Told the old and the new value of an item; whether the difference matters to anyone.
+DifferenceTest = Callable[[bytes, bytes], bool]
+
+
+def differ(old: bytes, new: bytes) -> bool:
+    """Return whether two values differ at all."""
+    return old != new
 
 
 class PrefixFollower:
@@ -54,6 +67,8 @@
         events: where a lost history is logged.
         listener: told the copy after each change, and once when it was first read.
         pause: after a watch that brought changes.
+        matters: whether a new value of an item is a change; one that isn't is kept
+            and neither told nor passed on.
     """
 
     def __init__(
@@ -65,15 +80,19 @@
         events: EventLog,
         listener: CopyListener,
         pause: timedelta = BURST_PAUSE,
+        matters: DifferenceTest = differ,
     ) -> None:
         self._store = store
         self._backoff = backoff
         self._events = events
         self._listener = listener
         self._pause = pause
+        self._matters = matters
         self._items: dict[str, Item] = {}
         self._history: deque[Change] = deque()
         self._history_from = 0
+        #: Pairs of revisions between which only the difference is known.
+        self._gaps: deque[tuple[int, int]] = deque(maxlen=KEPT_GAPS)
         self._must_read = True
         self._working: trio.CancelScope | None = None
         self._fed = False
@@ -89,9 +108,15 @@
         return self._items.values()
 
     def changes_after(self, revision: int) -> tuple[Change, ...] | None:
-        """Return what changed after a revision; None when that isn't known any more."""
+        """Return what changed after a revision; None when that isn't known.
+
+        Of what a full reading brought it is known only how it differs from the copy
+        before it, not what came and went in between.
+        """
         if not self.known or revision < self._history_from:
             return None
+        if any(first < revision < last for first, last in self._gaps):
+            return None
         return tuple(change for change in self._history if change.revision > revision)
 
     def watch_anew(self) -> None:
@@ -151,26 +176,36 @@
         self.replace(found, first)
 
     def replace(self, found: Mapping[str, Item], revision: int) -> None:
-        """Take a full copy; an item known from a later revision is kept."""
-        changed = set()
-        for key, item in found.items():
-            held = self._items.get(key)
-            if held is None or held.revision < item.revision:
-                self._items[key] = item
-                changed.add(key)
-        for key in [key for key in self._items if key not in found]:
-            if self._items[key].revision <= revision:
-                del self._items[key]
-                changed.add(key)
-        self.revision = max(revision, self.revision)
-        self._history.clear()
-        self._history_from = self.revision
+        """Take a full copy; an item known from a later revision is kept.
+
+        What differs from the copy so far is kept as changes: those that this copy is
+        passed on to need not be sent all of it.
+        """
+        changes: list[Change] = [
+            item for item in found.values() if self._is_later(item)
+        ]
+        for key, item in self._items.items():
+            if key not in found and item.revision <= revision:
+                # When exactly it was removed isn't known: by then at the latest.
+                changes.append(Removal(key, revision))
+        self._note_gap(revision)
         self._must_read = False
         newly_known = not self.known
         self.known = True
-        if changed or newly_known:
-            self._listener(self._items, frozenset(changed))
-            self.on_change(self)
+        self._take_changes(changes, revision, tell=newly_known)
+
+    def _note_gap(self, revision: int) -> None:
+        """Note that a full copy was taken at a revision."""
+        if not self.known:
+            self._history_from = revision
+        elif revision > self.revision:
+            if len(self._gaps) == KEPT_GAPS:
+                self._history_from = max(self._history_from, self._gaps[0][1])
+            self._gaps.append((self.revision, revision))
+
+    def _is_later(self, item: Item) -> bool:
+        held = self._items.get(item.key)
+        return held is None or held.revision < item.revision
 
     async def _take(self, result: Changes | HistoryLost) -> None:
         match result:
@@ -182,8 +217,11 @@
                 )
                 self._must_read = True
             case Changes(changes, revision):
+                pause = self._pause.total_seconds()
                 if self.apply(changes, revision):
-                    await trio.sleep(self._pause.total_seconds())
+                    await trio.sleep(pause)
+                elif changes:
+                    await trio.sleep(pause * IDLE_PAUSES)
 
     def apply(self, changes: Iterable[Change], revision: int) -> bool:
         """Take changes in order; return whether any was news.
@@ -192,15 +230,26 @@
             changes: all since the copy's revision.
             revision: of the copy afterwards.
         """
+        return self._take_changes(changes, revision, tell=False)
+
+    def _take_changes(
+        self, changes: Iterable[Change], revision: int, tell: bool
+    ) -> bool:
+        """Take changes in order, and tell of them or anyway; return whether any was."""
         changed = set()
         for change in changes:
-            if self._apply_one(change):
+            news = self._apply_one(change)
+            if news:
                 changed.add(change.key)
+            if news or isinstance(change, Removal):
+                # A removal is passed on even if a full copy had shown it already:
+                # whom this copy is passed on to may not have seen that one.
                 self._history.append(change)
         while len(self._history) > KEPT_CHANGES:
-            self._history_from = self._history.popleft().revision
+            dropped = self._history.popleft()
+            self._history_from = max(self._history_from, dropped.revision)
         self.revision = max(self.revision, revision)
-        if changed:
+        if changed or tell:
             self._listener(self._items, frozenset(changed))
             self.on_change(self)
         return bool(changed)
@@ -212,6 +261,6 @@
         match change:
             case Item():
                 self._items[change.key] = change
-                return True
+                return held is None or self._matters(held.value, change.value)
             case Removal():
                 return self._items.pop(change.key, None) is not None
