Keep within the most attempts when a group is taken back; renew silent links

The new test shows it: with the word lost and the cancellation 12 ms late, one shard got 3 requests.

The asker takes in what waits in its links before it calls an instance silent. A link to an instance of which nothing was heard is made anew, on both sides: a connection can go silent without an end. A fault in a message's handler is logged and doesn't end the instance. Links are kept for 5 minutes without messages (30 s before): the first question over a new one met its patience.

Tests: test_delegation.py, late cancellation (3 requests before) and silent links (never used again before); both failed first.

--- a/walkcart/fanout/carrying.py
+++ b/walkcart/fanout/carrying.py
@@ -28,6 +28,10 @@
 from walkcart.wire.messagebase import Message
 from walkcart.wire.verdicts import MayHaveRun, Reason
 
+#: Seconds past the time in which a question may be taken back until a service gets a
+#: second attempt: the way of the message that takes it back, and a busy event loop.
+WITHDRAWAL_MARGIN = 0.015
+
 #: Gathers a question from this instance and merges it to so many records.
 Gather = Callable[[RoutedQuestion, int], Awaitable[Outcome]]
 
@@ -74,6 +78,9 @@
         scope = self._carried.get(message.id)
         if scope is not None:
             scope.cancel()
+        if message.unheard:
+            # The connection by which this instance answers may have gone silent.
+            self._links.renew(sender)
 
     async def _carry(
         self, sender: str, message: DelegatedQuestion, scope: trio.CancelScope
@@ -105,6 +112,7 @@
         least_coverage=message.least_coverage,
         most_attempts=message.most_attempts,
         whole_parts=True,
+        repeat_from=now + message.withdrawal + WITHDRAWAL_MARGIN,
         traceparent=message.traceparent,
     )
 
--- a/walkcart/fanout/delegates.py
+++ b/walkcart/fanout/delegates.py
@@ -46,6 +46,9 @@
 #: since is waited for.
 OVERDUE_TIME = 0.05
 
+#: Messages that are taken in before an instance counts as silent: one each turn of the
+#: event loop, of which a busy one has some waiting.
+WAITING_MESSAGES = 4
 #: Fleets up to this size have links to all others; past it each one opens those that
 #: it needs, with its first question there.
 MOST_GREETED = 100
@@ -150,9 +153,18 @@
             self._outcomes.pop(id, None)
             self._tools.accounts.note_ended(group.peer)
             if outcome is None:
-                self._tools.links.send(group.peer, DelegatedCancel(id))
+                self._take_back(id, group)
             group.end(outcome)
 
+    def _take_back(self, id: str, group: DelegatedGroup) -> None:
+        """Have the other instance stop, and make a new link if it seems silent."""
+        links = self._tools.links
+        unheard = self._tools.accounts.heard_at(group.peer) < group.at
+        lost = unheard and not group.scope.cancel_called
+        links.send(group.peer, DelegatedCancel(id, lost))
+        if lost:
+            links.renew(group.peer)
+
     def _choose(self, wanted: Group) -> InstanceRecord | None:
         """Return the instance for a group, among few that get all like it.
 
@@ -196,6 +208,7 @@
             most_attempts=question.most_attempts,
             remaining=max(0.0, question.deadline - now - way),
             objective=min(1e6, max(0.0, question.objective_at - now - way)),
+            withdrawal=self._tools.accounts.patience(peer),
             traceparent=question.traceparent,
         )
 
@@ -217,6 +230,8 @@
             changed = group.changed
             with trio.move_on_at(due):
                 await changed.wait()
+            if not group.taken:
+                await _take_in_messages()
         return self._outcomes[id]
 
     def _note_lost(self, group: DelegatedGroup, question: RoutedQuestion) -> None:
@@ -269,6 +284,12 @@
         group.note()
 
 
+async def _take_in_messages() -> None:
+    """Let the links' task take in what has come while the event loop was busy."""
+    for _ in range(WAITING_MESSAGES):
+        await trio.lowlevel.checkpoint()
+
+
 def find_least_part(question: RoutedQuestion, count: int) -> float:
     """Return the share of a group that must be in if all other parts are.
 
--- a/walkcart/fanout/routedquestion.py
+++ b/walkcart/fanout/routedquestion.py
@@ -26,6 +26,8 @@
         idempotent: whether it may run more than once at a service.
         most_attempts: leafs that may run it, for each service.
         whole_parts: whether only successes count, as over many shards.
+        repeat_from: before this time no service gets an attempt beside, or after, one
+            that may have run; on that clock.
         traceparent: of the trace.
     """
 
@@ -39,6 +41,7 @@
     idempotent: bool = True
     most_attempts: int = 1
     whole_parts: bool = False
+    repeat_from: float = float("-inf")
     traceparent: str | None = None
 
 
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -71,6 +71,8 @@
         leaves = self._tools.pool.leaves_of(item.service)
         untried = any(leaf.id not in item.tried for leaf in leaves)
         item.next_at = now if untried else now + RETRY_DELAY
+        if item.ran:
+            item.next_at = max(item.next_at, self._question.repeat_from)
 
     def hedge_at(self, item: ServiceTry) -> float:
         """Return when a second attempt is due beside, or instead of, the first."""
@@ -78,7 +80,8 @@
             return float("inf")
         if item.given_up or item.may_run >= self._question.most_attempts:
             return float("inf")
-        return next(iter(item.under_way.values())).hedge_at
+        hedge_at = next(iter(item.under_way.values())).hedge_at
+        return max(hedge_at, self._question.repeat_from)
 
     def hedge(self, item: ServiceTry, now: float) -> None:
         """Send a second attempt beside the one that is late, or instead of it.
--- a/walkcart/kernel/metrics.py
+++ b/walkcart/kernel/metrics.py
@@ -42,6 +42,7 @@
     "peer.received": Metric("counter", "messages", "Messages from peers."),
     "peer.bytes": Metric("counter", "bytes", "Sent to and received from peers."),
     "peer.dropped": Metric("counter", "messages", "Not sent: the outbox was full."),
+    "peer.renewed": Metric("counter", "links", "Made anew: the peer seemed silent."),
     "store.calls": Metric("counter", "calls", "Calls to the key-value service."),
     "store.failed": Metric("counter", "calls", "Those without a usable reply."),
     "claim.granted": Metric("counter", "claims", "Keys claimed."),
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -22,9 +22,13 @@
 MESSAGES_PER_ENVELOPE = 64
 #: Senders outside the book whose addresses are kept.
 STRANGER_LIMIT = 256
-#: A link without messages for this long is closed.
-IDLE_TIME = timedelta(seconds=30)
+#: A link without messages for this long is closed. A new one costs the first question
+#: some round trips, which at its objective is too long.
+IDLE_TIME = timedelta(minutes=5)
 SEND_TIME = timedelta(seconds=2)
+#: A connection may have gone silent for good without an end. Between two new ones to a
+#: peer that seems silent; also how long the old one is kept for what it still carries.
+RENEWAL_INTERVAL = timedelta(seconds=2)
 
 #: Called with the sender's name and the message; must not wait.
 MessageHandler = Callable[[str, Message], None]
@@ -113,7 +117,7 @@
             return False
         link = self._links.get((name, address))
         if link is None:
-            link = _Link()
+            link = _Link(trio.current_time())
             self._links[(name, address)] = link
             self._nursery.start_soon(self._run_link, name, address, link)
         if not link.put(message):
@@ -121,6 +125,18 @@
             return False
         return True
 
+    def renew(self, name: str) -> None:
+        """Make new connections to a peer that seems silent, with the next message.
+
+        The old ones still send what was queued.
+        """
+        latest = trio.current_time() - RENEWAL_INTERVAL.total_seconds()
+        for key, link in list(self._links.items()):
+            if key[0] == name and link.opened_at <= latest:
+                del self._links[key]
+                link.end()
+                self._metrics.count("peer.renewed")
+
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Receive until cancelled."""
         try:
@@ -150,7 +166,15 @@
         for message in envelope.messages:
             handler = self._handlers.get(type(message))
             if handler is not None:
-                handler(envelope.sender, message)
+                self._handle(handler, envelope.sender, message)
+
+    def _handle(self, handler: MessageHandler, sender: str, message: Message) -> None:
+        """Give a message to its handler, whose faults must not end the instance."""
+        try:
+            handler(sender, message)
+        except Exception as error:
+            detail = f"{type(message).__name__}: {error!r}"[:500]
+            self._events.emit(Events.TASK_FAILED, task=f"peer {sender}", detail=detail)
 
     def _note_stranger(self, envelope: Envelope) -> None:
         """Keep the address of a sender that the book doesn't know yet."""
@@ -175,11 +199,14 @@
                     await sender.send(data)
                 if scope.cancelled_caught:
                     break
+            if link.ended:
+                await trio.sleep(RENEWAL_INTERVAL.total_seconds())
         except OSError:
             # The next message dials again; the detector tells whether it lives.
             self._metrics.count("peer.dropped")
         finally:
-            self._links.pop((name, address), None)
+            if self._links.get((name, address)) is link:
+                del self._links[(name, address)]
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
                 await sender.close()
 
@@ -200,9 +227,15 @@
 
 
 class _Link:
-    """The outbox of one peer."""
+    """The outbox of one peer.
 
-    def __init__(self) -> None:
+    Args:
+        opened_at: when it was made, in seconds.
+    """
+
+    def __init__(self, opened_at: float) -> None:
+        self.opened_at = opened_at
+        self.ended = False
         self._messages: deque[Message] = deque()
         self._wakeup = trio.Event()
 
@@ -214,9 +247,14 @@
         self._wakeup.set()
         return True
 
+    def end(self) -> None:
+        """Send what is queued, and nothing more."""
+        self.ended = True
+        self._wakeup.set()
+
     async def wait(self) -> bool:
-        """Wait for a message; False after a long time without one."""
-        if not self._messages:
+        """Wait for a message; False after a long time without one, or at the end."""
+        if not self._messages and not self.ended:
             self._wakeup = trio.Event()
             with trio.move_on_after(IDLE_TIME.total_seconds()):
                 await self._wakeup.wait()
--- a/walkcart/platform/tests/test_delegation.py
+++ b/walkcart/platform/tests/test_delegation.py
@@ -3,10 +3,12 @@
 import trio
 
 from walkcart.bench.harness import run_mocked
+from walkcart.membership.links import PeerLinks
 from walkcart.platform.tests.platformworld import make_route, open_platform
+from walkcart.wire.delegations import DelegatedCancel, DelegatedTaken
 
 
-def with_two_regions(action):
+def with_two_regions(action, **fields):
     """Run `action(world)`: leafs and one instance in the south, one in the north."""
 
     async def run():
@@ -18,11 +20,8 @@
                     await world.start_leaf(
                         f"i-{number}{copy}", shard, "south-a", records=records
                     )
-            world.configure(
-                make_route(
-                    "all", "/all/", fanoutServices=shards, topK=3, minCoverage=0.5
-                )
-            )
+            route = {"fanoutServices": shards, "topK": 3, "minCoverage": 0.5, **fields}
+            world.configure(make_route("all", "/all/", **route))
             await world.start_instance("asker", "north-a")
             await world.start_instance("helper", "south-a")
             await world.wait_ready("asker")
@@ -80,11 +79,7 @@
             await trio.sleep(0.05)
             world.tenants["helper"].scope.cancel()
         elapsed = trio.current_time() - start
-        arrived = [
-            sum(len(world.leafs[f"i-{shard}{copy}"].arrived) for copy in range(2))
-            for shard in range(4)
-        ]
-        return result[0].status, elapsed, arrived
+        return result[0].status, elapsed, count_arrived(world)
 
     status, elapsed, arrived = with_two_regions(act)
     # What the dead one had sent isn't known: more attempts could pass the most allowed.
@@ -118,3 +113,55 @@
     ran, refused = with_two_regions(act)
     assert ran.status == 502
     assert refused.status == 503
+
+
+def count_arrived(world):
+    return [
+        sum(len(world.leafs[f"i-{shard}{copy}"].arrived) for copy in range(2))
+        for shard in range(4)
+    ]
+
+
+def test_a_question_taken_back_late_keeps_within_the_attempts(monkeypatch):
+    """The helper's word is lost and the cancellation comes 12 ms late."""
+    send = PeerLinks.send
+
+    async def act(world):
+        def send_late(links, name, message):
+            match message:
+                case DelegatedTaken():
+                    return True
+                case DelegatedCancel():
+                    world.nursery.start_soon(send_after, links, name, message)
+                    return True
+            return send(links, name, message)
+
+        async def send_after(links, name, message):
+            await trio.sleep(0.012)
+            send(links, name, message)
+
+        for name in ("i-00", "i-01"):
+            world.leafs[name].faults.delay = 1.0
+        monkeypatch.setattr(PeerLinks, "send", send_late)
+        with trio.move_on_after(0.5):
+            await world.ask("/all/x", "asker")
+        return count_arrived(world)[0]
+
+    assert with_two_regions(act, targetLatencyMs=60, minCoverage=1.0) == 2
+
+
+def test_links_that_went_silent_without_an_end_are_made_anew():
+    async def act(world):
+        await world.ask("/all/x", "asker")
+        await trio.sleep(3)
+        world.network.silent_until = trio.current_time()
+        statuses = []
+        for _ in range(4):
+            statuses.append((await world.ask("/all/x", "asker")).status)
+            await trio.sleep(3)
+        return statuses, count_lines(world, '"gathered": 1')
+
+    statuses, by_helper = with_two_regions(act)
+    assert statuses == [200] * 4
+    # Two of five met the silence, one for each direction, and were asked for from here.
+    assert by_helper == 3
--- a/walkcart/standins/memory.py
+++ b/walkcart/standins/memory.py
@@ -166,10 +166,13 @@
     network: MemoryNetwork
     address: HostPort
     site: str
+    dialled_at: float
 
     async def send(self, data: bytes) -> None:
         """Send one envelope."""
         await trio.lowlevel.checkpoint()
+        if self.dialled_at <= self.network.silent_until:
+            return
         self.network.deliver(self.site, self.address, data)
 
     async def close(self) -> None:
@@ -191,6 +194,8 @@
         self._next_port = 20_000
         #: Share of envelopes that are lost, decided by `lose`.
         self.lose: Callable[[], bool] = lambda: False
+        #: What senders that were dialled up to then send is lost without a word.
+        self.silent_until = float("-inf")
 
     def at(self, site: str) -> MemorySite:
         """Return the network as seen from one site."""
@@ -324,4 +329,4 @@
 
     async def dial(self, address: HostPort) -> MemoryPeerSender:
         """Make a sender."""
-        return MemoryPeerSender(self.network, address, self.site)
+        return MemoryPeerSender(self.network, address, self.site, trio.current_time())
--- a/walkcart/wire/delegations.py
+++ b/walkcart/wire/delegations.py
@@ -27,6 +27,8 @@
         most_attempts: leafs that may run it, for each service.
         remaining: until the deadline.
         objective: until an answer begins to lose value.
+        withdrawal: during which the sender, unless it hears that the question was
+            taken, takes it back and asks leafs itself.
         traceparent: of the trace.
     """
 
@@ -43,6 +45,7 @@
     most_attempts: int
     remaining: float
     objective: float
+    withdrawal: float = 0.0
     traceparent: str | None = None
 
 
@@ -107,6 +110,12 @@
 
 
 class DelegatedCancel(Message, frozen=True):
-    """Nobody waits for this question any longer."""
+    """Nobody waits for this question any longer.
+
+    Args:
+        id: of the question; empty when the message only opens a link.
+        unheard: whether nothing was heard of the receiver since the question was sent.
+    """
 
     id: str
+    unheard: bool = False
