Ask for late parts together in another region

Cause: on the grown deployments a question has 90 shards with one leaf a region; some four leafs are paused at any time.

Change, for questions over more shards than one message holds (24): at a time planned from what gatherers say of their leafs (routing/settling.py), each gatherer hands over what is in and says which parts are late, with the budget's leave for another request (fanout/handing.py). The asker has all late parts gathered by instances of another region, a message for each (fanout/lateparts.py). The late originals go on and count if they come first; when both come the merged ones win, since merged records can't be told apart. Where more than a third of a gatherer's parts are late nothing is handed over: the region is slow, and another one is no faster.

--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -11,12 +11,14 @@
 from walkcart.daemon.surroundings import ListenerService, TenantSurroundings
 from walkcart.entry.routed import RoutedEntryTools, RoutedHandler
 from walkcart.entry.routedservice import RoutedService
-from walkcart.fanout.carrying import Carrier
+from walkcart.fanout.carrying import Carrier, Handover
 from walkcart.fanout.delegatedgroup import Outcome
 from walkcart.fanout.delegates import Delegates, DelegateTools
+from walkcart.fanout.handing import Handing
 from walkcart.fanout.ids import IdSource
+from walkcart.fanout.mergedanswer import MergedAnswer
 from walkcart.fanout.routed import RoutedGathering
-from walkcart.fanout.routedquestion import RoutedQuestion
+from walkcart.fanout.routedquestion import RoutedAnswer, RoutedQuestion
 from walkcart.fanout.routedtools import RoutedTools
 from walkcart.intent.routekeeper import RouteKeeper
 from walkcart.kernel.eventlog import EventLog
@@ -31,7 +33,7 @@
 from walkcart.membership.relaying import Relay
 from walkcart.platform.callerprotocol import PlatformCallerProtocol, merge_parts
 from walkcart.platform.settings import PlatformSettings
-from walkcart.routing.distance import Place
+from walkcart.routing.distance import Distance, Place
 from walkcart.routing.peerchoice import PeerAccounts
 from walkcart.routing.repeats import RepeatBudget, RepeatLimits
 from walkcart.store.calls import StoreCalls
@@ -94,16 +96,25 @@
         ids,
         around.clock,
         metrics,
+        events,
         Place(settings.region, settings.data_centre),
         around.random,
         delegates,
     )
 
-    async def gather(question: RoutedQuestion, top: int) -> Outcome:
-        result = await RoutedGathering(gathering, question).run()
-        return result.map(lambda answer: merge_parts(answer, top))
+    async def gather(question: RoutedQuestion, top: int, handover: Handover) -> Outcome:
+        def merge(answer: RoutedAnswer) -> MergedAnswer:
+            return merge_parts(answer, top)
+
+        handing = Handing(handover, merge)
+        result = await RoutedGathering(gathering, question, handing=handing).run()
+        return result.map(merge)
+
+    def find_usual_high(kind: str) -> float:
+        times = gathering.pool.times_of(kind, Distance.SAME_DATA_CENTRE)
+        return times.high(around.clock.monotonic())
 
-    carrier = Carrier(links, around.clock, gather)
+    carrier = Carrier(links, around.clock, gather, find_usual_high)
     relay = Relay(
         [
             kernel.find("configuration", PrefixFollower),
--- a/walkcart/fanout/carrying.py
+++ b/walkcart/fanout/carrying.py
@@ -7,20 +7,23 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import trio
 from returns.result import Success
 
 from walkcart.fanout.delegatedgroup import Outcome
-from walkcart.fanout.mergedanswer import MissingPart
+from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
 from walkcart.fanout.routedquestion import RoutedQuestion
 from walkcart.kernel.clock import Clock
 from walkcart.membership.links import PeerLinks
 from walkcart.wire.delegations import (
+    NEVER,
     DelegatedAnswer,
     DelegatedCancel,
     DelegatedFailure,
     DelegatedMissing,
+    DelegatedPart,
     DelegatedQuestion,
     DelegatedTaken,
 )
@@ -32,8 +35,36 @@
 #: second attempt: the way of the message that takes it back, and a busy event loop.
 WITHDRAWAL_MARGIN = 0.015
 
+
+class Handover:
+    """Hands over what was gathered before the late parts, and then each of those.
+
+    Args:
+        id: of the question.
+        send: sends a message to who asked it.
+    """
+
+    def __init__(self, id: str, send: Callable[[Message], object]) -> None:
+        self._id = id
+        self._send = send
+        self.done = False
+
+    def settle(self, answer: MergedAnswer) -> None:
+        """Hand over what is in; `answer` says what is left to who asked."""
+        self.done = True
+        self._send(_encode_answer(self._id, answer, more=True))
+
+    def add(self, service: str, part: MergedAnswer) -> None:
+        """Hand over a late part."""
+        self._send(DelegatedPart(self._id, service, part.body, part.proofs))
+
+    def end(self) -> None:
+        """Say that nothing more comes."""
+        self._send(DelegatedPart(self._id, last=True))
+
+
 #: Gathers a question from this instance and merges it to so many records.
-Gather = Callable[[RoutedQuestion, int], Awaitable[Outcome]]
+Gather = Callable[[RoutedQuestion, int, Handover], Awaitable[Outcome]]
 
 
 class Carrier:
@@ -43,12 +74,20 @@
         links: to them.
         clock: source of time.
         gather: gathers one question.
+        usual_high: returns a long time for a kind of request at leafs that are near.
     """
 
-    def __init__(self, links: PeerLinks, clock: Clock, gather: Gather) -> None:
+    def __init__(
+        self,
+        links: PeerLinks,
+        clock: Clock,
+        gather: Gather,
+        usual_high: Callable[[str], float],
+    ) -> None:
         self._links = links
         self._clock = clock
         self._gather = gather
+        self._usual_high = usual_high
         self._carried: dict[str, trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
         links.on(DelegatedQuestion, self._on_question)
@@ -69,7 +108,8 @@
         assert isinstance(message, DelegatedQuestion)
         if self._nursery is None:
             return
-        self._links.send(sender, DelegatedTaken(message.id))
+        high = self._usual_high(message.kind)
+        self._links.send(sender, DelegatedTaken(message.id, high))
         scope = self._carried[message.id] = trio.CancelScope()
         self._nursery.start_soon(self._carry, sender, message, scope)
 
@@ -92,8 +132,13 @@
                 # anything is sent.
                 await trio.lowlevel.checkpoint()
                 question = decode_question(message, self._clock.monotonic())
-                outcome = await self._gather(question, message.top)
-                self._links.send(sender, encode_outcome(message.id, outcome))
+                send = partial(self._links.send, sender)
+                handover = Handover(message.id, send)
+                outcome = await self._gather(question, message.top, handover)
+                if handover.done:
+                    handover.end()
+                else:
+                    send(encode_outcome(message.id, outcome))
         finally:
             del self._carried[message.id]
 
@@ -113,6 +158,8 @@
         most_attempts=message.most_attempts,
         whole_parts=True,
         repeat_from=now + message.withdrawal + WITHDRAWAL_MARGIN,
+        settle_at=now + message.settle if message.settle < NEVER else float("inf"),
+        granted=message.granted,
         traceparent=message.traceparent,
     )
 
@@ -121,14 +168,7 @@
     """Return the message that tells how a question ended."""
     match outcome:
         case Success(answer):
-            return DelegatedAnswer(
-                id,
-                answer.body,
-                answer.proofs,
-                _encode_missing(answer.missing),
-                answer.sent,
-                answer.repeats,
-            )
+            return _encode_answer(id, answer)
         case _:
             failure = outcome.failure()
             verdict = failure.verdict
@@ -142,18 +182,33 @@
             )
 
 
+def _encode_answer(
+    id: str, answer: MergedAnswer, more: bool = False
+) -> DelegatedAnswer:
+    return DelegatedAnswer(
+        id,
+        answer.body,
+        answer.proofs,
+        _encode_missing(answer.missing),
+        answer.sent,
+        answer.repeats,
+        more,
+    )
+
+
 def _encode_missing(
     missing: tuple[MissingPart, ...],
 ) -> tuple[DelegatedMissing, ...]:
     return tuple(
-        DelegatedMissing(part.service, part.reason.value, part.ran) for part in missing
+        DelegatedMissing(part.service, part.reason.value, part.ran, part.may_repeat)
+        for part in missing
     )
 
 
 def decode_missing(missing: tuple[DelegatedMissing, ...]) -> tuple[MissingPart, ...]:
     """Return the missing parts that a message tells of."""
     return tuple(
-        MissingPart(part.service, read_reason(part.reason), part.ran)
+        MissingPart(part.service, read_reason(part.reason), part.ran, part.may_repeat)
         for part in missing
     )
 
--- a/walkcart/fanout/delegatedgroup.py
+++ b/walkcart/fanout/delegatedgroup.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 
 import trio
@@ -9,6 +10,7 @@
 
 from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
 from walkcart.fanout.routedquestion import RoutedFailure
+from walkcart.routing.distance import Place
 from walkcart.wire.verdicts import Reason
 
 Outcome = Result[MergedAnswer, RoutedFailure]
@@ -19,21 +21,27 @@
 
     Args:
         services: their names.
+        place: where it is gathered.
+        kind: of the request.
         most_attempts: leafs of each that may run the request.
         peer: the other instance.
         at: when it was asked, in seconds.
-        on_end: told when it ended.
+        on_end: told when it ended, and when there is something to take.
     """
 
     def __init__(
         self,
         services: tuple[str, ...],
+        place: Place,
+        kind: str,
         most_attempts: int,
         peer: str,
         at: float,
         on_end: Callable[[], None],
     ) -> None:
         self.services = services
+        self.place = place
+        self.kind = kind
         self.peer = peer
         self.at = at
         self.taken = False
@@ -41,11 +49,24 @@
         self.outcome: Outcome | None = None
         self.scope = trio.CancelScope()
         self.changed = trio.Event()
+        #: What was gathered when the other instance left the late parts to this one.
+        self.handed: MergedAnswer | None = None
+        #: Late parts that came since, by service, until they are taken.
+        self.parts: deque[tuple[str, MergedAnswer]] = deque()
+        self.is_handed_taken = False
         self._most_attempts = most_attempts
         self._on_end = on_end
 
+    @property
+    def has_news(self) -> bool:
+        """Whether there is anything to take."""
+        handed = self.handed is not None and not self.is_handed_taken
+        return handed or bool(self.parts) or self.ended
+
     def missing(self) -> dict[str, MissingPart]:
         """Return the services whose parts didn't come, by name."""
+        if self.handed is not None:
+            return {part.service: part for part in self.handed.missing}
         match self.outcome:
             case None:
                 # It may be at work with all attempts that are allowed; one that
@@ -76,6 +97,16 @@
         self.changed.set()
         self.changed = trio.Event()
 
+    def hand_over(self, answer: MergedAnswer) -> None:
+        """Note what was gathered; the rest is late."""
+        self.handed = answer
+        self._on_end()
+
+    def add_part(self, service: str, part: MergedAnswer) -> None:
+        """Note a late part."""
+        self.parts.append((service, part))
+        self._on_end()
+
     def end(self, outcome: Outcome | None) -> None:
         """Note how it ended; None when it must be done from here."""
         self.outcome = outcome
--- a/walkcart/fanout/delegates.py
+++ b/walkcart/fanout/delegates.py
@@ -31,11 +31,14 @@
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.registration import InstanceRecord, Registration
 from walkcart.routing.peerchoice import PeerAccounts
+from walkcart.routing.settling import GroupTimes
 from walkcart.routing.shares import rank_rendezvous
 from walkcart.wire.delegations import (
+    NEVER,
     DelegatedAnswer,
     DelegatedCancel,
     DelegatedFailure,
+    DelegatedPart,
     DelegatedQuestion,
     DelegatedTaken,
 )
@@ -88,9 +91,11 @@
         self._outcomes: dict[str, Outcome] = {}
         self._nursery: trio.Nursery | None = None
         self._greeted: set[str] = set()
+        self.times = GroupTimes()
         tools.registration.on_change(self.open_links)
         tools.links.on(DelegatedTaken, self._on_taken)
         tools.links.on(DelegatedAnswer, self._on_answer)
+        tools.links.on(DelegatedPart, self._on_part)
         tools.links.on(DelegatedFailure, self._on_failure)
 
     def open_links(self) -> None:
@@ -128,7 +133,15 @@
             return None
         now = self._tools.clock.monotonic()
         services = wanted.services
-        group = DelegatedGroup(services, question.most_attempts, peer.name, now, on_end)
+        group = DelegatedGroup(
+            services,
+            wanted.place,
+            question.kind,
+            question.most_attempts,
+            peer.name,
+            now,
+            on_end,
+        )
         id = self._tools.ids.take()
         message = self._encode(id, question, services, top, peer.name, now)
         if not self._tools.links.send(peer.name, message):
@@ -209,6 +222,8 @@
             remaining=max(0.0, question.deadline - now - way),
             objective=min(1e6, max(0.0, question.objective_at - now - way)),
             withdrawal=self._tools.accounts.patience(peer),
+            settle=min(NEVER, max(0.0, question.settle_at - now - way)),
+            granted=question.granted,
             traceparent=question.traceparent,
         )
 
@@ -219,7 +234,9 @@
         accounts = self._tools.accounts
         while id not in self._outcomes:
             now = self._tools.clock.monotonic()
-            if not group.taken:
+            if group.handed is not None:
+                due = question.deadline
+            elif not group.taken:
                 due = group.at + accounts.patience(group.peer)
             else:
                 due = question.deadline
@@ -235,6 +252,8 @@
         return self._outcomes[id]
 
     def _note_lost(self, group: DelegatedGroup, question: RoutedQuestion) -> None:
+        if group.handed is not None:
+            return
         now = self._tools.clock.monotonic()
         if now < question.deadline:
             self._tools.accounts.note_silent(group.peer, now)
@@ -253,6 +272,9 @@
         if group is None or group.peer != sender:
             return
         self._tools.accounts.note_taken(sender, now, now - group.at)
+        self.times.note_near(group.kind, message.usual_high)
+        if group.place.region != self._tools.registration.own.region:
+            self.times.note_way(now - group.at)
         group.taken = True
         group.note()
 
@@ -262,7 +284,31 @@
         answer = MergedAnswer(
             message.body, message.proofs, missing, message.sent, message.repeats
         )
-        self._end(sender, message.id, Success(answer))
+        if message.more:
+            self._hand_over(sender, message.id, answer)
+        else:
+            self._end(sender, message.id, Success(answer))
+
+    def _hand_over(self, sender: str, id: str, answer: MergedAnswer) -> None:
+        group = self._asked.get(id)
+        if group is None or group.peer != sender:
+            return
+        now = self._tools.clock.monotonic()
+        self._tools.accounts.note_answer(sender, now, now - group.at)
+        group.hand_over(answer)
+        group.note()
+
+    def _on_part(self, sender: str, message: Message) -> None:
+        assert isinstance(message, DelegatedPart)
+        group = self._asked.get(message.id)
+        if group is None or group.peer != sender or group.handed is None:
+            return
+        if message.service in group.services:
+            part = MergedAnswer(message.body, message.proofs, (), 0, 0)
+            group.add_part(message.service, part)
+        if message.last:
+            self._outcomes[message.id] = Success(group.handed)
+            group.note()
 
     def _on_failure(self, sender: str, message: Message) -> None:
         assert isinstance(message, DelegatedFailure)
--- /dev/null
+++ b/walkcart/fanout/handing.py
@@ -0,0 +1,38 @@
+"""Handing over what was gathered for another instance, before the late parts are in.
+
+See Also:
+    `walkcart.fanout.carrying.Handover`, which sends it.
+    `walkcart.fanout.lateparts.LateParts`, the other side.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from walkcart.fanout.carrying import Handover
+from walkcart.fanout.mergedanswer import MergedAnswer
+from walkcart.fanout.routedquestion import RoutedAnswer
+from walkcart.leaves.attempts import Replied
+
+
+@dataclass(frozen=True, slots=True)
+class Handing:
+    """Merges answers and hands them over.
+
+    Args:
+        handover: to the instance that asked.
+        merge: merges the replies of an answer.
+    """
+
+    handover: Handover
+    merge: Callable[[RoutedAnswer], MergedAnswer]
+
+    def settle(self, answer: RoutedAnswer) -> None:
+        """Hand over what is in."""
+        self.handover.settle(self.merge(answer))
+
+    def add(self, service: str, reply: Replied) -> None:
+        """Hand over a late part."""
+        answer = RoutedAnswer(((service, reply),), (), 1, (), 0, 0)
+        self.handover.add(service, self.merge(answer))
--- /dev/null
+++ b/walkcart/fanout/lateparts.py
@@ -0,0 +1,153 @@
+"""The late parts of one question, asked for together in another region.
+
+See Also:
+    `walkcart.routing.settling`, which says when.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import replace
+
+from walkcart.fanout.delegatedgroup import DelegatedGroup
+from walkcart.fanout.groups import MOST_SERVICES, divide_services
+from walkcart.fanout.routedquestion import RoutedQuestion
+from walkcart.fanout.routedsends import RoutedSends
+from walkcart.fanout.routedtools import RoutedTools
+from walkcart.fanout.servicetry import ServiceTry
+from walkcart.kernel.events import Events
+from walkcart.routing.distance import Distance, Place
+from walkcart.routing.hedging import may_hedge
+from walkcart.routing.settling import SETTLE_GRACE, find_settle_time
+
+
+def plan_settling(
+    tools: RoutedTools, question: RoutedQuestion, top: int
+) -> RoutedQuestion:
+    """Return the question with the time at which its late parts are asked for.
+
+    Questions of few services have one or two late ones, which are asked for directly.
+    """
+    few = len(question.services) <= MOST_SERVICES
+    if not top or few or tools.delegates is None or question.most_attempts < 2:
+        return question
+    now = tools.clock.monotonic()
+    kind = question.kind
+    own = tools.pool.times_of(kind, Distance.SAME_DATA_CENTRE).high(now)
+    times = tools.delegates.times
+    near, late = times.expect_near(kind, own), times.expect_late(kind, own)
+    at = find_settle_time(now, question.objective_at, near, late)
+    return replace(question, settle_at=at)
+
+
+class LateParts:
+    """Asks for late parts of one question.
+
+    Args:
+        tools: what routed questions use.
+        question: with the time to settle.
+        top: records of the merged answer.
+        sends: for parts that are asked for one by one.
+        wake: told when a group ended.
+    """
+
+    def __init__(
+        self,
+        tools: RoutedTools,
+        question: RoutedQuestion,
+        top: int,
+        sends: RoutedSends,
+        wake: Callable[[], None],
+    ) -> None:
+        self._tools = tools
+        self._question = question
+        self._top = top
+        self._sends = sends
+        self._wake = wake
+        self._asked: list[DelegatedGroup] = []
+
+    def due_at(self, pending: bool, busy: bool) -> float:
+        """Return when late parts are asked for.
+
+        Args:
+            pending: whether other instances gather parts still.
+            busy: whether attempts from here are under way.
+        """
+        if pending:
+            return self._question.settle_at + SETTLE_GRACE
+        return self._question.settle_at if busy else float("-inf")
+
+    def is_late(self, group: DelegatedGroup) -> bool:
+        """Return whether a group was asked for here."""
+        return group in self._asked
+
+    def ask(self, tries: Collection[ServiceTry], now: float) -> list[DelegatedGroup]:
+        """Ask for what is late; return the groups that other instances gather."""
+        late = self._choose(tries, now)
+        if not late:
+            return []
+        places: dict[str, set[Place]] = {}
+        for item in late:
+            item.left, item.regrouped = False, True
+            found = self._tools.pool.places_of(item.service)
+            places[item.service] = set(found) - item.places - {self._tools.place}
+        groups = self._submit(places)
+        grouped = {name for group in groups for name in group.services}
+        for item in late:
+            if item.service in grouped:
+                item.delegated = True
+            else:
+                self._sends.send_elsewhere(item, now)
+        self._tools.metrics.count("leaf.regrouped", len(late))
+        self._note(late, groups)
+        self._asked += groups
+        return groups
+
+    def _choose(self, tries: Collection[ServiceTry], now: float) -> list[ServiceTry]:
+        """Return the services whose parts are late, or were left to be asked for."""
+        waiting = [
+            item
+            for item in tries
+            if not (item.covered or item.regrouped or item.delegated)
+        ]
+        left = [item for item in waiting if item.left]
+        late = [
+            item
+            for item in waiting
+            if not item.left and now >= self._question.settle_at and self._is_one(item)
+        ]
+        direct = sum(1 for item in tries if item.tried)
+        if may_hedge(direct, len(late)):
+            left += [item for item in late if self._sends.take_repeat(item, now)]
+        return left
+
+    def _is_one(self, item: ServiceTry) -> bool:
+        """Return whether one attempt is under way and another is allowed."""
+        return len(item.under_way) == 1 and item.may_run < self._question.most_attempts
+
+    def _submit(self, places: dict[str, set[Place]]) -> list[DelegatedGroup]:
+        question = replace(
+            self._question,
+            least_coverage=0.0,
+            most_attempts=1,
+            settle_at=float("inf"),
+            granted=True,
+        )
+        delegates = self._tools.delegates
+        assert delegates is not None
+        groups = divide_services(
+            tuple(places), places.__getitem__, self._tools.place, self._tools.random
+        )
+        asked = [
+            delegates.submit(question, group, self._top, self._wake) for group in groups
+        ]
+        return [group for group in asked if group is not None]
+
+    def _note(self, late: list[ServiceTry], groups: list[DelegatedGroup]) -> None:
+        self._tools.events.emit(
+            Events.LATE_PARTS,
+            request=self._question.id,
+            late=len(late),
+            groups=[(group.peer, len(group.services)) for group in groups],
+            unsent=sum(1 for item in late if not item.arrived),
+        )
--- a/walkcart/fanout/mergedanswer.py
+++ b/walkcart/fanout/mergedanswer.py
@@ -15,11 +15,13 @@
         service: its name.
         reason: why.
         ran: requests to it that ran, may have run or may run yet.
+        may_repeat: whether a budget of repeats already holds another request to it.
     """
 
     service: str
     reason: Reason
     ran: int = 0
+    may_repeat: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -26,11 +26,13 @@
 from walkcart.fanout.delegatedgroup import DelegatedGroup
 from walkcart.fanout.delegates import Delegates
 from walkcart.fanout.groups import divide_services
+from walkcart.fanout.handing import Handing
+from walkcart.fanout.lateparts import LateParts, plan_settling
 from walkcart.fanout.mergedanswer import MergedAnswer
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure, RoutedQuestion
 from walkcart.fanout.routedsends import RoutedSends
 from walkcart.fanout.routedtools import RoutedTools
-from walkcart.fanout.routedverdict import covers, judge, make_failure
+from walkcart.fanout.routedverdict import covers, judge, make_answer, make_failure
 from walkcart.fanout.servicetry import ServiceTry
 from walkcart.leaves.attempts import Attempt, Failed, Outcome, Refused, Replied
 from walkcart.routing.hedging import may_hedge
@@ -48,16 +50,27 @@
         question: what to ask.
         top: records of a merged answer at the most; 0 where nothing is merged, and
             then nothing is delegated.
+        handing: hands over to another instance what is in before the late parts.
     """
 
     def __init__(
-        self, tools: RoutedTools, question: RoutedQuestion, top: int = 0
+        self,
+        tools: RoutedTools,
+        question: RoutedQuestion,
+        top: int = 0,
+        handing: Handing | None = None,
     ) -> None:
+        question = plan_settling(tools, question, top)
         self._tools = tools
         self._question = question
         self._top = top
         self._tries = {name: ServiceTry(name) for name in question.services}
         self._sends = RoutedSends(tools, question, self._receive)
+        self._late: LateParts | None = None
+        if top and question.settle_at < float("inf"):
+            self._late = LateParts(tools, question, top, self._sends, self._wake)
+        self._handing = handing
+        self._handed = False
         self._groups: list[DelegatedGroup] = []
         self._merged: list[MergedAnswer] = []
         self._inbox: deque[tuple[Attempt, Outcome]] = deque()
@@ -75,12 +88,15 @@
                 self._take_in()
                 if self._is_done():
                     break
+                if self._hands_over():
+                    self._hand_over()
                 self._act()
                 await self._wait()
         finally:
             self._cancel_rest()
             self._take_in()
             self._closed = True
+        self._merged += [item.part for item in self._tries.values() if item.part]
         return judge(
             self._question,
             tuple(self._tries.values()),
@@ -107,7 +123,8 @@
             far = self._delegate(self._tools.delegates)
         for item in self._tries.values():
             if item.service not in far:
-                self._tools.budget.note_request(item.service, now)
+                if not self._question.granted:
+                    self._tools.budget.note_request(item.service, now)
                 self._sends.try_next(item, now)
         if self._top:
             spent = self._tools.clock.monotonic() - now
@@ -126,6 +143,7 @@
             self._groups.append(asked)
             for name in asked.services:
                 self._tries[name].delegated = True
+                self._tries[name].places.add(group.place)
                 far.add(name)
         return far
 
@@ -137,14 +155,46 @@
         still_open = sum(1 for item in self._tries.values() if item.open)
         if not still_open:
             return True
+        if self._handed:
+            return False
         if not covers(self._question, self._covered + still_open):
             return True
         objective = self._question.objective_at
         return now >= objective and covers(self._question, self._covered)
 
+    def _hands_over(self) -> bool:
+        """Return whether to leave what is missing to who asked."""
+        question = self._question
+        if self._handing is None or self._handed or question.settle_at == float("inf"):
+            return False
+        waiting = [item for item in self._tries.values() if not item.covered]
+        if not any(item.open and not item.left for item in waiting):
+            return True
+        if self._tools.clock.monotonic() < question.settle_at:
+            return False
+        late = sum(1 for item in waiting if not item.left)
+        return may_hedge(len(self._tries), late)
+
+    def _hand_over(self) -> None:
+        """Hand over what is in; attempts under way go on, no other is made."""
+        assert self._handing is not None
+        self._handed = True
+        now = self._tools.clock.monotonic()
+        for item in self._tries.values():
+            if item.covered:
+                continue
+            if item.may_run < self._question.most_attempts:
+                held = item.left or not item.arrived
+                item.may_repeat = held or self._sends.take_repeat(item, now)
+            item.left, item.next_at, item.given_up = False, None, True
+        tries = tuple(self._tries.values())
+        self._handing.settle(
+            make_answer(tries, (), self._sends.sent, self._sends.repeats)
+        )
+
     async def _wait(self) -> None:
         """Wait for an outcome or for the next time at which something is due."""
-        if self._inbox or any(group.ended for group in self._groups):
+        if self._inbox or any(group.has_news for group in self._groups):
             return
         self._wakeup = trio.Event()
         with trio.move_on_at(self._next_due()):
@@ -152,13 +202,28 @@
 
     def _next_due(self) -> float:
         due = self._question.deadline
-        if covers(self._question, self._covered):
+        if not self._handed and covers(self._question, self._covered):
             due = min(due, self._question.objective_at)
         for item in self._tries.values():
             if not item.covered:
                 due = min(due, item.next_at or due, self._sends.hedge_at(item))
+        now = self._tools.clock.monotonic()
+        if now < self._question.settle_at:
+            due = min(due, self._question.settle_at)
+        elif self._late is not None and (at := self._late_due_at()) > now:
+            due = min(due, at)
         return due
 
+    def _late_due_at(self) -> float:
+        """Return when late parts are asked for together."""
+        assert self._late is not None
+        pending = any(
+            group.handed is None and not self._late.is_late(group)
+            for group in self._groups
+        )
+        busy = any(item.under_way or item.next_at for item in self._tries.values())
+        return self._late.due_at(pending, busy)
+
     def _wake(self) -> None:
         self._wakeup.set()
 
@@ -176,9 +241,8 @@
             item = self._sends.find(attempt)
             item.under_way.pop(attempt.id, None)
             self._take_outcome(item, outcome)
-        for group in [group for group in self._groups if group.ended]:
-            self._groups.remove(group)
-            self._take_group(group)
+        for group in [group for group in self._groups if group.has_news]:
+            self._take_news(group)
 
     def _take_outcome(self, item: ServiceTry, outcome: Outcome) -> None:
         now = self._tools.clock.monotonic()
@@ -204,7 +268,8 @@
             case Failed(MayHaveRun() as verdict):
                 item.ran += 1
                 item.reason = verdict.reason
-        self._sends.plan(item, now)
+        if not self._handed:
+            self._sends.plan(item, now)
 
     def _accept(self, item: ServiceTry, reply: Replied) -> None:
         if item.covered:
@@ -214,12 +279,40 @@
         item.next_at = None
         self._covered += 1
         self._sends.cancel(item)
+        if self._handed and self._handing is not None:
+            self._handing.add(item.service, reply)
+
+    def _take_news(self, group: DelegatedGroup) -> None:
+        """Take what another instance sent."""
+        if group.handed is not None and not group.is_handed_taken:
+            group.is_handed_taken = True
+            self._take_group(group)
+        while group.parts:
+            service, part = group.parts.popleft()
+            self._take_part(self._tries[service], part)
+        if not group.ended:
+            return
+        self._groups.remove(group)
+        if group.handed is None:
+            self._take_group(group)
+        for name in group.services:
+            self._tries[name].awaited = False
+
+    def _take_part(self, item: ServiceTry, part: MergedAnswer) -> None:
+        """Take a part that came after the other instance had handed over."""
+        if item.covered:
+            self._tools.metrics.count("leaf.late")
+            return
+        item.part = part
+        self._covered += 1
 
     def _take_group(self, group: DelegatedGroup) -> None:
         """Take what another instance gathered; ask here for what it didn't."""
         now = self._tools.clock.monotonic()
         missing = group.missing()
         match group.outcome:
+            case _ if group.handed is not None:
+                self._merged.append(group.handed)
             case Success(merged):
                 self._merged.append(merged)
             case _:
@@ -229,13 +322,26 @@
             item.delegated = False
             part = missing.get(name)
             if part is None:
-                item.gathered = True
-                self._covered += 1
+                self._take_gathered(item)
                 continue
             item.reason = part.reason
             item.ran += part.ran
             item.arrived += part.ran
-            self._sends.plan(item, now)
+            item.awaited |= group.handed is not None and part.ran > 0
+            item.left = part.may_repeat and self._late is not None
+            if not (item.left or item.awaited):
+                self._sends.plan(item, now)
+
+    def _take_gathered(self, item: ServiceTry) -> None:
+        """Take a part that another instance gathered; one of this instance gives way.
+
+        The merged records can't be told apart any more, so that one can't.
+        """
+        if not item.covered:
+            self._covered += 1
+        item.reply = item.part = None
+        item.gathered = True
+        self._sends.cancel(item)
 
     def _act(self) -> None:
         """Send what is due."""
@@ -248,6 +354,10 @@
             for item in self._tries.values()
             if not item.covered and self._sends.hedge_at(item) <= now
         ]
+        if self._late is not None and now >= self._late_due_at():
+            self._groups += self._late.ask(self._tries.values(), now)
+        elif not self._late and not self._handed and now >= self._question.settle_at:
+            self._ask_one_by_one(now)
         waiting = len(self._tries) - self._covered
         may = may_hedge(len(self._tries), waiting)
         for item in late:
@@ -256,6 +366,14 @@
             else:
                 item.given_up = True
 
+    def _ask_one_by_one(self, now: float) -> None:
+        """Ask from here for what was to be left: too much is late for that."""
+        self._sends.stop_leaving()
+        for item in self._tries.values():
+            if item.left:
+                item.left = False
+                self._sends.send_elsewhere(item, now)
+
     def _cancel_rest(self) -> None:
         for item in self._tries.values():
             item.given_up = True
--- a/walkcart/fanout/routedquestion.py
+++ b/walkcart/fanout/routedquestion.py
@@ -28,6 +28,9 @@
         whole_parts: whether only successes count, as over many shards.
         repeat_from: before this time no service gets an attempt beside, or after, one
             that may have run; on that clock.
+        settle_at: when late parts are asked for in another region, all together; on
+            that clock, infinite when each is asked for by itself.
+        granted: whether the budgets of repeats already hold the first attempts.
         traceparent: of the trace.
     """
 
@@ -42,6 +45,8 @@
     most_attempts: int = 1
     whole_parts: bool = False
     repeat_from: float = float("-inf")
+    settle_at: float = float("inf")
+    granted: bool = False
     traceparent: str | None = None
 
 
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -41,6 +41,8 @@
         self._attempts: dict[str, ServiceTry] = {}
         time = min(question.objective_at, question.deadline) - tools.clock.monotonic()
         self._far_cost = max(0.0, time) * FAR_SHARE
+        #: Whether attempts at leafs in other regions are left to be sent together.
+        self._leaves_far = question.settle_at < float("inf")
         self.sent = 0
         self.repeats = 0
 
@@ -57,10 +59,32 @@
             if not self._question.whole_parts:
                 self.plan(item, now)
             return
-        if item.arrived and not self._take_repeat(item, now):
+        if item.arrived and not self.take_repeat(item, now):
+            return
+        if item.arrived and self._is_left(leaf):
+            item.left = not item.regrouped
+            item.given_up = item.regrouped
+            return
+        self._send(item, leaf, now)
+
+    def send_elsewhere(self, item: ServiceTry, now: float) -> None:
+        """Send an attempt that the budget holds, to a leaf in a place not asked yet."""
+        leaves = self._tools.pool.leaves_of(item.service)
+        asked = {leaf.id for leaf in leaves if leaf.place in item.places}
+        without = frozenset(asked.union(item.tried))
+        leaf = self._tools.pool.choose(
+            item.service, self._question.kind, without, self._far_cost, now
+        )
+        if leaf is None:
+            item.reason = Reason.NO_LEAF
+            item.given_up = True
             return
         self._send(item, leaf, now)
 
+    def stop_leaving(self) -> None:
+        """Send each attempt by itself from now on, also to other regions."""
+        self._leaves_far = False
+
     def plan(self, item: ServiceTry, now: float) -> None:
         """Decide whether and when a service is tried again after a failure."""
         if item.covered or item.under_way:
@@ -100,7 +124,7 @@
         leaf = pool.choose(
             item.service, kind, frozenset(item.tried), self._far_cost, now
         )
-        if leaf is None or not self._take_repeat(item, now):
+        if leaf is None or self._is_left(leaf) or not self.take_repeat(item, now):
             item.given_up = True
             return
         for sent in item.under_way.values():
@@ -138,7 +162,13 @@
             leaf = pool.choose(item.service, kind, frozenset(), self._far_cost, now)
         return leaf
 
-    def _take_repeat(self, item: ServiceTry, now: float) -> bool:
+    def _is_left(self, leaf: Leaf) -> bool:
+        """Return whether attempts at a leaf are left to be sent with others."""
+        far = self._tools.pool.distance_to(leaf) is Distance.OTHER_REGION
+        return self._leaves_far and far
+
+    def take_repeat(self, item: ServiceTry, now: float) -> bool:
+        """Take a repeat from the budget; return False when none is left."""
         if self._tools.budget.take(item.service, now, self._tools.instances()):
             self.repeats += 1
             return True
@@ -157,6 +187,8 @@
         nearest = min(
             (pool.distance_to(item) for item in others), default=pool.distance_to(leaf)
         )
+        if self._leaves_far and nearest is Distance.OTHER_REGION:
+            return float("inf")
         return find_hedge_time(
             now,
             self._question.objective_at,
@@ -178,6 +210,7 @@
         )
         item.under_way[attempt.id] = Sent(leaf, now, self._find_hedge_time(leaf, now))
         item.tried.append(leaf.id)
+        item.places.add(leaf.place)
         item.arrived += 1
         self._attempts[attempt.id] = item
         self.sent += 1
--- a/walkcart/fanout/routedtools.py
+++ b/walkcart/fanout/routedtools.py
@@ -9,6 +9,7 @@
 from walkcart.fanout.delegates import Delegates
 from walkcart.fanout.ids import IdSource
 from walkcart.kernel.clock import Clock
+from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.metrics import Metrics
 from walkcart.leaves.pool import LeafPool
 from walkcart.routing.distance import Place
@@ -27,6 +28,7 @@
         ids: names attempts.
         clock: source of time.
         metrics: where repeats are counted.
+        events: where decisions on a question are logged.
         place: of this instance.
         random: chooses among what is equally good.
         delegates: other instances that gather; None where there are none.
@@ -40,6 +42,7 @@
     ids: IdSource
     clock: Clock
     metrics: Metrics
+    events: EventLog
     place: Place
     random: Random
     delegates: Delegates | None = None
--- a/walkcart/fanout/routedverdict.py
+++ b/walkcart/fanout/routedverdict.py
@@ -40,16 +40,32 @@
         repeats: those that were not the first to their service.
     """
     covered = sum(1 for item in tries if item.covered)
+    answer = make_answer(tries, merged, sent, repeats)
+    if not covers(question, covered):
+        return Failure(make_failure(tries, now >= question.deadline, answer.sent))
+    return Success(answer)
+
+
+def make_answer(
+    tries: tuple[ServiceTry, ...],
+    merged: tuple[MergedAnswer, ...],
+    sent: int,
+    repeats: int,
+) -> RoutedAnswer:
+    """Return the answer that is in.
+
+    Args:
+        tries: how it went at each service.
+        merged: what other instances gathered.
+        sent: requests that went to leafs from here.
+        repeats: those that were not the first to their service.
+    """
     replies = tuple(
         (item.service, item.reply) for item in tries if item.reply is not None
     )
     sent += sum(part.sent for part in merged)
     repeats += sum(part.repeats for part in merged)
-    if not covers(question, covered):
-        return Failure(make_failure(tries, now >= question.deadline, sent))
-    return Success(
-        RoutedAnswer(replies, merged, len(tries), _missing(tries), sent, repeats)
-    )
+    return RoutedAnswer(replies, merged, len(tries), _missing(tries), sent, repeats)
 
 
 def make_failure(
@@ -77,7 +93,7 @@
 
 def _missing(tries: tuple[ServiceTry, ...]) -> tuple[MissingPart, ...]:
     return tuple(
-        MissingPart(item.service, item.reason, item.may_run)
+        MissingPart(item.service, item.reason, item.may_run, item.may_repeat)
         for item in tries
         if not item.covered
     )
--- a/walkcart/fanout/servicetry.py
+++ b/walkcart/fanout/servicetry.py
@@ -4,8 +4,10 @@
 
 from dataclasses import dataclass, field
 
+from walkcart.fanout.mergedanswer import MergedAnswer
 from walkcart.leaves.attempts import Replied
 from walkcart.leaves.leaf import Leaf
+from walkcart.routing.distance import Place
 from walkcart.wire.verdicts import NotRun, Reason
 
 
@@ -42,6 +44,13 @@
         given_up: whether no further attempt will be made.
         reason: why there is no reply yet.
         refusal: the last word that an attempt did not run.
+        places: where it was asked.
+        left: whether it waits to be asked for in another region with other late ones;
+            the budget of repeats holds the request.
+        may_repeat: whether the budget holds a request that another instance may send.
+        regrouped: whether it was asked for there.
+        awaited: whether another instance still waits for an attempt of its own.
+        part: that such an attempt brought.
     """
 
     service: str
@@ -57,20 +66,31 @@
     given_up: bool = False
     reason: Reason = Reason.DEADLINE
     refusal: NotRun | None = None
+    places: set[Place] = field(default_factory=set)
+    left: bool = False
+    may_repeat: bool = False
+    regrouped: bool = False
+    awaited: bool = False
+    part: MergedAnswer | None = None
 
     @property
     def covered(self) -> bool:
         """Whether its part is in."""
-        return self.gathered or self.reply is not None
+        return self.gathered or self.reply is not None or self.part is not None
 
     @property
     def open(self) -> bool:
         """Whether its part may still come."""
         if self.covered:
             return False
-        return self.delegated or bool(self.under_way) or self.next_at is not None
+        if self.delegated or self.left or self.awaited:
+            return True
+        return bool(self.under_way) or self.next_at is not None
 
     @property
     def may_run(self) -> int:
-        """Attempts that ran, may have run, or may run yet."""
-        return self.ran + len(self.under_way)
+        """Attempts that ran, may have run, or may run yet.
+
+        One that another instance makes counts, also beside one of this instance's.
+        """
+        return self.ran + len(self.under_way) + int(self.delegated)
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -87,6 +87,9 @@
     DELEGATE_LOST = _info(
         407, "delegate_lost", "A peer didn't gather a question; done from here."
     )
+    LATE_PARTS = _info(
+        409, "late_parts", "Late shards are asked for in another region, together."
+    )
     FEED = _info(408, "feed", "A peer feeds, or no longer feeds, what the store holds.")
     LIST_FAILED = _warn(406, "instance_list_failed", "The instance list didn't answer.")
     REVISION_IN_FORCE = _info(501, "revision_in_force", "A configuration is applied.")
--- a/walkcart/kernel/metrics.py
+++ b/walkcart/kernel/metrics.py
@@ -33,6 +33,9 @@
     "leaf.time": Metric("timer", "ms", "From a request's send to the leaf's reply."),
     "leaf.sent": Metric("counter", "requests", "Requests sent to leaves."),
     "leaf.hedged": Metric("counter", "requests", "Hedges among them."),
+    "leaf.regrouped": Metric(
+        "counter", "requests", "Late shards asked for together in another region."
+    ),
     "leaf.retried": Metric("counter", "requests", "Retries among them."),
     "leaf.failed": Metric("counter", "requests", "Attempts without a usable reply."),
     "leaf.repeat_denied": Metric("counter", "requests", "Repeats past the budget."),
--- a/walkcart/wire/delegations.py
+++ b/walkcart/wire/delegations.py
@@ -9,6 +9,9 @@
 
 from walkcart.wire.messagebase import Message
 
+#: Seconds that stand for a time that doesn't come.
+NEVER = 1e6
+
 
 class DelegatedQuestion(Message, frozen=True):
     """Asks the receiver to gather the parts of a question and merge them.
@@ -29,6 +32,9 @@
         objective: until an answer begins to lose value.
         withdrawal: during which the sender, unless it hears that the question was
             taken, takes it back and asks leafs itself.
+        settle: until the reply goes without late parts, which the sender sees to,
+            unless too many are late; `NEVER` where the receiver sees to them.
+        granted: whether the budgets of repeats already hold the first attempts.
         traceparent: of the trace.
     """
 
@@ -46,13 +52,22 @@
     remaining: float
     objective: float
     withdrawal: float = 0.0
+    settle: float = NEVER
+    granted: bool = False
     traceparent: str | None = None
 
 
 class DelegatedTaken(Message, frozen=True):
-    """The receiver has a question and is at work on it."""
+    """The receiver has a question and is at work on it.
+
+    Args:
+        id: of the question.
+        usual_high: a long time for such a request at the leafs near the receiver, in
+            seconds.
+    """
 
     id: str
+    usual_high: float
 
 
 class DelegatedMissing(msgspec.Struct, frozen=True):
@@ -62,11 +77,13 @@
         service: its name.
         reason: a `walkcart.wire.verdicts.Reason` value.
         ran: requests to it that ran, may have run or may run yet.
+        may_repeat: whether the sender's budget of repeats holds another request to it.
     """
 
     service: str
     reason: str
     ran: int
+    may_repeat: bool = False
 
 
 class DelegatedAnswer(Message, frozen=True):
@@ -79,6 +96,7 @@
         missing: services that aren't in it.
         sent: requests that went to leafs.
         repeats: those that were not the first to their service.
+        more: whether late parts may follow; the sender leaves them to the receiver.
     """
 
     id: str
@@ -87,6 +105,25 @@
     missing: tuple[DelegatedMissing, ...]
     sent: int
     repeats: int
+    more: bool = False
+
+
+class DelegatedPart(Message, frozen=True):
+    """A part that came after the reply had gone without it.
+
+    Args:
+        id: of the question.
+        service: whose part it is; empty when the message only says that it's the last.
+        body: its greatest records.
+        proofs: of the part.
+        last: whether nothing more comes.
+    """
+
+    id: str
+    service: str = ""
+    body: bytes = b""
+    proofs: tuple[bytes, ...] = ()
+    last: bool = False
 
 
 class DelegatedFailure(Message, frozen=True):
--- a/walkcart/wire/messages.py
+++ b/walkcart/wire/messages.py
@@ -16,6 +16,7 @@
     DelegatedAnswer,
     DelegatedCancel,
     DelegatedFailure,
+    DelegatedPart,
     DelegatedQuestion,
     DelegatedTaken,
 )
@@ -245,6 +246,7 @@
     | DelegatedQuestion
     | DelegatedTaken
     | DelegatedAnswer
+    | DelegatedPart
     | DelegatedFailure
     | DelegatedCancel
     | RelaySubscribe
