Split the routed gathering and the delegates by their jobs

No behaviour changes but one line: how many services are covered is counted from the tries after other instances' parts were taken.

--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -13,7 +13,8 @@
 from walkcart.entry.routedservice import RoutedService
 from walkcart.fanout.carrying import Carrier, Handover
 from walkcart.fanout.delegatedgroup import Outcome
-from walkcart.fanout.delegates import Delegates, DelegateTools
+from walkcart.fanout.delegates import Delegates
+from walkcart.fanout.delegatetools import DelegateTools
 from walkcart.fanout.handing import Handing
 from walkcart.fanout.ids import IdSource
 from walkcart.fanout.mergedanswer import MergedAnswer
--- a/walkcart/fanout/carrying.py
+++ b/walkcart/fanout/carrying.py
@@ -10,30 +10,24 @@
 from functools import partial
 
 import trio
-from returns.result import Success
 
 from walkcart.fanout.delegatedgroup import Outcome
-from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
+from walkcart.fanout.delegationcodec import (
+    decode_question,
+    encode_answer,
+    encode_outcome,
+)
+from walkcart.fanout.mergedanswer import MergedAnswer
 from walkcart.fanout.routedquestion import RoutedQuestion
 from walkcart.kernel.clock import Clock
 from walkcart.membership.links import PeerLinks
 from walkcart.wire.delegations import (
-    NEVER,
-    DelegatedAnswer,
     DelegatedCancel,
-    DelegatedFailure,
-    DelegatedMissing,
     DelegatedPart,
     DelegatedQuestion,
     DelegatedTaken,
 )
-from walkcart.wire.http import HttpRequest
 from walkcart.wire.messagebase import Message
-from walkcart.wire.verdicts import MayHaveRun, Reason
-
-#: Seconds past the time in which a question may be taken back until a service gets a
-#: second attempt: the way of the message that takes it back, and a busy event loop.
-WITHDRAWAL_MARGIN = 0.015
 
 
 class Handover:
@@ -52,7 +46,7 @@
     def settle(self, answer: MergedAnswer) -> None:
         """Hand over what is in; `answer` says what is left to who asked."""
         self.done = True
-        self._send(_encode_answer(self._id, answer, more=True))
+        self._send(encode_answer(self._id, answer, more=True))
 
     def add(self, service: str, part: MergedAnswer) -> None:
         """Hand over a late part."""
@@ -141,81 +135,3 @@
                     send(encode_outcome(message.id, outcome))
         finally:
             del self._carried[message.id]
-
-
-def decode_question(message: DelegatedQuestion, now: float) -> RoutedQuestion:
-    """Return the question that a message asks for, on this instance's clock."""
-    return RoutedQuestion(
-        id=message.request,
-        kind=message.kind,
-        request=HttpRequest(
-            message.method, message.target, message.headers, message.body
-        ),
-        services=message.services,
-        deadline=now + message.remaining,
-        objective_at=now + message.objective,
-        least_coverage=message.least_coverage,
-        most_attempts=message.most_attempts,
-        whole_parts=True,
-        repeat_from=now + message.withdrawal + WITHDRAWAL_MARGIN,
-        settle_at=now + message.settle if message.settle < NEVER else float("inf"),
-        granted=message.granted,
-        traceparent=message.traceparent,
-    )
-
-
-def encode_outcome(id: str, outcome: Outcome) -> Message:
-    """Return the message that tells how a question ended."""
-    match outcome:
-        case Success(answer):
-            return _encode_answer(id, answer)
-        case _:
-            failure = outcome.failure()
-            verdict = failure.verdict
-            return DelegatedFailure(
-                id,
-                isinstance(verdict, MayHaveRun),
-                verdict.reason.value,
-                verdict.detail,
-                failure.sent,
-                _encode_missing(failure.missing),
-            )
-
-
-def _encode_answer(
-    id: str, answer: MergedAnswer, more: bool = False
-) -> DelegatedAnswer:
-    return DelegatedAnswer(
-        id,
-        answer.body,
-        answer.proofs,
-        _encode_missing(answer.missing),
-        answer.sent,
-        answer.repeats,
-        more,
-    )
-
-
-def _encode_missing(
-    missing: tuple[MissingPart, ...],
-) -> tuple[DelegatedMissing, ...]:
-    return tuple(
-        DelegatedMissing(part.service, part.reason.value, part.ran, part.may_repeat)
-        for part in missing
-    )
-
-
-def decode_missing(missing: tuple[DelegatedMissing, ...]) -> tuple[MissingPart, ...]:
-    """Return the missing parts that a message tells of."""
-    return tuple(
-        MissingPart(part.service, read_reason(part.reason), part.ran, part.may_repeat)
-        for part in missing
-    )
-
-
-def read_reason(text: str) -> Reason:
-    """Return the reason that a text names; a later version may know others."""
-    try:
-        return Reason(text)
-    except ValueError:
-        return Reason.INTERNAL
--- a/walkcart/fanout/delegates.py
+++ b/walkcart/fanout/delegates.py
@@ -11,35 +11,31 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
-from dataclasses import dataclass
-from random import Random
 
 import trio
 from returns.result import Failure, Success
 
-from walkcart.fanout.carrying import decode_missing, read_reason
 from walkcart.fanout.delegatedgroup import DelegatedGroup, Outcome
+from walkcart.fanout.delegatetools import DelegateTools
+from walkcart.fanout.delegationcodec import (
+    Delegation,
+    decode_missing,
+    encode_question,
+    read_reason,
+)
 from walkcart.fanout.groups import Group
-from walkcart.fanout.ids import IdSource
 from walkcart.fanout.mergedanswer import MergedAnswer
 from walkcart.fanout.routedquestion import RoutedFailure, RoutedQuestion
-from walkcart.kernel.clock import Clock
-from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
-from walkcart.membership.links import PeerLinks
-from walkcart.membership.registration import InstanceRecord, Registration
-from walkcart.routing.peerchoice import PeerAccounts
+from walkcart.membership.registration import InstanceRecord
 from walkcart.routing.settling import GroupTimes
 from walkcart.routing.shares import rank_rendezvous
 from walkcart.wire.delegations import (
-    NEVER,
     DelegatedAnswer,
     DelegatedCancel,
     DelegatedFailure,
     DelegatedPart,
-    DelegatedQuestion,
     DelegatedTaken,
 )
 from walkcart.wire.messagebase import Message
@@ -59,29 +55,6 @@
 CANDIDATES = 3
 
 
-@dataclass(frozen=True, slots=True)
-class DelegateTools:
-    """What the delegates work with.
-
-    Args:
-        links: to the other instances.
-        registration: knows them.
-        accounts: of how they did.
-        ids: names questions.
-        clock: source of time.
-        random: breaks ties.
-        events: where lost questions are logged.
-    """
-
-    links: PeerLinks
-    registration: Registration
-    accounts: PeerAccounts
-    ids: IdSource
-    clock: Clock
-    random: Random
-    events: EventLog
-
-
 class Delegates:
     """Sends parts of questions to other instances."""
 
@@ -143,7 +116,10 @@
             on_end,
         )
         id = self._tools.ids.take()
-        message = self._encode(id, question, services, top, peer.name, now)
+        accounts = self._tools.accounts
+        way, patience = accounts.round_trip(peer.name), accounts.patience(peer.name)
+        delegation = Delegation(id, services, top, way, patience)
+        message = encode_question(question, delegation, now)
         if not self._tools.links.send(peer.name, message):
             return None
         self._asked[id] = group
@@ -197,36 +173,6 @@
         name = self._tools.accounts.choose(names, now, self._tools.random)
         return peers.get(name) if name else None
 
-    def _encode(
-        self,
-        id: str,
-        question: RoutedQuestion,
-        services: tuple[str, ...],
-        top: int,
-        peer: str,
-        now: float,
-    ) -> DelegatedQuestion:
-        way = self._tools.accounts.round_trip(peer)
-        return DelegatedQuestion(
-            id=id,
-            request=question.id,
-            kind=question.kind,
-            method=question.request.method,
-            target=question.request.target,
-            headers=question.request.headers,
-            body=question.request.body,
-            services=services,
-            top=top,
-            least_coverage=find_least_part(question, len(services)),
-            most_attempts=question.most_attempts,
-            remaining=max(0.0, question.deadline - now - way),
-            objective=min(1e6, max(0.0, question.objective_at - now - way)),
-            withdrawal=self._tools.accounts.patience(peer),
-            settle=min(NEVER, max(0.0, question.settle_at - now - way)),
-            granted=question.granted,
-            traceparent=question.traceparent,
-        )
-
     async def _wait(
         self, id: str, group: DelegatedGroup, question: RoutedQuestion
     ) -> Outcome | None:
@@ -334,23 +280,3 @@
     """Let the links' task take in what has come while the event loop was busy."""
     for _ in range(WAITING_MESSAGES):
         await trio.lowlevel.checkpoint()
-
-
-def find_least_part(question: RoutedQuestion, count: int) -> float:
-    """Return the share of a group that must be in if all other parts are.
-
-    Args:
-        question: that the group belongs to.
-        count: services of the group.
-
-    Examples:
-        >>> from walkcart.wire.http import HttpRequest
-        >>> request = HttpRequest("GET", "/")
-        >>> names = tuple("abcdefghij")
-        >>> question = RoutedQuestion("q", "k", request, names, 1.0, least_coverage=0.8)
-        >>> find_least_part(question, 4)
-        0.5
-    """
-    total = len(question.services)
-    needed = math.ceil(question.least_coverage * total - 1e-9) - (total - count)
-    return max(0, needed) / count
--- /dev/null
+++ b/walkcart/fanout/delegationcodec.py
@@ -0,0 +1,174 @@
+"""Delegated questions and their outcomes as messages between instances.
+
+See Also:
+    `walkcart.fanout.delegates.Delegates`, who asks.
+    `walkcart.fanout.carrying.Carrier`, who gathers.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from returns.result import Success
+
+from walkcart.fanout.delegatedgroup import Outcome
+from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
+from walkcart.fanout.routedquestion import RoutedQuestion
+from walkcart.wire.delegations import (
+    NEVER,
+    DelegatedAnswer,
+    DelegatedFailure,
+    DelegatedMissing,
+    DelegatedQuestion,
+)
+from walkcart.wire.http import HttpRequest
+from walkcart.wire.messagebase import Message
+from walkcart.wire.verdicts import MayHaveRun, Reason
+
+#: Seconds past the time in which a question may be taken back until a service gets a
+#: second attempt: the way of the message that takes it back, and a busy event loop.
+WITHDRAWAL_MARGIN = 0.015
+
+
+@dataclass(frozen=True, slots=True)
+class Delegation:
+    """One question as it is sent to another instance.
+
+    Args:
+        id: names it between the two instances.
+        services: that the other one gathers.
+        top: records of the merged reply at the most.
+        way: seconds to the other one and back.
+        withdrawal: seconds during which the question may be taken back.
+    """
+
+    id: str
+    services: tuple[str, ...]
+    top: int
+    way: float
+    withdrawal: float
+
+
+def encode_question(
+    question: RoutedQuestion, delegation: Delegation, now: float
+) -> DelegatedQuestion:
+    """Return the message that has another instance gather parts of a question."""
+    services = delegation.services
+    spent = now + delegation.way
+    return DelegatedQuestion(
+        id=delegation.id,
+        request=question.id,
+        kind=question.kind,
+        method=question.request.method,
+        target=question.request.target,
+        headers=question.request.headers,
+        body=question.request.body,
+        services=services,
+        top=delegation.top,
+        least_coverage=find_least_part(question, len(services)),
+        most_attempts=question.most_attempts,
+        remaining=max(0.0, question.deadline - spent),
+        objective=min(NEVER, max(0.0, question.objective_at - spent)),
+        withdrawal=delegation.withdrawal,
+        settle=min(NEVER, max(0.0, question.settle_at - spent)),
+        granted=question.granted,
+        traceparent=question.traceparent,
+    )
+
+
+def decode_question(message: DelegatedQuestion, now: float) -> RoutedQuestion:
+    """Return the question that a message asks for, on this instance's clock."""
+    return RoutedQuestion(
+        id=message.request,
+        kind=message.kind,
+        request=HttpRequest(
+            message.method, message.target, message.headers, message.body
+        ),
+        services=message.services,
+        deadline=now + message.remaining,
+        objective_at=now + message.objective,
+        least_coverage=message.least_coverage,
+        most_attempts=message.most_attempts,
+        whole_parts=True,
+        repeat_from=now + message.withdrawal + WITHDRAWAL_MARGIN,
+        settle_at=now + message.settle if message.settle < NEVER else float("inf"),
+        granted=message.granted,
+        traceparent=message.traceparent,
+    )
+
+
+def encode_outcome(id: str, outcome: Outcome) -> Message:
+    """Return the message that tells how a question ended."""
+    match outcome:
+        case Success(answer):
+            return encode_answer(id, answer)
+        case _:
+            failure = outcome.failure()
+            verdict = failure.verdict
+            return DelegatedFailure(
+                id,
+                isinstance(verdict, MayHaveRun),
+                verdict.reason.value,
+                verdict.detail,
+                failure.sent,
+                _encode_missing(failure.missing),
+            )
+
+
+def encode_answer(id: str, answer: MergedAnswer, more: bool = False) -> DelegatedAnswer:
+    """Return the message that holds merged parts; `more` when late ones may follow."""
+    return DelegatedAnswer(
+        id,
+        answer.body,
+        answer.proofs,
+        _encode_missing(answer.missing),
+        answer.sent,
+        answer.repeats,
+        more,
+    )
+
+
+def _encode_missing(
+    missing: tuple[MissingPart, ...],
+) -> tuple[DelegatedMissing, ...]:
+    return tuple(
+        DelegatedMissing(part.service, part.reason.value, part.ran, part.may_repeat)
+        for part in missing
+    )
+
+
+def decode_missing(missing: tuple[DelegatedMissing, ...]) -> tuple[MissingPart, ...]:
+    """Return the missing parts that a message tells of."""
+    return tuple(
+        MissingPart(part.service, read_reason(part.reason), part.ran, part.may_repeat)
+        for part in missing
+    )
+
+
+def read_reason(text: str) -> Reason:
+    """Return the reason that a text names; a later version may know others."""
+    try:
+        return Reason(text)
+    except ValueError:
+        return Reason.INTERNAL
+
+
+def find_least_part(question: RoutedQuestion, count: int) -> float:
+    """Return the share of a group that must be in if all other parts are.
+
+    Args:
+        question: that the group belongs to.
+        count: services of the group.
+
+    Examples:
+        >>> from walkcart.wire.http import HttpRequest
+        >>> request = HttpRequest("GET", "/")
+        >>> names = tuple("abcdefghij")
+        >>> question = RoutedQuestion("q", "k", request, names, 1.0, least_coverage=0.8)
+        >>> find_least_part(question, 4)
+        0.5
+    """
+    total = len(question.services)
+    needed = math.ceil(question.least_coverage * total - 1e-9) - (total - count)
+    return max(0, needed) / count
--- /dev/null
+++ b/walkcart/fanout/elsewhere.py
@@ -0,0 +1,175 @@
+"""The parts of one question that other instances gather.
+
+See Also:
+    `walkcart.fanout.routed.RoutedGathering`, which asks for the others.
+    `walkcart.fanout.lateparts.LateParts`, for those that are late everywhere.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from returns.result import Success
+
+from walkcart.fanout.delegatedgroup import DelegatedGroup
+from walkcart.fanout.groups import divide_services
+from walkcart.fanout.lateparts import LateParts
+from walkcart.fanout.mergedanswer import MergedAnswer
+from walkcart.fanout.routedquestion import RoutedQuestion
+from walkcart.fanout.routedsends import RoutedSends
+from walkcart.fanout.routedtools import RoutedTools
+from walkcart.fanout.servicetry import ServiceTry
+
+
+class GatheredElsewhere:
+    """Has other instances gather parts of one question, and takes what they send.
+
+    Args:
+        tools: what routed questions use.
+        question: with the time to settle.
+        top: records of the merged answer; 0 where nothing is delegated.
+        sends: for parts that are asked for from here.
+        tries: how far the question has come, by service.
+        wake: told when there is something to take.
+    """
+
+    def __init__(
+        self,
+        tools: RoutedTools,
+        question: RoutedQuestion,
+        top: int,
+        sends: RoutedSends,
+        tries: Mapping[str, ServiceTry],
+        wake: Callable[[], None],
+    ) -> None:
+        self._tools = tools
+        self._question = question
+        self._top = top
+        self._sends = sends
+        self._tries = tries
+        self._wake = wake
+        self._groups: list[DelegatedGroup] = []
+        self._merged: list[MergedAnswer] = []
+        self._late: LateParts | None = None
+        if top and question.settle_at < float("inf"):
+            self._late = LateParts(tools, question, top, sends, wake)
+
+    @property
+    def has_news(self) -> bool:
+        """Whether there is something to take."""
+        return any(group.has_news for group in self._groups)
+
+    def merged(self) -> tuple[MergedAnswer, ...]:
+        """Return what was gathered."""
+        parts = [item.part for item in self._tries.values() if item.part]
+        return (*self._merged, *parts)
+
+    def start(self) -> set[str]:
+        """Have what is far gathered near it; return those services."""
+        delegates = self._tools.delegates
+        if not self._top or delegates is None:
+            return set()
+        far: set[str] = set()
+        places = self._tools.pool.places_of
+        for group in divide_services(
+            self._question.services, places, self._tools.place, self._tools.random
+        ):
+            asked = delegates.submit(self._question, group, self._top, self._wake)
+            if asked is None:
+                continue
+            self._groups.append(asked)
+            for name in asked.services:
+                self._tries[name].delegated = True
+                self._tries[name].places.add(group.place)
+                far.add(name)
+        return far
+
+    def late_due_at(self, busy: bool) -> float:
+        """Return when late parts are asked for together; infinite when they aren't.
+
+        Args:
+            busy: whether attempts from here are under way.
+        """
+        if self._late is None:
+            return float("inf")
+        pending = any(
+            group.handed is None and not self._late.is_late(group)
+            for group in self._groups
+        )
+        return self._late.due_at(pending, busy)
+
+    def ask_late(self, now: float) -> None:
+        """Ask for late parts together."""
+        if self._late is not None:
+            self._groups += self._late.ask(self._tries.values(), now)
+
+    def cancel(self) -> None:
+        """Nobody waits for any of it any longer."""
+        for group in self._groups:
+            group.cancel()
+
+    def take_in(self) -> int:
+        """Take what other instances sent; return how many services it covered."""
+        if not self.has_news:
+            return 0
+        before = sum(item.covered for item in self._tries.values())
+        for group in [group for group in self._groups if group.has_news]:
+            self._take_news(group)
+        return sum(item.covered for item in self._tries.values()) - before
+
+    def _take_news(self, group: DelegatedGroup) -> None:
+        if group.handed is not None and not group.is_handed_taken:
+            group.is_handed_taken = True
+            self._take_group(group)
+        while group.parts:
+            service, part = group.parts.popleft()
+            self._take_part(self._tries[service], part)
+        if not group.ended:
+            return
+        self._groups.remove(group)
+        if group.handed is None:
+            self._take_group(group)
+        for name in group.services:
+            self._tries[name].awaited = False
+
+    def _take_part(self, item: ServiceTry, part: MergedAnswer) -> None:
+        """Take a part that came after the other instance had handed over."""
+        if item.covered:
+            self._tools.metrics.count("leaf.late")
+        else:
+            item.part = part
+
+    def _take_group(self, group: DelegatedGroup) -> None:
+        """Take what another instance gathered; ask here for what it didn't."""
+        now = self._tools.clock.monotonic()
+        missing = group.missing()
+        match group.outcome:
+            case _ if group.handed is not None:
+                self._merged.append(group.handed)
+            case Success(merged):
+                self._merged.append(merged)
+            case _:
+                pass
+        for name in group.services:
+            item = self._tries[name]
+            item.delegated = False
+            part = missing.get(name)
+            if part is None:
+                self._take_gathered(item)
+                continue
+            item.reason = part.reason
+            item.ran += part.ran
+            item.arrived += part.ran
+            item.awaited |= group.handed is not None and part.ran > 0
+            item.left = part.may_repeat and self._late is not None
+            if not (item.left or item.awaited):
+                self._sends.plan(item, now)
+
+    def _take_gathered(self, item: ServiceTry) -> None:
+        """Take a part that another instance gathered; one of this instance gives way.
+
+        The merged records can't be told apart any more, so that one can't.
+        """
+        item.reply = item.part = None
+        item.gathered = True
+        self._sends.cancel(item)
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -21,14 +21,11 @@
 from collections import deque
 
 import trio
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
-from walkcart.fanout.delegatedgroup import DelegatedGroup
-from walkcart.fanout.delegates import Delegates
-from walkcart.fanout.groups import divide_services
+from walkcart.fanout.elsewhere import GatheredElsewhere
 from walkcart.fanout.handing import Handing
-from walkcart.fanout.lateparts import LateParts, plan_settling
-from walkcart.fanout.mergedanswer import MergedAnswer
+from walkcart.fanout.lateparts import plan_settling
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure, RoutedQuestion
 from walkcart.fanout.routedsends import RoutedSends
 from walkcart.fanout.routedtools import RoutedTools
@@ -66,13 +63,11 @@
         self._top = top
         self._tries = {name: ServiceTry(name) for name in question.services}
         self._sends = RoutedSends(tools, question, self._receive)
-        self._late: LateParts | None = None
-        if top and question.settle_at < float("inf"):
-            self._late = LateParts(tools, question, top, self._sends, self._wake)
+        self._elsewhere = GatheredElsewhere(
+            tools, question, top, self._sends, self._tries, self._wake
+        )
         self._handing = handing
         self._handed = False
-        self._groups: list[DelegatedGroup] = []
-        self._merged: list[MergedAnswer] = []
         self._inbox: deque[tuple[Attempt, Outcome]] = deque()
         self._wakeup = trio.Event()
         self._closed = False
@@ -96,11 +91,10 @@
             self._cancel_rest()
             self._take_in()
             self._closed = True
-        self._merged += [item.part for item in self._tries.values() if item.part]
         return judge(
             self._question,
             tuple(self._tries.values()),
-            tuple(self._merged),
+            self._elsewhere.merged(),
             self._tools.clock.monotonic(),
             self._sends.sent,
             self._sends.repeats,
@@ -118,9 +112,7 @@
 
     def _start(self, now: float) -> None:
         """Send the first attempts, and delegate what is far."""
-        far: set[str] = set()
-        if self._top and self._tools.delegates is not None:
-            far = self._delegate(self._tools.delegates)
+        far = self._elsewhere.start()
         for item in self._tries.values():
             if item.service not in far:
                 if not self._question.granted:
@@ -130,23 +122,6 @@
             spent = self._tools.clock.monotonic() - now
             self._tools.send_time.observe(spent)
 
-    def _delegate(self, delegates: Delegates) -> set[str]:
-        """Have other instances gather what they are near to; return the services."""
-        far: set[str] = set()
-        places = self._tools.pool.places_of
-        for group in divide_services(
-            self._question.services, places, self._tools.place, self._tools.random
-        ):
-            asked = delegates.submit(self._question, group, self._top, self._wake)
-            if asked is None:
-                continue
-            self._groups.append(asked)
-            for name in asked.services:
-                self._tries[name].delegated = True
-                self._tries[name].places.add(group.place)
-                far.add(name)
-        return far
-
     def _is_done(self) -> bool:
         """Return whether nothing more is worth waiting for."""
         now = self._tools.clock.monotonic()
@@ -194,7 +169,7 @@
 
     async def _wait(self) -> None:
         """Wait for an outcome or for the next time at which something is due."""
-        if self._inbox or any(group.has_news for group in self._groups):
+        if self._inbox or self._elsewhere.has_news:
             return
         self._wakeup = trio.Event()
         with trio.move_on_at(self._next_due()):
@@ -210,19 +185,14 @@
         now = self._tools.clock.monotonic()
         if now < self._question.settle_at:
             due = min(due, self._question.settle_at)
-        elif self._late is not None and (at := self._late_due_at()) > now:
+        elif (at := self._late_due_at()) > now:
             due = min(due, at)
         return due
 
     def _late_due_at(self) -> float:
         """Return when late parts are asked for together."""
-        assert self._late is not None
-        pending = any(
-            group.handed is None and not self._late.is_late(group)
-            for group in self._groups
-        )
         busy = any(item.under_way or item.next_at for item in self._tries.values())
-        return self._late.due_at(pending, busy)
+        return self._elsewhere.late_due_at(busy)
 
     def _wake(self) -> None:
         self._wakeup.set()
@@ -241,8 +211,7 @@
             item = self._sends.find(attempt)
             item.under_way.pop(attempt.id, None)
             self._take_outcome(item, outcome)
-        for group in [group for group in self._groups if group.has_news]:
-            self._take_news(group)
+        self._covered += self._elsewhere.take_in()
 
     def _take_outcome(self, item: ServiceTry, outcome: Outcome) -> None:
         now = self._tools.clock.monotonic()
@@ -282,67 +251,6 @@
         if self._handed and self._handing is not None:
             self._handing.add(item.service, reply)
 
-    def _take_news(self, group: DelegatedGroup) -> None:
-        """Take what another instance sent."""
-        if group.handed is not None and not group.is_handed_taken:
-            group.is_handed_taken = True
-            self._take_group(group)
-        while group.parts:
-            service, part = group.parts.popleft()
-            self._take_part(self._tries[service], part)
-        if not group.ended:
-            return
-        self._groups.remove(group)
-        if group.handed is None:
-            self._take_group(group)
-        for name in group.services:
-            self._tries[name].awaited = False
-
-    def _take_part(self, item: ServiceTry, part: MergedAnswer) -> None:
-        """Take a part that came after the other instance had handed over."""
-        if item.covered:
-            self._tools.metrics.count("leaf.late")
-            return
-        item.part = part
-        self._covered += 1
-
-    def _take_group(self, group: DelegatedGroup) -> None:
-        """Take what another instance gathered; ask here for what it didn't."""
-        now = self._tools.clock.monotonic()
-        missing = group.missing()
-        match group.outcome:
-            case _ if group.handed is not None:
-                self._merged.append(group.handed)
-            case Success(merged):
-                self._merged.append(merged)
-            case _:
-                pass
-        for name in group.services:
-            item = self._tries[name]
-            item.delegated = False
-            part = missing.get(name)
-            if part is None:
-                self._take_gathered(item)
-                continue
-            item.reason = part.reason
-            item.ran += part.ran
-            item.arrived += part.ran
-            item.awaited |= group.handed is not None and part.ran > 0
-            item.left = part.may_repeat and self._late is not None
-            if not (item.left or item.awaited):
-                self._sends.plan(item, now)
-
-    def _take_gathered(self, item: ServiceTry) -> None:
-        """Take a part that another instance gathered; one of this instance gives way.
-
-        The merged records can't be told apart any more, so that one can't.
-        """
-        if not item.covered:
-            self._covered += 1
-        item.reply = item.part = None
-        item.gathered = True
-        self._sends.cancel(item)
-
     def _act(self) -> None:
         """Send what is due."""
         now = self._tools.clock.monotonic()
@@ -354,9 +262,9 @@
             for item in self._tries.values()
             if not item.covered and self._sends.hedge_at(item) <= now
         ]
-        if self._late is not None and now >= self._late_due_at():
-            self._groups += self._late.ask(self._tries.values(), now)
-        elif not self._late and not self._handed and now >= self._question.settle_at:
+        if now >= self._late_due_at():
+            self._elsewhere.ask_late(now)
+        elif self._handing and not self._handed and now >= self._question.settle_at:
             self._ask_one_by_one(now)
         waiting = len(self._tries) - self._covered
         may = may_hedge(len(self._tries), waiting)
@@ -378,5 +286,4 @@
         for item in self._tries.values():
             item.given_up = True
             self._sends.cancel(item)
-        for group in self._groups:
-            group.cancel()
+        self._elsewhere.cancel()
