Begin no work for callers that left: ages of messages, renewals, accepted late

Change: envelopes state steady clocks, from which the receiver knows the most that one was on its way (membership/messageages.py); questions and forwarded attempts that are older than 0.2 s, or of unknown age, aren't begun. Nothing waits inside nng any longer; what is taken back leaves the outbox. Cancellations are remembered for questions that come after them. A question that its asker doesn't renew for 0.4 s is given up, and told. The server looks whether its client has left before it begins.

--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -115,7 +115,7 @@
         times = gathering.pool.times_of(kind, Distance.SAME_DATA_CENTRE)
         return times.high(around.clock.monotonic())
 
-    carrier = Carrier(links, around.clock, gather, find_usual_high)
+    carrier = Carrier(links, around.clock, gather, find_usual_high, events)
     relay = Relay(
         [
             kernel.find("configuration", PrefixFollower),
--- a/walkcart/fanout/carrying.py
+++ b/walkcart/fanout/carrying.py
@@ -1,5 +1,9 @@
 """Parts of questions that this instance gathers for others.
 
+Whoever asked may have gone on without it, or ended, before a question arrives or while
+it is worked on. So a question that was on its way for long is turned down, one whose
+cancellation came first isn't begun, and one that isn't renewed is given up.
+
 See Also:
     `walkcart.fanout.delegates.Delegates`, the asking side.
 """
@@ -10,6 +14,7 @@
 from functools import partial
 
 import trio
+from returns.result import Failure
 
 from walkcart.fanout.delegatedgroup import Outcome
 from walkcart.fanout.delegationcodec import (
@@ -18,16 +23,34 @@
     encode_outcome,
 )
 from walkcart.fanout.mergedanswer import MergedAnswer
-from walkcart.fanout.routedquestion import RoutedQuestion
+from walkcart.fanout.routedquestion import RoutedFailure, RoutedQuestion
 from walkcart.kernel.clock import Clock
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
 from walkcart.membership.links import PeerLinks
 from walkcart.wire.delegations import (
     DelegatedCancel,
     DelegatedPart,
     DelegatedQuestion,
+    DelegatedRenewal,
     DelegatedTaken,
 )
 from walkcart.wire.messagebase import Message
+from walkcart.wire.verdicts import MayHaveRun, Reason
+
+#: Seconds after which a question that was on its way isn't begun: the asker went on
+#: without it long ago (`walkcart.routing.peerchoice.LONGEST_PATIENCE`), and its caller
+#: may have left. Leafs must be idle half a second after that.
+MOST_AGE = 0.2
+#: Seconds on its way that a question's times allow for: to another region and back,
+#: since its age is known to within one way.
+USUAL_AGE = 0.03
+#: Seconds without a renewal after which a question is given up: within the half second
+#: that leafs may work on for a caller that left, and three renewals.
+HOLD_TIME = 0.4
+#: Seconds for which a cancellation is kept for a question that comes after it; an older
+#: question isn't begun anyway.
+CANCEL_MEMORY = 1.0
 
 
 class Handover:
@@ -69,6 +92,7 @@
         clock: source of time.
         gather: gathers one question.
         usual_high: returns a long time for a kind of request at leafs that are near.
+        events: where questions that aren't worked on are logged.
     """
 
     def __init__(
@@ -77,15 +101,20 @@
         clock: Clock,
         gather: Gather,
         usual_high: Callable[[str], float],
+        events: EventLog,
     ) -> None:
         self._links = links
         self._clock = clock
         self._gather = gather
         self._usual_high = usual_high
+        self._events = events
         self._carried: dict[str, trio.CancelScope] = {}
+        #: When questions were cancelled, by id, for those that may yet come.
+        self._cancelled: dict[str, float] = {}
         self._nursery: trio.Nursery | None = None
-        links.on(DelegatedQuestion, self._on_question)
+        links.on_work(DelegatedQuestion, self._on_question)
         links.on(DelegatedCancel, self._on_cancel)
+        links.on(DelegatedRenewal, self._on_renewal)
 
     @property
     def carrying(self) -> int:
@@ -98,35 +127,78 @@
             task_status.started()
             await trio.sleep_forever()
 
-    def _on_question(self, sender: str, message: Message) -> None:
+    def _on_question(self, sender: str, message: Message, age: float) -> None:
         assert isinstance(message, DelegatedQuestion)
         if self._nursery is None:
             return
+        if age > MOST_AGE:
+            self._turn_down(sender, message, age)
+            return
+        if message.id in self._cancelled:
+            return
         high = self._usual_high(message.kind)
         self._links.send(sender, DelegatedTaken(message.id, high))
-        scope = self._carried[message.id] = trio.CancelScope()
-        self._nursery.start_soon(self._carry, sender, message, scope)
+        scope = trio.CancelScope(deadline=trio.current_time() + HOLD_TIME)
+        self._carried[message.id] = scope
+        late = max(0.0, age - USUAL_AGE)
+        self._nursery.start_soon(self._carry, sender, message, late, scope)
+
+    def _turn_down(self, sender: str, message: DelegatedQuestion, age: float) -> None:
+        """Don't begin a question that is old, or may be.
+
+        The empty cancellation tells the sender what this instance's clock shows, by
+        which the age of its next question is known.
+        """
+        self._links.send(sender, DelegatedCancel(""))
+        waited = None if age == float("inf") else round(age * 1000)
+        self._events.emit(
+            Events.QUESTION_STALE,
+            request=message.request,
+            peer=sender,
+            waited_ms=waited,
+        )
 
     def _on_cancel(self, sender: str, message: Message) -> None:
         assert isinstance(message, DelegatedCancel)
         scope = self._carried.get(message.id)
         if scope is not None:
             scope.cancel()
+        if message.id:
+            self._remember_cancelled(message.id)
         if message.unheard:
             # The connection by which this instance answers may have gone silent.
             self._links.renew(sender)
 
+    def _remember_cancelled(self, id: str) -> None:
+        now = self._clock.monotonic()
+        self._cancelled[id] = now
+        while self._cancelled:
+            first = next(iter(self._cancelled))
+            if self._cancelled[first] > now - CANCEL_MEMORY:
+                break
+            del self._cancelled[first]
+
+    def _on_renewal(self, sender: str, message: Message) -> None:
+        assert isinstance(message, DelegatedRenewal)
+        scope = self._carried.get(message.id)
+        if scope is not None:
+            scope.deadline = trio.current_time() + HOLD_TIME
+
     async def _carry(
-        self, sender: str, message: DelegatedQuestion, scope: trio.CancelScope
+        self,
+        sender: str,
+        message: DelegatedQuestion,
+        late: float,
+        scope: trio.CancelScope,
     ) -> None:
         """Gather one question of another instance and send what came of it."""
+        send = partial(self._links.send, sender)
         try:
             with scope:
                 # A cancellation that came with the question is seen here, before
                 # anything is sent.
                 await trio.lowlevel.checkpoint()
-                question = decode_question(message, self._clock.monotonic())
-                send = partial(self._links.send, sender)
+                question = decode_question(message, self._clock.monotonic() - late)
                 handover = Handover(message.id, send)
                 outcome = await self._gather(question, message.top, handover)
                 if handover.done:
@@ -135,3 +207,14 @@
                     send(encode_outcome(message.id, outcome))
         finally:
             del self._carried[message.id]
+        if scope.cancelled_caught and message.id not in self._cancelled:
+            self._give_up(sender, message)
+
+    def _give_up(self, sender: str, message: DelegatedQuestion) -> None:
+        """Say that a question was given up, in case its sender lives after all."""
+        self._events.emit(
+            Events.QUESTION_ABANDONED, request=message.request, peer=sender
+        )
+        verdict = MayHaveRun(Reason.CANCELLED, "the question wasn't renewed")
+        outcome: Outcome = Failure(RoutedFailure(verdict))
+        self._links.send(sender, encode_outcome(message.id, outcome))
--- a/walkcart/fanout/delegatedgroup.py
+++ b/walkcart/fanout/delegatedgroup.py
@@ -45,6 +45,8 @@
         self.peer = peer
         self.at = at
         self.taken = False
+        #: Whether it was taken back before it was sent.
+        self.unsent = False
         self.ended = False
         self.outcome: Outcome | None = None
         self.scope = trio.CancelScope()
@@ -72,7 +74,7 @@
                 # It may be at work with all attempts that are allowed; one that
                 # never said that it had the question likely got its cancellation
                 # together with it.
-                ran = self._most_attempts if self.taken else 1
+                ran = self._most_attempts if self.taken else int(not self.unsent)
                 parts = [
                     MissingPart(name, Reason.UNREACHABLE, ran) for name in self.services
                 ]
--- a/walkcart/fanout/delegates.py
+++ b/walkcart/fanout/delegates.py
@@ -36,6 +36,8 @@
     DelegatedCancel,
     DelegatedFailure,
     DelegatedPart,
+    DelegatedQuestion,
+    DelegatedRenewal,
     DelegatedTaken,
 )
 from walkcart.wire.messagebase import Message
@@ -45,6 +47,10 @@
 #: since is waited for.
 OVERDUE_TIME = 0.05
 
+#: Seconds between two renewals of a question that takes long: three go within
+#: `walkcart.fanout.carrying.HOLD_TIME`, so that a lost or late one does no harm.
+RENEWAL_INTERVAL = 0.12
+
 #: Messages that are taken in before an instance counts as silent: one each turn of the
 #: event loop, of which a busy one has some waiting.
 WAITING_MESSAGES = 4
@@ -124,13 +130,17 @@
             return None
         self._asked[id] = group
         self._tools.accounts.note_sent(peer.name, now)
-        self._nursery.start_soon(self._follow, id, group, question)
+        self._nursery.start_soon(self._follow, message, group, question)
         return group
 
     async def _follow(
-        self, id: str, group: DelegatedGroup, question: RoutedQuestion
+        self,
+        message: DelegatedQuestion,
+        group: DelegatedGroup,
+        question: RoutedQuestion,
     ) -> None:
         """See one group to its end."""
+        id = message.id
         outcome: Outcome | None = None
         try:
             with group.scope:
@@ -142,15 +152,21 @@
             self._outcomes.pop(id, None)
             self._tools.accounts.note_ended(group.peer)
             if outcome is None:
-                self._take_back(id, group)
+                self._take_back(message, group)
             group.end(outcome)
 
-    def _take_back(self, id: str, group: DelegatedGroup) -> None:
-        """Have the other instance stop, and make a new link if it seems silent."""
+    def _take_back(self, message: DelegatedQuestion, group: DelegatedGroup) -> None:
+        """Have the other instance stop, and make a new link if it seems silent.
+
+        A question that still waits to be sent is not sent at all.
+        """
         links = self._tools.links
+        id = message.id
+        group.unsent = links.withdraw(group.peer, message)
         unheard = self._tools.accounts.heard_at(group.peer) < group.at
         lost = unheard and not group.scope.cancel_called
-        links.send(group.peer, DelegatedCancel(id, lost))
+        if not group.unsent:
+            links.send(group.peer, DelegatedCancel(id, lost))
         if lost:
             links.renew(group.peer)
 
@@ -178,8 +194,12 @@
     ) -> Outcome | None:
         """Wait for the outcome while there is hope of one."""
         accounts = self._tools.accounts
+        renew_at = group.at + RENEWAL_INTERVAL
         while id not in self._outcomes:
             now = self._tools.clock.monotonic()
+            if now >= renew_at:
+                self._tools.links.send(group.peer, DelegatedRenewal(id))
+                renew_at = now + RENEWAL_INTERVAL
             if group.handed is not None:
                 due = question.deadline
             elif not group.taken:
@@ -191,7 +211,7 @@
             if now >= due:
                 return None
             changed = group.changed
-            with trio.move_on_at(due):
+            with trio.move_on_at(min(due, renew_at)):
                 await changed.wait()
             if not group.taken:
                 await _take_in_messages()
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -87,6 +87,14 @@
     DELEGATE_LOST = _info(
         407, "delegate_lost", "A peer didn't gather a question; done from here."
     )
+    QUESTION_STALE = _info(
+        410,
+        "question_stale",
+        "A peer's question came late or of unknown age; not begun.",
+    )
+    QUESTION_ABANDONED = _info(
+        411, "question_abandoned", "A peer no longer renewed a question; given up."
+    )
     LATE_PARTS = _info(
         409, "late_parts", "Late shards are asked for in another region, together."
     )
--- a/walkcart/leaves/forwarding.py
+++ b/walkcart/leaves/forwarding.py
@@ -44,6 +44,9 @@
 
 #: Seconds that a holder's answer may come after the deadline.
 ANSWER_GRACE = 1.0
+#: Seconds after which an attempt that was on its way to its holder isn't sent on: its
+#: question may have been answered, or its caller gone, half a second before.
+MOST_AGE = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +97,7 @@
         self._asks: dict[str, list[ForwardedAttempt]] = {}
         self._replies: dict[str, list[ForwardedOutcome]] = {}
         self._wakeup = trio.Event()
-        links.on(ForwardAsk, self._on_ask)
+        links.on_work(ForwardAsk, self._on_ask)
         links.on(ForwardReply, self._on_reply)
         links.on(ForwardCancel, self._on_cancel)
         view.on_change(self._on_member_change)
@@ -214,10 +217,14 @@
                 self._on_status(sent.leaf, read_status(dict(outcome.headers)))
             self._end(outcome.id, _read_forwarded(sent.attempt, outcome))
 
-    def _on_ask(self, sender: str, message: Message) -> None:
+    def _on_ask(self, sender: str, message: Message, age: float) -> None:
         assert isinstance(message, ForwardAsk)
         for forwarded in message.attempts:
-            self._carry(sender, forwarded)
+            if age > MOST_AGE:
+                verdict = NotRun(Reason.UNREACHABLE, "it was on its way for too long")
+                self._answer(sender, forwarded, Failed(verdict))
+            else:
+                self._carry(sender, forwarded)
 
     def _carry(self, sender: str, forwarded: ForwardedAttempt) -> None:
         """Send another instance's attempt over this one's connections."""
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
@@ -13,6 +14,7 @@
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.settings import BadValue, HostPort, parse_host_port
+from walkcart.membership.messageages import ClockReadings, Stamp
 from walkcart.wire.codec import BadMessage, decode_envelope, encode_envelope
 from walkcart.wire.messages import Envelope, Message
 from walkcart.wire.peers import PeerListener, PeerTransport
@@ -20,6 +22,8 @@
 #: Messages that wait for one peer; more are dropped and counted.
 OUTBOX_LIMIT = 2000
 MESSAGES_PER_ENVELOPE = 64
+#: Random bytes that name a process life.
+LIFE_BYTES = 4
 #: Senders outside the book whose addresses are kept.
 STRANGER_LIMIT = 256
 #: A link without messages for this long is closed. A new one costs the first question
@@ -32,6 +36,8 @@
 
 #: Called with the sender's name and the message; must not wait.
 MessageHandler = Callable[[str, Message], None]
+#: The same, with the most seconds that the message was on its way; infinite if unknown.
+WorkHandler = Callable[[str, Message, float], None]
 
 
 class PeerEntry(Protocol):
@@ -91,6 +97,8 @@
         self._events = events
         self._metrics = metrics
         self._handlers: dict[type[Message], MessageHandler] = {}
+        self._work_handlers: dict[type[Message], WorkHandler] = {}
+        self._readings = ClockReadings(secrets.token_hex(LIFE_BYTES))
         self._links: dict[tuple[str, HostPort], _Link] = {}
         #: Addresses that senders gave, for answers to those not yet in the book.
         self._heard: dict[str, str] = {}
@@ -101,6 +109,18 @@
         """Give messages of `kind` to `handler`."""
         self._handlers[kind] = handler
 
+    def on_work(self, kind: type[Message], handler: WorkHandler) -> None:
+        """Give messages of `kind`, which start work, to `handler`, with their age."""
+        self._work_handlers[kind] = handler
+
+    def withdraw(self, name: str, message: Message) -> bool:
+        """Take back a message that wasn't sent yet; return whether that was so."""
+        return any(
+            link.withdraw(message)
+            for key, link in self._links.items()
+            if key[0] == name
+        )
+
     def send(self, name: str, message: Message) -> bool:
         """Queue `message` for the instance called `name`.
 
@@ -118,8 +138,12 @@
         link = self._links.get((name, address))
         if link is None:
             link = _Link(trio.current_time())
+            try:
+                self._nursery.start_soon(self._run_link, name, address, link)
+            except RuntimeError:
+                # The links have just ended, with the instance.
+                return False
             self._links[(name, address)] = link
-            self._nursery.start_soon(self._run_link, name, address, link)
         if not link.put(message):
             self._metrics.count("peer.dropped")
             return False
@@ -159,19 +183,26 @@
         if envelope.to_incarnation not in (0, self._view.own.incarnation):
             # Meant for an earlier process at this address.
             return
-        self.last_received = trio.current_time()
+        now = self.last_received = trio.current_time()
         if self._view.find(envelope.sender) is None:
             self._note_stranger(envelope)
+        stamp = Stamp(
+            envelope.life, envelope.sent_at, envelope.to_life, envelope.least_reading
+        )
+        if stamp.life:
+            self._readings.note(envelope.sender, stamp, now)
+        age = self._readings.find_age(stamp, now)
         self._metrics.count("peer.received", len(envelope.messages))
         for message in envelope.messages:
-            handler = self._handlers.get(type(message))
-            if handler is not None:
-                self._handle(handler, envelope.sender, message)
+            self._handle(envelope.sender, message, age)
 
-    def _handle(self, handler: MessageHandler, sender: str, message: Message) -> None:
+    def _handle(self, sender: str, message: Message, age: float) -> None:
         """Give a message to its handler, whose faults must not end the instance."""
         try:
-            handler(sender, message)
+            if (work := self._work_handlers.get(type(message))) is not None:
+                work(sender, message, age)
+            elif (handler := self._handlers.get(type(message))) is not None:
+                handler(sender, message)
         except Exception as error:
             detail = f"{type(message).__name__}: {error!r}"[:500]
             self._events.emit(Events.TASK_FAILED, task=f"peer {sender}", detail=detail)
@@ -213,12 +244,17 @@
     def _pack(self, name: str, messages: tuple[Message, ...]) -> bytes:
         record = self._view.find(name)
         own = self._view.own
+        stamp = self._readings.make_stamp(name, trio.current_time())
         envelope = Envelope(
             own.name,
             own.incarnation,
             own.peer_address,
             record.incarnation if record else 0,
             messages,
+            stamp.life,
+            stamp.sent_at,
+            stamp.to_life,
+            stamp.least_reading,
         )
         data = encode_envelope(envelope)
         self._metrics.count("peer.sent", len(messages))
@@ -247,6 +283,14 @@
         self._wakeup.set()
         return True
 
+    def withdraw(self, message: Message) -> bool:
+        """Take back `message`; False when it isn't queued any longer."""
+        for place, queued in enumerate(self._messages):
+            if queued is message:
+                del self._messages[place]
+                return True
+        return False
+
     def end(self) -> None:
         """Send what is queued, and nothing more."""
         self.ended = True
--- a/walkcart/wire/delegations.py
+++ b/walkcart/wire/delegations.py
@@ -156,3 +156,13 @@
 
     id: str
     unheard: bool = False
+
+
+class DelegatedRenewal(Message, frozen=True):
+    """The sender still waits for a question; without this the receiver gives it up.
+
+    Args:
+        id: of the question.
+    """
+
+    id: str
--- a/walkcart/wire/messages.py
+++ b/walkcart/wire/messages.py
@@ -3,9 +3,9 @@
 They are `msgspec.Struct` classes, frozen: the codec tells the members of a
 union apart by a tag, which it can't do with plain data classes.
 
-Times are durations in seconds, never times of day, since clocks differ; a
-message is addressed to one incarnation of its receiver, so that one which
-waited in a queue isn't taken by a later process at the same address.
+Times are durations in seconds or readings of steady clocks, never times of day, since
+clocks differ; a message is addressed to one incarnation of its receiver, so that one
+which waited in a queue isn't taken by a later process at the same address.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
     DelegatedFailure,
     DelegatedPart,
     DelegatedQuestion,
+    DelegatedRenewal,
     DelegatedTaken,
 )
 from walkcart.wire.messagebase import Message
@@ -249,6 +250,7 @@
     | DelegatedPart
     | DelegatedFailure
     | DelegatedCancel
+    | DelegatedRenewal
     | RelaySubscribe
     | RelayChanges
     | RelayCopy
@@ -264,6 +266,13 @@
         address: the sender's ``IP:port`` for peers, to answer one not yet known.
         to_incarnation: of the receiver; 0 when the sender doesn't know it.
         messages: in the order of sending.
+        life: names the sender's process life; empty where it doesn't say.
+        sent_at: what the sender's steady clock showed when this was packed, in seconds.
+        to_life: names the receiver's life; empty when the sender doesn't know it.
+        least_reading: what that life's steady clock showed then at least, in seconds.
+
+    See Also:
+        `walkcart.membership.messageages`, for the last four.
     """
 
     sender: str
@@ -271,3 +280,7 @@
     address: str
     to_incarnation: int
     messages: tuple[AnyMessage, ...]
+    life: str = ""
+    sent_at: float = 0.0
+    to_life: str = ""
+    least_reading: float = 0.0
--- a/walkcart/wire/peers.py
+++ b/walkcart/wire/peers.py
@@ -14,9 +14,9 @@
 from walkcart.kernel.settings import HostPort
 from walkcart.wire.codec import ENVELOPE_LIMIT
 
-#: Envelopes that nng keeps for a peer which is slow or gone. Small, so that our
-#: own outbox, which knows about deadlines, holds the rest.
-NNG_BUFFER = 4
+#: Envelopes that nng keeps for a peer which is slow or gone: none. What waits does so
+#: in our own outbox, where it can be taken back.
+NNG_BUFFER = 0
 NNG_RECONNECT_MIN_MS = 50
 NNG_RECONNECT_MAX_MS = 1000
 
--- a/walkcart/wire/server.py
+++ b/walkcart/wire/server.py
@@ -15,6 +15,11 @@
 import trio
 
 from walkcart.wire.http import HEADER_LIMIT, RECEIVE_SIZE, HttpReply, HttpRequest
+from walkcart.wire.network import is_quiet
+
+#: Turns of the event loop in which a task that was just started reads what has come
+#: and acts on it: it starts, reads, and goes on after the read.
+WATCH_TURNS = 3
 
 Handler = Callable[[HttpRequest], Awaitable[HttpReply]]
 
@@ -167,6 +172,11 @@
         reply: HttpReply | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_client, connection, nursery.cancel_scope)
+            if not is_quiet(connection.stream):
+                # The client may have left long ago, while its connection waited to be
+                # accepted: the watching task sees that before any work is begun.
+                for _ in range(WATCH_TURNS):
+                    await trio.lowlevel.checkpoint()
             reply = await self._handler(request)
             nursery.cancel_scope.cancel()
         return None if connection.gone else reply
