Send second attempts while a group is still gathered elsewhere

Cause: of 20 shards 7 are gathered by another instance, and their group comes all at once at the end.

Change: only services asked from here count, of those asked from here.

Test: platform/tests/test_second_attempts.py plays a paused leaf beside a slow group; fails before (a part is missing).

--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -266,14 +266,22 @@
             self._elsewhere.ask_late(now)
         elif self._handing and not self._handed and now >= self._question.settle_at:
             self._ask_one_by_one(now)
-        waiting = len(self._tries) - self._covered
-        may = may_hedge(len(self._tries), waiting)
+        may = self._may_hedge()
         for item in late:
             if may:
                 self._sends.hedge(item, now)
             else:
                 item.given_up = True
 
+    def _may_hedge(self) -> bool:
+        """Return whether few enough services that were asked from here are late.
+
+        Groups that other instances gather come all at once, mostly later than second
+        attempts are due, and say nothing about the leafs that are asked from here.
+        """
+        asked = [item for item in self._tries.values() if item.tried]
+        return may_hedge(len(asked), sum(1 for item in asked if not item.covered))
+
     def _ask_one_by_one(self, now: float) -> None:
         """Ask from here for what was to be left: too much is late for that."""
         self._sends.stop_leaving()
--- /dev/null
+++ b/walkcart/platform/tests/test_second_attempts.py
@@ -0,0 +1,50 @@
+"""Second attempts at late leafs, beside groups that other instances gather."""
+
+import trio
+
+from walkcart.bench.harness import run_mocked
+from walkcart.platform.tests.platformworld import make_route, open_platform
+
+OWN_SHARDS = 8
+FAR_SHARDS = 7
+
+
+def ask_with_a_paused_leaf(far_time):
+    """Ask for shards of which one near leaf pauses; return parts and seconds.
+
+    The leafs of `FAR_SHARDS` stand in the other region and take `far_time`.
+    """
+
+    async def run():
+        async with open_platform() as world:
+            own = [f"own-{number}" for number in range(OWN_SHARDS)]
+            far = [f"far-{number}" for number in range(FAR_SHARDS)]
+            for shard in own:
+                for data_centre in ("north-a", "south-a"):
+                    await world.start_leaf(f"{shard}-{data_centre}", shard, data_centre)
+            for shard in far:
+                await world.start_leaf(shard, shard, "south-a")
+            route = {"fanoutServices": own + far, "topK": 3, "minCoverage": 0.5}
+            world.configure(make_route("all", "/all/", targetLatencyMs=200, **route))
+            await world.start_instance("asker", "north-a")
+            await world.start_instance("helper", "south-a")
+            await world.wait_ready("asker")
+            await world.wait_ready("helper")
+            await trio.sleep(10)
+            for _ in range(20):
+                await world.ask("/all/x", "asker")
+            for shard in far:
+                world.leafs[shard].faults.delay = far_time
+            world.leafs["own-0-north-a"].faults.delay = 1.0
+            start = trio.current_time()
+            reply = await world.ask("/all/x", "asker")
+            parts = len(reply.header(b"x-part-stamps").split(", "))
+            return parts, trio.current_time() - start
+
+    return run_mocked(run)
+
+
+def test_a_paused_leaf_costs_no_part_while_a_group_is_still_gathered_elsewhere():
+    parts, elapsed = ask_with_a_paused_leaf(far_time=0.13)
+    assert parts == OWN_SHARDS + FAR_SHARDS
+    assert elapsed < 0.2
