Choose leafs by the share of requests that they answer well

Change: a decayed share of good replies for each leaf, begun with a few good ones (routing/replyshare.py). Expected time is divided by it, and a failure costs half of the objective beside, since it takes a repeat or a part.

--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -9,7 +9,6 @@
 from walkcart.leaves.leaf import Leaf
 from walkcart.routing.distance import Distance
 from walkcart.routing.kindtimes import find_hedge_time
-from walkcart.routing.placement import FAR_SHARE
 from walkcart.wire.verdicts import Reason
 
 #: Seconds before a service whose leafs all refused or can't be reached is tried again.
@@ -40,7 +39,7 @@
         self._deliver = deliver
         self._attempts: dict[str, ServiceTry] = {}
         time = min(question.objective_at, question.deadline) - tools.clock.monotonic()
-        self._far_cost = max(0.0, time) * FAR_SHARE
+        self._objective = max(0.0, time)
         #: Whether attempts at leafs in other regions are left to be sent together.
         self._leaves_far = question.settle_at < float("inf")
         self.sent = 0
@@ -73,7 +72,7 @@
         asked = {leaf.id for leaf in leaves if leaf.place in item.places}
         without = frozenset(asked.union(item.tried))
         leaf = self._tools.pool.choose(
-            item.service, self._question.kind, without, self._far_cost, now
+            item.service, self._question.kind, without, self._objective, now
         )
         if leaf is None:
             item.reason = Reason.NO_LEAF
@@ -122,7 +121,7 @@
             item.given_up = True
             return
         leaf = pool.choose(
-            item.service, kind, frozenset(item.tried), self._far_cost, now
+            item.service, kind, frozenset(item.tried), self._objective, now
         )
         if leaf is None or self._is_left(leaf) or not self.take_repeat(item, now):
             item.given_up = True
@@ -156,10 +155,10 @@
         pool = self._tools.pool
         kind = self._question.kind
         leaf = pool.choose(
-            item.service, kind, frozenset(item.tried), self._far_cost, now
+            item.service, kind, frozenset(item.tried), self._objective, now
         )
         if leaf is None and item.tried:
-            leaf = pool.choose(item.service, kind, frozenset(), self._far_cost, now)
+            leaf = pool.choose(item.service, kind, frozenset(), self._objective, now)
         return leaf
 
     def _is_left(self, leaf: Leaf) -> bool:
--- a/walkcart/leaves/leaf.py
+++ b/walkcart/leaves/leaf.py
@@ -8,6 +8,7 @@
 from walkcart.routing.distance import Place
 from walkcart.routing.ejection import Ejection
 from walkcart.routing.latency import DecayedLatency
+from walkcart.routing.replyshare import ReplyShare
 
 #: Seconds after which half of a leaf's stated load is forgotten.
 STATED_HALF_LIFE = 0.1
@@ -72,6 +73,7 @@
         self.outstanding = 0
         self.latency = DecayedLatency()
         self.ejection = Ejection()
+        self.replies = ReplyShare()
         self.held: frozenset[int] | None = None
         self.first_used: float | None = None
         #: Until when it is slow after its start, as it said itself.
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -107,7 +107,7 @@
         service: str,
         kind: str,
         without: frozenset[str],
-        far_cost: float,
+        objective: float,
         now: float,
     ) -> Leaf | None:
         """Return the leaf for the next request, or None when none may get it.
@@ -116,14 +116,14 @@
             service: whose leafs.
             kind: of the request, for its usual time.
             without: ids of leafs that it must not go to.
-            far_cost: seconds that a leaf in another region must be faster by.
+            objective: seconds within which the request is to be answered.
             now: the present, in seconds.
         """
         leaves = [leaf for leaf in self.leaves_of(service) if leaf.id not in without]
         if len(leaves) <= 1:
             return leaves[0] if leaves else None
         standings = [self._describe(leaf, kind, now) for leaf in leaves]
-        chosen = choose_leaf(standings, far_cost, self._tools.random)
+        chosen = choose_leaf(standings, objective, self._tools.random)
         return next(leaf for leaf in leaves if chosen and leaf.id == chosen.key)
 
     def submit(self, leaf: Leaf, attempt: Attempt, kind: str, deliver: Deliver) -> None:
@@ -215,6 +215,7 @@
             cold=now < leaf.cold_until,
             stalled=is_stalled(leaf, usual, now),
             ejected=leaf.ejection.is_ejected(now),
+            good_share=leaf.replies.estimate(now),
         )
 
     def _account(
@@ -228,6 +229,7 @@
                 self._tools.directory.forget(leaf.id)
             case Refused():
                 leaf.replied_at = now
+                leaf.replies.note(now, good=False)
             case Failed(NotRun(Reason.CANCELLED | Reason.DEADLINE)):
                 pass
             case Failed(MayHaveRun(Reason.CANCELLED)):
@@ -241,11 +243,13 @@
         self._tools.link.metrics.time("leaf.time", elapsed * 1000)
         leaf.latency.observe(now, elapsed / times.median(now))
         leaf.replied_at = now
+        leaf.replies.note(now, good=True)
         if leaf.ejection.note_success():
             self._tools.link.events.emit(Events.LEAF_RETURNED, leaf=leaf.id)
 
     def _note_failure(self, leaf: Leaf, now: float) -> None:
         self._tools.link.metrics.count("leaf.failed")
+        leaf.replies.note(now, good=False)
         leaves = self.leaves_of(leaf.labels["service"])
         ejected = sum(1 for item in leaves if item.ejection.is_ejected(now))
         if leaf.ejection.note_failure(now, may_eject(len(leaves), ejected)):
--- a/walkcart/platform/tests/leafstandin.py
+++ b/walkcart/platform/tests/leafstandin.py
@@ -17,6 +17,7 @@
     Args:
         delay: seconds added to each request.
         refuse: every request is turned away, not run.
+        refuse_tenths: of ten requests so many are turned away, spread evenly.
         status: of every answer, if not 0.
         drop: every request is run and its connection closed without an answer.
         other_id: echoes the id of another request.
@@ -25,6 +26,7 @@
 
     delay: float = 0.0
     refuse: bool = False
+    refuse_tenths: int = 0
     status: int = 0
     drop: bool = False
     other_id: bool = False
@@ -56,6 +58,11 @@
         server.http.cancel_on_gone = True
         return server
 
+    def _is_refused(self) -> bool:
+        """Return whether the request that arrived last is one of those turned away."""
+        tenths = self.faults.refuse_tenths
+        return len(self.arrived) * tenths // 10 > (len(self.arrived) - 1) * tenths // 10
+
     async def handle(self, request: HttpRequest) -> HttpReply | None:
         """Serve one request."""
         self.arrived.append(request)
@@ -63,7 +70,7 @@
         echo = (b"x-request-id", id.encode())
         if request.header(b"x-expect-instance") != self.id:
             return HttpReply(421, (echo, (b"x-instance-id", self.id.encode())))
-        if self.faults.refuse:
+        if self.faults.refuse or self._is_refused():
             return HttpReply(503, (echo, (b"x-not-executed", b"1")))
         self.ran.append(id)
         self.running += 1
--- a/walkcart/routing/placement.py
+++ b/walkcart/routing/placement.py
@@ -1,17 +1,21 @@
 """Which leaf of a service gets the next request of a routed question.
 
 The leaf with the least expected time wins. That is what such a request takes there
-by itself, plus the wait behind what is already there; the bytes that a leaf in another
-region costs count as a longer time.
+by itself, plus the wait behind what is already there, over the share of requests that
+it answers well; the bytes that a leaf in another region costs count as a longer time,
+and so does a failure, which costs a repeat or a part of an answer.
 
 Examples:
     >>> here, there = Distance.SAME_DATA_CENTRE, Distance.OTHER_REGION
     >>> near = Standing("near", load=0.0, slots=2, time=0.03, distance=here)
     >>> far = Standing("far", load=0.0, slots=2, time=0.046, distance=there)
-    >>> choose_leaf([far, near], 0.02, Random(1)).key
+    >>> choose_leaf([far, near], 0.1, Random(1)).key
     'near'
+    >>> failing = Standing("near", 0.0, 2, time=0.03, distance=here, good_share=0.4)
+    >>> choose_leaf([far, failing], 0.1, Random(1)).key
+    'far'
     >>> busy = Standing("near", load=6.0, slots=2, time=0.03, distance=here)
-    >>> choose_leaf([far, busy], 0.02, Random(1)).key
+    >>> choose_leaf([far, busy], 0.1, Random(1)).key
     'far'
 """
 
@@ -33,6 +37,11 @@
     Distance.SAME_REGION: 0.5,
     Distance.OTHER_REGION: 1.0,
 }
+#: Share of a request's objective that a failure costs beside the time to try again: a
+#: repeat of those that are allowed, or else a part of the answer. At 0.5 a leaf that
+#: fails six of ten loses to a good one in another region, one that fails one of ten
+#: doesn't.
+FAILURE_SHARE = 0.5
 #: Seconds added for a leaf that has been silent for longer than it should: about the
 #: pause of a leaf that stopped to tidy up.
 STALLED_COST = 0.25
@@ -55,6 +64,7 @@
         cold: whether it has just started.
         stalled: whether it owes replies for longer than it should.
         ejected: whether it failed lately.
+        good_share: share of such requests that it answers well.
     """
 
     key: str
@@ -65,37 +75,45 @@
     cold: bool = False
     stalled: bool = False
     ejected: bool = False
+    good_share: float = 1.0
 
 
-def expect_time(standing: Standing, far_cost: float) -> float:
-    """Return the seconds that a request would likely take at a leaf.
+def expect_time(standing: Standing, objective: float) -> float:
+    """Return the seconds that a request would likely take at a leaf, with its costs.
 
     Args:
         standing: of the leaf.
-        far_cost: seconds that a leaf in another region must be faster by.
+        objective: seconds within which the request is to be answered.
     """
     service = standing.time
     if standing.cold:
         service *= COLD_FACTOR
     waiting = max(0.0, standing.load + 1.0 - standing.slots)
     time = service * (1.0 + waiting / max(1, standing.slots))
-    time += far_cost * COST_SHARES[standing.distance]
+    time /= standing.good_share
+    time += (1.0 - standing.good_share) * FAILURE_SHARE * objective
+    time += FAR_SHARE * objective * COST_SHARES[standing.distance]
     if standing.stalled:
         time += STALLED_COST
     return time
 
 
 def choose_leaf(
-    standings: Sequence[Standing], far_cost: float, random: Random
+    standings: Sequence[Standing], objective: float, random: Random
 ) -> Standing | None:
     """Return the leaf for the next request, or None without any.
 
     Ejected leafs are used only when no others are left.
+
+    Args:
+        standings: of the leafs.
+        objective: seconds within which the request is to be answered.
+        random: draws lots among those that are about as good.
     """
     usable = [item for item in standings if not item.ejected] or standings
     if len(usable) <= 1:
         return usable[0] if usable else None
-    timed = [(expect_time(item, far_cost), item) for item in usable]
+    timed = [(expect_time(item, objective), item) for item in usable]
     least = min(time for time, _ in timed)
     best = [item for time, item in timed if time <= least * (1.0 + NEAR_TIE)]
     return best[0] if len(best) == 1 else random.choice(best)
