Keep a reserve of repeats for parts that answers depend on

A question that may lack two shards needs three of them, and short ones need none, yet all took repeats for each lost part, until the budget was gone and questions failed with 502 after 10 ms.

Change: a repeat without which there may still be an answer leaves half of the budget alone; its service is tried again once the answer depends on it, at the latest when a repeat would only just come in time.

--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -62,7 +62,7 @@
         self._question = question
         self._top = top
         self._tries = {name: ServiceTry(name) for name in question.services}
-        self._sends = RoutedSends(tools, question, self._receive)
+        self._sends = RoutedSends(tools, question, self._receive, self._is_vital)
         self._elsewhere = GatheredElsewhere(
             tools, question, top, self._sends, self._tries, self._wake
         )
@@ -72,6 +72,7 @@
         self._wakeup = trio.Event()
         self._closed = False
         self._covered = 0
+        self._last_call = self._sends.find_last_call()
 
     async def run(self) -> Result[RoutedAnswer, RoutedFailure]:
         """Ask the services until the answer is whole, or must do as it is."""
@@ -81,6 +82,7 @@
         try:
             while True:
                 self._take_in()
+                self._release_held_back()
                 if self._is_done():
                     break
                 if self._hands_over():
@@ -137,6 +139,31 @@
         objective = self._question.objective_at
         return now >= objective and covers(self._question, self._covered)
 
+    def _is_vital(self, item: ServiceTry) -> bool:
+        """Return whether too few other services have replied, or will in time.
+
+        When a repeat that is sent now comes only just in time, what hasn't replied yet
+        isn't counted on any longer.
+        """
+        early = self._tools.clock.monotonic() < self._last_call
+        others = sum(
+            1
+            for other in self._tries.values()
+            if other is not item and (other.covered or (early and other.open))
+        )
+        return not covers(self._question, others)
+
+    def _release_held_back(self) -> None:
+        """Try services again that were held back, once the answer depends on them."""
+        now = self._tools.clock.monotonic()
+        for item in self._tries.values():
+            if not item.held_back or item.covered or item.open:
+                continue
+            if self._handed or not self._is_vital(item):
+                return
+            item.held_back = item.given_up = False
+            self._sends.plan(item, now)
+
     def _hands_over(self) -> bool:
         """Return whether to leave what is missing to who asked."""
         question = self._question
@@ -183,6 +210,8 @@
             if not item.covered:
                 due = min(due, item.next_at or due, self._sends.hedge_at(item))
         now = self._tools.clock.monotonic()
+        if now < self._last_call and any(i.held_back for i in self._tries.values()):
+            due = min(due, self._last_call)
         if now < self._question.settle_at:
             due = min(due, self._question.settle_at)
         elif (at := self._late_due_at()) > now:
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from walkcart.fanout.routedquestion import RoutedQuestion
 from walkcart.fanout.routedtools import RoutedTools
 from walkcart.fanout.servicetry import Sent, ServiceTry
 from walkcart.leaves.attempts import Attempt, Deliver
 from walkcart.leaves.leaf import Leaf
 from walkcart.routing.distance import Distance
-from walkcart.routing.kindtimes import find_hedge_time
+from walkcart.routing.kindtimes import HEDGE_RESERVE, find_hedge_time
 from walkcart.wire.verdicts import Reason
 
 #: Seconds before a service whose leafs all refused or can't be reached is tried again.
@@ -29,14 +31,20 @@
         tools: what routed questions use.
         question: whose attempts these are.
         deliver: told how each attempt ended.
+        is_vital: returns whether there is no answer without a service's part.
     """
 
     def __init__(
-        self, tools: RoutedTools, question: RoutedQuestion, deliver: Deliver
+        self,
+        tools: RoutedTools,
+        question: RoutedQuestion,
+        deliver: Deliver,
+        is_vital: Callable[[ServiceTry], bool],
     ) -> None:
         self._tools = tools
         self._question = question
         self._deliver = deliver
+        self._is_vital = is_vital
         self._attempts: dict[str, ServiceTry] = {}
         time = min(question.objective_at, question.deadline) - tools.clock.monotonic()
         self._objective = max(0.0, time)
@@ -80,6 +88,14 @@
             return
         self._send(item, leaf, now)
 
+    def find_last_call(self) -> float:
+        """Return when a repeat must be sent to come within the objective."""
+        now = self._tools.clock.monotonic()
+        times = self._tools.pool.times_of(
+            self._question.kind, Distance.SAME_DATA_CENTRE
+        )
+        return self._question.objective_at - times.high(now) - HEDGE_RESERVE
+
     def stop_leaving(self) -> None:
         """Send each attempt by itself from now on, also to other regions."""
         self._leaves_far = False
@@ -167,12 +183,19 @@
         return self._leaves_far and far
 
     def take_repeat(self, item: ServiceTry, now: float) -> bool:
-        """Take a repeat from the budget; return False when none is left."""
-        if self._tools.budget.take(item.service, now, self._tools.instances()):
+        """Take a repeat from the budget; return False when none is left.
+
+        One without which there may still be an answer leaves a reserve, and is asked
+        for again when the answer comes to depend on it.
+        """
+        vital = self._is_vital(item)
+        instances = self._tools.instances()
+        if self._tools.budget.take(item.service, now, instances, vital):
             self.repeats += 1
             return True
         self._tools.metrics.count("leaf.repeat_denied")
         item.given_up = True
+        item.held_back = not vital
         return False
 
     def _find_hedge_time(self, leaf: Leaf, now: float) -> float:
--- a/walkcart/fanout/servicetry.py
+++ b/walkcart/fanout/servicetry.py
@@ -42,6 +42,7 @@
         ran: attempts that may have run.
         next_at: when the next attempt is due; None when none is.
         given_up: whether no further attempt will be made.
+        held_back: whether an attempt was not made to leave the budget's reserve alone.
         reason: why there is no reply yet.
         refusal: the last word that an attempt did not run.
         places: where it was asked.
@@ -64,6 +65,7 @@
     ran: int = 0
     next_at: float | None = None
     given_up: bool = False
+    held_back: bool = False
     reason: Reason = Reason.DEADLINE
     refusal: NotRun | None = None
     places: set[Place] = field(default_factory=set)
--- a/walkcart/fanout/tests/test_service_try.py
+++ b/walkcart/fanout/tests/test_service_try.py
@@ -12,7 +12,7 @@
     request = HttpRequest("GET", "/")
     question = RoutedQuestion("q", "k", request, ("s",), 9.0, most_attempts=2)
     clock = SimpleNamespace(monotonic=lambda: 0.0)
-    return RoutedSends(SimpleNamespace(clock=clock), question, None)
+    return RoutedSends(SimpleNamespace(clock=clock), question, None, lambda item: True)
 
 
 def test_what_another_instance_was_asked_for_counts_beside_an_attempt_from_here():
--- a/walkcart/platform/tests/test_failing_leafs.py
+++ b/walkcart/platform/tests/test_failing_leafs.py
@@ -64,3 +64,11 @@
     assert whole == QUESTIONS
     # Of 1,000 first requests few are refused before the leafs are known for it.
     assert sum(arrived) < 1.05 * QUESTIONS * SHARDS
+
+
+def test_repeats_go_where_answers_depend_on_them():
+    """All leafs of four shards refuse, and an answer may lack two shards."""
+    grey = [(shard, copy) for shard in range(4) for copy in range(2)]
+    parts, arrived = play_load(grey, least_coverage=0.8)
+    assert sum(1 for count in parts if count) >= 0.97 * QUESTIONS
+    assert all(count <= QUESTIONS + MOST_REPEATS for count in arrived)
--- a/walkcart/routing/repeats.py
+++ b/walkcart/routing/repeats.py
@@ -27,6 +27,11 @@
 #: Share of what is allowed that is spent; the rest is for windows that are cut
 #: differently here and at the leafs, and for views of the fleet that disagree.
 SPENT_SHARE = 0.8
+#: Share of what an instance may spend that is kept for repeats on which an answer
+#: depends. In calm times second attempts take a tenth of the budget, so it binds only
+#: when much fails: then a repeat that adds a part to an answer that does without is
+#: worth a tenth of one that saves the answer.
+VITAL_SHARE = 0.5
 #: Parts into which a window is divided.
 PARTS = 20
 
@@ -91,17 +96,23 @@
         """Note the first request of a question to a service."""
         self._window(service).add(self._part(now), 1, 0)
 
-    def take(self, service: str, now: float, instances: int) -> bool:
+    def take(
+        self, service: str, now: float, instances: int, vital: bool = True
+    ) -> bool:
         """Take one repeat; return False when none is left.
 
         Args:
             service: that gets the repeat.
             now: the present, in seconds.
             instances: that divide the allowance.
+            vital: whether there is no answer without it; the others leave a part.
         """
         window = self._window(service)
         window.advance(self._part(now))
-        if window.repeats + 1 > self._allowed(window, now, instances) + 1e-9:
+        allowed = self._allowed(window, now, instances)
+        if not vital:
+            allowed *= 1.0 - VITAL_SHARE
+        if window.repeats + 1 > allowed + 1e-9:
             return False
         window.add(self._part(now), 0, 1)
         return True
