--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -73,13 +73,17 @@
     metrics = kernel.find("metrics", Metrics)
     registration = kernel.find("registration", Registration)
     links = PeerLinks(peers, around.transport, registration, events, metrics)
-    ids = IdSource(settings.instance, around.random.getrandbits(32))
+    life = around.random.getrandbits(32)
+    ids = IdSource(settings.instance, life)
+    # Questions to other instances cross regions: a random number names them as well as
+    # the instance's name beside it, and is shorter.
+    question_ids = IdSource("", life)
     delegates = Delegates(
         DelegateTools(
             links,
             registration,
             PeerAccounts(),
-            ids,
+            question_ids,
             around.clock,
             around.random,
             events,
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -184,7 +184,7 @@
             # Meant for an earlier process at this address.
             return
         now = self.last_received = trio.current_time()
-        if self._view.find(envelope.sender) is None:
+        if envelope.address and self._view.find(envelope.sender) is None:
             self._note_stranger(envelope)
         stamp = Stamp(
             envelope.life, envelope.sent_at, envelope.to_life, envelope.least_reading
@@ -248,7 +248,7 @@
         envelope = Envelope(
             own.name,
             own.incarnation,
-            own.peer_address,
+            "" if stamp.to_life else own.peer_address,
             record.incarnation if record else 0,
             messages,
             stamp.life,
--- a/walkcart/wire/delegations.py
+++ b/walkcart/wire/delegations.py
@@ -70,7 +70,7 @@
     usual_high: float
 
 
-class DelegatedMissing(msgspec.Struct, frozen=True):
+class DelegatedMissing(msgspec.Struct, frozen=True, array_like=True):
     """A service whose part didn't come.
 
     Args:
--- a/walkcart/wire/messages.py
+++ b/walkcart/wire/messages.py
@@ -25,7 +25,7 @@
 from walkcart.wire.relays import RelayChanges, RelayCopy, RelaySubscribe
 
 
-class MemberRecord(msgspec.Struct, frozen=True):
+class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
     """What is known of one instance.
 
     Args:
@@ -51,14 +51,14 @@
     revision: int
 
 
-class LeafMark(msgspec.Struct, frozen=True):
+class LeafMark(msgspec.Struct, frozen=True, array_like=True):
     """A leaf is leaving, as of one incarnation of it."""
 
     address: str
     incarnation: int
 
 
-class Digest(msgspec.Struct, frozen=True):
+class Digest(msgspec.Struct, frozen=True, array_like=True):
     """What each heartbeat carries besides its number.
 
     Args:
@@ -114,7 +114,7 @@
     document: bytes
 
 
-class ForwardedAttempt(msgspec.Struct, frozen=True):
+class ForwardedAttempt(msgspec.Struct, frozen=True, array_like=True):
     """One leaf request to be sent by the holder of the leaf's connections.
 
     Args:
@@ -148,7 +148,7 @@
     ids: tuple[str, ...]
 
 
-class ForwardedOutcome(msgspec.Struct, frozen=True):
+class ForwardedOutcome(msgspec.Struct, frozen=True, array_like=True):
     """How a forwarded attempt ended.
 
     Args:
@@ -257,13 +257,14 @@
 )
 
 
-class Envelope(msgspec.Struct, frozen=True):
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
     """Messages from one instance to another, sent together.
 
     Args:
         sender: name of the sender.
         incarnation: of the sender.
-        address: the sender's ``IP:port`` for peers, to answer one not yet known.
+        address: the sender's ``IP:port`` for peers, to answer one not yet known; empty
+            where the receiver was heard of.
         to_incarnation: of the receiver; 0 when the sender doesn't know it.
         messages: in the order of sending.
         life: names the sender's process life; empty where it doesn't say.
--- a/walkcart/wire/relays.py
+++ b/walkcart/wire/relays.py
@@ -7,7 +7,7 @@
 from walkcart.wire.messagebase import Message
 
 
-class RelayedItem(msgspec.Struct, frozen=True):
+class RelayedItem(msgspec.Struct, frozen=True, array_like=True):
     """A stored value, or with `gone` the removal of its key.
 
     Args:
