Hold the first requests until configuration is known; ask only peers heard of

Groups go only to peers that were heard of, and a peer that turns one down says so, with nothing run.

--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -11,6 +11,7 @@
 from walkcart.daemon.surroundings import ListenerService, TenantSurroundings
 from walkcart.entry.routed import RoutedEntryTools, RoutedHandler
 from walkcart.entry.routedservice import RoutedService
+from walkcart.entry.starting import StartGate
 from walkcart.fanout.carrying import Carrier, Handover
 from walkcart.fanout.delegatedgroup import Outcome
 from walkcart.fanout.delegates import Delegates
@@ -149,6 +150,10 @@
     events = kernel.find("events", EventLog)
     metrics = kernel.find("metrics", Metrics)
     keeper = kernel.find("keeper", RouteKeeper)
+    directory = kernel.find("directory", LeafDirectory)
+    gate = StartGate(lambda: keeper.known and directory.known)
+    keeper.on_change(lambda table: gate.note_change())
+    directory.on_change(gate.note_change)
     protocol = PlatformCallerProtocol()
     handler = RoutedHandler(
         RoutedEntryTools(
@@ -159,6 +164,7 @@
             metrics,
             kernel.find("tracer", Tracer),
             around.random,
+            gate,
         )
     )
     service = RoutedService(
@@ -166,7 +172,7 @@
         handler,
         protocol.render_fault,
         keeper,
-        kernel.find("directory", LeafDirectory),
+        directory,
         events,
     )
     kernel.add("entry", service)
--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -16,6 +16,7 @@
 
 from returns.result import Failure, Result, Success
 
+from walkcart.entry.starting import StartGate
 from walkcart.fanout.mergedanswer import MissingPart
 from walkcart.fanout.routed import RoutedGathering
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure, RoutedQuestion
@@ -97,6 +98,7 @@
         metrics: where requests are counted and timed.
         tracer: makes a span for each request.
         random: shifts where splits begin.
+        gate: holds requests while the instance starts.
     """
 
     keeper: RouteKeeper
@@ -106,6 +108,7 @@
     metrics: Metrics
     tracer: Tracer
     random: Random
+    gate: StartGate
 
 
 class RoutedHandler:
@@ -130,10 +133,10 @@
 
     async def _route(self, caller: CallerRequest, start: float) -> HttpReply:
         tools = self._tools
-        table = tools.keeper.table
-        if not tools.keeper.known:
+        if not await tools.gate.wait():
             verdict = NotRun(Reason.NO_CONFIGURATION, "no routes are known", START_TIME)
             return self._refuse(caller, verdict)
+        table = tools.keeper.table
         route = table.find(caller.host, caller.forwarded.target)
         if route is None:
             return self._refuse(caller, NotRun(Reason.NO_ROUTE, "no such route"))
--- a/walkcart/fanout/carrying.py
+++ b/walkcart/fanout/carrying.py
@@ -22,7 +22,7 @@
     encode_answer,
     encode_outcome,
 )
-from walkcart.fanout.mergedanswer import MergedAnswer
+from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
 from walkcart.fanout.routedquestion import RoutedFailure, RoutedQuestion
 from walkcart.kernel.clock import Clock
 from walkcart.kernel.eventlog import EventLog
@@ -36,7 +36,7 @@
     DelegatedTaken,
 )
 from walkcart.wire.messagebase import Message
-from walkcart.wire.verdicts import MayHaveRun, Reason
+from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
 #: Seconds after which a question that was on its way isn't begun: the asker went on
 #: without it long ago (`walkcart.routing.peerchoice.LONGEST_PATIENCE`), and its caller
@@ -144,12 +144,16 @@
         self._nursery.start_soon(self._carry, sender, message, late, scope)
 
     def _turn_down(self, sender: str, message: DelegatedQuestion, age: float) -> None:
-        """Don't begin a question that is old, or may be.
+        """Don't begin a question that is old, or may be, and say so.
 
-        The empty cancellation tells the sender what this instance's clock shows, by
-        which the age of its next question is known.
+        The envelope of this answer tells the sender what this instance's clock shows,
+        by which the age of its next question is known.
         """
-        self._links.send(sender, DelegatedCancel(""))
+        reason = Reason.UNREACHABLE
+        missing = tuple(MissingPart(name, reason, 0) for name in message.services)
+        verdict = NotRun(reason, "the question was on its way for too long")
+        outcome: Outcome = Failure(RoutedFailure(verdict, missing=missing))
+        self._links.send(sender, encode_outcome(message.id, outcome))
         waited = None if age == float("inf") else round(age * 1000)
         self._events.emit(
             Events.QUESTION_STALE,
--- a/walkcart/fanout/delegates.py
+++ b/walkcart/fanout/delegates.py
@@ -173,6 +173,7 @@
     def _choose(self, wanted: Group) -> InstanceRecord | None:
         """Return the instance for a group, among few that get all like it.
 
+        One that wasn't heard of yet may still be starting, and would turn it down.
         Where instances are many, the same ones are asked for the same services: they
         keep connections to the leafs and know how they are.
         """
@@ -181,7 +182,8 @@
         peers = {
             record.name: record
             for record in self._tools.registration.others()
-            if record.data_centre == place.data_centre and record.peer_address
+            if record.data_centre == place.data_centre
+            and self._tools.links.has_heard_of(record.name)
         }
         key = wanted.services[0]
         ranked = sorted(peers, key=lambda name: rank_rendezvous(key, name))
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -113,6 +113,10 @@
         """Give messages of `kind`, which start work, to `handler`, with their age."""
         self._work_handlers[kind] = handler
 
+    def has_heard_of(self, name: str) -> bool:
+        """Return whether a life of the instance called `name` was heard of."""
+        return self._readings.has_heard_of(name)
+
     def withdraw(self, name: str, message: Message) -> bool:
         """Take back a message that wasn't sent yet; return whether that was so."""
         return any(
--- a/walkcart/membership/messageages.py
+++ b/walkcart/membership/messageages.py
@@ -91,6 +91,10 @@
             del self._readings[next(iter(self._readings))]
         self._readings[peer] = _Reading(stamp.life, ahead, now)
 
+    def has_heard_of(self, peer: str) -> bool:
+        """Return whether a life of the peer was heard of."""
+        return peer in self._readings
+
     def make_stamp(self, peer: str, now: float) -> Stamp:
         """Return what an envelope to a peer that is packed now says."""
         held = self._readings.get(peer)
