Split what an answer depends on, and outboxes, from the gathering and the links

Decisions on repeats are plain functions now (fanout/dependence.py), tested without a network; the outbox of a link stands by itself. Nothing is decided otherwise.

--- a/walkcart/fanout/delegates.py
+++ b/walkcart/fanout/delegates.py
@@ -17,7 +17,7 @@
 from returns.result import Failure, Success
 
 from walkcart.fanout.delegatedgroup import DelegatedGroup, Outcome
-from walkcart.fanout.delegatetools import DelegateTools
+from walkcart.fanout.delegatetools import DelegateTools, take_in_messages
 from walkcart.fanout.delegationcodec import (
     Delegation,
     decode_missing,
@@ -51,9 +51,6 @@
 #: `walkcart.fanout.carrying.HOLD_TIME`, so that a lost or late one does no harm.
 RENEWAL_INTERVAL = 0.12
 
-#: Messages that are taken in before an instance counts as silent: one each turn of the
-#: event loop, of which a busy one has some waiting.
-WAITING_MESSAGES = 4
 #: Fleets up to this size have links to all others; past it each one opens those that
 #: it needs, with its first question there.
 MOST_GREETED = 100
@@ -216,7 +213,7 @@
             with trio.move_on_at(min(due, renew_at)):
                 await changed.wait()
             if not group.taken:
-                await _take_in_messages()
+                await take_in_messages()
         return self._outcomes[id]
 
     def _note_lost(self, group: DelegatedGroup, question: RoutedQuestion) -> None:
@@ -296,9 +293,3 @@
         self._tools.accounts.note_answer(sender, now, now - group.at)
         self._outcomes[id] = outcome
         group.note()
-
-
-async def _take_in_messages() -> None:
-    """Let the links' task take in what has come while the event loop was busy."""
-    for _ in range(WAITING_MESSAGES):
-        await trio.lowlevel.checkpoint()
--- a/walkcart/fanout/delegatetools.py
+++ b/walkcart/fanout/delegatetools.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from random import Random
 
+import trio
+
 from walkcart.fanout.ids import IdSource
 from walkcart.kernel.clock import Clock
 from walkcart.kernel.eventlog import EventLog
@@ -12,6 +14,10 @@
 from walkcart.membership.registration import Registration
 from walkcart.routing.peerchoice import PeerAccounts
 
+#: Messages that are taken in before an instance counts as silent: one each turn of the
+#: event loop, of which a busy one has some waiting.
+WAITING_MESSAGES = 4
+
 
 @dataclass(frozen=True, slots=True)
 class DelegateTools:
@@ -34,3 +40,9 @@
     clock: Clock
     random: Random
     events: EventLog
+
+
+async def take_in_messages() -> None:
+    """Let the links' task take in what has come while the event loop was busy."""
+    for _ in range(WAITING_MESSAGES):
+        await trio.lowlevel.checkpoint()
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -23,6 +23,7 @@
 import trio
 from returns.result import Failure, Result
 
+from walkcart.fanout.dependence import is_vital, may_send_second_attempts
 from walkcart.fanout.elsewhere import GatheredElsewhere
 from walkcart.fanout.handing import Handing
 from walkcart.fanout.lateparts import plan_settling
@@ -64,7 +65,12 @@
         self._tries = {name: ServiceTry(name) for name in question.services}
         self._sends = RoutedSends(tools, question, self._receive, self._is_vital)
         self._elsewhere = GatheredElsewhere(
-            tools, question, top, self._sends, self._tries, self._wake
+            tools,
+            question,
+            top,
+            self._sends,
+            self._tries,
+            wake=lambda: self._wakeup.set(),
         )
         self._handing = handing
         self._handed = False
@@ -140,18 +146,9 @@
         return now >= objective and covers(self._question, self._covered)
 
     def _is_vital(self, item: ServiceTry) -> bool:
-        """Return whether too few other services have replied, or will in time.
-
-        When a repeat that is sent now comes only just in time, what hasn't replied yet
-        isn't counted on any longer.
-        """
+        """Return whether there is no answer in time without a service's part."""
         early = self._tools.clock.monotonic() < self._last_call
-        others = sum(
-            1
-            for other in self._tries.values()
-            if other is not item and (other.covered or (early and other.open))
-        )
-        return not covers(self._question, others)
+        return is_vital(self._question, self._tries.values(), item, early)
 
     def _release_held_back(self) -> None:
         """Try services again that were held back, once the answer depends on them."""
@@ -223,9 +220,6 @@
         busy = any(item.under_way or item.next_at for item in self._tries.values())
         return self._elsewhere.late_due_at(busy)
 
-    def _wake(self) -> None:
-        self._wakeup.set()
-
     def _receive(self, attempt: Attempt, outcome: Outcome) -> None:
         """Put an outcome into the inbox; called by the links' tasks."""
         if self._closed:
@@ -294,31 +288,15 @@
         if now >= self._late_due_at():
             self._elsewhere.ask_late(now)
         elif self._handing and not self._handed and now >= self._question.settle_at:
-            self._ask_one_by_one(now)
-        may = self._may_hedge()
+            # Too much is late for asking together.
+            self._sends.send_left(self._tries.values(), now)
+        may = may_send_second_attempts(self._tries.values())
         for item in late:
             if may:
                 self._sends.hedge(item, now)
             else:
                 item.given_up = True
 
-    def _may_hedge(self) -> bool:
-        """Return whether few enough services that were asked from here are late.
-
-        Groups that other instances gather come all at once, mostly later than second
-        attempts are due, and say nothing about the leafs that are asked from here.
-        """
-        asked = [item for item in self._tries.values() if item.tried]
-        return may_hedge(len(asked), sum(1 for item in asked if not item.covered))
-
-    def _ask_one_by_one(self, now: float) -> None:
-        """Ask from here for what was to be left: too much is late for that."""
-        self._sends.stop_leaving()
-        for item in self._tries.values():
-            if item.left:
-                item.left = False
-                self._sends.send_elsewhere(item, now)
-
     def _cancel_rest(self) -> None:
         for item in self._tries.values():
             item.given_up = True
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from walkcart.fanout.routedquestion import RoutedQuestion
 from walkcart.fanout.routedtools import RoutedTools
@@ -96,9 +96,13 @@
         )
         return self._question.objective_at - times.high(now) - HEDGE_RESERVE
 
-    def stop_leaving(self) -> None:
-        """Send each attempt by itself from now on, also to other regions."""
+    def send_left(self, tries: Iterable[ServiceTry], now: float) -> None:
+        """Send each attempt by itself from now on, also those that were left."""
         self._leaves_far = False
+        for item in tries:
+            if item.left:
+                item.left = False
+                self.send_elsewhere(item, now)
 
     def plan(self, item: ServiceTry, now: float) -> None:
         """Decide whether and when a service is tried again after a failure."""
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import secrets
-from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Protocol
@@ -15,20 +14,15 @@
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.settings import BadValue, HostPort, parse_host_port
 from walkcart.membership.messageages import ClockReadings, Stamp
+from walkcart.membership.outbox import Outbox
 from walkcart.wire.codec import BadMessage, decode_envelope, encode_envelope
 from walkcart.wire.messages import Envelope, Message
 from walkcart.wire.peers import PeerListener, PeerTransport
 
-#: Messages that wait for one peer; more are dropped and counted.
-OUTBOX_LIMIT = 2000
-MESSAGES_PER_ENVELOPE = 64
 #: Random bytes that name a process life.
 LIFE_BYTES = 4
 #: Senders outside the book whose addresses are kept.
 STRANGER_LIMIT = 256
-#: A link without messages for this long is closed. A new one costs the first question
-#: some round trips, which at its objective is too long.
-IDLE_TIME = timedelta(minutes=5)
 SEND_TIME = timedelta(seconds=2)
 #: A connection may have gone silent for good without an end. Between two new ones to a
 #: peer that seems silent; also how long the old one is kept for what it still carries.
@@ -99,7 +93,7 @@
         self._handlers: dict[type[Message], MessageHandler] = {}
         self._work_handlers: dict[type[Message], WorkHandler] = {}
         self._readings = ClockReadings(secrets.token_hex(LIFE_BYTES))
-        self._links: dict[tuple[str, HostPort], _Link] = {}
+        self._links: dict[tuple[str, HostPort], Outbox] = {}
         #: Addresses that senders gave, for answers to those not yet in the book.
         self._heard: dict[str, str] = {}
         self._nursery: trio.Nursery | None = None
@@ -141,7 +135,7 @@
             return False
         link = self._links.get((name, address))
         if link is None:
-            link = _Link(trio.current_time())
+            link = Outbox(trio.current_time())
             try:
                 self._nursery.start_soon(self._run_link, name, address, link)
             except RuntimeError:
@@ -217,7 +211,7 @@
             del self._heard[next(iter(self._heard))]
         self._heard[envelope.sender] = envelope.address
 
-    async def _run_link(self, name: str, address: HostPort, link: _Link) -> None:
+    async def _run_link(self, name: str, address: HostPort, link: Outbox) -> None:
         """Send what is queued for one peer until it is idle or unreachable."""
         try:
             sender = await self._transport.dial(address)
@@ -264,51 +258,3 @@
         self._metrics.count("peer.sent", len(messages))
         self._metrics.count("peer.bytes", len(data))
         return data
-
-
-class _Link:
-    """The outbox of one peer.
-
-    Args:
-        opened_at: when it was made, in seconds.
-    """
-
-    def __init__(self, opened_at: float) -> None:
-        self.opened_at = opened_at
-        self.ended = False
-        self._messages: deque[Message] = deque()
-        self._wakeup = trio.Event()
-
-    def put(self, message: Message) -> bool:
-        """Queue `message`; False when the outbox is full."""
-        if len(self._messages) >= OUTBOX_LIMIT:
-            return False
-        self._messages.append(message)
-        self._wakeup.set()
-        return True
-
-    def withdraw(self, message: Message) -> bool:
-        """Take back `message`; False when it isn't queued any longer."""
-        for place, queued in enumerate(self._messages):
-            if queued is message:
-                del self._messages[place]
-                return True
-        return False
-
-    def end(self) -> None:
-        """Send what is queued, and nothing more."""
-        self.ended = True
-        self._wakeup.set()
-
-    async def wait(self) -> bool:
-        """Wait for a message; False after a long time without one, or at the end."""
-        if not self._messages and not self.ended:
-            self._wakeup = trio.Event()
-            with trio.move_on_after(IDLE_TIME.total_seconds()):
-                await self._wakeup.wait()
-        return bool(self._messages)
-
-    def take(self) -> tuple[Message, ...]:
-        """Take what fits into one envelope."""
-        count = min(len(self._messages), MESSAGES_PER_ENVELOPE)
-        return tuple(self._messages.popleft() for _ in range(count))
