Play open connections that go silent to leafs and to the store

The users' pages say that open connections may go silent for good while new ones work. To other instances there was a test; for leafs and the store there was none.

--- a/walkcart/standins/memory.py
+++ b/walkcart/standins/memory.py
@@ -29,11 +29,14 @@
         self._chunks: deque[tuple[float, bytes]] = deque()
         self._wakeup = trio.Event()
         self._end: float | None = None
+        self._opened_at = trio.current_time()
         self.broken = False
         self.reader_gone = False
 
     def put(self, data: bytes) -> None:
-        """Send bytes on their way."""
+        """Send bytes on their way, or lose them without a word."""
+        if self._opened_at <= self._network.streams_silent_until:
+            return
         arrival = trio.current_time() + self._latency()
         self._chunks.append((arrival, data))
         self._wakeup.set()
@@ -196,6 +199,8 @@
         self.lose: Callable[[], bool] = lambda: False
         #: What senders that were dialled up to then send is lost without a word.
         self.silent_until = float("-inf")
+        #: What streams that were opened up to then carry is lost without a word.
+        self.streams_silent_until = float("-inf")
 
     def at(self, site: str) -> MemorySite:
         """Return the network as seen from one site."""
