Say who brought a version and how old it was

Cause: the log named the store as the source of every version, also of those that another instance had passed on, and nothing told how old a version was when it came into force or how long messages wait in an outbox. So the hypotheses of the incident couldn't be told apart from logs.

Change: messages that pass on changes say how long ago the sender read them; with the age of the message that is the delay, in 509 `routes_in_force` (`source`, `delay_ms`) and the histogram `intent.delay`. `peer.wait` is the time of the oldest message in an outbox; an envelope that a peer doesn't take in time is an event (412) and its losses are counted. `intent.revision` is shown on the platform too. No decision is changed.

Test: a fed instance's log names its feeder and a delay of at least one way between them.

--- a/walkcart/daemon/tenantstore.py
+++ b/walkcart/daemon/tenantstore.py
@@ -37,6 +37,7 @@
 from walkcart.store.budget import CallBudget
 from walkcart.store.calls import StoreCalls
 from walkcart.store.following import PrefixFollower
+from walkcart.store.updates import Update
 from walkcart.wire.peers import PeerListener
 
 #: Share of the store's rate that one instance may use at once; with seven instances
@@ -107,14 +108,14 @@
 def add_intent(kernel: Kernel, around: TenantSurroundings) -> None:
     """Add the routing document in force and what follows it."""
     events = kernel.find("events", EventLog)
-    keeper = RouteKeeper(around.clock, events)
+    keeper = RouteKeeper(around.clock, events, kernel.find("metrics", Metrics))
 
-    def take(items, changed) -> None:
-        item = items.get(CONFIGURATION_KEY)
+    def take(update: Update) -> None:
+        item = update.items.get(CONFIGURATION_KEY)
         if item is None:
             return
         try:
-            keeper.apply(read_configuration(item.value), "store")
+            keeper.apply(read_configuration(item.value), update.origin)
         except msgspec.MsgspecError as error:
             events.emit(Events.ROUTES_BAD, detail=str(error)[:300])
 
@@ -144,8 +145,8 @@
     directory = LeafDirectory(clock, events, find_return)
     entries = LeafEntries(settings.regions, events)
 
-    def take(items, changed) -> None:
-        directory.set_entries(entries.read(items, changed))
+    def take(update: Update) -> None:
+        directory.set_entries(entries.read(update.items, update.changed))
 
     follower = PrefixFollower(
         kernel.find("store", PlatformStore),
--- a/walkcart/intent/routekeeper.py
+++ b/walkcart/intent/routekeeper.py
@@ -10,11 +10,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import isfinite
 
 from walkcart.intent.routes import RouteTable, RoutingDocument
 from walkcart.kernel.clock import Clock
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
+from walkcart.kernel.metrics import Metrics
+from walkcart.store.updates import Origin
 
 #: Told the new table; must not wait.
 RouteListener = Callable[[RouteTable], None]
@@ -26,11 +29,13 @@
     Args:
         clock: source of time.
         events: where changes are logged.
+        metrics: where the version in force and its delay are shown.
     """
 
-    def __init__(self, clock: Clock, events: EventLog) -> None:
+    def __init__(self, clock: Clock, events: EventLog, metrics: Metrics) -> None:
         self._clock = clock
         self._events = events
+        self._metrics = metrics
         self._listeners: list[RouteListener] = []
         self.table = RouteTable(RoutingDocument(0))
         self.applied_at = clock.monotonic()
@@ -44,12 +49,12 @@
         """Call `listener` with each new table."""
         self._listeners.append(listener)
 
-    def apply(self, document: RoutingDocument, source: str) -> bool:
+    def apply(self, document: RoutingDocument, origin: Origin) -> bool:
         """Put `document` in force if it is newer; return whether it was.
 
         Args:
             document: a routing document.
-            source: who brought it, for the log.
+            origin: who brought it, and how long after it was read from the store.
         """
         held = self.table.document.version
         if document.version <= held:
@@ -57,9 +62,10 @@
                 Events.ROUTES_IGNORED,
                 version=document.version,
                 held=held,
-                source=source,
+                source=origin.source,
             )
             return False
+        known = isfinite(origin.delay)
         self.table = RouteTable(document)
         self.applied_at = self._clock.monotonic()
         self._events.emit(
@@ -68,8 +74,12 @@
             replaced=held,
             routes=len(document.routes),
             services=len(document.services),
-            source=source,
+            source=origin.source,
+            delay_ms=round(origin.delay * 1000, 1) if known else None,
         )
+        self._metrics.gauge("intent.revision", document.version)
+        if known:
+            self._metrics.time("intent.delay", origin.delay * 1000)
         for listener in self._listeners:
             listener(self.table)
         return True
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -95,6 +95,9 @@
     QUESTION_ABANDONED = _info(
         411, "question_abandoned", "A peer no longer renewed a question; given up."
     )
+    PEER_SLOW = _info(
+        412, "peer_slow", "A peer took no envelope in time; the link is made anew."
+    )
     LATE_PARTS = _info(
         409, "late_parts", "Late shards are asked for in another region, together."
     )
--- a/walkcart/kernel/metrics.py
+++ b/walkcart/kernel/metrics.py
@@ -44,7 +44,8 @@
     "peer.sent": Metric("counter", "messages", "Messages to peers."),
     "peer.received": Metric("counter", "messages", "Messages from peers."),
     "peer.bytes": Metric("counter", "bytes", "Sent to and received from peers."),
-    "peer.dropped": Metric("counter", "messages", "Not sent: the outbox was full."),
+    "peer.dropped": Metric("counter", "messages", "Not sent: outbox full, link lost."),
+    "peer.wait": Metric("timer", "ms", "An envelope's oldest message in the outbox."),
     "peer.renewed": Metric("counter", "links", "Made anew: the peer seemed silent."),
     "store.calls": Metric("counter", "calls", "Calls to the key-value service."),
     "store.failed": Metric("counter", "calls", "Those without a usable reply."),
@@ -52,6 +53,9 @@
     "claim.refused": Metric("counter", "claims", "Keys not claimed."),
     "claim.writes": Metric("counter", "writes", "Bucket writes to the store."),
     "intent.revision": Metric("gauge", "revision", "Configuration in force."),
+    "intent.delay": Metric(
+        "timer", "ms", "From a version's first reading here or at a feeder to force."
+    ),
     "intent.stale": Metric("gauge", "0 or 1", "Neither store nor peers are reached."),
     "member.live": Metric("gauge", "instances", "Peers held to be live."),
     "invariant.broken": Metric("counter", "times", "A promise doesn't hold: page."),
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -223,10 +223,16 @@
             return
         try:
             while await link.wait():
-                data = self._pack(name, link.take())
+                self._metrics.time("peer.wait", link.waited * 1000)
+                messages = link.take()
+                data = self._pack(name, messages)
                 with trio.move_on_after(SEND_TIME.total_seconds()) as scope:
                     await sender.send(data)
                 if scope.cancelled_caught:
+                    lost = len(messages) + len(link)
+                    self._metrics.count("peer.dropped", lost)
+                    detail = f"not taken in {SEND_TIME.total_seconds()} s: {lost} lost"
+                    self._events.emit(Events.PEER_SLOW, peer=name, detail=detail)
                     break
             if link.ended:
                 await trio.sleep(RENEWAL_INTERVAL.total_seconds())
--- a/walkcart/membership/outbox.py
+++ b/walkcart/membership/outbox.py
@@ -27,20 +27,20 @@
     def __init__(self, opened_at: float) -> None:
         self.opened_at = opened_at
         self.ended = False
-        self._messages: deque[Message] = deque()
+        self._messages: deque[tuple[float, Message]] = deque()
         self._wakeup = trio.Event()
 
     def put(self, message: Message) -> bool:
         """Queue `message`; False when the outbox is full."""
         if len(self._messages) >= OUTBOX_LIMIT:
             return False
-        self._messages.append(message)
+        self._messages.append((trio.current_time(), message))
         self._wakeup.set()
         return True
 
     def withdraw(self, message: Message) -> bool:
         """Take back `message`; False when it isn't queued any longer."""
-        for place, queued in enumerate(self._messages):
+        for place, (_, queued) in enumerate(self._messages):
             if queued is message:
                 del self._messages[place]
                 return True
@@ -59,7 +59,17 @@
                 await self._wakeup.wait()
         return bool(self._messages)
 
+    @property
+    def waited(self) -> float:
+        """Seconds that the oldest message has waited; 0 without one."""
+        if not self._messages:
+            return 0.0
+        return trio.current_time() - self._messages[0][0]
+
+    def __len__(self) -> int:
+        return len(self._messages)
+
     def take(self) -> tuple[Message, ...]:
         """Take what fits into one envelope."""
         count = min(len(self._messages), MESSAGES_PER_ENVELOPE)
-        return tuple(self._messages.popleft() for _ in range(count))
+        return tuple(self._messages.popleft()[1] for _ in range(count))
--- a/walkcart/membership/relaying.py
+++ b/walkcart/membership/relaying.py
@@ -29,6 +29,7 @@
 from walkcart.store.calls import StoreCalls
 from walkcart.store.following import PrefixFollower
 from walkcart.store.items import Change, Item, Removal
+from walkcart.store.updates import Origin
 from walkcart.wire.messagebase import Message
 from walkcart.wire.relays import (
     RelayChanges,
@@ -115,10 +116,11 @@
         self._silent: dict[str, float] = {}
         self._fed = False
         for follower in self._followers.values():
-            follower.on_change = self._publish
+            follower.on_change = self._note_change
+        self._changed_at = dict.fromkeys(self._followers, clock.monotonic())
         links.on(RelaySubscribe, self._on_subscribe)
-        links.on(RelayChanges, self._on_changes)
-        links.on(RelayCopy, self._on_copy)
+        links.on_work(RelayChanges, self._on_changes)
+        links.on_work(RelayCopy, self._on_copy)
 
     @property
     def watches(self) -> bool:
@@ -203,6 +205,10 @@
         for follower in self._followers.values():
             self._publish(follower)
 
+    def _note_change(self, follower: PrefixFollower) -> None:
+        self._changed_at[follower.prefix] = self._clock.monotonic()
+        self._publish(follower)
+
     def _publish(self, follower: PrefixFollower) -> None:
         """Send the subscribers what changed since what they were sent last."""
         if not self._feeds() or not follower.known:
@@ -214,15 +220,19 @@
         sent = self._sent.get((name, follower.prefix))
         base = sent.revision if sent else 0
         changes = follower.changes_after(base)
+        changed_ago = self._clock.monotonic() - self._changed_at[follower.prefix]
         if changes is None:
             message: Message = RelayCopy(
                 follower.prefix,
                 follower.revision,
                 tuple(_encode(item) for item in follower.items()),
+                changed_ago,
             )
         else:
             encoded = tuple(_encode(change) for change in changes)
-            message = RelayChanges(follower.prefix, base, follower.revision, encoded)
+            message = RelayChanges(
+                follower.prefix, base, follower.revision, encoded, changed_ago
+            )
         if self._links.send(name, message):
             earlier = sent.earlier if sent else 0
             state = _SentState(follower.revision, earlier)
@@ -243,17 +253,18 @@
             if first and self._feeds() and follower.known:
                 self._send_changes(sender, follower)
 
-    def _on_changes(self, sender: str, message: Message) -> None:
+    def _on_changes(self, sender: str, message: Message, age: float) -> None:
         assert isinstance(message, RelayChanges)
         follower = self._take_from(sender, message.prefix)
         if follower is None:
             return
         if follower.known and follower.revision >= message.base:
             changes = [_decode(item) for item in message.changes]
-            follower.apply(changes, message.revision)
+            origin = Origin(sender, message.changed_ago + age)
+            follower.apply(changes, message.revision, origin)
             self._note_heard(message.prefix)
 
-    def _on_copy(self, sender: str, message: Message) -> None:
+    def _on_copy(self, sender: str, message: Message, age: float) -> None:
         assert isinstance(message, RelayCopy)
         follower = self._take_from(sender, message.prefix)
         if follower is None:
@@ -263,7 +274,8 @@
                 item.key: Item(item.key, item.value, item.revision)
                 for item in message.items
             }
-            follower.replace(found, message.revision)
+            origin = Origin(sender, message.changed_ago + age)
+            follower.replace(found, message.revision, origin)
         self._note_heard(message.prefix)
 
     def _take_from(self, sender: str, prefix: str) -> PrefixFollower | None:
--- a/walkcart/platform/tests/test_relay.py
+++ b/walkcart/platform/tests/test_relay.py
@@ -1,8 +1,12 @@
 """Instances that pass on to each other what they read from the store."""
 
+import json
+
+import pytest
 import trio
 
 from walkcart.bench.harness import run_mocked
+from walkcart.kernel.metrics import Metrics
 from walkcart.membership import relaying
 from walkcart.membership.links import PeerLinks
 from walkcart.platform.tests.platformworld import make_route, open_platform
@@ -42,6 +46,31 @@
     assert with_instances(act, 2, ("north-a", "south-a")) == 200
 
 
+def test_log_and_metrics_say_who_brought_a_version_and_how_old_it_was():
+    async def act(world):
+        world.network.cut("store", "south-a")
+        await trio.sleep(4)
+        version = world.configure(make_route("two", "/two/", backend="plain"))
+        await trio.sleep(1)
+        lines = [json.loads(line) for line in world.log.getvalue().splitlines()]
+        found = {
+            line["instance"]: (line["source"], line["delay_ms"])
+            for line in lines
+            if line["event"] == "routes_in_force" and line["version"] == version
+        }
+        metrics = world.tenants["w1"].tenant.kernel.find("metrics", Metrics)
+        return found, metrics.read("intent.delay"), metrics.read("intent.revision")
+
+    found, delay_ms, revision = with_instances(act, 2, ("north-a", "south-a"))
+    assert found["w0"] == ("store", 0.0)
+    source, logged_ms = found["w1"]
+    assert source == "w0"
+    # One way to the other data centre is half a millisecond.
+    assert 0.5 <= logged_ms <= 5
+    assert delay_ms == pytest.approx(logged_ms, abs=0.1)
+    assert revision == 6
+
+
 def test_a_fed_instance_watches_again_when_the_store_serves_it():
     async def act(world):
         world.network.cut("store", "south-a")
--- a/walkcart/store/following.py
+++ b/walkcart/store/following.py
@@ -30,6 +30,7 @@
     Removal,
     SharedStore,
 )
+from walkcart.store.updates import Origin, Update, UpdateListener
 
 #: How long one watch waits; a call each, so long is cheap. A connection that went
 #: silent is noticed by the renewals of the lease, not by this.
@@ -45,8 +46,6 @@
 #: Full readings that are remembered; before the first of them nothing is known.
 KEPT_GAPS = 20
 
-#: Told the whole copy and the keys that changed; must not wait.
-CopyListener = Callable[[Mapping[str, Item], frozenset[str]], None]
 #: Told the old and the new value of an item; whether the difference matters to anyone.
 DifferenceTest = Callable[[bytes, bytes], bool]
 
@@ -65,7 +64,7 @@
         prefix: start of the keys.
         backoff: waits after failures.
         events: where a lost history is logged.
-        listener: told the copy after each change, and once when it was first read.
+        listener: told each change of the copy, and once when it was first read.
         pause: after a watch that brought changes.
         matters: whether a new value of an item is a change; one that isn't is kept
             and neither told nor passed on.
@@ -78,7 +77,7 @@
         prefix: str,
         backoff: Backoff,
         events: EventLog,
-        listener: CopyListener,
+        listener: UpdateListener,
         pause: timedelta = BURST_PAUSE,
         matters: DifferenceTest = differ,
     ) -> None:
@@ -175,7 +174,9 @@
             after = page.items[-1].key
         self.replace(found, first)
 
-    def replace(self, found: Mapping[str, Item], revision: int) -> None:
+    def replace(
+        self, found: Mapping[str, Item], revision: int, origin: Origin = Origin()
+    ) -> None:
         """Take a full copy; an item known from a later revision is kept.
 
         What differs from the copy so far is kept as changes: those that this copy is
@@ -192,7 +193,7 @@
         self._must_read = False
         newly_known = not self.known
         self.known = True
-        self._take_changes(changes, revision, tell=newly_known)
+        self._take_changes(changes, revision, origin, tell=newly_known)
 
     def _note_gap(self, revision: int) -> None:
         """Note that a full copy was taken at a revision."""
@@ -223,17 +224,20 @@
                 elif changes:
                     await trio.sleep(pause * IDLE_PAUSES)
 
-    def apply(self, changes: Iterable[Change], revision: int) -> bool:
+    def apply(
+        self, changes: Iterable[Change], revision: int, origin: Origin = Origin()
+    ) -> bool:
         """Take changes in order; return whether any was news.
 
         Args:
             changes: all since the copy's revision.
             revision: of the copy afterwards.
+            origin: of the changes.
         """
-        return self._take_changes(changes, revision, tell=False)
+        return self._take_changes(changes, revision, origin, tell=False)
 
     def _take_changes(
-        self, changes: Iterable[Change], revision: int, tell: bool
+        self, changes: Iterable[Change], revision: int, origin: Origin, tell: bool
     ) -> bool:
         """Take changes in order, and tell of them or anyway; return whether any was."""
         changed = set()
@@ -250,7 +254,7 @@
             self._history_from = max(self._history_from, dropped.revision)
         self.revision = max(self.revision, revision)
         if changed or tell:
-            self._listener(self._items, frozenset(changed))
+            self._listener(Update(self._items, frozenset(changed), origin))
             self.on_change(self)
         return bool(changed)
 
--- a/walkcart/store/tests/test_following.py
+++ b/walkcart/store/tests/test_following.py
@@ -18,9 +18,9 @@
     calls = SimpleNamespace(on_back=lambda listener: None)
     backoff = Backoff(timedelta(seconds=1), timedelta(seconds=1), Random(1))
 
-    def listen(items, changed):
+    def listen(update):
         if told is not None:
-            told.append(changed)
+            told.append(update.changed)
 
     return PrefixFollower(
         None,
--- a/walkcart/wire/relays.py
+++ b/walkcart/wire/relays.py
@@ -41,12 +41,14 @@
         base: the receiver must know everything up to this revision.
         revision: and knows everything up to this one afterwards.
         changes: in the order of their revisions.
+        changed_ago: seconds since the sender read the latest change of the prefix.
     """
 
     prefix: str
     base: int
     revision: int
     changes: tuple[RelayedItem, ...]
+    changed_ago: float = 0.0
 
 
 class RelayCopy(Message, frozen=True):
@@ -56,8 +58,10 @@
         prefix: start of the keys.
         revision: of the copy.
         items: all of them.
+        changed_ago: seconds since the sender read the latest change of the prefix.
     """
 
     prefix: str
     revision: int
     items: tuple[RelayedItem, ...]
+    changed_ago: float = 0.0
