--- a/walkcart/platform/tests/platformworld.py
+++ b/walkcart/platform/tests/platformworld.py
@@ -17,11 +17,19 @@
 from walkcart.platform.settings import PlatformSettings
 from walkcart.platform.tests.leafstandin import PlatformLeafStandin
 from walkcart.platform.tests.storestandin import PlatformStoreStandin
+from walkcart.standins.machinelinks import MachineLink
 from walkcart.standins.memory import MemoryNetwork
 from walkcart.standins.serving import StandinServer
 from walkcart.wire.http import HttpConnection, HttpReply, HttpRequest
 
-REGIONS = {"north-a": "north", "south-a": "south"}
+REGIONS = {
+    "north-a": "north",
+    "south-a": "south",
+    "north-b": "north",
+    "south-b": "south",
+    "east-a": "east",
+    "east-b": "east",
+}
 HOST = "shop.example"
 BODY_LIMIT = 1 << 20
 
@@ -101,11 +109,22 @@
         return self.version
 
     async def start_instance(
-        self, name: str = "one", data_centre: str = "north-a"
+        self,
+        name: str = "one",
+        data_centre: str = "north-a",
+        site_name: str = "",
+        link: MachineLink | None = None,
     ) -> RunningTenant:
-        """Start an instance."""
+        """Start an instance, or start it again.
+
+        Args:
+            name: of the instance.
+            data_centre: where it stands.
+            site_name: of the network, for cuts; that of the data centre if empty.
+            link: of its machine; without one its rate has no limit.
+        """
         settings = make_settings(name, data_centre, self.store_address)
-        site = self.network.at(data_centre)
+        site = self.network.at(site_name or data_centre, link)
         around = TenantSurroundings(
             site, site.transport(), TrioClock(), Random(7), self.log
         )
@@ -160,7 +179,7 @@
 
 def make_settings(name: str, data_centre: str, store: HostPort) -> PlatformSettings:
     """Return the settings of an instance; ports follow from its name."""
-    number = sum(name.encode()) % 1000
+    number = sum(n * 100 * b + b for n, b in enumerate(name.encode())) % 1000
     return PlatformSettings(
         instance=name,
         host="127.0.0.1",
--- a/walkcart/platform/tests/storestandin.py
+++ b/walkcart/platform/tests/storestandin.py
@@ -15,6 +15,9 @@
 
 #: Items of one page; small, so that tests see several.
 PAGE = 50
+#: Bytes of the values that one watch returns, as encoded; the rest come with the next.
+#: Seen on the platform: a watch from an old revision doesn't bring the newest.
+WATCH_BYTES = 1 << 20
 
 
 @dataclass(slots=True)
@@ -140,11 +143,22 @@
                     if event["revision"] > after and event["tlsKey"].startswith(prefix)
                 ]
                 if events:
-                    return reply_json({"events": events, "asOf": self.revision})
+                    return reply_json(self._fill_reply(events))
                 changed = self._changed
                 await changed.wait()
         return reply_json({"events": [], "asOf": self.revision})
 
+    def _fill_reply(self, events: list[dict[str, Any]]) -> dict[str, Any]:
+        size = 0
+        for number, event in enumerate(events):
+            size += len(event.get("value", ""))
+            if number and size > WATCH_BYTES:
+                return {
+                    "events": events[:number],
+                    "asOf": events[number - 1]["revision"],
+                }
+        return {"events": events, "asOf": self.revision}
+
     def _transact(self, content: dict[str, Any]) -> HttpReply:
         for row in content["expectedRevision"]:
             held = self.rows.get(row["tlsKey"])
