Bound the time until a change acts under trouble; find watches that went silent

Property: a change acts at every instance at most 3 s after its acknowledgement, the shortest time that any operator allows, or after an instance's own trouble ended.

The same cause elsewhere: - A watch whose connection went silent while the lease's renewals went on by another: the feeder's signs of life then vouched for an old copy, 16.2 s until a change acted. Failed without the probe. - A reading of the store is fresh before those hear of it who pass it on: else the others learned 0.5 s later, at the next sign of life (seen in that test). - Own interface: peers that pull a document again and again were queued each version; the one before is withdrawn. In the test four documents waited, now the newest.

--- a/walkcart/intent/distribution.py
+++ b/walkcart/intent/distribution.py
@@ -92,6 +92,8 @@
         self._document = EMPTY_DOCUMENT
         self._entry_revision = 0
         self._pulled_at = float("-inf")
+        #: The document that each peer was sent last, which may wait yet.
+        self._pushes: dict[str, ConfigurationPush] = {}
         self._listeners: list[Callable[[Document], None]] = []
         self._was_cut = False
         # Both are worked out anew only after the view has changed.
@@ -234,9 +236,16 @@
 
     def _on_pull(self, sender: str, message: Message) -> None:
         assert isinstance(message, ConfigurationPull)
-        if self._document.revision > message.revision:
-            push = ConfigurationPush(self._document.revision, self._document.data)
-            self._links.send(sender, push)
+        if self._document.revision <= message.revision:
+            return
+        # A peer asks again when the answer is late. On a full link whole documents
+        # would wait behind ones that they replace.
+        waiting = self._pushes.pop(sender, None)
+        if waiting is not None:
+            self._links.withdraw(sender, waiting)
+        push = ConfigurationPush(self._document.revision, self._document.data)
+        if self._links.send(sender, push):
+            self._pushes[sender] = push
 
     def _on_push(self, sender: str, message: Message) -> None:
         assert isinstance(message, ConfigurationPush)
--- a/walkcart/intent/tests/test_propagation.py
+++ b/walkcart/intent/tests/test_propagation.py
@@ -5,6 +5,9 @@
 from walkcart.bench.harness import open_estate, run_mocked
 from walkcart.intent.applying import Accepted, Raced, Unknown
 from walkcart.intent.distribution import ConfigurationKeeper
+from walkcart.membership.links import PeerLinks
+from walkcart.standins.memorypeers import MemoryPeerSender
+from walkcart.wire.messages import ConfigurationPull, ConfigurationPush
 
 BOUND = 4.0
 
@@ -182,3 +185,30 @@
             return cut.is_cut(), well.is_cut()
 
     assert run_mocked(run) == (True, False)
+
+
+def test_documents_that_a_later_one_replaced_do_not_wait_for_a_slow_peer(monkeypatch):
+    async def send_never(sender, data):
+        await trio.sleep_forever()
+
+    async def run():
+        async with open_estate() as world:
+            running = world.instances["instance-0"]
+            keeper = running.find("keeper", ConfigurationKeeper)
+            links = running.find("links", PeerLinks)
+            waiting = []
+            monkeypatch.setattr(MemoryPeerSender, "send", send_never)
+            links.send("instance-1", ConfigurationPull(0))
+            for number in range(4):
+                outcome = await world.apply(make_intent(1 + number / 10))
+                while keeper.document.revision < outcome.revision:
+                    await trio.sleep(0.01)
+                keeper._on_pull("instance-1", ConfigurationPull(0))
+                for (name, _), outbox in links._links.items():
+                    if name == "instance-1":
+                        waiting = [message for _, message in outbox._messages]
+            return waiting, outcome.revision
+
+    waiting, newest = run_mocked(run)
+    pushes = [item for item in waiting if isinstance(item, ConfigurationPush)]
+    assert [item.revision for item in pushes] == [newest]
--- a/walkcart/platform/tests/changesinforce.py
+++ b/walkcart/platform/tests/changesinforce.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import trio
 
 from walkcart.intent.routekeeper import RouteKeeper
+from walkcart.leaves.directory import LeafDirectory
 from walkcart.membership.relaying import Relay
 from walkcart.platform.tests.platformworld import (
     REGIONS,
@@ -24,6 +26,21 @@
 #: Seconds between two changes in quick succession.
 QUICK = 1 / 6
 DATA_CENTRES = tuple(REGIONS)
+#: Site of the store.
+STORE = "store"
+#: Seconds until an instance that ended runs again.
+RESTART_TIME = 0.5
+#: Seconds that a slowed machine takes for whatever comes in: its calls of the store
+#: just make their time limit of a second.
+SLOW_LAG = 0.4
+#: A connection to the store that was quiet for so many seconds isn't the one by which
+#: the lease is renewed.
+QUIET_TIME = 3.0
+
+
+def name_site(name: str) -> str:
+    """Return the network's name of an instance's machine."""
+    return f"machine of {name}"
 
 
 @dataclass(eq=False)
@@ -41,14 +58,17 @@
     links: dict[str, MachineLink] = field(default_factory=dict)
     acknowledged: dict[int, float] = field(default_factory=dict)
     seen: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
+    #: Since when each instance was free of trouble of its own.
+    free_since: dict[str, float] = field(default_factory=dict)
     _added: int = 0
 
     async def start(self, name: str, data_centre: str, lag: float = 0.0) -> None:
         """Start an instance on a small machine of its own."""
         link = MachineLink(SMALL_LINK, lag)
         self.links[name] = link
-        site = f"machine of {name}"
+        site = name_site(name)
         running = await self.world.start_instance(name, data_centre, site, link)
+        self.free_since[name] = trio.current_time()
         seen = self.seen[name] = []
         keeper = running.tenant.kernel.find("keeper", RouteKeeper)
 
@@ -88,6 +108,41 @@
             self.change()
             await trio.sleep(QUICK)
 
+    async def store_leafs(self, count: int) -> None:
+        """Store the entries of leafs, a few at a time as they start."""
+        for number in range(count):
+            self._store_leaf(number, "ready")
+            await trio.sleep(0.01)
+
+    def drain_leafs(self, count: int) -> None:
+        """Announce that leafs are about to end."""
+        for number in range(count):
+            self._store_leaf(number, "draining")
+
+    def _store_leaf(self, number: int, state: str) -> None:
+        entry = {
+            "backend": f"shard-{number % SHARDS:03}",
+            "address": f"10.0.{number // 250}.{number % 250}:7000",
+            "zone": DATA_CENTRES[number % len(DATA_CENTRES)],
+            "version": "v1",
+            "slots": 2,
+            "state": state,
+            "warmupLeftMs": 0,
+            "seq": 1,
+        }
+        self.world.store.put(f"servers/leaf-{number:04}", entry)
+
+    async def wait_until_drained(self) -> float:
+        """Return the seconds until no instance gives a leaf of the shards new work."""
+        start = trio.current_time()
+        directories = [
+            running.tenant.kernel.find("directory", LeafDirectory)
+            for running in self.world.tenants.values()
+        ]
+        while any(directory.leaves_of("shard-000") for directory in directories):
+            await trio.sleep(0.02)
+        return trio.current_time() - start
+
     def find_feeders(self) -> list[str]:
         """Return the instances that watch the store for others."""
         return [
@@ -96,15 +151,54 @@
             if running.tenant.kernel.find("relay", Relay).watches
         ]
 
-    def measure_delays(self, name: str, since: float = 0.0) -> list[float]:
+    def restart(self, name: str) -> None:
+        """End an instance at once and start it again."""
+        running = self.world.tenants[name]
+        running.scope.cancel()
+        self.free_since[name] = float("inf")
+        place, lag = running.settings.data_centre, self.links[name].incoming.lag
+        self.world.nursery.start_soon(self._start_later, name, place, lag)
+
+    async def _start_later(self, name: str, data_centre: str, lag: float) -> None:
+        await trio.sleep(RESTART_TIME)
+        await self.start(name, data_centre, lag)
+
+    async def cut(self, name: str, others: Iterable[str], duration: float) -> None:
+        """Cut an instance off from others, or from the store, for some seconds."""
+        self.free_since[name] = float("inf")
+        sites = [name_site(other) if other != STORE else STORE for other in others]
+        for site in sites:
+            self.world.network.cut(name_site(name), site)
+        await trio.sleep(duration)
+        for site in sites:
+            self.world.network.heal(name_site(name), site)
+        self.free_since[name] = trio.current_time()
+
+    async def slow_down(self, name: str, duration: float) -> None:
+        """Let an instance's machine take long for whatever comes in."""
+        link = self.links[name]
+        self.free_since[name] = float("inf")
+        link.incoming.lag, lag = SLOW_LAG, link.incoming.lag
+        await trio.sleep(duration)
+        link.incoming.lag = lag
+        self.free_since[name] = trio.current_time()
+
+    def silence_watches(self) -> int:
+        """Let the connections of all waiting watches go silent; return how many."""
+        now = trio.current_time()
+        streams = self.world.network.find_streams(self.world.store_address)
+        waiting = [stream for stream in streams if stream.used_at < now - QUIET_TIME]
+        for stream in waiting:
+            stream.go_silent()
+        return len(waiting)
+
+    def measure_delays(self, name: str) -> list[float]:
         """Return the seconds from each acknowledgement to force at an instance.
 
-        A version counts as in force from when it or a later one is.
-
-        Args:
-            name: of the instance.
-            since: changes acknowledged before this time count from it.
+        A version counts as in force from when it or a later one is, and as acknowledged
+        not before the instance was free of trouble of its own.
         """
+        since = self.free_since[name]
         delays = []
         for version, at in self.acknowledged.items():
             times = (time for time, held in self.seen[name] if held >= version)
--- a/walkcart/platform/tests/test_changes_in_force.py
+++ b/walkcart/platform/tests/test_changes_in_force.py
@@ -25,19 +25,31 @@
 The first two tests below show the same without any of the users' machines.
 """
 
+from random import Random
+
 import pytest
 import trio
 
 from walkcart.bench.harness import run_mocked
-from walkcart.platform.tests.changesinforce import DATA_CENTRES, Estate
+from walkcart.platform.tests.changesinforce import (
+    DATA_CENTRES,
+    SLOW_LAG,
+    STORE,
+    Estate,
+)
 from walkcart.platform.tests.platformworld import open_platform
 
 #: Seconds from the acknowledgement of a change until every instance that is in touch
 #: acts on it: the shortest that any of the users allows.
 BOUND = 3.0
+#: The same where all watches' connections have just gone silent, which is trouble of
+#: these machines: three probes of a second, and a reading.
+SILENT_BOUND = 3.5
 #: Changes in quick succession, and instances of one data centre of the largest fleet.
 CHANGES = 66
 ONE_DATA_CENTRE = 14
+#: Leafs of the largest deployment that was measured.
+LEAFS = 405
 
 
 def with_estate(count, act, data_centres=DATA_CENTRES):
@@ -75,3 +87,115 @@
     late, worst = with_estate(ONE_DATA_CENTRE, act, DATA_CENTRES[:1])
     assert len(late) == 2
     assert worst <= BOUND
+
+
+def test_leafs_that_leave_beside_quick_changes_get_no_work_in_time():
+    async def act(estate):
+        await estate.store_leafs(LEAFS)
+        await trio.sleep(5)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(estate.change_quickly, CHANGES)
+            await trio.sleep(5)
+            estate.drain_leafs(LEAFS)
+            return await estate.wait_until_drained()
+
+    assert with_estate(ONE_DATA_CENTRE, act, DATA_CENTRES[:1]) <= BOUND
+
+
+def test_busy_machines_act_in_time():
+    async def act(estate):
+        for link in estate.links.values():
+            link.incoming.lag = SLOW_LAG
+        await trio.sleep(5)
+        await estate.change_quickly(CHANGES)
+        await trio.sleep(20)
+        return estate.find_worst()
+
+    assert with_estate(ONE_DATA_CENTRE, act, DATA_CENTRES[:1]) <= BOUND
+
+
+def test_instances_that_start_meanwhile_act_in_time():
+    async def act(estate):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(estate.change_quickly, CHANGES)
+            for name in list(estate.links):
+                estate.restart(name)
+                await trio.sleep(0.7)
+        await trio.sleep(20)
+        return estate.find_worst()
+
+    assert with_estate(ONE_DATA_CENTRE, act, DATA_CENTRES[:1]) <= BOUND
+
+
+def test_a_cut_between_feeders_and_the_others_holds_nobody_up():
+    async def act(estate):
+        feeders = estate.find_feeders()
+        others = [name for name in estate.links if name not in feeders]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(estate.change_quickly, CHANGES)
+            await trio.sleep(2)
+            for name in feeders:
+                nursery.start_soon(estate.cut, name, others, 6.0)
+        await trio.sleep(20)
+        return estate.find_worst()
+
+    assert with_estate(ONE_DATA_CENTRE, act, DATA_CENTRES[:1]) <= BOUND
+
+
+def test_feeders_that_the_store_turns_away_hold_nobody_up():
+    async def act(estate):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(estate.change_quickly, CHANGES)
+            await trio.sleep(2)
+            for name in estate.find_feeders():
+                nursery.start_soon(estate.cut, name, [STORE], 6.0)
+            await trio.sleep(3)
+            estate.world.store.compact()
+        await trio.sleep(20)
+        return estate.find_worst()
+
+    assert with_estate(ONE_DATA_CENTRE, act, DATA_CENTRES[:1]) <= BOUND
+
+
+def test_watches_whose_connections_went_silent_are_found():
+    async def act(estate):
+        # A watch waits 20 s; those of the start have just ended.
+        await trio.sleep(5)
+        silent = estate.silence_watches()
+        estate.change()
+        await trio.sleep(40)
+        return silent, estate.find_worst()
+
+    silent, worst = with_estate(ONE_DATA_CENTRE, act, DATA_CENTRES[:1])
+    # Both feeders watch the configuration and the leafs, on a connection each.
+    assert silent >= 4
+    assert worst <= SILENT_BOUND
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_trouble_at_some_instances_leaves_the_others_in_time(seed):
+    random = Random(seed)
+
+    async def act(estate):
+        names = list(estate.links)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(estate.change_quickly, CHANGES)
+            for name in random.sample(names, len(names) // 2):
+                await trio.sleep(random.uniform(0, 2))
+                duration = random.uniform(0.5, 6)
+                match random.randrange(5):
+                    case 0:
+                        estate.restart(name)
+                    case 1:
+                        nursery.start_soon(estate.cut, name, [STORE], duration)
+                    case 2:
+                        others = [other for other in names if other != name]
+                        nursery.start_soon(estate.cut, name, others, duration)
+                    case 3:
+                        nursery.start_soon(estate.slow_down, name, duration)
+                    case 4:
+                        estate.world.store.compact()
+        await trio.sleep(20)
+        return estate.find_worst()
+
+    assert with_estate(2 * ONE_DATA_CENTRE, act, DATA_CENTRES[:2]) <= BOUND
--- a/walkcart/standins/memory.py
+++ b/walkcart/standins/memory.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 
 import trio
 
@@ -16,6 +17,7 @@
 from walkcart.standins.machinelinks import MachineLink
 from walkcart.standins.memorypeers import MemoryPeerListener, MemoryTransport
 from walkcart.standins.pipes import MemoryStream, Pipe
+from walkcart.wire.network import PROBES
 
 #: One-way seconds between two sites.
 LatencyModel = Callable[[str, str], float]
@@ -97,6 +99,10 @@
         await event.wait()
         return True
 
+    def find_streams(self, address: HostPort) -> list[MemoryStream]:
+        """Return the listening side of the streams that were opened to an address."""
+        return list(self._listeners[address].streams)
+
     def take_address(self, address: HostPort) -> HostPort:
         """Return `address` with a free port in place of 0."""
         if address.port:
@@ -125,7 +131,11 @@
             del self._listeners[listener.address]
 
     async def connect(
-        self, address: HostPort, site: str, link: MachineLink | None = None
+        self,
+        address: HostPort,
+        site: str,
+        link: MachineLink | None = None,
+        probe: timedelta | None = None,
     ) -> MemoryStream:
         """Open a stream from `site`."""
         await trio.lowlevel.checkpoint()
@@ -141,6 +151,8 @@
         server = MemoryStream(there, back)
         listener.streams.append(server)
         listener.incoming.send_nowait(server)
+        if probe is not None:
+            back.probe_time = (PROBES + 1) * probe.total_seconds()
         return MemoryStream(back, there)
 
     def add_peer_listener(
@@ -198,9 +210,11 @@
     site: str
     link: MachineLink | None = None
 
-    async def connect(self, address: HostPort) -> MemoryStream:
+    async def connect(
+        self, address: HostPort, probe: timedelta | None = None
+    ) -> MemoryStream:
         """Open a stream."""
-        return await self.network.connect(address, self.site, self.link)
+        return await self.network.connect(address, self.site, self.link, probe)
 
     async def listen(self, address: HostPort) -> MemoryListener:
         """Listen for streams."""
--- a/walkcart/standins/pipes.py
+++ b/walkcart/standins/pipes.py
@@ -45,11 +45,18 @@
         self._wakeup = trio.Event()
         self._end: float | None = None
         self._opened_at = trio.current_time()
+        self._silent = False
+        self._dead_at = float("inf")
+        #: Seconds after which the reader's probes show that the pipe went silent.
+        self.probe_time = float("inf")
+        #: When bytes were sent last.
+        self.used_at = self._opened_at
         self.broken = False
         self.reader_gone = False
 
     async def put(self, data: bytes) -> None:
         """Send bytes on their way, or lose them without a word."""
+        self.used_at = trio.current_time()
         if self._is_silent():
             return
         left_at = trio.current_time()
@@ -68,7 +75,13 @@
         self._wakeup.set()
 
     def _is_silent(self) -> bool:
-        return self._opened_at <= self._network.streams_silent_until
+        return self._silent or self._opened_at <= self._network.streams_silent_until
+
+    def go_silent(self) -> None:
+        """Lose all that is sent from now on without a word."""
+        self._silent = True
+        self._dead_at = trio.current_time() + self.probe_time
+        self._wakeup.set()
 
     def close(self) -> None:
         """The writer sends no more; what is on its way arrives before the end."""
@@ -90,15 +103,20 @@
         """Wait for bytes; none at the end."""
         await trio.lowlevel.checkpoint()
         while True:
-            if self.broken:
+            if self.broken or trio.current_time() >= self._dead_at:
                 raise trio.BrokenResourceError("the connection was lost")
-            if await self._network.wait_while_cut(self._source, self._target):
+            with trio.move_on_after(self.probe_time) as probing:
+                if await self._network.wait_while_cut(self._source, self._target):
+                    continue
+            if probing.cancelled_caught:
+                self.break_off()
                 continue
             due = self._chunks[0][0] if self._chunks else self._end
             if due is not None and due <= trio.current_time():
                 return self._pop(limit) if self._chunks else b""
             self._wakeup = trio.Event()
-            with trio.move_on_at(due if due is not None else float("inf")):
+            wake_at = self._dead_at if due is None else min(due, self._dead_at)
+            with trio.move_on_at(wake_at):
                 await self._wakeup.wait()
 
     def _pop(self, limit: int) -> bytes:
@@ -142,6 +160,16 @@
         self._incoming.reader_gone = True
         await trio.lowlevel.checkpoint()
 
+    @property
+    def used_at(self) -> float:
+        """When bytes were sent last, in either direction."""
+        return max(self._incoming.used_at, self._outgoing.used_at)
+
+    def go_silent(self) -> None:
+        """Lose whatever is sent from now on, in both directions, without a word."""
+        self._incoming.go_silent()
+        self._outgoing.go_silent()
+
     def forget(self) -> None:
         """Lose the connection at this end; the other one learns it when it sends."""
         self._incoming.reader_gone = True
--- a/walkcart/store/calls.py
+++ b/walkcart/store/calls.py
@@ -30,6 +30,9 @@
 REPLY_LIMIT = 4 << 20
 CALL_TIME = timedelta(seconds=2)
 IDLE_CONNECTIONS = 2
+#: A waiting watch is quiet for long, and its connection may go silent for good while
+#: others work: found after three times this, 3 s.
+PROBE = timedelta(seconds=1)
 
 
 class StoreUnavailable(Exception):
@@ -156,7 +159,7 @@
 
     async def _connect(self) -> HttpConnection:
         try:
-            stream = await self._network.connect(self._address)
+            stream = await self._network.connect(self._address, PROBE)
         except OSError as error:
             raise self.fail(str(error), False) from None
         return HttpConnection(stream, str(self._address), REPLY_LIMIT)
--- a/walkcart/store/following.py
+++ b/walkcart/store/following.py
@@ -208,8 +208,9 @@
             if page.last or not page.items:
                 break
             after = page.items[-1].key
+        # Before listeners hear of it: they pass on what is current.
+        self._confirmed_at = max(self._confirmed_at, began_at)
         self.replace(found, first)
-        self.note_current(first, began_at)
 
     def replace(
         self, found: Mapping[str, Item], revision: int, origin: Origin = Origin()
--- a/walkcart/wire/network.py
+++ b/walkcart/wire/network.py
@@ -8,6 +8,7 @@
 
 import select
 import socket
+from datetime import timedelta
 from typing import Protocol
 
 import trio
@@ -17,6 +18,8 @@
 #: Milliseconds after which sent bytes that nobody acknowledged end a connection: a
 #: peer without power says nothing. Longer than any pause of a peer that lives.
 SILENCE_MS = 10_000
+#: Probes without an answer after which a connection has gone silent for good.
+PROBES = 2
 
 
 def is_quiet(stream: trio.abc.Stream) -> bool:
@@ -34,9 +37,17 @@
 class Network(Protocol):
     """Opens and accepts byte streams."""
 
-    async def connect(self, address: HostPort) -> trio.abc.Stream:
+    async def connect(
+        self, address: HostPort, probe: timedelta | None = None
+    ) -> trio.abc.Stream:
         """Open a stream.
 
+        Args:
+            address: of the peer.
+            probe: a peer that is quiet for this long is asked whether it is there, and
+                `PROBES` such questions without an answer end the stream, one more
+                `probe` later. None not to ask. Whole seconds, at least one.
+
         Raises:
             OSError: nobody listens there, or it can't be reached.
         """
@@ -55,15 +66,35 @@
         ...
 
 
+def _limit_silence(
+    sock: trio.socket.SocketType | socket.socket, probe: timedelta | None
+) -> None:
+    """Let the kernel end a connection whose peer says nothing any more."""
+    tcp = socket.IPPROTO_TCP
+    if probe is None:
+        sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, SILENCE_MS)
+        return
+    seconds = max(1, round(probe.total_seconds()))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, seconds)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, seconds)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, PROBES)
+    # The kernel goes by this time in place of the number of probes.
+    silence_ms = (PROBES + 1) * seconds * 1000
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, silence_ms)
+
+
 class TcpNetwork:
     """TCP by IP number."""
 
-    async def connect(self, address: HostPort) -> trio.abc.Stream:
+    async def connect(
+        self, address: HostPort, probe: timedelta | None = None
+    ) -> trio.abc.Stream:
         """Open a TCP connection."""
         family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
         sock = trio.socket.socket(family, socket.SOCK_STREAM)
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
+            _limit_silence(sock, probe)
             await sock.connect((address.host, address.port))
         except BaseException:
             sock.close()
