Say from the logs which requests were lost and why: walkcart losses

Cause: where worth is lost was read from the users' tables and by hand from logs.

What a line leaves open is told from earlier lines of its instance: a peer lost with the question, a leaf of the missing service that was unreachable or ejected in the last 10 s. Nothing on the served path is changed.

--- /dev/null
+++ b/walkcart/cli/losscauses.py
@@ -0,0 +1,168 @@
+"""Why a request was late, partial, refused or failed, from its line in the log.
+
+Decisions over lines, without files or output. A line names most causes itself; what it
+leaves open is told from earlier lines of the same instance: a peer that was lost with a
+question, a leaf that was unreachable or ejected shortly before.
+
+See Also:
+    `walkcart.cli.losses`, the command.
+    ``docs/OPERATIONS.md``, the way from an id to its cause by hand.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from walkcart.kernel.events import Events
+from walkcart.wire.verdicts import Reason
+
+#: Questions and leafs that are remembered of each instance.
+MOST_REMEMBERED = 10_000
+#: Seconds for which a leaf that was unreachable or ejected counts as the cause: such a
+#: leaf is tried again after some seconds.
+DARK_TIME = 10.0
+
+
+class Outcome(Enum):
+    """What the caller lost."""
+
+    GOOD = "good"
+    LATE = "late"
+    PARTIAL = "partial"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class Cause(Enum):
+    """Why, in an operator's words."""
+
+    NONE = "none"
+    SLOW_LEAF = "a leaf was slow, paused or its queue long"
+    DARK_LEAF = "a leaf was unreachable or ejected"
+    LEAF_REFUSED = "leafs refused: full or failing their requests"
+    LEAF_FAILED = "leafs failed or broke off"
+    BUDGET_SPENT = "budget of repeats spent"
+    NO_CONNECTION = "no connection to a leaf"
+    NO_LEAF = "no leaf known"
+    NO_CONFIGURATION = "no configuration yet"
+    NO_ROUTE = "no such route in this version"
+    LOST_INSTANCE = "another instance was lost with its group"
+    CALLER_GONE = "the caller left"
+    STOPPING = "the instance was stopping"
+    OWN_FAULT = "a fault of walkcart"
+    UNKNOWN = "not told by the log"
+
+
+#: What a reason in the log comes to.
+CAUSES = {
+    Reason.DEADLINE.value: Cause.SLOW_LEAF,
+    Reason.COVERAGE.value: Cause.SLOW_LEAF,
+    Reason.OVERLOADED.value: Cause.LEAF_REFUSED,
+    Reason.LEAF_REFUSED.value: Cause.LEAF_REFUSED,
+    Reason.LEAF_REPLACED.value: Cause.DARK_LEAF,
+    Reason.LEAF_FAILED.value: Cause.LEAF_FAILED,
+    Reason.REPEAT_BUDGET.value: Cause.BUDGET_SPENT,
+    Reason.UNREACHABLE.value: Cause.NO_CONNECTION,
+    Reason.NO_LEAF.value: Cause.NO_LEAF,
+    Reason.NO_CONFIGURATION.value: Cause.NO_CONFIGURATION,
+    Reason.NO_ROUTE.value: Cause.NO_ROUTE,
+    Reason.CANCELLED.value: Cause.CALLER_GONE,
+    Reason.STOPPING.value: Cause.STOPPING,
+    Reason.INTERNAL.value: Cause.OWN_FAULT,
+}
+#: Causes that an unreachable leaf of the service explains better.
+_MAY_BE_DARK = frozenset({Cause.SLOW_LEAF, Cause.NO_CONNECTION, Cause.LEAF_FAILED})
+#: Causes that a lost instance explains better.
+_MAY_BE_LOST = frozenset({Cause.NO_CONNECTION, Cause.SLOW_LEAF})
+
+
+@dataclass(frozen=True, slots=True)
+class RequestEnd:
+    """How one request ended.
+
+    Args:
+        time: of the line, in seconds.
+        route: its name; the host where no route was found.
+        outcome: what the caller lost.
+        cause: why.
+    """
+
+    time: float
+    route: str
+    outcome: Outcome
+    cause: Cause
+
+
+class InstanceMemory:
+    """What earlier lines of one instance said, bounded."""
+
+    def __init__(self) -> None:
+        self._lost: OrderedDict[str, None] = OrderedDict()
+        #: Service by id and by address of a leaf.
+        self._services: OrderedDict[str, str] = OrderedDict()
+        self._dark: OrderedDict[str, float] = OrderedDict()
+
+    def take(self, line: Mapping[str, Any], time: float) -> RequestEnd | None:
+        """Take a line; return how a request ended if that is what it says."""
+        match line.get("number"):
+            case Events.DELEGATE_LOST.number:
+                _remember(self._lost, str(line.get("request")), None)
+            case Events.LEAF_ADDED.number:
+                service = str(line.get("service"))
+                _remember(self._services, str(line.get("leaf")), service)
+                _remember(self._services, str(line.get("address")), service)
+            case Events.LEAF_UNREACHABLE.number | Events.LEAF_EJECTED.number:
+                service = self._services.get(str(line.get("leaf")))
+                if service is not None:
+                    _remember(self._dark, service, time)
+            case Events.REQUEST_DONE.number:
+                return self._judge_answer(line, time)
+            case Events.REQUEST_UNSERVED.number:
+                return self._judge_failure(line, time)
+        return None
+
+    def _judge_answer(self, line: Mapping[str, Any], time: float) -> RequestEnd:
+        outcome = Outcome.GOOD
+        objective = line.get("objective_ms")
+        if objective is not None and line.get("ms", 0) > objective:
+            outcome = Outcome.LATE
+        elif line.get("missing"):
+            outcome = Outcome.PARTIAL
+        cause = Cause.NONE
+        if outcome is not Outcome.GOOD:
+            cause = self._find_cause(line, time, Reason.DEADLINE.value)
+        return RequestEnd(time, str(line.get("route")), outcome, cause)
+
+    def _judge_failure(self, line: Mapping[str, Any], time: float) -> RequestEnd:
+        refused = line.get("ran", "NotRun") == "NotRun"
+        cause = self._find_cause(line, time, str(line.get("reason")))
+        route = str(line.get("route", line.get("host")))
+        outcome = Outcome.REFUSED if refused else Outcome.FAILED
+        return RequestEnd(time, route, outcome, cause)
+
+    def _find_cause(self, line: Mapping[str, Any], time: float, reason: str) -> Cause:
+        """Return the cause that explains most of what is missing."""
+        missing: Mapping[str, str] = line.get("missing") or {}
+        found = [CAUSES.get(item, Cause.UNKNOWN) for item in missing.values()]
+        cause = CAUSES.get(reason, Cause.UNKNOWN)
+        if found:
+            cause = max(found, key=found.count)
+        if cause in _MAY_BE_LOST and str(line.get("request")) in self._lost:
+            return Cause.LOST_INSTANCE
+        if cause in _MAY_BE_DARK and any(self._is_dark(key, time) for key in missing):
+            return Cause.DARK_LEAF
+        return cause
+
+    def _is_dark(self, service: str, time: float) -> bool:
+        return time - self._dark.get(service, float("-inf")) <= DARK_TIME
+
+
+def _remember(memory: OrderedDict[str, Any], key: str, value: Any) -> None:
+    memory[key] = value
+    memory.move_to_end(key)
+    while len(memory) > MOST_REMEMBERED:
+        memory.popitem(last=False)
--- a/walkcart/cli/main.py
+++ b/walkcart/cli/main.py
@@ -14,6 +14,7 @@
     LabelCommand,
     ValidateCommand,
 )
+from walkcart.cli.losses import LossesCommand
 from walkcart.cli.views import ExplainCommand, GetCommand, QueryCommand, StatusCommand
 
 COMMANDS = (
@@ -26,6 +27,7 @@
     DrainCommand,
     QueryCommand,
     ExplainCommand,
+    LossesCommand,
 )
 
 
--- a/walkcart/cli/tests/test_tool.py
+++ b/walkcart/cli/tests/test_tool.py
@@ -1,14 +1,13 @@
 """The operators' tool against real processes."""
 
 import json
-import subprocess
-import sys
 
 import pytest
 
 from walkcart.bench.fleet import Fleet, Processes
 from walkcart.bench.world import make_partner, make_service
 from walkcart.cli.exits import Exit
+from walkcart.cli.tests.running import run_alone
 
 INTENT = '[[routing_intent]]\nname = "all"\nselector = "tier=search"\ndeadline = 1.0\n'
 ESTATE = (
@@ -32,14 +31,6 @@
     started.processes.stop_all()
 
 
-def run_alone(*words):
-    return subprocess.run(
-        [sys.executable, "-m", "walkcart.cli.main", *words],
-        capture_output=True,
-        text=True,
-    )
-
-
 def write(fleet, text):
     path = fleet.folder / "file.toml"
     path.write_text(text)
