--- a/walkcart/bench/harness.py
+++ b/walkcart/bench/harness.py
@@ -17,6 +17,17 @@
 TOKENS = {"red": "red-token", "blue": "blue-token"}
 
 
+class ManualClock:
+    """A monotonic clock that the test moves, in seconds."""
+
+    def __init__(self) -> None:
+        self.time = 100.0
+
+    def monotonic(self) -> float:
+        """Return what the test has set."""
+        return self.time
+
+
 def run_mocked(action: Callable[..., Awaitable[Any]], *words: Any) -> Any:
     """Run an action on a mocked clock, the same every time."""
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
--- a/walkcart/store/tests/test_following.py
+++ b/walkcart/store/tests/test_following.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from walkcart.bench.harness import ManualClock
 from walkcart.store.backoff import Backoff
 from walkcart.store.following import PrefixFollower, differ
 from walkcart.store.items import Item, Removal
@@ -14,16 +15,6 @@
 KEYS = "abcde"
 
 
-class ManualClock:
-    """A clock that the test moves."""
-
-    def __init__(self):
-        self.time = 0.0
-
-    def monotonic(self):
-        return self.time
-
-
 def make_follower(told=None, matters=differ):
     calls = SimpleNamespace(on_back=lambda listener: None)
     backoff = Backoff(timedelta(seconds=1), timedelta(seconds=1), Random(1))
