Try decisions on routed requests in seconds, over emulated leafs

Change: walkcart/bench/routed plays the product's own code (entry, gathering, pool, placement, sends, budget, delegation, messages between instances) of several instances on a mocked clock over emulated leafs: slots, bounded queues, work with a tail, pauses, cold starts, connections that take time and are capped, stated load, dark, slow, refusing leafs, lost answers, releases. Callers have kinds, rates, patience and retries. Policies switch mechanisms off in the trial, not in the product; no code of the product is changed.

--- a/walkcart/bench/__main__.py
+++ b/walkcart/bench/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m walkcart.bench``: demo, run, soak, replay and slopes."""
+"""``python -m walkcart.bench``: demo, run, routed, soak, replay and slopes."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
     jobs = parser.add_subparsers(dest="job", required=True)
     jobs.add_parser("demo", help="the embedded estate of `make run`")
     _add_run(jobs.add_parser("run", help="experiments over the stand-ins"))
+    _add_routed(jobs.add_parser("routed", help="decisions on routed requests"))
     _add_soak(jobs.add_parser("soak", help="long randomised runs"))
     replay = jobs.add_parser("replay", help="recorded traces against their outcomes")
     replay.add_argument("traces", nargs="+", help="trace files")
@@ -33,6 +34,14 @@
     run.add_argument("--out", default="out", help="folder of the report")
 
 
+def _add_routed(routed: argparse.ArgumentParser) -> None:
+    routed.add_argument("scenario", nargs="+", help="names, or `all`")
+    routed.add_argument("--policy", nargs="+", default=["walkcart", "random"])
+    routed.add_argument("--seeds", type=int, default=1)
+    routed.add_argument("--workers", type=int, default=4)
+    routed.add_argument("--out", default="", help="file for all figures, as JSON")
+
+
 def _add_soak(soak: argparse.ArgumentParser) -> None:
     soak.add_argument("--seed", type=int, default=1)
     soak.add_argument("--seeds", type=int, default=1, help="so many from --seed on")
@@ -55,6 +64,10 @@
             from walkcart.bench.report import run_and_report
 
             return run_and_report(options)
+        case "routed":
+            from walkcart.bench.routed.report import run_and_print
+
+            return run_and_print(options)
         case "soak" if options.processes:
             from walkcart.bench.soak_processes import run_process_soak
 
--- /dev/null
+++ b/walkcart/bench/routed/instances.py
@@ -0,0 +1,245 @@
+"""One instance of a trial: the product's services for routed requests, put together.
+
+See Also:
+    `walkcart.daemon.tenantserving`, which puts together the same for the platform.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from io import StringIO
+from random import Random
+
+import trio
+
+from walkcart.bench.routed.leafs import EmulatedLeaf
+from walkcart.bench.routed.links import EmulatedPool, Emulation
+from walkcart.bench.routed.members import FixedRegistration
+from walkcart.bench.routed.policies import Policy
+from walkcart.bench.routed.timeline import Timeline
+from walkcart.fanout.carrying import Carrier, Handover
+from walkcart.fanout.delegatedgroup import Outcome
+from walkcart.fanout.delegates import Delegates
+from walkcart.fanout.delegatetools import DelegateTools
+from walkcart.fanout.handing import Handing
+from walkcart.fanout.ids import IdSource
+from walkcart.fanout.mergedanswer import MergedAnswer
+from walkcart.fanout.routed import RoutedGathering
+from walkcart.fanout.routedquestion import RoutedAnswer, RoutedQuestion
+from walkcart.fanout.routedtools import RoutedTools
+from walkcart.intent.routekeeper import RouteKeeper
+from walkcart.intent.routes import RoutingDocument
+from walkcart.kernel.clock import TrioClock
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.metrics import Metrics
+from walkcart.kernel.settings import HostPort
+from walkcart.kernel.spans import OUTPUT_NONE, Tracer
+from walkcart.leaves.attempts import Attempt
+from walkcart.leaves.directory import LeafDirectory, LeafEntry
+from walkcart.leaves.exchange import LinkTools
+from walkcart.leaves.leaf import Leaf
+from walkcart.leaves.pool import PoolTools
+from walkcart.membership.links import PeerLinks
+from walkcart.membership.registration import InstanceRecord
+from walkcart.routing.distance import Distance, Place, measure_distance
+from walkcart.routing.peerchoice import PeerAccounts
+from walkcart.routing.repeats import RepeatBudget, RepeatLimits
+from walkcart.standins.memory import MemoryNetwork
+from walkcart.store.updates import Origin
+
+#: One-way seconds by distance, as on the users' smaller deployments.
+WAYS = {
+    Distance.SAME_DATA_CENTRE: 0.0002,
+    Distance.SAME_REGION: 0.0005,
+    Distance.OTHER_REGION: 0.008,
+}
+#: Limits of repeats over all instances, as on the users' smaller deployments.
+REPEAT_LIMITS = RepeatLimits(0.2, 10.0, 54.0)
+NO_REPEATS = RepeatLimits(0.0, 10.0, 0.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What the instances of a trial share.
+
+    Args:
+        network: between the instances.
+        timeline: of the leafs.
+        leafs: by id.
+        records: of the instances, by name.
+        document: in force at all of them.
+        work_of: returns the mean seconds of work of an attempt.
+        policy: of all instances.
+    """
+
+    network: MemoryNetwork
+    timeline: Timeline
+    leafs: dict[str, EmulatedLeaf]
+    records: dict[str, InstanceRecord]
+    document: RoutingDocument
+    work_of: Callable[[Attempt], float]
+    policy: Policy
+
+
+class TrialPool(EmulatedPool):
+    """The pool under a policy.
+
+    Args:
+        tools: of the product's pool.
+        emulation: of the leafs.
+        policy: what is switched off.
+        random: chooses where the policy says so.
+    """
+
+    def __init__(
+        self, tools: PoolTools, emulation: Emulation, policy: Policy, random: Random
+    ) -> None:
+        super().__init__(tools, emulation)
+        self._policy = policy
+        self._random = random
+
+    def choose(
+        self,
+        service: str,
+        kind: str,
+        without: frozenset[str],
+        objective: float,
+        now: float,
+    ) -> Leaf | None:
+        """Return the leaf for the next request."""
+        if self._policy.choose:
+            return super().choose(service, kind, without, objective, now)
+        left = [item for item in self.leaves_of(service) if item.id not in without]
+        return self._random.choice(left) if left else None
+
+    def _note_failure(self, leaf: Leaf, now: float) -> None:
+        super()._note_failure(leaf, now)
+        if not self._policy.eject:
+            leaf.ejection.note_success()
+
+    def _account(self, leaf, attempt, kind, outcome) -> None:
+        super()._account(leaf, attempt, kind, outcome)
+        if not self._policy.good_share:
+            leaf.replies = type(leaf.replies)()
+
+
+class TrialInstance:
+    """Puts one instance together; `run` runs it."""
+
+    def __init__(
+        self, record: InstanceRecord, around: Surroundings, random: Random
+    ) -> None:
+        self.record = record
+        self.place = Place(record.region, record.data_centre)
+        clock = TrioClock()
+        self.events = EventLog(record.name, clock, StringIO())
+        self.metrics = Metrics(None, record.name)
+        self.keeper = RouteKeeper(clock, self.events, self.metrics)
+        self.keeper.apply(around.document, Origin())
+        self.directory = LeafDirectory(clock, self.events, lambda: float("-inf"))
+        registration = FixedRegistration(record, around.records)
+        tracer = Tracer(record.name, OUTPUT_NONE, 0.0)
+        link = LinkTools(
+            around.network.at(record.data_centre),
+            clock,
+            self.events,
+            self.metrics,
+            tracer,
+            lambda leaf, status: None,
+        )
+        pool_tools = PoolTools(
+            self.directory,
+            self.keeper,
+            link,
+            registration.count,
+            self.place,
+            random,
+        )
+        emulation = Emulation(
+            around.leafs, around.timeline, self._way_to, around.work_of
+        )
+        self.pool = TrialPool(pool_tools, emulation, around.policy, random)
+        self._around = around
+        self._registration = registration
+        self._random = random
+        self._clock = clock
+        self.tracer = tracer
+
+    def _way_to(self, leaf: EmulatedLeaf) -> float:
+        return WAYS[measure_distance(leaf.place, self.place)]
+
+    def know_leafs(self) -> None:
+        """Take in the leafs that there are now."""
+        self.directory.set_entries(
+            LeafEntry(
+                leaf.id,
+                leaf.service,
+                leaf.id,
+                leaf.place.data_centre,
+                leaf.place.region,
+                leaf.shape.slots,
+                leaving=False,
+            )
+            for leaf in self._around.leafs.values()
+            if not leaf.trouble.gone
+        )
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Connect to the others and serve."""
+        around, record = self._around, self.record
+        site = around.network.at(record.data_centre)
+        host, _, port = record.peer_address.partition(":")
+        transport = site.transport()
+        listener = await transport.listen(HostPort(host, int(port)))
+        links = PeerLinks(
+            listener, transport, self._registration, self.events, self.metrics
+        )
+        life = self._random.getrandbits(32)
+        tools = DelegateTools(
+            links,
+            self._registration,
+            PeerAccounts(),
+            IdSource("", life),
+            self._clock,
+            self._random,
+            self.events,
+        )
+        delegates = Delegates(tools)
+        limits = REPEAT_LIMITS if around.policy.repeat else NO_REPEATS
+        self.gathering = RoutedTools(
+            self.pool,
+            RepeatBudget(limits, self._clock.monotonic()),
+            self._registration.count,
+            IdSource(record.name, life),
+            self._clock,
+            self.metrics,
+            self.events,
+            self.place,
+            self._random,
+            delegates if around.policy.delegate else None,
+        )
+        carrier = Carrier(
+            links, self._clock, self._gather, self._find_usual_high, self.events
+        )
+        for service in (links, self.pool, delegates, carrier):
+            await nursery.start(service.run)
+        delegates.open_links()
+
+    async def _gather(
+        self, question: RoutedQuestion, top: int, handover: Handover
+    ) -> Outcome:
+        handing = Handing(handover, merge_parts)
+        gathering = RoutedGathering(self.gathering, question, handing=handing)
+        return (await gathering.run()).map(merge_parts)
+
+    def _find_usual_high(self, kind: str) -> float:
+        times = self.pool.times_of(kind, Distance.SAME_DATA_CENTRE)
+        return times.high(self._clock.monotonic())
+
+
+def merge_parts(answer: RoutedAnswer) -> MergedAnswer:
+    """Return an answer's parts; their proofs are the services' names."""
+    proofs = tuple(service.encode() for service, _ in answer.replies)
+    proofs += tuple(proof for part in answer.merged for proof in part.proofs)
+    return MergedAnswer(b"", proofs, answer.missing, answer.sent, answer.repeats)
