--- a/walkcart/cli/losscauses.py
+++ b/walkcart/cli/losscauses.py
@@ -135,6 +135,9 @@
         cause = Cause.NONE
         if outcome is not Outcome.GOOD:
             cause = self._find_cause(line, time, Reason.DEADLINE.value)
+        if cause is Cause.CALLER_GONE:
+            # Its caller has an answer: the attempt was given up when that left.
+            cause = Cause.SLOW_LEAF
         return RequestEnd(time, str(line.get("route")), outcome, cause)
 
     def _judge_failure(self, line: Mapping[str, Any], time: float) -> RequestEnd:
--- a/walkcart/cli/tests/test_losses.py
+++ b/walkcart/cli/tests/test_losses.py
@@ -56,6 +56,7 @@
             Outcome.LATE,
             Cause.SLOW_LEAF,
         ),
+        ({"ms": 9, "missing": {"a": "cancelled"}}, Outcome.PARTIAL, Cause.SLOW_LEAF),
         ({"ms": 9, "missing": {"a": "a new reason"}}, Outcome.PARTIAL, Cause.UNKNOWN),
     ],
 )
