--- a/walkcart/store/following.py
+++ b/walkcart/store/following.py
@@ -1,9 +1,8 @@
 """A copy of all items under a prefix, kept by watches or by another instance.
 
-The copy only moves forward: an item is replaced by a later revision alone. When the
-store has forgotten the changes since the last watch everything is read anew. While the
-store can't be reached the copy stands. While another instance feeds the copy, the store
-isn't watched from here.
+The copy only moves forward: an item is replaced by a later revision alone. Changes that
+the store has forgotten are made good by a full reading. While the store can't be
+reached the copy stands; while an instance feeds it, the store isn't watched.
 
 See Also:
     `walkcart.store.items.SharedStore`, which is followed.
@@ -33,8 +32,8 @@
 )
 from walkcart.store.updates import Origin, Update, UpdateListener
 
-#: How long one watch waits; a call each, so long is cheap. A connection that went
-#: silent is noticed by the renewals of the lease, not by this.
+#: How long one watch waits; a call each, so long is cheap. That its connection went
+#: silent is found by probes (`walkcart.store.calls.PROBE`), not by this.
 WATCH_WAIT = timedelta(seconds=20)
 #: Pause after a watch returned with changes: a burst of changes is taken at once.
 BURST_PAUSE = timedelta(milliseconds=100)
@@ -65,10 +64,8 @@
         pause: after a watch that brought changes.
         matters: whether a new value of an item is a change; one that isn't is kept
             and neither told nor passed on.
-        read_past: a copy that was current longer ago than this is read anew instead of
-            watched from where it is; None to watch in any case. A watch brings all
-            versions since, at 32 KB for each one of the largest configuration, a
-            megabyte at a time; a reading brings the newest.
+        read_past: a copy that was current longer ago is read anew, not watched from
+            where it is, which would bring all versions since; None to watch always.
     """
 
     def __init__(
@@ -118,11 +115,9 @@
 
     @property
     def current_at(self) -> float:
-        """Time at which the copy surely held all that was stored.
-
-        While a watch waits, that is when the store answered any call last.
-        """
+        """Time at which the copy surely held all that was stored."""
         if self._waiting:
+            # Nothing came by the watch, and the store answered some call then.
             return max(self._confirmed_at, self._calls.last_success)
         return self._confirmed_at
 
@@ -217,8 +212,7 @@
     ) -> None:
         """Take a full copy; an item known from a later revision is kept.
 
-        What differs from the copy so far is kept as changes: those that this copy is
-        passed on to need not be sent all of it.
+        What differs from the copy so far is kept as changes, to be passed on.
         """
         changes: list[Change] = [
             item for item in found.values() if self._is_later(item)
