Keep gathering to a few instances, and give a lost group to another one

Change: in each data centre that has leafs the largest machines gather, at least three, as many as the parts a second need (routing/gatherers.py); all others keep links to them that are looked at each second, and a message stays in the outbox, where it can be taken back, until its link is up. Only connected instances are asked. A group that nobody took goes to another gatherer, within the attempts that are left; patience follows the time that a question has and what the peer needs. Those that gather may have more connections to leafs. Ruled out: links to all (38,000 at 195 instances).

--- a/walkcart/bench/routed/instances.py
+++ b/walkcart/bench/routed/instances.py
@@ -22,6 +22,7 @@
 from walkcart.fanout.delegatedgroup import Outcome
 from walkcart.fanout.delegates import Delegates
 from walkcart.fanout.delegatetools import DelegateTools
+from walkcart.fanout.gatherers import Gatherers, find_gathering_places
 from walkcart.fanout.handing import Handing
 from walkcart.fanout.ids import IdSource
 from walkcart.fanout.mergedanswer import MergedAnswer
@@ -204,6 +205,7 @@
             self._clock,
             self._random,
             self.events,
+            self._make_gatherers(),
         )
         delegates = Delegates(tools)
         limits = REPEAT_LIMITS if around.policy.repeat else NO_REPEATS
@@ -226,6 +228,16 @@
             await nursery.start(service.run)
         delegates.open_links()
 
+    def _make_gatherers(self) -> Gatherers:
+        gatherers = Gatherers(
+            self._registration,
+            self._clock,
+            lambda: find_gathering_places(self.keeper.table, self.directory),
+        )
+        self.directory.on_change(gatherers.note_change)
+        self.pool.follow_gathering(gatherers)
+        return gatherers
+
     async def _gather(
         self, question: RoutedQuestion, top: int, handover: Handover
     ) -> Outcome:
--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -16,6 +16,7 @@
 from walkcart.fanout.delegatedgroup import Outcome
 from walkcart.fanout.delegates import Delegates
 from walkcart.fanout.delegatetools import DelegateTools
+from walkcart.fanout.gatherers import Gatherers, find_gathering_places
 from walkcart.fanout.handing import Handing
 from walkcart.fanout.ids import IdSource
 from walkcart.fanout.mergedanswer import MergedAnswer
@@ -79,6 +80,16 @@
     # Questions to other instances cross regions: a random number names them as well as
     # the instance's name beside it, and is shorter.
     question_ids = IdSource("", life)
+    keeper = kernel.find("keeper", RouteKeeper)
+    directory = kernel.find("directory", LeafDirectory)
+    gatherers = Gatherers(
+        registration,
+        around.clock,
+        lambda: find_gathering_places(keeper.table, directory),
+    )
+    keeper.on_change(lambda table: gatherers.note_change())
+    directory.on_change(gatherers.note_change)
+    kernel.find("pool", LeafPool).follow_gathering(gatherers)
     delegates = Delegates(
         DelegateTools(
             links,
@@ -88,6 +99,7 @@
             around.clock,
             around.random,
             events,
+            gatherers,
         )
     )
     limits = RepeatLimits(
--- a/walkcart/daemon/tenantstore.py
+++ b/walkcart/daemon/tenantstore.py
@@ -94,6 +94,7 @@
         settings.data_centre,
         settings.region,
         str(peers.address),
+        settings.cores,
     )
     registration = Registration(
         store, own, around.clock, make_store_backoff(around.random), events
--- a/walkcart/fanout/carrying.py
+++ b/walkcart/fanout/carrying.py
@@ -191,8 +191,7 @@
         carried = self._carried.get(message.id)
         if carried is not None:
             carried.scope.cancel()
-        if message.id:
-            self._remember_cancelled(message.id)
+        self._remember_cancelled(message.id)
         if message.unheard:
             # The connection by which this instance answers may have gone silent.
             self._links.renew(sender)
--- a/walkcart/fanout/delegatedgroup.py
+++ b/walkcart/fanout/delegatedgroup.py
@@ -65,6 +65,19 @@
         handed = self.handed is not None and not self.is_handed_taken
         return handed or bool(self.parts) or self.ended
 
+    @property
+    def is_begun(self) -> bool:
+        """Whether the other instance asked leafs, or said that it would."""
+        if self.handed is not None:
+            return True
+        match self.outcome:
+            case None:
+                return self.taken
+            case Success():
+                return True
+            case _:
+                return self.outcome.failure().sent > 0
+
     def missing(self) -> dict[str, MissingPart]:
         """Return the services whose parts didn't come, by name."""
         if self.handed is not None:
--- a/walkcart/fanout/delegates.py
+++ b/walkcart/fanout/delegates.py
@@ -39,6 +39,7 @@
     DelegatedQuestion,
     DelegatedRenewal,
     DelegatedTaken,
+    Greeting,
 )
 from walkcart.wire.messagebase import Message
 from walkcart.wire.verdicts import MayHaveRun, NotRun
@@ -51,11 +52,16 @@
 #: `walkcart.fanout.carrying.HOLD_TIME`, so that a lost or late one does no harm.
 RENEWAL_INTERVAL = 0.12
 
-#: Fleets up to this size have links to all others; past it each one opens those that
-#: it needs, with its first question there.
+#: Fleets up to this size have links to all others; past it to those that gather, so
+#: that the links of an instance don't grow with the fleet.
 MOST_GREETED = 100
+#: Seconds between two looks at whether those links are up.
+GREETING_INTERVAL = 1.0
 #: Instances of a data centre among which a group's is chosen: one may be silent.
 CANDIDATES = 3
+#: Seconds for which a question waits for a link to come up before it goes elsewhere:
+#: two round trips between the users' farthest regions.
+LINK_PATIENCE = 0.05
 
 
 class Delegates:
@@ -66,28 +72,44 @@
         self._asked: dict[str, DelegatedGroup] = {}
         self._outcomes: dict[str, Outcome] = {}
         self._nursery: trio.Nursery | None = None
-        self._greeted: set[str] = set()
         self.times = GroupTimes()
         tools.registration.on_change(self.open_links)
         tools.links.on(DelegatedTaken, self._on_taken)
         tools.links.on(DelegatedAnswer, self._on_answer)
         tools.links.on(DelegatedPart, self._on_part)
         tools.links.on(DelegatedFailure, self._on_failure)
+        tools.links.on(Greeting, self._on_greeting)
+
+    @property
+    def gathers(self) -> bool:
+        """Whether this instance is one of those that gather."""
+        return self._tools.gatherers.is_own()
+
+    def note_question(self, parts: int) -> None:
+        """Note that a caller's question over so many parts was begun."""
+        self._tools.gatherers.note_question(parts)
 
     def open_links(self) -> None:
         """Have links ready to others: a question waits for none to come up."""
-        others = self._tools.registration.others()
-        if len(others) <= MOST_GREETED:
-            for record in others:
-                if record.name not in self._greeted:
-                    self._tools.links.send(record.name, DelegatedCancel(""))
-        self._greeted = {item.name for item in others}
+        names = [record.name for record in self._tools.registration.others()]
+        if len(names) > MOST_GREETED:
+            names = self._tools.gatherers.all()
+        for name in names:
+            if not self._tools.links.has_link(name):
+                self._tools.links.send(name, Greeting())
+
+    def _on_greeting(self, sender: str, message: Message) -> None:
+        assert isinstance(message, Greeting)
+        if not message.answers:
+            self._tools.links.send(sender, Greeting(answers=True))
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
-        """Follow what others were asked until cancelled."""
+        """Follow what others were asked, and keep links up, until cancelled."""
         async with trio.open_nursery() as self._nursery:
             task_status.started()
-            await trio.sleep_forever()
+            while True:
+                await trio.sleep(GREETING_INTERVAL)
+                self.open_links()
 
     def submit(
         self,
@@ -95,6 +117,7 @@
         wanted: Group,
         top: int,
         on_end: Callable[[], None],
+        without: frozenset[str] = frozenset(),
     ) -> DelegatedGroup | None:
         """Have another instance gather some services; None when none can.
 
@@ -103,8 +126,9 @@
             wanted: the services to gather, and where.
             top: records of the merged reply at the most.
             on_end: told when the group ended.
+            without: names of instances that aren't asked.
         """
-        peer = self._choose(wanted)
+        peer = self._choose(wanted, without)
         if peer is None or self._nursery is None:
             return None
         now = self._tools.clock.monotonic()
@@ -140,7 +164,7 @@
         outcome: Outcome | None = None
         try:
             with group.scope:
-                outcome = await self._wait(id, group, question)
+                outcome = await self._wait(message, group, question)
                 if outcome is None:
                     self._note_lost(group, question)
         finally:
@@ -166,31 +190,59 @@
         if lost:
             links.renew(group.peer)
 
-    def _choose(self, wanted: Group) -> InstanceRecord | None:
+    def _choose(self, wanted: Group, without: frozenset[str]) -> InstanceRecord | None:
         """Return the instance for a group, among few that get all like it.
 
-        One that wasn't heard of yet may still be starting, and would turn it down.
-        Where instances are many, the same ones are asked for the same services: they
-        keep connections to the leafs and know how they are.
+        One that wasn't heard of yet may still be starting, and would turn it down; one
+        without a connection has likely ended. Those that gather go first, and of them
+        the same ones for the same services: they keep connections to the leafs and know
+        how they are.
         """
-        now = self._tools.clock.monotonic()
-        place = wanted.place
-        peers = {
+        tools = self._tools
+        usable = {
             record.name: record
-            for record in self._tools.registration.others()
-            if record.data_centre == place.data_centre
-            and self._tools.links.has_heard_of(record.name)
+            for record in tools.registration.others()
+            if record.data_centre == wanted.place.data_centre
+            and record.name not in without
+            and tools.links.has_heard_of(record.name)
+            and tools.links.is_connected(record.name)
         }
-        key = wanted.services[0]
-        ranked = sorted(peers, key=lambda name: rank_rendezvous(key, name))
-        names = ranked[:CANDIDATES]
-        name = self._tools.accounts.choose(names, now, self._tools.random)
-        return peers.get(name) if name else None
+        gatherers = tools.gatherers.of(wanted.place.data_centre)
+        names = [name for name in gatherers if name in usable]
+        name = self._choose_among(wanted.services[0], names)
+        if name is None:
+            name = self._choose_among(wanted.services[0], list(usable))
+        return usable.get(name) if name else None
+
+    def _choose_among(self, key: str, names: list[str]) -> str | None:
+        """Return the best of the first few of some instances, by their ranks."""
+        tools = self._tools
+        names.sort(key=lambda name: rank_rendezvous(key, name))
+        now = tools.clock.monotonic()
+        return tools.accounts.choose(names[:CANDIDATES], now, tools.random)
+
+    def _find_taken_due(
+        self,
+        message: DelegatedQuestion,
+        group: DelegatedGroup,
+        question: RoutedQuestion,
+    ) -> float:
+        """Return until when the word that a question was taken is waited for."""
+        if self._tools.links.is_waiting(group.peer, message):
+            return group.at + LINK_PATIENCE
+        until = question.objective_at
+        if until <= group.at or until == float("inf"):
+            until = question.deadline
+        return group.at + self._tools.accounts.patience(group.peer, until - group.at)
 
     async def _wait(
-        self, id: str, group: DelegatedGroup, question: RoutedQuestion
+        self,
+        message: DelegatedQuestion,
+        group: DelegatedGroup,
+        question: RoutedQuestion,
     ) -> Outcome | None:
         """Wait for the outcome while there is hope of one."""
+        id = message.id
         accounts = self._tools.accounts
         renew_at = group.at + RENEWAL_INTERVAL
         while id not in self._outcomes:
@@ -201,7 +253,7 @@
             if group.handed is not None:
                 due = question.deadline
             elif not group.taken:
-                due = group.at + accounts.patience(group.peer)
+                due = self._find_taken_due(message, group, question)
             else:
                 due = question.deadline
                 if accounts.heard_at(group.peer) <= group.at + OVERDUE_TIME:
@@ -209,7 +261,7 @@
             if now >= due:
                 return None
             changed = group.changed
-            with trio.move_on_at(min(due, renew_at)):
+            with trio.move_on_at(min(due, renew_at) if group.taken else due):
                 await changed.wait()
             if not group.taken:
                 await take_in_messages()
--- a/walkcart/fanout/delegatetools.py
+++ b/walkcart/fanout/delegatetools.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from walkcart.fanout.gatherers import Gatherers
 from walkcart.fanout.ids import IdSource
 from walkcart.kernel.clock import Clock
 from walkcart.kernel.eventlog import EventLog
@@ -31,6 +32,7 @@
         clock: source of time.
         random: breaks ties.
         events: where lost questions are logged.
+        gatherers: those of them that are asked first.
     """
 
     links: PeerLinks
@@ -40,6 +42,7 @@
     clock: Clock
     random: Random
     events: EventLog
+    gatherers: Gatherers
 
 
 async def take_in_messages() -> None:
--- a/walkcart/fanout/elsewhere.py
+++ b/walkcart/fanout/elsewhere.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from returns.result import Success
 
 from walkcart.fanout.delegatedgroup import DelegatedGroup
-from walkcart.fanout.groups import divide_services
+from walkcart.fanout.groups import LEAST_GROUP, Group, divide_services
 from walkcart.fanout.lateparts import LateParts
 from walkcart.fanout.mergedanswer import MergedAnswer
 from walkcart.fanout.routedquestion import RoutedQuestion
@@ -20,6 +21,10 @@
 from walkcart.fanout.routedtools import RoutedTools
 from walkcart.fanout.servicetry import ServiceTry
 
+#: Groups of one question that are given to another instance after one didn't take them:
+#: two for each of the users' largest questions, which make five or six groups.
+MOST_DETOURS = 12
+
 
 class GatheredElsewhere:
     """Has other instances gather parts of one question, and takes what they send.
@@ -50,6 +55,9 @@
         self._wake = wake
         self._groups: list[DelegatedGroup] = []
         self._merged: list[MergedAnswer] = []
+        self._detours = 0
+        #: Names of the instances that were asked.
+        self._peers: set[str] = set()
         self._late: LateParts | None = None
         if top and question.settle_at < float("inf"):
             self._late = LateParts(tools, question, top, sends, wake)
@@ -72,18 +80,25 @@
         far: set[str] = set()
         places = self._tools.pool.places_of
         for group in divide_services(
-            self._question.services, places, self._tools.place, self._tools.random
+            self._question.services,
+            places,
+            self._tools.place,
+            self._tools.random,
+            delegates.gathers,
         ):
             asked = delegates.submit(self._question, group, self._top, self._wake)
-            if asked is None:
-                continue
-            self._groups.append(asked)
-            for name in asked.services:
-                self._tries[name].delegated = True
-                self._tries[name].places.add(group.place)
-                far.add(name)
+            if asked is not None:
+                self._note_asked(asked)
+                far.update(asked.services)
         return far
 
+    def _note_asked(self, group: DelegatedGroup) -> None:
+        self._groups.append(group)
+        self._peers.add(group.peer)
+        for name in group.services:
+            self._tries[name].delegated = True
+            self._tries[name].places.add(group.place)
+
     def late_due_at(self, busy: bool) -> float:
         """Return when late parts are asked for together; infinite when they aren't.
 
@@ -162,9 +177,47 @@
             item.arrived += part.ran
             item.awaited |= group.handed is not None and part.ran > 0
             item.left = part.may_repeat and self._late is not None
-            if not (item.left or item.awaited):
+        self._ask_missing(group, [self._tries[name] for name in missing], now)
+
+    def _ask_missing(
+        self, group: DelegatedGroup, missing: list[ServiceTry], now: float
+    ) -> None:
+        """Ask for what an instance didn't gather: of another one, or from here."""
+        waiting = [item for item in missing if not (item.left or item.awaited)]
+        if group.is_begun or not self._ask_another(group, waiting, now):
+            for item in waiting:
                 self._sends.plan(item, now)
 
+    def _ask_another(
+        self, group: DelegatedGroup, waiting: list[ServiceTry], now: float
+    ) -> bool:
+        """Have another instance gather what one didn't take; return whether one does.
+
+        Asked from here, 24 parts keep a machine of half a core busy for 30 ms, and
+        where many groups are lost at once their words come too late for that.
+        """
+        delegates = self._tools.delegates
+        question = self._question
+        left = question.most_attempts - max((i.may_run for i in waiting), default=0)
+        may = self._detours < MOST_DETOURS and left > 0 and now < question.deadline
+        if delegates is None or not may or len(waiting) < LEAST_GROUP:
+            return False
+        names = tuple(item.service for item in waiting)
+        asked = delegates.submit(
+            replace(question, most_attempts=left),
+            Group(names, group.place),
+            self._top,
+            self._wake,
+            frozenset(self._peers),
+        )
+        if asked is None:
+            return False
+        self._detours += 1
+        if self._late is not None and self._late.is_late(group):
+            self._late.note_asked(asked)
+        self._note_asked(asked)
+        return True
+
     def _take_gathered(self, item: ServiceTry) -> None:
         """Take a part that another instance gathered; one of this instance gives way.
 
--- /dev/null
+++ b/walkcart/fanout/gatherers.py
@@ -0,0 +1,115 @@
+"""The instances that gather parts of questions, as this instance sees them.
+
+See Also:
+    `walkcart.routing.gatherers`, which decides by plain data.
+    `walkcart.fanout.delegates.Delegates`, which asks them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+
+from walkcart.intent.routes import RouteTable, ToShards
+from walkcart.kernel.clock import Clock
+from walkcart.leaves.directory import LeafDirectory
+from walkcart.membership.registration import InstanceRecord, Registration
+from walkcart.routing.distance import Place
+from walkcart.routing.gatherers import (
+    PartRate,
+    choose_gatherers,
+    find_needed_capacity,
+    rank_by_capacity,
+)
+
+#: Returns the places that have leafs of the services that questions go to.
+FindPlaces = Callable[[], Collection[Place]]
+
+
+def find_gathering_places(
+    table: RouteTable, directory: LeafDirectory
+) -> frozenset[Place]:
+    """Return the places that have leafs of any service that is asked with others.
+
+    Args:
+        table: of the routes.
+        directory: of the leafs.
+    """
+    places: set[Place] = set()
+    for route in table.document.routes:
+        match route.target:
+            case ToShards(services):
+                for service in services:
+                    places |= directory.places_of(service)
+    return frozenset(places)
+
+
+class Gatherers:
+    """Knows who gathers in each data centre.
+
+    Args:
+        registration: knows the instances.
+        clock: source of time.
+        find_places: where there is anything to gather.
+    """
+
+    def __init__(
+        self, registration: Registration, clock: Clock, find_places: FindPlaces
+    ) -> None:
+        self._registration = registration
+        self._clock = clock
+        self._find_places = find_places
+        self._rate = PartRate()
+        self._ranked: dict[str, tuple[list[str], dict[str, float]]] = {}
+        self._places: frozenset[str] | None = None
+        registration.on_change(self._ranked.clear)
+
+    def note_change(self) -> None:
+        """Note that routes or leafs changed."""
+        self._places = None
+
+    def count(self) -> int:
+        """Return how many instances gather, in all data centres."""
+        return sum(len(self.of(place)) for place in self._gathering_places())
+
+    def note_question(self, parts: int) -> None:
+        """Note that a caller's question over so many parts was begun."""
+        self._rate.note(self._clock.monotonic(), parts)
+
+    def is_own(self) -> bool:
+        """Return whether this instance gathers."""
+        own = self._registration.own
+        return own.name in self.of(own.data_centre)
+
+    def of(self, data_centre: str) -> list[str]:
+        """Return the names of those of a data centre, this instance's included."""
+        ranked, capacities = self._rank(data_centre)
+        rate = self._rate.estimate(self._clock.monotonic())
+        instances = len(self._registration.others()) + 1
+        needed = find_needed_capacity(rate, instances, len(self._gathering_places()))
+        return choose_gatherers(ranked, capacities, needed)
+
+    def all(self) -> list[str]:
+        """Return the names of the others that gather, of all data centres."""
+        own = self._registration.own.name
+        places = sorted(self._gathering_places())
+        return [name for place in places for name in self.of(place) if name != own]
+
+    def _gathering_places(self) -> frozenset[str]:
+        if self._places is None:
+            found = self._find_places()
+            self._places = frozenset(place.data_centre for place in found)
+        return self._places
+
+    def _rank(self, data_centre: str) -> tuple[list[str], dict[str, float]]:
+        if data_centre not in self._ranked:
+            capacities = {
+                record.name: record.cores
+                for record in self._list_instances()
+                if record.data_centre == data_centre and record.peer_address
+            }
+            ranked = rank_by_capacity(data_centre, capacities)
+            self._ranked[data_centre] = (ranked, capacities)
+        return self._ranked[data_centre]
+
+    def _list_instances(self) -> list[InstanceRecord]:
+        return [*self._registration.others(), self._registration.own]
--- a/walkcart/fanout/groups.py
+++ b/walkcart/fanout/groups.py
@@ -45,6 +45,7 @@
     places_of: Callable[[str], Collection[Place]],
     own: Place,
     random: Random,
+    gathers: bool = True,
 ) -> list[Group]:
     """Return the groups to be gathered elsewhere; what is in none is asked from here.
 
@@ -53,6 +54,8 @@
         places_of: returns the places where a service has leafs.
         own: this instance's place.
         random: chooses among places that are equally good.
+        gathers: whether this instance is one of those that gather; if not, it leaves
+            the services of its own place to those that are.
     """
     left = {name: set(places) for name in services if (places := places_of(name))}
     groups: list[Group] = []
@@ -62,7 +65,7 @@
         for name in chosen:
             del left[name]
         chunks = cut_evenly(chosen, MOST_SERVICES)
-        if place == own:
+        if place == own and gathers:
             # The first chunk is asked from here.
             chunks = chunks[1:]
         groups += [Group(chunk, place) for chunk in chunks if len(chunk) >= LEAST_GROUP]
--- a/walkcart/fanout/lateparts.py
+++ b/walkcart/fanout/lateparts.py
@@ -77,6 +77,10 @@
             return self._question.settle_at + SETTLE_GRACE
         return self._question.settle_at if busy else float("-inf")
 
+    def note_asked(self, group: DelegatedGroup) -> None:
+        """Note that another instance was asked for what one of these didn't take."""
+        self._asked.append(group)
+
     def is_late(self, group: DelegatedGroup) -> bool:
         """Return whether a group was asked for here."""
         return group in self._asked
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from typing import Protocol
 
 import trio
 
@@ -70,11 +71,26 @@
     random: Random
 
 
+class Gathering(Protocol):
+    """Who asks the leafs for most questions."""
+
+    def is_own(self) -> bool:
+        """Return whether this instance is one of them."""
+        ...
+
+    def count(self) -> int:
+        """Return how many they are."""
+        ...
+
+
 class LeafPool:
     """Sends routed attempts to leafs and keeps their accounts."""
 
     def __init__(self, tools: PoolTools) -> None:
         self._tools = tools
+        self._gathering: Gathering | None = None
+        #: Instances that gather if this one does, else 0, as of the last look.
+        self._gatherers = 0
         self._links: dict[str, LeafLink] = {}
         self._times: dict[tuple[str, Distance], KindTimes] = {}
         self._nursery: trio.Nursery | None = None
@@ -94,6 +110,10 @@
         """Return the seconds that such a request usually takes at such a leaf."""
         return self.times_of(kind, self.distance_to(leaf)).median(now)
 
+    def follow_gathering(self, gathering: Gathering) -> None:
+        """Have more connections to leafs while this instance asks for others too."""
+        self._gathering = gathering
+
     def leaves_of(self, service: str) -> tuple[Leaf, ...]:
         """Return the leafs of a service that may get new work."""
         return self._tools.directory.leaves_of(service)
@@ -184,14 +204,23 @@
             self._links[leaf.id] = link
         return link
 
+    def _count_gatherers(self) -> int:
+        """Return how many instances gather if this one does, else 0."""
+        gathering = self._gathering
+        return gathering.count() if gathering and gathering.is_own() else 0
+
     def _share_of(self, leaf: Leaf) -> int:
         """Return how many connections this instance may have to a leaf."""
+        gatherers = self._gatherers
         spec = self._tools.keeper.table.services.get(leaf.labels["service"])
         cap = spec.most_connections if spec else UNKNOWN_CONNECTIONS
-        return ConnectionShares(cap).share_of(self._tools.instances())
+        shares = ConnectionShares(cap)
+        share = shares.share_of(self._tools.instances())
+        return max(share, shares.gatherer_share(gatherers)) if gatherers else share
 
     def _tidy(self, with_idle: bool) -> None:
         """Close links to leafs that are gone, and keep the shares."""
+        self._gatherers = self._count_gatherers()
         for id in list(self._links):
             leaf = self._tools.directory.find(id)
             if leaf is None:
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -111,6 +111,22 @@
         """Return whether a life of the instance called `name` was heard of."""
         return self._readings.has_heard_of(name)
 
+    def has_link(self, name: str) -> bool:
+        """Return whether there is a link to an instance, or one is being made."""
+        return any(key[0] == name for key in self._links)
+
+    def is_connected(self, name: str) -> bool:
+        """Return whether a message to an instance would leave at once."""
+        return any(
+            link.is_connected for key, link in self._links.items() if key[0] == name
+        )
+
+    def is_waiting(self, name: str, message: Message) -> bool:
+        """Return whether a message to an instance wasn't sent yet."""
+        return any(
+            link.holds(message) for key, link in self._links.items() if key[0] == name
+        )
+
     def withdraw(self, name: str, message: Message) -> bool:
         """Take back a message that wasn't sent yet; return whether that was so."""
         return any(
@@ -221,13 +237,17 @@
                 Events.PEER_BAD_MESSAGE, peer=name, detail=f"not dialled: {error}"
             )
             return
+        link.sender = sender
         try:
             while await link.wait():
                 self._metrics.time("peer.wait", link.waited * 1000)
-                messages = link.take()
-                data = self._pack(name, messages)
+                messages: tuple[Message, ...] = ()
                 with trio.move_on_after(SEND_TIME.total_seconds()) as scope:
-                    await sender.send(data)
+                    # Until then messages can be taken back, and surely weren't sent.
+                    await sender.wait_connected()
+                    messages = link.take()
+                    if messages:
+                        await sender.send(self._pack(name, messages))
                 if scope.cancelled_caught:
                     lost = len(messages) + len(link)
                     self._metrics.count("peer.dropped", lost)
--- a/walkcart/membership/outbox.py
+++ b/walkcart/membership/outbox.py
@@ -8,6 +8,7 @@
 import trio
 
 from walkcart.wire.messagebase import Message
+from walkcart.wire.peers import PeerSender
 
 #: Messages that wait for one peer; more are dropped and counted.
 OUTBOX_LIMIT = 2000
@@ -22,11 +23,15 @@
 
     Args:
         opened_at: when it was made, in seconds.
+
+    Attributes:
+        sender: that takes what is queued; None until it is dialled.
     """
 
     def __init__(self, opened_at: float) -> None:
         self.opened_at = opened_at
         self.ended = False
+        self.sender: PeerSender | None = None
         self._messages: deque[tuple[float, Message]] = deque()
         self._wakeup = trio.Event()
 
@@ -38,6 +43,10 @@
         self._wakeup.set()
         return True
 
+    def holds(self, message: Message) -> bool:
+        """Return whether `message` is queued still."""
+        return any(queued is message for _, queued in self._messages)
+
     def withdraw(self, message: Message) -> bool:
         """Take back `message`; False when it isn't queued any longer."""
         for place, (_, queued) in enumerate(self._messages):
@@ -46,6 +55,11 @@
                 return True
         return False
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the peer can be sent to, as far as is known."""
+        return self.sender is not None and self.sender.is_connected
+
     def end(self) -> None:
         """Send what is queued, and nothing more."""
         self.ended = True
--- a/walkcart/membership/registration.py
+++ b/walkcart/membership/registration.py
@@ -70,6 +70,7 @@
         data_centre: where it stands.
         region: of that data centre.
         peer_address: ``IP:port`` for other instances; empty when it takes no peers.
+        cores: of its machine, in cores of the usual speed.
     """
 
     name: str
@@ -77,6 +78,7 @@
     data_centre: str
     region: str
     peer_address: str = ""
+    cores: float = 1.0
 
     @property
     def incarnation(self) -> int:
--- a/walkcart/membership/tests/test_links.py
+++ b/walkcart/membership/tests/test_links.py
@@ -16,7 +16,7 @@
             links = world.instances["instance-0"].find("links", PeerLinks)
 
             async def fail(address):
-                raise_soon = type("Sender", (), {})()
+                raise_soon = type("Sender", (), {"is_connected": True})()
 
                 async def send(data):
                     raise OSError("the socket is closed")
@@ -25,6 +25,7 @@
                     pass
 
                 raise_soon.send, raise_soon.close = send, close
+                raise_soon.wait_connected = close
                 return raise_soon
 
             links._links.clear()
--- a/walkcart/platform/settings.py
+++ b/walkcart/platform/settings.py
@@ -46,6 +46,15 @@
     grace_s: float = 6.0
 
 
+class _Limits(msgspec.Struct, rename="camel"):
+    """What the machine has."""
+
+    # Share of a core that the process gets.
+    cpu_share: float = 1.0
+    # How many times as fast as usual that core is, in spite of its name.
+    cores: float = 1.0
+
+
 class _Store(msgspec.Struct, rename="camel"):
     """The shared store."""
 
@@ -68,6 +77,7 @@
     listen: _Listen
     platform: _Store
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     # Region of each data centre.
     zones: dict[str, str] = {}
 
@@ -91,6 +101,7 @@
         repeat_window: time over which that holds.
         repeat_allowance: repeats on top, of all instances together.
         grace: time from the signal to stop until the process is killed.
+        cores: of the machine, in cores of the usual speed.
     """
 
     instance: str
@@ -107,6 +118,7 @@
     repeat_window: timedelta
     repeat_allowance: float
     grace: timedelta
+    cores: float = 1.0
 
 
 def parse_duration_ms(milliseconds: float) -> timedelta:
@@ -146,4 +158,5 @@
         repeat_window=timedelta(seconds=file.bounds.retry_window_s),
         repeat_allowance=file.bounds.budget_slack,
         grace=timedelta(seconds=file.bounds.grace_s),
+        cores=file.limits.cpu_share * file.limits.cores,
     )
--- a/walkcart/routing/peerchoice.py
+++ b/walkcart/routing/peerchoice.py
@@ -26,11 +26,18 @@
 #: Expected seconds of an instance that nothing is known of.
 FIRST_TIME = 0.1
 #: Seconds to wait for the word that a question was taken: so many round trips, within
-#: these bounds. The lower one covers a busy event loop, the upper one half of the
-#: shortest objective of the users' requests.
+#: these bounds. The lower one covers a busy event loop; the upper one is half of the
+#: shortest objective of the users' requests, or a share of the time that a question has
+#: if that is longer: busy machines of an eighth of a core need 70 to 160 ms.
 TAKEN_ROUND_TRIPS = 2.5
 LEAST_PATIENCE = 0.03
 LONGEST_PATIENCE = 0.06
+PATIENCE_SHARE = 0.25
+#: However much time a question has: an instance gives up what isn't renewed for 0.4 s,
+#: and renewals begin with that word.
+MOST_PATIENCE = 0.3
+#: Factor by which the expected round trip grows with each word that didn't come.
+LOST_FACTOR = 1.5
 #: Seconds for which an instance that stayed silent gets nothing; doubles each time.
 FIRST_SILENCE = 0.5
 LONGEST_SILENCE = 4.0
@@ -91,6 +98,8 @@
     def note_silent(self, name: str, now: float) -> None:
         """Note that an instance didn't answer in time."""
         account = self._account(name)
+        limit = MOST_PATIENCE / TAKEN_ROUND_TRIPS
+        account.round_trip = min(limit, account.round_trip * LOST_FACTOR)
         account.silent_until = now + account.silence
         account.silence = min(LONGEST_SILENCE, account.silence * 2)
 
@@ -102,10 +111,16 @@
         """Return the seconds to an instance and back."""
         return self._account(name).round_trip
 
-    def patience(self, name: str) -> float:
-        """Return the seconds to wait for the word that a question was taken."""
+    def patience(self, name: str, time: float) -> float:
+        """Return the seconds to wait for the word that a question was taken.
+
+        Args:
+            name: of the instance that was asked.
+            time: that the question has, in seconds.
+        """
         wanted = TAKEN_ROUND_TRIPS * self._account(name).round_trip
-        return min(LONGEST_PATIENCE, max(LEAST_PATIENCE, wanted))
+        longest = max(LONGEST_PATIENCE, PATIENCE_SHARE * time)
+        return min(longest, MOST_PATIENCE, max(LEAST_PATIENCE, wanted))
 
     def _expect(self, name: str, now: float) -> float:
         account = self._account(name)
--- a/walkcart/routing/shares.py
+++ b/walkcart/routing/shares.py
@@ -60,6 +60,13 @@
         """Return how many connections each of `holders` instances may have."""
         return max(1, int(self.cap * GIVEN_OUT / max(1, holders)))
 
+    def gatherer_share(self, gatherers: int) -> int:
+        """Return how many connections each instance that gathers for others may have.
+
+        Half of those that are given out are theirs; the others rarely need one.
+        """
+        return self.share_of(max(1, 2 * gatherers))
+
     @property
     def most_holders(self) -> int:
         """Holders that there are in a large fleet."""
--- a/walkcart/standins/memory.py
+++ b/walkcart/standins/memory.py
@@ -174,6 +174,15 @@
         if self._peers.get(listener.address) is listener:
             del self._peers[listener.address]
 
+    def has_peer(self, address: HostPort) -> bool:
+        """Return whether anybody takes envelopes at an address."""
+        return address in self._peers
+
+    def latency_to(self, site: str, address: HostPort) -> float:
+        """Return the one-way seconds to whoever takes envelopes at an address."""
+        listener = self._peers.get(address)
+        return self.latency(site, listener.site) if listener else 0.0
+
     def deliver(
         self,
         site: str,
--- a/walkcart/standins/memorypeers.py
+++ b/walkcart/standins/memorypeers.py
@@ -20,6 +20,12 @@
     from walkcart.standins.memory import MemoryNetwork
 
 
+#: One-way times until a connection is up: TCP's handshake, and the two ends' greeting.
+CONNECT_WAYS = 3
+#: Seconds between two tries to connect to an address where nobody listens.
+RECONNECT_TIME = 0.05
+
+
 class MemoryPeerListener:
     """Receives envelopes at one address."""
 
@@ -54,6 +60,26 @@
     dialled_at: float
     link: MachineLink | None = None
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the connection is up, and its other end still listens."""
+        return trio.current_time() >= self._up_at and self.network.has_peer(
+            self.address
+        )
+
+    async def wait_connected(self) -> None:
+        """Wait until the connection is up: a round trip, and half of one to agree."""
+        await trio.lowlevel.checkpoint()
+        while not self.is_connected:
+            soon = trio.current_time() + RECONNECT_TIME
+            await trio.sleep_until(max(self._up_at, soon))
+
+    @property
+    def _up_at(self) -> float:
+        """Return when the connection is up at the earliest."""
+        way = self.network.latency_to(self.site, self.address)
+        return self.dialled_at + CONNECT_WAYS * way
+
     async def send(self, data: bytes) -> None:
         """Send one envelope; wait while the machine's link can't take more."""
         await trio.lowlevel.checkpoint()
--- a/walkcart/wire/delegations.py
+++ b/walkcart/wire/delegations.py
@@ -147,7 +147,7 @@
     """Nobody waits for this question any longer.
 
     Args:
-        id: of the question; empty when the message only opens a link.
+        id: of the question.
         unheard: whether nothing was heard of the receiver since the question was sent.
     """
 
@@ -166,3 +166,13 @@
     """
 
     id: str
+
+
+class Greeting(Message, frozen=True):
+    """Opens the links between two instances before a question needs them.
+
+    Args:
+        answers: whether it answers one, and so needs no answer.
+    """
+
+    answers: bool = False
--- a/walkcart/wire/messages.py
+++ b/walkcart/wire/messages.py
@@ -20,6 +20,7 @@
     DelegatedQuestion,
     DelegatedRenewal,
     DelegatedTaken,
+    Greeting,
 )
 from walkcart.wire.messagebase import Message
 from walkcart.wire.relays import (
@@ -251,6 +252,7 @@
     | ClaimWithdraw
     | DelegatedQuestion
     | DelegatedTaken
+    | Greeting
     | DelegatedAnswer
     | DelegatedPart
     | DelegatedFailure
--- a/walkcart/wire/peers.py
+++ b/walkcart/wire/peers.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 import pynng
+import trio
 
 from walkcart.kernel.settings import HostPort
 from walkcart.wire.codec import ENVELOPE_LIMIT
@@ -24,6 +25,15 @@
 class PeerSender(Protocol):
     """Sends to one peer."""
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the peer can be sent to, as far as is known."""
+        ...
+
+    async def wait_connected(self) -> None:
+        """Wait until the peer can be sent to."""
+        ...
+
     async def send(self, data: bytes) -> None:
         """Send one envelope; wait while the peer can't take more.
 
@@ -67,11 +77,41 @@
     """A push socket."""
 
     def __init__(self, address: HostPort) -> None:
+        self._token = trio.lowlevel.current_trio_token()
+        self._pipes = 0
+        self._connected = trio.Event()
         self._socket = pynng.Push0(send_buffer_size=NNG_BUFFER)
+        self._socket.add_post_pipe_connect_cb(lambda pipe: self._tell(1))
+        self._socket.add_post_pipe_remove_cb(lambda pipe: self._tell(-1))
         self._socket.reconnect_time_min = NNG_RECONNECT_MIN_MS
         self._socket.reconnect_time_max = NNG_RECONNECT_MAX_MS
         self._socket.dial(f"tcp://{address}", block=False)
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether a connection is up."""
+        return self._pipes > 0
+
+    async def wait_connected(self) -> None:
+        """Wait until a connection is up."""
+        while not self.is_connected:
+            await self._connected.wait()
+
+    def _tell(self, change: int) -> None:
+        """Bring a change from nng's thread to the event loop."""
+        try:
+            self._token.run_sync_soon(self._count, change)
+        except trio.RunFinishedError:
+            # The process is ending; nobody waits for it.
+            return
+
+    def _count(self, change: int) -> None:
+        self._pipes += change
+        if self.is_connected:
+            self._connected.set()
+        else:
+            self._connected = trio.Event()
+
     async def send(self, data: bytes) -> None:
         """Send one envelope."""
         try:
