--- a/walkcart/routing/peerchoice.py
+++ b/walkcart/routing/peerchoice.py
@@ -118,9 +118,13 @@
             name: of the instance that was asked.
             time: that the question has, in seconds.
         """
-        wanted = TAKEN_ROUND_TRIPS * self._account(name).round_trip
-        longest = max(LONGEST_PATIENCE, PATIENCE_SHARE * time)
-        return min(longest, MOST_PATIENCE, max(LEAST_PATIENCE, wanted))
+        account = self._account(name)
+        longest = min(MOST_PATIENCE, max(LONGEST_PATIENCE, PATIENCE_SHARE * time))
+        if account.heard_at == float("-inf"):
+            # How far away it is isn't known.
+            return longest
+        wanted = TAKEN_ROUND_TRIPS * account.round_trip
+        return min(longest, max(LEAST_PATIENCE, wanted))
 
     def _expect(self, name: str, now: float) -> float:
         account = self._account(name)
