--- a/walkcart/platform/tests/test_documents.py
+++ b/walkcart/platform/tests/test_documents.py
@@ -35,6 +35,9 @@
 [listen]
 front = "10.0.0.7:8000"
 ready = "10.0.0.7:8001"
+[limits]
+cpuShare = 0.7
+cores = 3
 [bounds]
 retryBudgetRatio = 0.3
 retryWindowS = 12
@@ -58,6 +61,7 @@
     assert settings.repeat_ratio == 0.3
     assert settings.repeat_window == timedelta(seconds=12)
     assert settings.grace == timedelta(seconds=8)
+    assert settings.cores == pytest.approx(2.1)
 
 
 @pytest.mark.parametrize(
