Find links by address; split the choice of peers, the book of peers and the reading of a prefix

Cause: to tell whether an instance is connected all links were looked through, for each instance of a data centre and each group: some 6,000 comparisons a group at 195 instances (worked out). Found by address now, addresses read once.

--- a/walkcart/fanout/delegates.py
+++ b/walkcart/fanout/delegates.py
@@ -26,11 +26,10 @@
 )
 from walkcart.fanout.groups import Group
 from walkcart.fanout.mergedanswer import MergedAnswer
+from walkcart.fanout.peerselection import PeerSelection
 from walkcart.fanout.routedquestion import RoutedFailure, RoutedQuestion
 from walkcart.kernel.events import Events
-from walkcart.membership.registration import InstanceRecord
 from walkcart.routing.settling import GroupTimes
-from walkcart.routing.shares import rank_rendezvous
 from walkcart.wire.delegations import (
     DelegatedAnswer,
     DelegatedCancel,
@@ -39,7 +38,6 @@
     DelegatedQuestion,
     DelegatedRenewal,
     DelegatedTaken,
-    Greeting,
 )
 from walkcart.wire.messagebase import Message
 from walkcart.wire.verdicts import MayHaveRun, NotRun
@@ -52,13 +50,8 @@
 #: `walkcart.fanout.carrying.HOLD_TIME`, so that a lost or late one does no harm.
 RENEWAL_INTERVAL = 0.12
 
-#: Fleets up to this size have links to all others; past it to those that gather, so
-#: that the links of an instance don't grow with the fleet.
-MOST_GREETED = 100
 #: Seconds between two looks at whether those links are up.
 GREETING_INTERVAL = 1.0
-#: Instances of a data centre among which a group's is chosen: one may be silent.
-CANDIDATES = 3
 #: Seconds for which a question waits for a link to come up before it goes elsewhere:
 #: two round trips between the users' farthest regions.
 LINK_PATIENCE = 0.05
@@ -73,12 +66,11 @@
         self._outcomes: dict[str, Outcome] = {}
         self._nursery: trio.Nursery | None = None
         self.times = GroupTimes()
-        tools.registration.on_change(self.open_links)
+        self._selection = PeerSelection(tools)
         tools.links.on(DelegatedTaken, self._on_taken)
         tools.links.on(DelegatedAnswer, self._on_answer)
         tools.links.on(DelegatedPart, self._on_part)
         tools.links.on(DelegatedFailure, self._on_failure)
-        tools.links.on(Greeting, self._on_greeting)
 
     @property
     def gathers(self) -> bool:
@@ -90,18 +82,8 @@
         self._tools.gatherers.note_question(parts)
 
     def open_links(self) -> None:
-        """Have links ready to others: a question waits for none to come up."""
-        names = [record.name for record in self._tools.registration.others()]
-        if len(names) > MOST_GREETED:
-            names = self._tools.gatherers.all()
-        for name in names:
-            if not self._tools.links.has_link(name):
-                self._tools.links.send(name, Greeting())
-
-    def _on_greeting(self, sender: str, message: Message) -> None:
-        assert isinstance(message, Greeting)
-        if not message.answers:
-            self._tools.links.send(sender, Greeting(answers=True))
+        """Have links ready to those that may be asked."""
+        self._selection.open_links()
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Follow what others were asked, and keep links up, until cancelled."""
@@ -109,7 +91,7 @@
             task_status.started()
             while True:
                 await trio.sleep(GREETING_INTERVAL)
-                self.open_links()
+                self._selection.open_links()
 
     def submit(
         self,
@@ -128,7 +110,7 @@
             on_end: told when the group ended.
             without: names of instances that aren't asked.
         """
-        peer = self._choose(wanted, without)
+        peer = self._selection.choose(wanted, without)
         if peer is None or self._nursery is None:
             return None
         now = self._tools.clock.monotonic()
@@ -190,37 +172,6 @@
         if lost:
             links.renew(group.peer)
 
-    def _choose(self, wanted: Group, without: frozenset[str]) -> InstanceRecord | None:
-        """Return the instance for a group, among few that get all like it.
-
-        One that wasn't heard of yet may still be starting, and would turn it down; one
-        without a connection has likely ended. Those that gather go first, and of them
-        the same ones for the same services: they keep connections to the leafs and know
-        how they are.
-        """
-        tools = self._tools
-        usable = {
-            record.name: record
-            for record in tools.registration.others()
-            if record.data_centre == wanted.place.data_centre
-            and record.name not in without
-            and tools.links.has_heard_of(record.name)
-            and tools.links.is_connected(record.name)
-        }
-        gatherers = tools.gatherers.of(wanted.place.data_centre)
-        names = [name for name in gatherers if name in usable]
-        name = self._choose_among(wanted.services[0], names)
-        if name is None:
-            name = self._choose_among(wanted.services[0], list(usable))
-        return usable.get(name) if name else None
-
-    def _choose_among(self, key: str, names: list[str]) -> str | None:
-        """Return the best of the first few of some instances, by their ranks."""
-        tools = self._tools
-        names.sort(key=lambda name: rank_rendezvous(key, name))
-        now = tools.clock.monotonic()
-        return tools.accounts.choose(names[:CANDIDATES], now, tools.random)
-
     def _find_taken_due(
         self,
         message: DelegatedQuestion,
--- /dev/null
+++ b/walkcart/fanout/peerselection.py
@@ -0,0 +1,90 @@
+"""Which other instance gathers a group, and the links that stand ready for it.
+
+See Also:
+    `walkcart.routing.gatherers`, which says who gathers.
+    `walkcart.fanout.delegates.Delegates`, which asks.
+"""
+
+from __future__ import annotations
+
+from walkcart.fanout.delegatetools import DelegateTools
+from walkcart.fanout.groups import Group
+from walkcart.membership.registration import InstanceRecord
+from walkcart.routing.shares import rank_rendezvous
+from walkcart.wire.delegations import Greeting
+from walkcart.wire.messagebase import Message
+
+#: Fleets up to this size have links to all others; past it to those that gather, so
+#: that the links of an instance don't grow with the fleet.
+MOST_GREETED = 100
+#: Instances of a data centre among which a group's is chosen: one may be silent.
+CANDIDATES = 3
+
+
+class PeerSelection:
+    """Chooses among the other instances.
+
+    Args:
+        tools: of the delegates.
+    """
+
+    def __init__(self, tools: DelegateTools) -> None:
+        self._tools = tools
+        tools.registration.on_change(self.open_links)
+        tools.links.on(Greeting, self._on_greeting)
+
+    def open_links(self) -> None:
+        """Have links ready to others: a question waits for none to come up."""
+        names = [record.name for record in self._tools.registration.others()]
+        if len(names) > MOST_GREETED:
+            names = self._tools.gatherers.all()
+        for name in names:
+            if not self._tools.links.has_link(name):
+                self._tools.links.send(name, Greeting())
+
+    def _on_greeting(self, sender: str, message: Message) -> None:
+        assert isinstance(message, Greeting)
+        if not message.answers:
+            self._tools.links.send(sender, Greeting(answers=True))
+
+    def choose(self, wanted: Group, without: frozenset[str]) -> InstanceRecord | None:
+        """Return the instance for a group, among few that get all like it.
+
+        One that wasn't heard of yet may still be starting, and would turn it down; one
+        without a connection has likely ended. Those that gather go first, and of them
+        the same ones for the same services: they keep connections to the leafs and know
+        how they are.
+
+        Args:
+            wanted: the services, and where they are gathered.
+            without: names of instances that aren't asked.
+        """
+        tools = self._tools
+        place, key = wanted.place.data_centre, wanted.services[0]
+        name = self._choose_among(key, tools.gatherers.of(place), without)
+        if name is None:
+            others = [
+                record.name
+                for record in tools.registration.others()
+                if record.data_centre == place
+            ]
+            name = self._choose_among(key, others, without)
+        return tools.registration.find(name) if name else None
+
+    def _choose_among(
+        self, key: str, names: list[str], without: frozenset[str]
+    ) -> str | None:
+        """Return the best of the first few of some instances, by their ranks."""
+        tools = self._tools
+        own = tools.registration.own.name
+        usable = [
+            name
+            for name in names
+            if name != own
+            and name not in without
+            and tools.links.has_heard_of(name)
+            and tools.links.is_connected(name)
+        ]
+        usable.sort(key=lambda name: rank_rendezvous(key, name))
+        now = tools.clock.monotonic()
+        return tools.accounts.choose(usable[:CANDIDATES], now, tools.random)
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -5,16 +5,16 @@
 import secrets
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Protocol
 
 import trio
 
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
-from walkcart.kernel.settings import BadValue, HostPort, parse_host_port
+from walkcart.kernel.settings import HostPort
 from walkcart.membership.messageages import ClockReadings, Stamp
 from walkcart.membership.outbox import Outbox
+from walkcart.membership.peerbook import PeerBook, read_address
 from walkcart.wire.codec import BadMessage, decode_envelope, encode_envelope
 from walkcart.wire.messages import Envelope, Message
 from walkcart.wire.peers import PeerListener, PeerTransport
@@ -34,38 +34,6 @@
 WorkHandler = Callable[[str, Message, float], None]
 
 
-class PeerEntry(Protocol):
-    """What a link has to know of an instance."""
-
-    @property
-    def name(self) -> str:
-        """Names the instance."""
-        ...
-
-    @property
-    def incarnation(self) -> int:
-        """Number of its process life; 0 when it doesn't matter."""
-        ...
-
-    @property
-    def peer_address(self) -> str:
-        """``IP:port`` for peers; empty when it takes none."""
-        ...
-
-
-class PeerBook(Protocol):
-    """The instances and their addresses."""
-
-    @property
-    def own(self) -> PeerEntry:
-        """This instance."""
-        ...
-
-    def find(self, name: str) -> PeerEntry | None:
-        """Return the instance called `name`, or None."""
-        ...
-
-
 class PeerLinks:
     """Sends to and receives from the other instances.
 
@@ -113,12 +81,26 @@
 
     def has_link(self, name: str) -> bool:
         """Return whether there is a link to an instance, or one is being made."""
-        return any(key[0] == name for key in self._links)
+        return self._find_link(name) is not None
 
     def is_connected(self, name: str) -> bool:
         """Return whether a message to an instance would leave at once."""
-        return any(
-            link.is_connected for key, link in self._links.items() if key[0] == name
+        link = self._find_link(name)
+        return link is not None and link.is_connected
+
+    def _find_link(self, name: str) -> Outbox | None:
+        """Return the present link to an instance, or None.
+
+        Found by its address: looked for among 200 links for each instance that may be
+        asked it would cost a question some milliseconds.
+        """
+        address = self._find_address(name)
+        return self._links.get((name, address)) if address else None
+
+    def _find_address(self, name: str) -> HostPort | None:
+        record = self._view.find(name)
+        return read_address(
+            record.peer_address if record else self._heard.get(name, "")
         )
 
     def is_waiting(self, name: str, message: Message) -> bool:
@@ -141,13 +123,8 @@
         Returns:
             False when it was not queued and so will surely not be sent.
         """
-        record = self._view.find(name)
-        text = record.peer_address if record else self._heard.get(name, "")
-        if self._nursery is None or not text:
-            return False
-        try:
-            address = parse_host_port(text)
-        except BadValue:
+        address = self._find_address(name)
+        if self._nursery is None or address is None:
             return False
         link = self._links.get((name, address))
         if link is None:
--- a/walkcart/store/following.py
+++ b/walkcart/store/following.py
@@ -30,6 +30,7 @@
     Removal,
     SharedStore,
 )
+from walkcart.store.reading import read_prefix
 from walkcart.store.updates import Origin, Update, UpdateListener
 
 #: How long one watch waits; a call each, so long is cheap. That its connection went
@@ -207,32 +208,13 @@
             self._waiting = False
 
     async def _read_all(self, fresh: bool) -> None:
-        """Read every page and take it as the copy.
-
-        Pages are read at different revisions, so watching goes on from the first.
-
-        Args:
-            fresh: whether the copy is then surely complete; else it may be seconds old.
-        """
+        """Read everything and take it as the copy."""
         began_at = self._clock.monotonic()
-        found: dict[str, Item] = {}
-        first = 0
-        after = ""
-        while True:
-            page = await self._store.list_items(self.prefix, after, fresh)
-            first = first or page.revision
-            found.update((item.key, item) for item in page.items)
-            if page.last or not page.items:
-                break
-            after = page.items[-1].key
+        reading = await read_prefix(self._store, self.prefix, fresh)
         if fresh:
             # Before listeners hear of it: they pass on what is current.
             self._confirmed_at = max(self._confirmed_at, began_at)
-        else:
-            # The store's revision may be newer than what it gave: all that came after
-            # the latest of these items is to be brought by the watch.
-            first = max((item.revision for item in found.values()), default=0)
-        self.replace(found, first)
+        self.replace(reading.items, reading.revision)
 
     def replace(
         self, found: Mapping[str, Item], revision: int, origin: Origin = Origin()
