--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -147,7 +147,8 @@
         top = route.target.top if isinstance(route.target, ToShards) else 0
         with tools.tracer.hold(span):
             if tools.gathering.delegates is not None:
-                tools.gathering.delegates.note_question(len(question.services))
+                parts = len(question.services)
+                tools.gathering.delegates.gatherers.note_question(parts)
             result = await RoutedGathering(tools.gathering, question, top).run()
         self._note(caller, route, start, result)
         match result:
--- a/walkcart/fanout/delegatedgroup.py
+++ b/walkcart/fanout/delegatedgroup.py
@@ -65,6 +65,11 @@
         handed = self.handed is not None and not self.is_handed_taken
         return handed or bool(self.parts) or self.ended
 
+    @property
+    def may_have_arrived(self) -> bool:
+        """Whether leafs may have got its requests, though nobody said so."""
+        return self.outcome is None and not self.unsent
+
     @property
     def is_begun(self) -> bool:
         """Whether the other instance asked leafs, or said that it would."""
--- a/walkcart/fanout/delegates.py
+++ b/walkcart/fanout/delegates.py
@@ -24,6 +24,7 @@
     encode_question,
     read_reason,
 )
+from walkcart.fanout.gatherers import Gatherers
 from walkcart.fanout.groups import Group
 from walkcart.fanout.mergedanswer import MergedAnswer
 from walkcart.fanout.peerselection import PeerSelection
@@ -73,26 +74,26 @@
         tools.links.on(DelegatedFailure, self._on_failure)
 
     @property
-    def gathers(self) -> bool:
-        """Whether this instance is one of those that gather."""
-        return self._tools.gatherers.is_own()
-
-    def note_question(self, parts: int) -> None:
-        """Note that a caller's question over so many parts was begun."""
-        self._tools.gatherers.note_question(parts)
+    def gatherers(self) -> Gatherers:
+        """The instances that gather."""
+        return self._tools.gatherers
 
     def open_links(self) -> None:
         """Have links ready to those that may be asked."""
         self._selection.open_links()
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
-        """Follow what others were asked, and keep links up, until cancelled."""
+        """Follow what others were asked and keep links up."""
         async with trio.open_nursery() as self._nursery:
             task_status.started()
             while True:
                 await trio.sleep(GREETING_INTERVAL)
                 self._selection.open_links()
 
+    def can_ask(self, wanted: Group, without: frozenset[str]) -> bool:
+        """Return whether any instance but some may gather a group."""
+        return self._selection.choose(wanted, without) is not None
+
     def submit(
         self,
         question: RoutedQuestion,
--- a/walkcart/fanout/elsewhere.py
+++ b/walkcart/fanout/elsewhere.py
@@ -56,8 +56,8 @@
         self._groups: list[DelegatedGroup] = []
         self._merged: list[MergedAnswer] = []
         self._detours = 0
-        #: Names of the instances that were asked.
-        self._peers: set[str] = set()
+        #: Names of the instances that didn't take a group.
+        self._lost: set[str] = set()
         self._late: LateParts | None = None
         if top and question.settle_at < float("inf"):
             self._late = LateParts(tools, question, top, sends, wake)
@@ -84,7 +84,7 @@
             places,
             self._tools.place,
             self._tools.random,
-            delegates.gathers,
+            delegates.gatherers.is_own(),
         ):
             asked = delegates.submit(self._question, group, self._top, self._wake)
             if asked is not None:
@@ -94,7 +94,6 @@
 
     def _note_asked(self, group: DelegatedGroup) -> None:
         self._groups.append(group)
-        self._peers.add(group.peer)
         for name in group.services:
             self._tries[name].delegated = True
             self._tries[name].places.add(group.place)
@@ -184,39 +183,66 @@
     ) -> None:
         """Ask for what an instance didn't gather: of another one, or from here."""
         waiting = [item for item in missing if not (item.left or item.awaited)]
-        if group.is_begun or not self._ask_another(group, waiting, now):
-            for item in waiting:
-                self._sends.plan(item, now)
+        if group.is_begun or not self._may_ask_another(waiting, now):
+            others = waiting
+        else:
+            self._lost.add(group.peer)
+            others = self._ask_another(group, waiting, now)
+        for item in others:
+            self._sends.plan(item, now)
+
+    def _may_ask_another(self, waiting: list[ServiceTry], now: float) -> bool:
+        """Return whether what an instance didn't take may go to another one."""
+        few = len(waiting) < LEAST_GROUP
+        if few or self._detours >= MOST_DETOURS or now >= self._question.deadline:
+            return False
+        return all(item.may_run < self._question.most_attempts for item in waiting)
 
     def _ask_another(
         self, group: DelegatedGroup, waiting: list[ServiceTry], now: float
-    ) -> bool:
-        """Have another instance gather what one didn't take; return whether one does.
+    ) -> list[ServiceTry]:
+        """Have another instance gather what one didn't take; return what none does.
 
         Asked from here, 24 parts keep a machine of half a core busy for 30 ms, and
-        where many groups are lost at once their words come too late for that.
+        where many groups are lost at once their words come too late for that. What may
+        have arrived the first time is a repeat, and is paid for from this budget.
         """
         delegates = self._tools.delegates
-        question = self._question
-        left = question.most_attempts - max((i.may_run for i in waiting), default=0)
-        may = self._detours < MOST_DETOURS and left > 0 and now < question.deadline
-        if delegates is None or not may or len(waiting) < LEAST_GROUP:
-            return False
+        late = self._late is not None and self._late.is_late(group)
         names = tuple(item.service for item in waiting)
+        lost = frozenset(self._lost)
+        if delegates is None or not delegates.can_ask(Group(names, group.place), lost):
+            return waiting
+        if group.may_have_arrived:
+            waiting = [item for item in waiting if self._sends.take_repeat(item, now)]
+        if not waiting:
+            return []
+        question = self._question
+        if now >= question.settle_at:
+            question = replace(question, settle_at=float("inf"))
+        spent = max(item.may_run for item in waiting)
         asked = delegates.submit(
-            replace(question, most_attempts=left),
-            Group(names, group.place),
+            replace(
+                question,
+                least_coverage=0.0 if late else question.least_coverage,
+                most_attempts=question.most_attempts - spent,
+                granted=late or group.may_have_arrived,
+            ),
+            Group(tuple(item.service for item in waiting), group.place),
             self._top,
             self._wake,
-            frozenset(self._peers),
+            lost,
         )
         if asked is None:
-            return False
+            # The links have just ended; the budget holds these already.
+            for item in waiting:
+                self._sends.send_elsewhere(item, now)
+            return []
         self._detours += 1
-        if self._late is not None and self._late.is_late(group):
+        if late and self._late is not None:
             self._late.note_asked(asked)
         self._note_asked(asked)
-        return True
+        return []
 
     def _take_gathered(self, item: ServiceTry) -> None:
         """Take a part that another instance gathered; one of this instance gives way.
--- a/walkcart/platform/tests/test_attempt_account.py
+++ b/walkcart/platform/tests/test_attempt_account.py
@@ -12,7 +12,12 @@
 import trio
 
 from walkcart.membership.links import PeerLinks
-from walkcart.platform.tests.test_delegation import count_arrived, with_two_regions
+from walkcart.platform.tests.test_delegation import (
+    count_arrived,
+    count_lines,
+    with_two_regions,
+)
+from walkcart.routing.repeats import RepeatBudget
 from walkcart.wire.delegations import (
     DelegatedAnswer,
     DelegatedCancel,
@@ -104,3 +109,72 @@
 
     worst = with_two_regions(act, targetLatencyMs=120, minCoverage=0.75)
     assert worst <= MOST_ATTEMPTS
+
+
+def lose_words_of(names, monkeypatch):
+    """Lose what some instances say of questions that they took.
+
+    Args:
+        names: of the instances; none for the first that says so.
+        monkeypatch: of the test.
+    """
+    send = PeerLinks.send
+    lost = set(names)
+
+    def send_others(links, to, message):
+        if isinstance(message, DelegatedTaken):
+            own = links._view.own.name
+            if not lost:
+                lost.add(own)
+            if own in lost:
+                return True
+        return send(links, to, message)
+
+    monkeypatch.setattr(PeerLinks, "send", send_others)
+
+
+def test_a_group_that_was_lost_is_not_asked_for_again_without_a_repeat(monkeypatch):
+    """What is handed to another instance may have arrived: it counts as a repeat."""
+
+    async def act(world):
+        await world.start_instance("second", "south-a")
+        await world.wait_ready("second")
+        await trio.sleep(10)
+        for leaf in world.leafs.values():
+            leaf.faults.delay = 0.3
+        lose_words_of(("helper", "second"), monkeypatch)
+        taken = []
+
+        def deny(self, service, now, instances, vital=True):
+            taken.append(service)
+            return False
+
+        monkeypatch.setattr(RepeatBudget, "take", deny)
+        await world.ask("/all/x", "asker")
+        await trio.sleep(1)
+        return count_arrived(world), len(taken)
+
+    arrived, asked_for = with_two_regions(act, targetLatencyMs=100)
+    assert arrived == [1, 1, 1, 1]
+    assert asked_for >= 4
+
+
+def test_a_group_that_was_lost_goes_to_another_instance(monkeypatch):
+    async def act(world):
+        await world.start_instance("second", "south-a")
+        await world.wait_ready("second")
+        await trio.sleep(10)
+        for leaf in world.leafs.values():
+            leaf.faults.delay = 0.2
+        lose_words_of((), monkeypatch)
+        replies = []
+        for _ in range(6):
+            replies.append((await world.ask("/all/x", "asker")).status)
+            await trio.sleep(5)
+        direct = count_lines(world, '"direct": 4')
+        return replies, direct, count_lines(world, "delegate_lost")
+
+    replies, direct, lost = with_two_regions(act, targetLatencyMs=800)
+    assert replies == [200] * 6
+    assert lost >= 1
+    assert direct == 0
