A question that was given up by who gathered it counts as begun

Found by reading: its word has no count of requests. Harmless so far, since it counts all attempts as spent, but it doesn't say that nothing ran.

--- a/walkcart/fanout/delegatedgroup.py
+++ b/walkcart/fanout/delegatedgroup.py
@@ -11,7 +11,7 @@
 from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
 from walkcart.fanout.routedquestion import RoutedFailure
 from walkcart.routing.distance import Place
-from walkcart.wire.verdicts import Reason
+from walkcart.wire.verdicts import MayHaveRun, Reason
 
 Outcome = Result[MergedAnswer, RoutedFailure]
 
@@ -81,7 +81,8 @@
             case Success():
                 return True
             case _:
-                return self.outcome.failure().sent > 0
+                failure = self.outcome.failure()
+                return failure.sent > 0 or isinstance(failure.verdict, MayHaveRun)
 
     def missing(self) -> dict[str, MissingPart]:
         """Return the services whose parts didn't come, by name."""
--- a/walkcart/fanout/delegates.py
+++ b/walkcart/fanout/delegates.py
@@ -88,7 +88,7 @@
             task_status.started()
             while True:
                 await trio.sleep(GREETING_INTERVAL)
-                self._selection.open_links()
+                self.open_links()
 
     def can_ask(self, wanted: Group, without: frozenset[str]) -> bool:
         """Return whether any instance but some may gather a group."""
@@ -115,9 +115,8 @@
         if peer is None or self._nursery is None:
             return None
         now = self._tools.clock.monotonic()
-        services = wanted.services
         group = DelegatedGroup(
-            services,
+            wanted.services,
             wanted.place,
             question.kind,
             question.most_attempts,
@@ -126,8 +125,8 @@
             on_end,
         )
         id = self._tools.ids.take()
-        accounts = self._tools.accounts
-        delegation = Delegation(id, services, top, accounts.round_trip(peer.name))
+        way = self._tools.accounts.round_trip(peer.name)
+        delegation = Delegation(id, wanted.services, top, way)
         message = encode_question(question, delegation, now)
         if not self._tools.links.send(peer.name, message):
             return None
