--- a/walkcart/platform/tests/soakestate.py
+++ b/walkcart/platform/tests/soakestate.py
@@ -110,9 +110,11 @@
                 "backend": service,
                 "address": str(proxy.address),
                 "zone": place,
+                "version": "v1",
                 "slots": 2,
                 "state": "ready",
                 "warmupLeftMs": 0,
+                "seq": 1,
             },
         )
 
