--- a/walkcart/platform/tests/test_cut_data_centres.py
+++ b/walkcart/platform/tests/test_cut_data_centres.py
@@ -9,7 +9,7 @@
 
 
 def with_a_cut(action):
-    """Run `action(world)`: a leaf of each shard in two data centres, one of them cut."""
+    """Run `action(world)`: each shard in two data centres, one of which is cut off."""
 
     async def run():
         async with open_platform() as world:
