--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -85,7 +85,9 @@
     MEMBER_LEAVING = _info(404, "member_leaving", "A peer began a planned stop.")
     PEER_BAD_MESSAGE = _warn(405, "peer_bad_message", "Can't be decoded; dropped.")
     DELEGATE_LOST = _info(
-        407, "delegate_lost", "A peer didn't gather a question; done from here."
+        407,
+        "delegate_lost",
+        "A peer didn't gather a question; another one does, or this instance.",
     )
     QUESTION_STALE = _info(
         410,
