Log which question a leaf had when it closed, and tell that a question came again

Logs named requests by an id that is new with each try, so that two tries of one request couldn't be told to be the same, nor which request a leaf had when its connections closed. Lines of leafs that closed and of requests without an answer now carry a fingerprint of what was asked and by whom (no decision uses it yet).

--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -29,6 +29,7 @@
 from walkcart.kernel.spans import Tracer
 from walkcart.routing.overshoot import Overshoot
 from walkcart.routing.splits import WeightedSplit
+from walkcart.wire.fingerprint import fingerprint_request
 from walkcart.wire.http import HttpReply, HttpRequest
 from walkcart.wire.server import Fault
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
@@ -187,6 +188,7 @@
             most_attempts=route.most_attempts,
             whole_parts=sharded,
             traceparent=caller.traceparent,
+            fingerprint=fingerprint_request(caller.forwarded),
         )
 
     def _choose_services(self, route: Route) -> tuple[str, ...]:
@@ -255,6 +257,7 @@
                     ran=type(failure.verdict).__name__,
                     reason=failure.verdict.reason.value,
                     detail=failure.verdict.detail,
+                    question=fingerprint_request(caller.forwarded).hex(),
                     sent=failure.sent,
                     missing=_describe_missing(failure.missing),
                 )
--- a/walkcart/fanout/delegationcodec.py
+++ b/walkcart/fanout/delegationcodec.py
@@ -22,6 +22,7 @@
     DelegatedMissing,
     DelegatedQuestion,
 )
+from walkcart.wire.fingerprint import fingerprint_request
 from walkcart.wire.http import HttpRequest
 from walkcart.wire.messagebase import Message
 from walkcart.wire.verdicts import MayHaveRun, Reason
@@ -72,12 +73,11 @@
 
 def decode_question(message: DelegatedQuestion, now: float) -> RoutedQuestion:
     """Return the question that a message asks for, on this instance's clock."""
+    request = HttpRequest(message.method, message.target, message.headers, message.body)
     return RoutedQuestion(
         id=message.request,
         kind=message.kind,
-        request=HttpRequest(
-            message.method, message.target, message.headers, message.body
-        ),
+        request=request,
         services=message.services,
         deadline=now + message.remaining,
         objective_at=now + message.objective,
@@ -88,6 +88,7 @@
         settle_at=now + message.settle if message.settle < NEVER else float("inf"),
         granted=message.granted,
         traceparent=message.traceparent,
+        fingerprint=fingerprint_request(request),
     )
 
 
--- a/walkcart/fanout/gathering.py
+++ b/walkcart/fanout/gathering.py
@@ -81,6 +81,7 @@
         self._question = question
         self._layout = layout
         self._pin = pin
+        self._fingerprint = question.fingerprint
         self._hedges = hedges
         self._retries = retries
         self._inbox: deque[tuple[Attempt, Outcome]] = deque()
@@ -334,6 +335,7 @@
             deadline=self._question.deadline,
             body=self._question.body,
             traceparent=self._question.traceparent,
+            fingerprint=self._fingerprint,
         )
         item.under_way[attempt.id] = Sent(leaf, now, hedge)
         item.tried.append(leaf.address)
--- a/walkcart/fanout/questions.py
+++ b/walkcart/fanout/questions.py
@@ -6,6 +6,7 @@
 
 from walkcart.intent.document import Document
 from walkcart.intent.policy import Policy
+from walkcart.wire.fingerprint import make_fingerprint
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,3 +34,8 @@
     deadline: float
     least_coverage: float
     traceparent: str | None = None
+
+    @property
+    def fingerprint(self) -> bytes:
+        """What tells that it is the same question when it is asked again."""
+        return make_fingerprint(self.service.encode(), self.scope.encode(), self.body)
--- a/walkcart/fanout/routedquestion.py
+++ b/walkcart/fanout/routedquestion.py
@@ -32,6 +32,7 @@
             that clock, infinite when each is asked for by itself.
         granted: whether the budgets of repeats already hold the first attempts.
         traceparent: of the trace.
+        fingerprint: of the request (`walkcart.wire.fingerprint`).
     """
 
     id: str
@@ -48,6 +49,7 @@
     settle_at: float = float("inf")
     granted: bool = False
     traceparent: str | None = None
+    fingerprint: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -241,6 +241,7 @@
             idempotent=question.idempotent,
             whole_part=question.whole_parts,
             traceparent=question.traceparent,
+            fingerprint=question.fingerprint,
         )
         item.under_way[attempt.id] = Sent(leaf, now, self._find_hedge_time(leaf, now))
         item.tried.append(leaf.id)
--- a/walkcart/fanout/single.py
+++ b/walkcart/fanout/single.py
@@ -96,6 +96,7 @@
             once_key=request.once_key,
             expires=request.expires,
             traceparent=question.traceparent,
+            fingerprint=question.fingerprint,
         )
         slot = _Slot()
         self._tools.gateway.submit(leaf, attempt, question.group, slot.deliver)
--- a/walkcart/leaves/attempts.py
+++ b/walkcart/leaves/attempts.py
@@ -33,6 +33,7 @@
         idempotent: whether a second run of the routed request does no harm.
         whole_part: whether a reply other than a success is of no use, as it is to
             a question over many shards.
+        fingerprint: of the question, the same whenever it is asked again.
     """
 
     id: str
@@ -48,6 +49,7 @@
     leaf_id: str = ""
     idempotent: bool = True
     whole_part: bool = False
+    fingerprint: bytes = b""
 
     @property
     def repeatable(self) -> bool:
--- a/walkcart/leaves/exchange.py
+++ b/walkcart/leaves/exchange.py
@@ -111,7 +111,7 @@
                 try:
                     reply = await self._send_and_read(connection, attempt, remaining)
                 except ExchangeFailed as error:
-                    return False, self._read_failure(error)
+                    return False, self._read_failure(error, attempt)
                 elapsed = tools.clock.monotonic() - start
                 found = dict(reply.headers)
                 if not tools.protocol.is_ours(attempt, found):
@@ -146,9 +146,13 @@
         if idle_time is not None:
             self.idle_time = min(idle_time, IDLE_TIME.total_seconds())
 
-    def _read_failure(self, error: ExchangeFailed) -> Failed:
+    def _read_failure(self, error: ExchangeFailed, attempt: Attempt) -> Failed:
         self._tools.events.emit(
-            Events.LEAF_BAD_REPLY, leaf=self._leaf.address, detail=str(error)
+            Events.LEAF_BAD_REPLY,
+            leaf=self._leaf.address,
+            leaf_id=self._leaf.id,
+            question=attempt.fingerprint.hex(),
+            detail=str(error),
         )
         if error.sent:
             return Failed(MayHaveRun(Reason.LEAF_FAILED, str(error)))
--- a/walkcart/platform/tests/leafstandin.py
+++ b/walkcart/platform/tests/leafstandin.py
@@ -63,6 +63,9 @@
         tenths = self.faults.refuse_tenths
         return len(self.arrived) * tenths // 10 > (len(self.arrived) - 1) * tenths // 10
 
+    async def begin(self, id: str, target: str) -> None:
+        """Begin to run a request; overridden where that may end the leaf."""
+
     async def handle(self, request: HttpRequest) -> HttpReply | None:
         """Serve one request."""
         self.arrived.append(request)
@@ -75,6 +78,7 @@
         self.ran.append(id)
         self.running += 1
         try:
+            await self.begin(id, request.target)
             await trio.sleep(self.work + self.faults.delay)
         finally:
             self.running -= 1
--- a/walkcart/platform/tests/platformworld.py
+++ b/walkcart/platform/tests/platformworld.py
@@ -77,6 +77,14 @@
     ) -> PlatformLeafStandin:
         """Start a leaf and store its entry."""
         leaf = PlatformLeafStandin(id, **details)
+        await self.run_leaf(leaf, service, data_centre)
+        return leaf
+
+    async def run_leaf(
+        self, leaf: PlatformLeafStandin, service: str, data_centre: str
+    ) -> None:
+        """Run a leaf and store its entry."""
+        id = leaf.id
         server = leaf.make_server()
         address = await self.nursery.start(
             server.run, self.network.at(data_centre), HostPort("127.0.0.1", 0)
@@ -94,7 +102,6 @@
             "seq": 1,
         }
         self.store.put(f"servers/{id}", self.entries[id])
-        return leaf
 
     async def restart_leaf(self, id: str, born: int, **details: Any) -> None:
         """End a leaf without a word and start it again under its id."""
