Keep a request that ends leafs from them, at every instance

Cause: a leaf that ended under a question was taken for a lost leaf; the question went on to the sibling, and to all leafs again with each try of its caller, at whichever instance.

* A connection that closed without a reply is followed by one look whether the address refuses a new one: then the process ended, and the question is noted with it.
* Within one try, after two such leafs and no answer of any, one further leaf is asked at a time; if that one ends too the question is over.
* Over tries, losses that are independent of each other count as strikes by a fingerprint of the request: after two a try goes to one leaf first, after three it is refused as 'not run' with when to come back, for five minutes.
Any answer voids them.
* Strikes are told to all instances at once (in a large fleet to those that gather, who pass them on), and again one by one while any is remembered; a refused request is stored on a lease, read along with the instances' keys, for when all instances start anew.

Ruled out by the tests: that our second attempts alone are counted (tries of callers are), and leafs that crash for a reason of their own (they ended only where they were asked).

--- a/walkcart/bench/routed/instances.py
+++ b/walkcart/bench/routed/instances.py
@@ -26,6 +26,7 @@
 from walkcart.fanout.handing import Handing
 from walkcart.fanout.ids import IdSource
 from walkcart.fanout.mergedanswer import MergedAnswer
+from walkcart.fanout.quarantines import Quarantines
 from walkcart.fanout.routed import RoutedGathering
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedQuestion
 from walkcart.fanout.routedtools import RoutedTools
@@ -45,6 +46,7 @@
 from walkcart.membership.registration import InstanceRecord
 from walkcart.routing.distance import Distance, Place, measure_distance
 from walkcart.routing.peerchoice import PeerAccounts
+from walkcart.routing.quarantine import Quarantine
 from walkcart.routing.repeats import RepeatBudget, RepeatLimits
 from walkcart.standins.memory import MemoryNetwork
 from walkcart.store.updates import Origin
@@ -209,6 +211,9 @@
         )
         delegates = Delegates(tools)
         limits = REPEAT_LIMITS if around.policy.repeat else NO_REPEATS
+        quarantines = Quarantines(
+            Quarantine(), self._clock, self._random, self.events, self.metrics
+        )
         self.gathering = RoutedTools(
             self.pool,
             RepeatBudget(limits, self._clock.monotonic()),
@@ -219,10 +224,16 @@
             self.events,
             self.place,
             self._random,
+            quarantines,
             delegates if around.policy.delegate else None,
         )
         carrier = Carrier(
-            links, self._clock, self._gather, self._find_usual_high, self.events
+            links,
+            self._clock,
+            self._gather,
+            self._find_usual_high,
+            self.events,
+            quarantines,
         )
         for service in (links, self.pool, delegates, carrier):
             await nursery.start(service.run)
--- a/walkcart/cli/losscauses.py
+++ b/walkcart/cli/losscauses.py
@@ -53,6 +53,7 @@
     LOST_INSTANCE = "another instance was lost with its group"
     CALLER_GONE = "the caller left"
     STOPPING = "the instance was stopping"
+    QUARANTINED = "refused: leafs end when they run it"
     OWN_FAULT = "a fault of walkcart"
     UNKNOWN = "not told by the log"
 
@@ -65,6 +66,8 @@
     Reason.LEAF_REFUSED.value: Cause.LEAF_REFUSED,
     Reason.LEAF_REPLACED.value: Cause.DARK_LEAF,
     Reason.LEAF_FAILED.value: Cause.LEAF_FAILED,
+    Reason.LEAF_ENDED.value: Cause.LEAF_FAILED,
+    Reason.QUARANTINED.value: Cause.QUARANTINED,
     Reason.REPEAT_BUDGET.value: Cause.BUDGET_SPENT,
     Reason.UNREACHABLE.value: Cause.NO_CONNECTION,
     Reason.NO_LEAF.value: Cause.NO_LEAF,
--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -9,6 +9,7 @@
 import trio
 
 from walkcart.daemon.surroundings import ListenerService, TenantSurroundings
+from walkcart.daemon.tenantstore import make_store_backoff
 from walkcart.entry.routed import RoutedEntryTools, RoutedHandler
 from walkcart.entry.routedservice import RoutedService
 from walkcart.entry.starting import StartGate
@@ -20,6 +21,8 @@
 from walkcart.fanout.handing import Handing
 from walkcart.fanout.ids import IdSource
 from walkcart.fanout.mergedanswer import MergedAnswer
+from walkcart.fanout.quarantinepeers import QuarantinePeers
+from walkcart.fanout.quarantines import Quarantines
 from walkcart.fanout.routed import RoutedGathering
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedQuestion
 from walkcart.fanout.routedtools import RoutedTools
@@ -32,12 +35,16 @@
 from walkcart.leaves.directory import LeafDirectory
 from walkcart.leaves.pool import LeafPool
 from walkcart.membership.links import PeerLinks
+from walkcart.membership.quarantinekeys import QUARANTINE_PREFIX, QuarantineKeys
+from walkcart.membership.quarantinenews import QuarantineSpread
 from walkcart.membership.registration import Registration
 from walkcart.membership.relaying import Relay
 from walkcart.platform.callerprotocol import PlatformCallerProtocol, merge_parts
 from walkcart.platform.settings import PlatformSettings
+from walkcart.platform.store import PlatformStore
 from walkcart.routing.distance import Distance, Place
 from walkcart.routing.peerchoice import PeerAccounts
+from walkcart.routing.quarantine import Quarantine
 from walkcart.routing.repeats import RepeatBudget, RepeatLimits
 from walkcart.store.calls import StoreCalls
 from walkcart.store.following import PrefixFollower
@@ -102,6 +109,7 @@
             gatherers,
         )
     )
+    quarantines = add_quarantines(kernel, around, links, gatherers)
     limits = RepeatLimits(
         settings.repeat_ratio,
         settings.repeat_window.total_seconds(),
@@ -117,6 +125,7 @@
         events,
         Place(settings.region, settings.data_centre),
         around.random,
+        quarantines,
         delegates,
     )
 
@@ -132,7 +141,7 @@
         times = gathering.pool.times_of(kind, Distance.SAME_DATA_CENTRE)
         return times.high(around.clock.monotonic())
 
-    carrier = Carrier(links, around.clock, gather, find_usual_high, events)
+    carrier = Carrier(links, around.clock, gather, find_usual_high, events, quarantines)
     relay = Relay(
         [
             kernel.find("configuration", PrefixFollower),
@@ -153,6 +162,44 @@
     kernel.add("gathering", gathering)
 
 
+def add_quarantines(
+    kernel: Kernel,
+    around: TenantSurroundings,
+    links: PeerLinks,
+    gatherers: Gatherers,
+) -> Quarantines:
+    """Add what remembers requests under which leafs ended, and tells of them."""
+    events = kernel.find("events", EventLog)
+    registration = kernel.find("registration", Registration)
+    quarantine = Quarantine()
+    quarantines = Quarantines(
+        quarantine, around.clock, around.random, events, kernel.find("metrics", Metrics)
+    )
+    peers = QuarantinePeers(registration, gatherers)
+    spread = QuarantineSpread(
+        quarantine,
+        links,
+        around.clock,
+        peers.find_peers,
+        peers.may_relay,
+        quarantines.note_news,
+    )
+    keys = QuarantineKeys(
+        kernel.find("store", PlatformStore),
+        quarantine,
+        around.clock,
+        make_store_backoff(around.random),
+        events,
+        quarantines.note_news,
+    )
+    registration.read_along(QUARANTINE_PREFIX, keys.take)
+    quarantines.follow(spread.tell_all, keys.keep)
+    kernel.add("quarantines", quarantines)
+    kernel.add("quarantine_spread", spread)
+    kernel.add("quarantine_keys", keys)
+    return quarantines
+
+
 def add_entry(
     kernel: Kernel,
     settings: PlatformSettings,
--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from random import Random
 from typing import Protocol
@@ -28,6 +28,7 @@
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.spans import Tracer
 from walkcart.routing.overshoot import Overshoot
+from walkcart.routing.quarantine import Standing
 from walkcart.routing.splits import WeightedSplit
 from walkcart.wire.fingerprint import fingerprint_request
 from walkcart.wire.http import HttpReply, HttpRequest
@@ -142,6 +143,10 @@
         if route is None:
             return self._refuse(caller, NotRun(Reason.NO_ROUTE, "no such route"))
         question = self._make_question(caller, route, start)
+        admitted = await tools.gathering.quarantines.admit(question.fingerprint)
+        if isinstance(admitted, NotRun):
+            return self._refuse(caller, admitted)
+        question = replace(question, careful=admitted is Standing.CAREFUL)
         span = tools.tracer.start(
             "routed.request", caller.traceparent, request=caller.id, route=route.name
         )
@@ -150,7 +155,7 @@
             if tools.gathering.delegates is not None:
                 parts = len(question.services)
                 tools.gathering.delegates.gatherers.note_question(parts)
-            result = await RoutedGathering(tools.gathering, question, top).run()
+            result = await self._gather(question, top)
         self._note(caller, route, start, result)
         match result:
             case Success(answer) if question.whole_parts:
@@ -164,6 +169,19 @@
             case _:
                 return tools.protocol.render_failure(result.failure())
 
+    async def _gather(
+        self, question: RoutedQuestion, top: int
+    ) -> Result[RoutedAnswer, RoutedFailure]:
+        """Ask the leafs, and remember how they fared."""
+        tools = self._tools.gathering
+        gathering = RoutedGathering(tools, question, top)
+        try:
+            return await gathering.run()
+        finally:
+            tools.quarantines.note(
+                question.fingerprint, gathering.watch, question.careful
+            )
+
     def _make_question(
         self, caller: CallerRequest, route: Route, start: float
     ) -> RoutedQuestion:
@@ -213,6 +231,7 @@
             host=caller.host,
             target=caller.forwarded.target,
             reason=verdict.reason.value,
+            question=fingerprint_request(caller.forwarded).hex(),
             version=self._tools.keeper.table.document.version,
         )
         return self._tools.protocol.render_failure(RoutedFailure(verdict))
--- a/walkcart/fanout/carrying.py
+++ b/walkcart/fanout/carrying.py
@@ -24,6 +24,7 @@
     encode_outcome,
 )
 from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
+from walkcart.fanout.quarantines import Quarantines
 from walkcart.fanout.routedquestion import RoutedFailure, RoutedQuestion
 from walkcart.kernel.clock import Clock
 from walkcart.kernel.eventlog import EventLog
@@ -116,6 +117,7 @@
         gather: gathers one question.
         usual_high: returns a long time for a kind of request at leafs that are near.
         events: where questions that aren't worked on are logged.
+        quarantines: requests under which leafs ended.
     """
 
     def __init__(
@@ -125,7 +127,9 @@
         gather: Gather,
         usual_high: Callable[[str], float],
         events: EventLog,
+        quarantines: Quarantines,
     ) -> None:
+        self._quarantines = quarantines
         self._links = links
         self._clock = clock
         self._gather = gather
@@ -171,6 +175,10 @@
             return
         if message.id in self._cancelled:
             return
+        if self._quarantines.is_kept(message):
+            detail = "leafs end when they run this request"
+            self._turn_down(sender, message, Reason.QUARANTINED, detail)
+            return
         high = self._usual_high(message.kind)
         self._links.send(sender, DelegatedTaken(message.id, high))
         scope = trio.CancelScope(deadline=trio.current_time() + HOLD_TIME)
--- /dev/null
+++ b/walkcart/fanout/crashwatch.py
@@ -0,0 +1,91 @@
+"""What one question may still do once leafs ended under it.
+
+The load it answers: a question that ends each leaf which runs it. Sent again to the
+other replica of each shard, as after any loss, it takes all leafs of a service down
+within 0.3 s. Where leafs crash together for reasons of their own, the same question
+would be answered by those that are left, so one of these is asked first.
+
+See Also:
+    `walkcart.routing.quarantine`, which remembers over many tries.
+"""
+
+from __future__ import annotations
+
+#: Leafs that ended under a question, without an answer of any other, from which on it
+#: is sent to no more than one further leaf at a time. One alone is an ordinary loss.
+MOST_ENDED = 2
+
+
+class CrashWatch:
+    """Counts the leafs that ended under one try of a question.
+
+    Args:
+        services: that are asked.
+        careful: whether one leaf is to answer before the others are asked.
+    """
+
+    def __init__(self, services: int, careful: bool = False) -> None:
+        self._several = services > 1
+        self._careful = careful
+        #: The service whose leaf is asked by itself, while it is.
+        self._lone: str | None = None
+        self.ended = 0
+        self.answered = False
+        #: Whether a leaf ended that was asked by itself, or another instance knows that
+        #: the question ends leafs.
+        self.is_over = False
+
+    @property
+    def holds(self) -> bool:
+        """Whether leafs are asked one at a time, until one answers."""
+        if self.answered:
+            return False
+        many = self._several and self.ended >= MOST_ENDED
+        return self._careful or self.is_over or many
+
+    def may_send(self, service: str) -> bool:
+        """Return whether a leaf of a service may be asked now."""
+        if not self.holds:
+            return True
+        return not self.is_over and self._lone is None
+
+    def note_sent(self, service: str) -> None:
+        """Note that a leaf of a service is asked."""
+        if self.holds:
+            self._lone = service
+
+    def note_answer(self) -> None:
+        """Note that a leaf ran the question and lives."""
+        self.answered = True
+        self.is_over = False
+
+    def note_ended(self, service: str, count: int = 1) -> None:
+        """Note that leafs of a service ended under the question."""
+        was_lone = self._lone == service
+        self.ended += count
+        self._note_back(service)
+        if was_lone and not self.answered:
+            self.is_over = True
+
+    def note_failed(self, service: str) -> None:
+        """Note that an attempt ended otherwise, without an answer."""
+        self._note_back(service)
+
+    def note_refused(self) -> None:
+        """Note that another instance knows that the question ends leafs."""
+        if not self.answered:
+            self.is_over = True
+
+    def count_strikes(self) -> int:
+        """Return how many independent losses this try shows."""
+        if self.answered or not self.ended:
+            return 0
+        if self._careful:
+            return 1
+        if not self._several:
+            return min(self.ended, MOST_ENDED)
+        return 2 if self.is_over else 1
+
+    def _note_back(self, service: str) -> None:
+        if self._lone == service:
+            self._lone = None
--- a/walkcart/fanout/delegatedgroup.py
+++ b/walkcart/fanout/delegatedgroup.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 import trio
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
 from walkcart.fanout.routedquestion import RoutedFailure
@@ -84,6 +84,15 @@
                 failure = self.outcome.failure()
                 return failure.sent > 0 or isinstance(failure.verdict, MayHaveRun)
 
+    @property
+    def reason(self) -> Reason | None:
+        """Why nothing came of it, in the other instance's words; None without."""
+        match self.outcome:
+            case Failure(failure):
+                return failure.verdict.reason
+            case _:
+                return None
+
     def missing(self) -> dict[str, MissingPart]:
         """Return the services whose parts didn't come, by name."""
         if self.handed is not None:
--- a/walkcart/fanout/elsewhere.py
+++ b/walkcart/fanout/elsewhere.py
@@ -10,17 +10,19 @@
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 
-from returns.result import Success
+from returns.pipeline import is_successful
 
+from walkcart.fanout.crashwatch import CrashWatch
 from walkcart.fanout.delegatedgroup import DelegatedGroup
 from walkcart.fanout.groups import LEAST_GROUP, Group, divide_services
 from walkcart.fanout.lateparts import LateParts
-from walkcart.fanout.mergedanswer import MergedAnswer
+from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
 from walkcart.fanout.routedquestion import RoutedQuestion
 from walkcart.fanout.routedsends import RoutedSends
 from walkcart.fanout.routedtools import RoutedTools
 from walkcart.fanout.servicetry import ServiceTry
 from walkcart.routing.distance import Place
+from walkcart.wire.verdicts import Reason
 
 #: Times that a group of one question is given to another instance after one didn't take
 #: it: twice for each of the six groups that the users' largest questions make.
@@ -36,6 +38,7 @@
         top: records of the merged answer; 0 where nothing is delegated.
         sends: for parts that are asked for from here.
         tries: how far the question has come, by service.
+        watch: counts the leafs that ended under it.
         wake: told when there is something to take.
     """
 
@@ -46,8 +49,10 @@
         top: int,
         sends: RoutedSends,
         tries: Mapping[str, ServiceTry],
+        watch: CrashWatch,
         wake: Callable[[], None],
     ) -> None:
+        self._watch = watch
         self._tools = tools
         self._question = question
         self._top = top
@@ -149,6 +154,7 @@
 
     def _take_part(self, item: ServiceTry, part: MergedAnswer) -> None:
         """Take a part that came after the other instance had handed over."""
+        self._watch.note_answer()
         if item.covered:
             self._tools.metrics.count("leaf.late")
         else:
@@ -158,13 +164,11 @@
         """Take what another instance gathered; ask here for what it didn't."""
         now = self._tools.clock.monotonic()
         missing = group.missing()
-        match group.outcome:
-            case _ if group.handed is not None:
-                self._merged.append(group.handed)
-            case Success(merged):
-                self._merged.append(merged)
-            case _:
-                pass
+        if group.handed is not None:
+            self._merged.append(group.handed)
+        elif group.outcome is not None and is_successful(group.outcome):
+            self._merged.append(group.outcome.unwrap())
+        self._watch_group(group, missing)
         for name in group.services:
             item = self._tries[name]
             item.delegated = False
@@ -179,12 +183,26 @@
             item.left = part.may_repeat and self._late is not None
         self._ask_missing(group, [self._tries[name] for name in missing], now)
 
+    def _watch_group(
+        self, group: DelegatedGroup, missing: Mapping[str, MissingPart]
+    ) -> None:
+        """Note how leafs fared under a group."""
+        if len(missing) < len(group.services):
+            self._watch.note_answer()
+        for name, part in missing.items():
+            if part.reason is Reason.LEAF_ENDED:
+                self._tries[name].ended += part.ran
+                self._watch.note_ended(name, part.ran)
+        if group.reason in (Reason.LEAF_ENDED, Reason.QUARANTINED):
+            self._watch.note_refused()
+
     def _ask_missing(
         self, group: DelegatedGroup, missing: list[ServiceTry], now: float
     ) -> None:
         """Ask for what an instance didn't gather: of another one, or from here."""
         waiting = [item for item in missing if not (item.left or item.awaited)]
-        if group.is_begun or not self._may_ask_another(waiting, now):
+        held = group.is_begun or self._watch.holds
+        if held or not self._may_ask_another(waiting, now):
             others = waiting
         else:
             self._lost.add(group.peer)
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -23,6 +23,7 @@
 import trio
 from returns.result import Failure, Result
 
+from walkcart.fanout.crashwatch import CrashWatch
 from walkcart.fanout.dependence import is_vital, may_send_second_attempts
 from walkcart.fanout.elsewhere import GatheredElsewhere
 from walkcart.fanout.handing import Handing
@@ -63,6 +64,8 @@
         self._question = question
         self._top = top
         self._tries = {name: ServiceTry(name) for name in question.services}
+        #: Leafs that ended under the question, and what it may still do.
+        self.watch = CrashWatch(len(question.services), question.careful)
         self._sends = RoutedSends(tools, question, self._receive, self._is_vital)
         self._elsewhere = GatheredElsewhere(
             tools,
@@ -70,6 +73,7 @@
             top,
             self._sends,
             self._tries,
+            self.watch,
             wake=lambda: self._wakeup.set(),
         )
         self._handing = handing
@@ -108,6 +112,7 @@
             self._tools.clock.monotonic(),
             self._sends.sent,
             self._sends.repeats,
+            self.watch.is_over,
         )
 
     def _can_cover(self) -> bool:
@@ -122,6 +127,9 @@
 
     def _start(self, now: float) -> None:
         """Send the first attempts, and delegate what is far."""
+        if self.watch.holds:
+            self._start_with_one(now)
+            return
         far = self._elsewhere.start()
         for item in self._tries.values():
             if item.service not in far:
@@ -132,11 +140,22 @@
             spent = self._tools.clock.monotonic() - now
             self._tools.send_time.observe(spent)
 
+    def _start_with_one(self, now: float) -> None:
+        """Plan all attempts, of which one is sent until a leaf has answered.
+
+        They are sent from here then: such questions are few.
+        """
+        for item in self._tries.values():
+            self._tools.budget.note_request(item.service, now)
+            item.next_at = now
+
     def _is_done(self) -> bool:
         """Return whether nothing more is worth waiting for."""
         now = self._tools.clock.monotonic()
         if self._covered == len(self._tries) or now >= self._question.deadline:
             return True
+        if self.watch.is_over:
+            return True
         still_open = sum(1 for item in self._tries.values() if item.open)
         if not still_open:
             return True
@@ -168,6 +187,8 @@
         question = self._question
         if self._handing is None or self._handed or question.settle_at == float("inf"):
             return False
+        if self.watch.holds:
+            return False
         waiting = [item for item in self._tries.values() if not item.covered]
         if not any(item.open and not item.left for item in waiting):
             return True
@@ -207,7 +228,7 @@
             due = min(due, self._question.objective_at)
         for item in self._tries.values():
             if not item.covered:
-                due = min(due, self._sends.due_at(item), self._sends.hedge_at(item))
+                due = min(due, self._due_at(item), self._hedge_at(item))
         now = self._tools.clock.monotonic()
         if now < self._last_call and any(i.held_back for i in self._tries.values()):
             due = min(due, self._last_call)
@@ -217,8 +238,20 @@
             due = min(due, at)
         return due
 
+    def _due_at(self, item: ServiceTry) -> float:
+        """Return when the next planned attempt at a service may be sent."""
+        if not self.watch.may_send(item.service):
+            return float("inf")
+        return self._sends.due_at(item)
+
+    def _hedge_at(self, item: ServiceTry) -> float:
+        """Return when a second attempt beside one that is late may be sent."""
+        return float("inf") if self.watch.holds else self._sends.hedge_at(item)
+
     def _late_due_at(self) -> float:
         """Return when late parts are asked for together."""
+        if self.watch.holds:
+            return float("inf")
         busy = any(item.under_way or item.next_at for item in self._tries.values())
         return self._elsewhere.late_due_at(busy)
 
@@ -250,21 +283,30 @@
                 status < SERVER_FAILURE or not self._question.idempotent
             ):
                 item.ran += 1
+                self.watch.note_answer()
                 self._accept(item, outcome)
                 return
             case Replied():
                 item.ran += 1
+                self.watch.note_answer()
                 item.failure = outcome
                 item.reason = Reason.LEAF_FAILED
             case Refused(reason, retry_after):
+                self.watch.note_failed(item.service)
                 item.reason = reason
                 item.refusal = NotRun(reason, "the leaf refused", retry_after)
             case Failed(NotRun() as verdict):
+                self.watch.note_failed(item.service)
                 item.reason = verdict.reason
                 item.refusal = verdict
                 # It reached no leaf, so it is no repeat when it is sent again.
                 item.arrived -= 1
+            case Failed(MayHaveRun(reason=Reason.LEAF_ENDED)):
+                item.ran += 1
+                item.ended += 1
+                self.watch.note_ended(item.service)
             case Failed(MayHaveRun() as verdict):
+                self.watch.note_failed(item.service)
                 item.ran += 1
                 item.reason = verdict.reason
         if not self._handed:
@@ -285,12 +327,12 @@
         """Send what is due."""
         now = self._tools.clock.monotonic()
         for item in self._tries.values():
-            if not item.covered and self._sends.due_at(item) <= now:
-                self._sends.try_next(item, now)
+            if not item.covered and self._due_at(item) <= now:
+                self._try_next(item, now)
         late = [
             item
             for item in self._tries.values()
-            if not item.covered and self._sends.hedge_at(item) <= now
+            if not item.covered and self._hedge_at(item) <= now
         ]
         if now >= self._late_due_at():
             self._elsewhere.ask_late(now)
@@ -304,6 +346,12 @@
             else:
                 item.given_up = True
 
+    def _try_next(self, item: ServiceTry, now: float) -> None:
+        before = self._sends.sent
+        self._sends.try_next(item, now)
+        if self._sends.sent > before:
+            self.watch.note_sent(item.service)
+
     def _cancel_rest(self) -> None:
         for item in self._tries.values():
             item.given_up = True
--- a/walkcart/fanout/routedquestion.py
+++ b/walkcart/fanout/routedquestion.py
@@ -33,6 +33,7 @@
         granted: whether the budgets of repeats already hold the first attempts.
         traceparent: of the trace.
         fingerprint: of the request (`walkcart.wire.fingerprint`).
+        careful: whether one leaf is to answer before others are asked.
     """
 
     id: str
@@ -50,6 +51,7 @@
     granted: bool = False
     traceparent: str | None = None
     fingerprint: bytes = b""
+    careful: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkcart/fanout/routedtools.py
+++ b/walkcart/fanout/routedtools.py
@@ -8,6 +8,7 @@
 
 from walkcart.fanout.delegates import Delegates
 from walkcart.fanout.ids import IdSource
+from walkcart.fanout.quarantines import Quarantines
 from walkcart.kernel.clock import Clock
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.metrics import Metrics
@@ -32,6 +33,7 @@
         place: of this instance.
         random: chooses among what is equally good.
         delegates: other instances that gather; None where there are none.
+        quarantines: requests under which leafs ended.
         send_time: how long sending a question's requests keeps the processor: what
             reading it and writing its answer take is about the same.
     """
@@ -45,5 +47,6 @@
     events: EventLog
     place: Place
     random: Random
+    quarantines: Quarantines
     delegates: Delegates | None = None
     send_time: Overshoot = field(default_factory=Overshoot)
--- a/walkcart/fanout/routedverdict.py
+++ b/walkcart/fanout/routedverdict.py
@@ -28,6 +28,7 @@
     now: float,
     sent: int,
     repeats: int,
+    ends_leafs: bool = False,
 ) -> Result[RoutedAnswer, RoutedFailure]:
     """Return the answer if it covers enough, else why there is none.
 
@@ -38,11 +39,13 @@
         now: the present, in seconds.
         sent: requests that went to leafs from here.
         repeats: those that were not the first to their service.
+        ends_leafs: whether leafs end when they run it.
     """
     covered = sum(1 for item in tries if item.covered)
     answer = make_answer(tries, merged, sent, repeats)
     if not covers(question, covered):
-        return Failure(make_failure(tries, now >= question.deadline, answer.sent))
+        late = now >= question.deadline
+        return Failure(make_failure(tries, late, answer.sent, ends_leafs))
     return Success(answer)
 
 
@@ -69,7 +72,10 @@
 
 
 def make_failure(
-    tries: tuple[ServiceTry, ...], late: bool, sent: int = 0
+    tries: tuple[ServiceTry, ...],
+    late: bool,
+    sent: int = 0,
+    ends_leafs: bool = False,
 ) -> RoutedFailure:
     """Return the failure of a question; "not run" only when nothing may have run.
 
@@ -77,6 +83,7 @@
         tries: how it went at each service.
         late: whether its deadline has passed.
         sent: requests that went to leafs.
+        ends_leafs: whether leafs end when they run it.
     """
     missing = _missing(tries)
     replied = len(tries) - len(missing)
@@ -85,6 +92,7 @@
     failure = next((item.failure for item in tries if item.failure), None)
     if any(item.may_run or item.gathered or item.delegated for item in tries):
         reason = Reason.DEADLINE if late else Reason.LEAF_FAILED
+        reason = Reason.LEAF_ENDED if ends_leafs else reason
         return RoutedFailure(MayHaveRun(reason, detail), failure, sent, missing)
     reason = missing[0].reason if missing else Reason.COVERAGE
     verdict = NotRun(reason, detail, _find_retry_time(tries))
@@ -93,7 +101,7 @@
 
 def _missing(tries: tuple[ServiceTry, ...]) -> tuple[MissingPart, ...]:
     return tuple(
-        MissingPart(item.service, item.reason, item.may_run, item.may_repeat)
+        MissingPart(item.service, item.why_missing, item.may_run, item.may_repeat)
         for item in tries
         if not item.covered
     )
--- a/walkcart/fanout/servicetry.py
+++ b/walkcart/fanout/servicetry.py
@@ -40,6 +40,7 @@
         tried: ids of leafs that got it, in order.
         arrived: attempts that may have reached a leaf.
         ran: attempts that may have run.
+        ended: leafs that ended under it.
         next_at: when the next attempt is due; None when none is.
         given_up: whether no further attempt will be made.
         held_back: whether an attempt was not made to leave the budget's reserve alone.
@@ -63,6 +64,7 @@
     tried: list[str] = field(default_factory=list)
     arrived: int = 0
     ran: int = 0
+    ended: int = 0
     next_at: float | None = None
     given_up: bool = False
     held_back: bool = False
@@ -75,6 +77,11 @@
     awaited: bool = False
     part: MergedAnswer | None = None
 
+    @property
+    def why_missing(self) -> Reason:
+        """Why there is no part; a leaf that ended outweighs what came after."""
+        return Reason.LEAF_ENDED if self.ended else self.reason
+
     @property
     def covered(self) -> bool:
         """Whether its part is in."""
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -61,6 +61,14 @@
     TASK_FAILED = _error(
         207, "task_failed", "A fault of walkcart's own ended one connection."
     )
+    QUARANTINED = _warn(
+        208,
+        "request_quarantined",
+        "Leafs end when they run it: tried at one leaf first, then refused.",
+    )
+    QUARANTINE_LIFTED = _info(
+        209, "quarantine_lifted", "A leaf answered a request that leafs ended under."
+    )
     REQUEST_DONE = _info(205, "request_done", "A routed request got its answer.")
     REQUEST_UNSERVED = _info(
         206, "request_unserved", "A routed request got no leaf's answer; says why."
@@ -79,6 +87,9 @@
     LEAF_HELD = _info(
         310, "leaf_held", "Its entry lapsed with the store away; kept for a while."
     )
+    LEAF_ENDED = _warn(
+        311, "leaf_ended", "Its process ended while it had a request; says which."
+    )
     MEMBER_SUSPECTED = _info(401, "member_suspected", "A peer misses heartbeats.")
     MEMBER_DEAD = _warn(402, "member_dead", "A suspected peer didn't answer in time.")
     MEMBER_JOINED = _info(403, "member_joined", "A peer is live.")
--- a/walkcart/kernel/metrics.py
+++ b/walkcart/kernel/metrics.py
@@ -28,6 +28,12 @@
     "query.answered": Metric("counter", "replies", "Replies with an answer."),
     "query.partial": Metric("counter", "replies", "Answers that miss a shard."),
     "query.refused": Metric("counter", "replies", "Requests refused, not run."),
+    "query.quarantined": Metric(
+        "counter", "requests", "Refused since leafs end when they run them."
+    ),
+    "quarantine.entries": Metric(
+        "gauge", "requests", "Remembered since leafs ended under them."
+    ),
     "query.uncertain": Metric("counter", "replies", "Replies 'may have run'."),
     "query.time": Metric("timer", "ms", "From the request's last byte to the reply."),
     "leaf.time": Metric("timer", "ms", "From a request's send to the leaf's reply."),
@@ -37,6 +43,7 @@
         "counter", "requests", "Late shards asked for together in another region."
     ),
     "leaf.retried": Metric("counter", "requests", "Retries among them."),
+    "leaf.ended": Metric("counter", "leafs", "Ended while they had a request."),
     "leaf.failed": Metric("counter", "requests", "Attempts without a usable reply."),
     "leaf.repeat_denied": Metric("counter", "requests", "Repeats past the budget."),
     "leaf.late": Metric("counter", "replies", "Replies that nobody waited for."),
--- a/walkcart/leaves/exchange.py
+++ b/walkcart/leaves/exchange.py
@@ -18,6 +18,7 @@
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.spans import Tracer
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome
+from walkcart.leaves.endcheck import Adopt, EndCheck
 from walkcart.leaves.leaf import Leaf
 from walkcart.leaves.protocol import (
     LeafProtocol,
@@ -26,6 +27,7 @@
 )
 from walkcart.wire.http import (
     ExchangeFailed,
+    FailureKind,
     HttpConnection,
     HttpReply,
 )
@@ -68,11 +70,13 @@
     Args:
         leaf: what is known of it.
         tools: what every link uses.
+        adopt: takes a stream that a check opened.
     """
 
-    def __init__(self, leaf: Leaf, tools: LinkTools) -> None:
+    def __init__(self, leaf: Leaf, tools: LinkTools, adopt: Adopt) -> None:
         self._leaf = leaf
         self._tools = tools
+        self._ends = EndCheck(leaf.address, tools.network, adopt)
         #: Seconds that the leaf keeps an idle connection, as it said last.
         self.idle_time = IDLE_TIME.total_seconds()
 
@@ -111,7 +115,7 @@
                 try:
                     reply = await self._send_and_read(connection, attempt, remaining)
                 except ExchangeFailed as error:
-                    return False, self._read_failure(error, attempt)
+                    return False, await self._judge_failure(error, attempt)
                 elapsed = tools.clock.monotonic() - start
                 found = dict(reply.headers)
                 if not tools.protocol.is_ours(attempt, found):
@@ -146,7 +150,20 @@
         if idle_time is not None:
             self.idle_time = min(idle_time, IDLE_TIME.total_seconds())
 
-    def _read_failure(self, error: ExchangeFailed, attempt: Attempt) -> Failed:
+    async def _judge_failure(self, error: ExchangeFailed, attempt: Attempt) -> Failed:
+        """Return what a failed exchange means."""
+        if not error.sent:
+            return Failed(NotRun(Reason.UNREACHABLE, str(error)))
+        closed = error.kind is FailureKind.CLOSED
+        if closed and await self._ends.has_ended():
+            self._tools.metrics.count("leaf.ended")
+            self._tools.events.emit(
+                Events.LEAF_ENDED,
+                leaf=self._leaf.address,
+                leaf_id=self._leaf.id,
+                question=attempt.fingerprint.hex(),
+            )
+            return Failed(MayHaveRun(Reason.LEAF_ENDED, "the leaf ended"))
         self._tools.events.emit(
             Events.LEAF_BAD_REPLY,
             leaf=self._leaf.address,
@@ -154,6 +171,4 @@
             question=attempt.fingerprint.hex(),
             detail=str(error),
         )
-        if error.sent:
-            return Failed(MayHaveRun(Reason.LEAF_FAILED, str(error)))
-        return Failed(NotRun(Reason.UNREACHABLE, str(error)))
+        return Failed(MayHaveRun(Reason.LEAF_FAILED, str(error)))
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -60,7 +60,7 @@
         self._closed = False
         self._backoff = FIRST_BACKOFF
         self._connect_after = float("-inf")
-        self._exchanges = LeafExchanges(leaf, tools)
+        self._exchanges = LeafExchanges(leaf, tools, self._adopt)
 
     @property
     def connections(self) -> int:
@@ -147,13 +147,21 @@
 
     def _start_connection(self) -> None:
         self._connections += 1
-        self._nursery.start_soon(self._run_connection)
+        self._nursery.start_soon(self._run_connection, None)
 
-    async def _run_connection(self) -> None:
-        """Open one connection and carry attempts over it until it ends."""
+    def _adopt(self, stream: trio.abc.Stream) -> None:
+        """Carry attempts over a stream that was opened to see whether the leaf lives.
+
+        It takes the place of the connection whose end was the reason to look.
+        """
+        self._connections += 1
+        self._nursery.start_soon(self._run_connection, stream)
+
+    async def _run_connection(self, stream: trio.abc.Stream | None) -> None:
+        """Carry attempts over one connection, opened here if need be, to its end."""
         connection: HttpConnection | None = None
         try:
-            connection = await self._open()
+            connection = await self._open(stream)
             if connection is not None:
                 await self._carry_all(connection)
         except Exception as error:
@@ -187,12 +195,13 @@
         elif self._queue:
             self._call_worker()
 
-    async def _open(self) -> HttpConnection | None:
+    async def _open(self, stream: trio.abc.Stream | None) -> HttpConnection | None:
         """Connect and exchange a status; None when the leaf can't be reached."""
         address = parse_host_port(self.leaf.address)
         try:
             with trio.fail_after(CONNECT_TIME.total_seconds()):
-                stream = await self._tools.network.connect(address)
+                if stream is None:
+                    stream = await self._tools.network.connect(address)
                 connection = HttpConnection(stream, self.leaf.address, REPLY_LIMIT)
                 try:
                     await self._check(connection)
--- a/walkcart/membership/registration.py
+++ b/walkcart/membership/registration.py
@@ -36,6 +36,8 @@
     Transaction,
 )
 
+#: Start of all keys that instances of the platform store.
+SHARED_PREFIX = "walkcart/"
 #: Start of the keys of instances.
 INSTANCE_PREFIX = "walkcart/instances/"
 #: Life of the lease: an instance that died is forgotten after this. Four renewals may
@@ -130,6 +132,14 @@
         self._left = False
         self._watches: Callable[[], bool] = lambda: True
         self._listeners: list[Callable[[], None]] = []
+        self._readers: dict[str, Callable[[Item], None]] = {}
+
+    def read_along(self, prefix: str, reader: Callable[[Item], None]) -> None:
+        """Give `reader` the items of another prefix below the shared one.
+
+        They come with the keys of the instances, each time these are read.
+        """
+        self._readers[prefix] = reader
 
     @property
     def is_settled(self) -> bool:
@@ -245,8 +255,11 @@
         seen_own = False
         after = ""
         while True:
-            page = await self._store.list_items(INSTANCE_PREFIX, after, fresh=False)
+            page = await self._store.list_items(SHARED_PREFIX, after, fresh=False)
             for item in page.items:
+                if not item.key.startswith(INSTANCE_PREFIX):
+                    self._give_to_reader(item)
+                    continue
                 seen_own |= item.key == own_key
                 record = self._read_record(item)
                 if record is not None and record.name != self.own.name:
@@ -259,6 +272,11 @@
         if not seen_own and self._turn >= READ_EVERY:
             self._lose("the key is gone")
 
+    def _give_to_reader(self, item: Item) -> None:
+        for prefix, reader in self._readers.items():
+            if item.key.startswith(prefix):
+                reader(item)
+
     def _read_record(self, item: Item) -> InstanceRecord | None:
         try:
             return msgspec.json.decode(item.value, type=InstanceRecord)
--- /dev/null
+++ b/walkcart/routing/tests/test_quarantine.py
@@ -0,0 +1,114 @@
+"""Which requests are kept from leafs, and which never are."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from walkcart.routing.quarantine import (
+    MEMORY_TIME,
+    MOST_ENTRIES,
+    REFUSAL_TIME,
+    Quarantine,
+    Standing,
+    Suspicion,
+)
+
+REQUEST = b"request"
+
+
+def strike(quarantine, *numbers, now=0.0, request=REQUEST):
+    for number in numbers:
+        quarantine.note_strike(request, number, now)
+
+
+def test_strikes_lead_from_the_usual_to_one_leaf_first_to_refusal():
+    quarantine = Quarantine()
+    standings = []
+    for number in range(4):
+        standings.append(quarantine.find_standing(REQUEST, 0.0))
+        strike(quarantine, number)
+    assert standings == [
+        Standing.USUAL,
+        Standing.USUAL,
+        Standing.CAREFUL,
+        Standing.REFUSED,
+    ]
+
+
+def test_an_answer_voids_strikes_for_good():
+    quarantine = Quarantine()
+    strike(quarantine, 1, 2, 3)
+    assert quarantine.note_answer(REQUEST, 1.0)
+    # News of the old strikes may still come round.
+    assert not quarantine.merge(REQUEST, Suspicion(frozenset((1, 2, 3)), 0.0), 2.0)
+    assert quarantine.find_standing(REQUEST, 2.0) is Standing.USUAL
+    strike(quarantine, 4, 5, 6, now=3.0)
+    assert quarantine.find_standing(REQUEST, 3.0) is Standing.REFUSED
+
+
+def test_a_refused_request_is_tried_at_one_leaf_after_a_while_and_later_forgotten():
+    quarantine = Quarantine()
+    strike(quarantine, 1, 2, 3)
+    assert quarantine.find_standing(REQUEST, REFUSAL_TIME - 1) is Standing.REFUSED
+    assert quarantine.find_standing(REQUEST, REFUSAL_TIME + 1) is Standing.CAREFUL
+    strike(quarantine, 4, now=REFUSAL_TIME + 1)
+    later = REFUSAL_TIME + 2
+    assert quarantine.find_standing(REQUEST, later) is Standing.REFUSED
+    assert quarantine.find_standing(REQUEST, later + MEMORY_TIME) is Standing.USUAL
+    assert quarantine.entries(later + MEMORY_TIME) == ()
+
+
+def test_a_flood_of_requests_displaces_nothing_that_is_refused():
+    quarantine = Quarantine()
+    strike(quarantine, 1, 2, 3)
+    for number in range(10 * MOST_ENTRIES):
+        strike(quarantine, number, now=1.0, request=b"%d" % number)
+    assert len(quarantine) == MOST_ENTRIES
+    assert quarantine.find_standing(REQUEST, 2.0) is Standing.REFUSED
+
+
+def test_a_request_that_strikes_again_finds_room_in_a_flood():
+    quarantine = Quarantine()
+    for number in range(10 * MOST_ENTRIES):
+        strike(quarantine, number, now=float(number), request=b"%d" % number)
+    strike(quarantine, 1, 2, 3, now=10.0 * MOST_ENTRIES)
+    now = 10.0 * MOST_ENTRIES
+    assert quarantine.find_standing(REQUEST, now) is Standing.REFUSED
+
+
+news = st.lists(
+    st.builds(
+        Suspicion,
+        st.frozensets(st.integers(1, 5), max_size=3),
+        st.integers(0, 9).map(float),
+        st.sampled_from([float("-inf"), 2.5, 5.5]),
+    ),
+    max_size=8,
+)
+
+
+@given(news, st.randoms(use_true_random=False))
+def test_news_may_come_in_any_order_and_more_than_once(told, random):
+    shuffled = [*told, *told]
+    random.shuffle(shuffled)
+    one, other = Quarantine(), Quarantine()
+    for item in told:
+        one.merge(REQUEST, item, 10.0)
+    for item in shuffled:
+        other.merge(REQUEST, item, 10.0)
+    for item in told:
+        one.merge(REQUEST, item, 10.0)
+    first, second = one.find(REQUEST), other.find(REQUEST)
+    if first is None or second is None:
+        assert first == second
+    else:
+        assert first.answered_at == second.answered_at
+        assert first.struck_at == second.struck_at
+
+
+def test_an_instance_that_was_cut_off_learns_by_union():
+    one, other = Quarantine(), Quarantine()
+    strike(one, 1, 2)
+    strike(other, 3)
+    for fingerprint, item in one.entries(1.0):
+        other.merge(fingerprint, item, 1.0)
+    assert other.find_standing(REQUEST, 1.0) is Standing.REFUSED
--- a/walkcart/wire/messages.py
+++ b/walkcart/wire/messages.py
@@ -23,6 +23,7 @@
     Greeting,
 )
 from walkcart.wire.messagebase import Message
+from walkcart.wire.quarantines import QuarantineNews
 from walkcart.wire.relays import (
     RelayChanges,
     RelayCopy,
@@ -262,6 +263,7 @@
     | RelayChanges
     | RelayCopy
     | RelayCurrent
+    | QuarantineNews
 )
 
 
--- a/walkcart/wire/verdicts.py
+++ b/walkcart/wire/verdicts.py
@@ -33,6 +33,8 @@
     LEAF_REFUSED = "leaf_refused"
     LEAF_REPLACED = "leaf_replaced"
     LEAF_FAILED = "leaf_failed"
+    LEAF_ENDED = "leaf_ended"
+    QUARANTINED = "quarantined"
     UNREACHABLE = "unreachable"
     VERSION_NOT_HELD = "version_not_held"
     OTHER_VERSION = "other_version"
