--- a/walkcart/fanout/crashwatch.py
+++ b/walkcart/fanout/crashwatch.py
@@ -43,6 +43,16 @@
         many = self._several and self.ended >= MOST_ENDED
         return self._careful or self.is_over or many
 
+    @property
+    def is_wary(self) -> bool:
+        """Whether a leaf ended under the question, and none has answered since.
+
+        A leaf is then seen to live before it is asked. Where many crash at the same
+        moment, one that was down already would be taken for another that this question
+        ended: 9 innocent ones of 400 were, when all leafs of a test crashed at once.
+        """
+        return not self.answered and (self._careful or self.ended > 0)
+
     def may_send(self, service: str) -> bool:
         """Return whether a leaf of a service may be asked now."""
         if not self.holds:
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -66,7 +66,9 @@
         self._tries = {name: ServiceTry(name) for name in question.services}
         #: Leafs that ended under the question, and what it may still do.
         self.watch = CrashWatch(len(question.services), question.careful)
-        self._sends = RoutedSends(tools, question, self._receive, self._is_vital)
+        self._sends = RoutedSends(
+            tools, question, self._receive, self._is_vital, self.watch
+        )
         self._elsewhere = GatheredElsewhere(
             tools,
             question,
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterable
 
+from walkcart.fanout.crashwatch import CrashWatch
 from walkcart.fanout.routedquestion import RoutedQuestion
 from walkcart.fanout.routedtools import RoutedTools
 from walkcart.fanout.servicetry import Sent, ServiceTry
@@ -32,6 +33,7 @@
         question: whose attempts these are.
         deliver: told how each attempt ended.
         is_vital: returns whether there is no answer without a service's part.
+        watch: counts the leafs that ended under the question.
     """
 
     def __init__(
@@ -40,11 +42,13 @@
         question: RoutedQuestion,
         deliver: Deliver,
         is_vital: Callable[[ServiceTry], bool],
+        watch: CrashWatch,
     ) -> None:
         self._tools = tools
         self._question = question
         self._deliver = deliver
         self._is_vital = is_vital
+        self._watch = watch
         self._attempts: dict[str, ServiceTry] = {}
         time = min(question.objective_at, question.deadline) - tools.clock.monotonic()
         self._objective = max(0.0, time)
@@ -242,6 +246,7 @@
             whole_part=question.whole_parts,
             traceparent=question.traceparent,
             fingerprint=question.fingerprint,
+            wary=self._watch.is_wary,
         )
         item.under_way[attempt.id] = Sent(leaf, now, self._find_hedge_time(leaf, now))
         item.tried.append(leaf.id)
--- a/walkcart/fanout/tests/test_service_try.py
+++ b/walkcart/fanout/tests/test_service_try.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+from walkcart.fanout.crashwatch import CrashWatch
 from walkcart.fanout.routedquestion import RoutedQuestion
 from walkcart.fanout.routedsends import RoutedSends
 from walkcart.fanout.servicetry import Sent, ServiceTry
@@ -12,7 +13,9 @@
     request = HttpRequest("GET", "/")
     question = RoutedQuestion("q", "k", request, ("s",), 9.0, most_attempts=2)
     clock = SimpleNamespace(monotonic=lambda: 0.0)
-    return RoutedSends(SimpleNamespace(clock=clock), question, None, lambda item: True)
+    return RoutedSends(
+        SimpleNamespace(clock=clock), question, None, lambda item: True, CrashWatch(1)
+    )
 
 
 def test_what_another_instance_was_asked_for_counts_beside_an_attempt_from_here():
--- a/walkcart/leaves/attempts.py
+++ b/walkcart/leaves/attempts.py
@@ -34,6 +34,8 @@
         whole_part: whether a reply other than a success is of no use, as it is to
             a question over many shards.
         fingerprint: of the question, the same whenever it is asked again.
+        wary: whether the leaf is first seen to live, so that one which had ended
+            before isn't taken for one that ended under it.
     """
 
     id: str
@@ -50,6 +52,7 @@
     idempotent: bool = True
     whole_part: bool = False
     fingerprint: bytes = b""
+    wary: bool = False
 
     @property
     def repeatable(self) -> bool:
--- a/walkcart/leaves/exchange.py
+++ b/walkcart/leaves/exchange.py
@@ -80,6 +80,10 @@
         #: Seconds that the leaf keeps an idle connection, as it said last.
         self.idle_time = IDLE_TIME.total_seconds()
 
+    async def has_ended(self) -> bool:
+        """Return whether the leaf's process has surely ended."""
+        return await self._ends.has_ended()
+
     async def run(
         self,
         connection: HttpConnection,
@@ -155,7 +159,7 @@
         if not error.sent:
             return Failed(NotRun(Reason.UNREACHABLE, str(error)))
         closed = error.kind is FailureKind.CLOSED
-        if closed and await self._ends.has_ended():
+        if closed and await self.has_ended():
             self._tools.metrics.count("leaf.ended")
             self._tools.events.emit(
                 Events.LEAF_ENDED,
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -16,6 +16,7 @@
 
 from walkcart.kernel.events import Events
 from walkcart.kernel.settings import parse_host_port
+from walkcart.kernel.taskfaults import note_task_fault
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome
 from walkcart.leaves.exchange import IDLE_TIME, LeafExchanges, LinkTools, Pending
 from walkcart.leaves.leaf import Leaf
@@ -166,9 +167,8 @@
                 await self._carry_all(connection)
         except Exception as error:
             # A fault of one connection must not end the instance.
-            self._tools.events.emit(
-                Events.TASK_FAILED, task=self.leaf.address, detail=repr(error)[:500]
-            )
+            task = f"connection to {self.leaf.address}"
+            note_task_fault(self._tools.events, task, error)
         finally:
             self._connections -= 1
             if connection is not None:
@@ -280,6 +280,10 @@
         if attempt.deadline <= now:
             self._end(pending, Failed(NotRun(Reason.DEADLINE, "it waited too long")))
             return True
+        if attempt.wary and await self._exchanges.has_ended():
+            detail = f"the leaf at {self.leaf.address} had ended"
+            self._end(pending, Failed(NotRun(Reason.UNREACHABLE, detail)))
+            return False
         stale = now - last_used > FRESH_TIME.total_seconds()
         usable = connection.is_quiet() and now - last_used < self._exchanges.idle_time
         if usable and not attempt.repeatable and stale:
