End no more than one piece of work by one message or one fault

Cause: questions that are gathered for others were kept by their id alone. Two askers with one id, or a message that came twice, replaced each other's entry; the end of the second raised KeyError, which nothing held, and ended the instance. Cancels and renewals acted on questions of others. It came up by itself in a test of crashing leafs whose two instances drew the same numbers.

* Questions are kept by sender and id; one that comes again, also after its end, is gathered once.
The same for attempts that are forwarded on the own interface.
* Tasks for one message, question, link, probe or connection note an unexpected error with its traceback and end alone; who asked is told that it may have run.
Looked at: 16 tasks that are started, and the handlers of messages; changed: 8 (gathering for others, groups asked of others, links, envelopes, probes, own interface's callers, questions of the balancer and for metrics).

--- a/walkcart/daemon/tenant.py
+++ b/walkcart/daemon/tenant.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import partial
 
 from walkcart.daemon.surroundings import ListenerService, TenantSurroundings
 from walkcart.daemon.tenantserving import (
@@ -21,6 +22,7 @@
 from walkcart.fanout.carrying import Carrier
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.registry import Kernel
+from walkcart.kernel.taskfaults import note_task_fault
 from walkcart.membership.registration import Registration
 from walkcart.platform.callerprotocol import PlatformCallerProtocol
 from walkcart.platform.settings import PlatformSettings
@@ -59,8 +61,12 @@
     add_delegates(kernel, settings, around, peers)
     add_entry(kernel, settings, around, callers)
     service = kernel.find("entry", RoutedService)
+    events = kernel.find("events", EventLog)
     server = HttpServer(
-        service.tell_readiness, ServerLimits(), PlatformCallerProtocol().render_fault
+        service.tell_readiness,
+        ServerLimits(),
+        PlatformCallerProtocol().render_fault,
+        on_error=partial(note_task_fault, events, "question of the balancer"),
     )
     kernel.add("readiness", ListenerService(readiness, server))
     if around.metrics_port:
@@ -69,7 +75,7 @@
         service,
         kernel.find("carrier", Carrier),
         kernel.find("registration", Registration),
-        kernel.find("events", EventLog),
+        events,
         settings.grace,
     )
     return Tenant(kernel, stop)
--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import trio
 
 from walkcart.daemon.surroundings import ListenerService, TenantSurroundings
@@ -32,6 +34,7 @@
 from walkcart.kernel.registry import Kernel
 from walkcart.kernel.settings import HostPort
 from walkcart.kernel.spans import Tracer
+from walkcart.kernel.taskfaults import note_task_fault
 from walkcart.leaves.directory import LeafDirectory
 from walkcart.leaves.pool import LeafPool
 from walkcart.membership.links import PeerLinks
@@ -253,5 +256,12 @@
         headers = ((b"content-type", CONTENT_TYPE.encode()),)
         return HttpReply(200, headers, render_metrics(metrics))
 
-    server = HttpServer(answer, ServerLimits(), PlatformCallerProtocol().render_fault)
+    server = HttpServer(
+        answer,
+        ServerLimits(),
+        PlatformCallerProtocol().render_fault,
+        on_error=partial(
+            note_task_fault, kernel.find("events", EventLog), "question for metrics"
+        ),
+    )
     kernel.add("metrics_page", ListenerService(listener, server))
--- a/walkcart/entry/app.py
+++ b/walkcart/entry/app.py
@@ -17,6 +17,7 @@
 from walkcart.kernel.events import Events
 from walkcart.kernel.invariants import InvariantBroken
 from walkcart.kernel.metrics import Metrics
+from walkcart.kernel.taskfaults import note_task_fault
 from walkcart.membership.listing import InstanceList
 from walkcart.wire.http import HttpReply, HttpRequest
 from walkcart.wire.server import Fault, HttpServer, ServerLimits
@@ -74,7 +75,11 @@
         self._accepting = trio.CancelScope()
         self.ready = False
         self.server = HttpServer(
-            self._handle, limits or ServerLimits(), self._tell_fault, self._note_gone
+            self._handle,
+            limits or ServerLimits(),
+            self._tell_fault,
+            self._note_gone,
+            on_error=self._note_error,
         )
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
@@ -94,6 +99,9 @@
         self._accepting.cancel()
         await trio.aclose_forcefully(self._listener)
 
+    def _note_error(self, error: Exception) -> None:
+        note_task_fault(self._events, "connection of a caller", error)
+
     def _note_gone(self) -> None:
         self._events.emit(Events.CALLER_GONE)
 
--- a/walkcart/fanout/carrying.py
+++ b/walkcart/fanout/carrying.py
@@ -29,6 +29,7 @@
 from walkcart.kernel.clock import Clock
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
+from walkcart.kernel.taskfaults import note_task_fault
 from walkcart.membership.links import PeerLinks
 from walkcart.wire.delegations import (
     DelegatedCancel,
@@ -50,9 +51,9 @@
 #: Seconds without a renewal after which a question is given up: within the half second
 #: that leafs may work on for a caller that left, and three renewals.
 HOLD_TIME = 0.4
-#: Seconds for which a cancellation is kept for a question that comes after it; an older
-#: question isn't begun anyway.
-CANCEL_MEMORY = 1.0
+#: Seconds for which a cancellation or an end is kept, for the same question that comes
+#: after it, or once more; an older question isn't begun anyway.
+CLOSED_MEMORY = 1.0
 
 
 class Handover:
@@ -96,14 +97,18 @@
         self._send(DelegatedPart(self._id, last=True))
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Carried:
     """A question in progress and the means to end it or hand it over."""
 
     scope: trio.CancelScope
     handover: Handover
+    cancelled: bool = False
 
 
+#: Names a question here: its sender and the id that this one gave it. Ids of two
+#: senders may be alike, and nobody cancels or renews a question of another.
+QuestionKey = tuple[str, str]
 #: Gathers a question from this instance and merges it to so many records.
 Gather = Callable[[RoutedQuestion, int, Handover], Awaitable[Outcome]]
 
@@ -135,9 +140,9 @@
         self._gather = gather
         self._usual_high = usual_high
         self._events = events
-        self._carried: dict[str, _Carried] = {}
-        #: When questions were cancelled, by id, for those that may yet come.
-        self._cancelled: dict[str, float] = {}
+        self._carried: dict[QuestionKey, _Carried] = {}
+        #: When questions were cancelled or ended, for messages that may yet come.
+        self._closed: dict[QuestionKey, float] = {}
         self._nursery: trio.Nursery | None = None
         self._stopping = False
         links.on_work(DelegatedQuestion, self._on_question)
@@ -173,7 +178,10 @@
         if age > MOST_AGE:
             self._turn_down_stale(sender, message, age)
             return
-        if message.id in self._cancelled:
+        key = (sender, message.id)
+        if key in self._closed or key in self._carried:
+            # Cancelled before it came, or come once more: its sender has its answer,
+            # or gets it.
             return
         if self._quarantines.is_kept(message):
             detail = "leafs end when they run this request"
@@ -183,7 +191,7 @@
         self._links.send(sender, DelegatedTaken(message.id, high))
         scope = trio.CancelScope(deadline=trio.current_time() + HOLD_TIME)
         handover = Handover(message.id, partial(self._links.send, sender))
-        self._carried[message.id] = carried = _Carried(scope, handover)
+        self._carried[key] = carried = _Carried(scope, handover)
         late = max(0.0, age - USUAL_AGE)
         self._nursery.start_soon(self._carry, sender, message, late, carried)
 
@@ -215,26 +223,29 @@
 
     def _on_cancel(self, sender: str, message: Message) -> None:
         assert isinstance(message, DelegatedCancel)
-        carried = self._carried.get(message.id)
+        key = (sender, message.id)
+        carried = self._carried.get(key)
         if carried is not None:
+            carried.cancelled = True
             carried.scope.cancel()
-        self._remember_cancelled(message.id)
+        self._remember_closed(key)
         if message.unheard:
             # The connection by which this instance answers may have gone silent.
             self._links.renew(sender)
 
-    def _remember_cancelled(self, id: str) -> None:
+    def _remember_closed(self, key: QuestionKey) -> None:
         now = self._clock.monotonic()
-        self._cancelled[id] = now
-        while self._cancelled:
-            first = next(iter(self._cancelled))
-            if self._cancelled[first] > now - CANCEL_MEMORY:
+        self._closed.pop(key, None)
+        self._closed[key] = now
+        while self._closed:
+            first = next(iter(self._closed))
+            if self._closed[first] > now - CLOSED_MEMORY:
                 break
-            del self._cancelled[first]
+            del self._closed[first]
 
     def _on_renewal(self, sender: str, message: Message) -> None:
         assert isinstance(message, DelegatedRenewal)
-        carried = self._carried.get(message.id)
+        carried = self._carried.get((sender, message.id))
         if carried is not None:
             carried.scope.deadline = trio.current_time() + HOLD_TIME
             carried.handover.confirm()
@@ -248,6 +259,7 @@
     ) -> None:
         """Gather one question of another instance and send what came of it."""
         handover = carried.handover
+        key = (sender, message.id)
         try:
             with carried.scope:
                 # A cancellation that came with the question is seen here, before
@@ -259,11 +271,23 @@
                     handover.end()
                 else:
                     self._links.send(sender, encode_outcome(message.id, outcome))
+        except Exception as error:
+            self._note_fault(sender, message, error)
         finally:
-            del self._carried[message.id]
-        if carried.scope.cancelled_caught and message.id not in self._cancelled:
+            del self._carried[key]
+            self._remember_closed(key)
+        if carried.scope.cancelled_caught and not carried.cancelled:
             self._give_up(sender, message)
 
+    def _note_fault(
+        self, sender: str, message: DelegatedQuestion, error: Exception
+    ) -> None:
+        """End one question by a fault of this program, and nothing else."""
+        note_task_fault(self._events, f"question of {sender}", error)
+        verdict = MayHaveRun(Reason.INTERNAL, "a fault of walkcart")
+        outcome: Outcome = Failure(RoutedFailure(verdict))
+        self._links.send(sender, encode_outcome(message.id, outcome))
+
     def _give_up(self, sender: str, message: DelegatedQuestion) -> None:
         """Say that a question was given up, in case its sender lives after all."""
         self._events.emit(
--- a/walkcart/fanout/delegates.py
+++ b/walkcart/fanout/delegates.py
@@ -30,6 +30,7 @@
 from walkcart.fanout.peerselection import PeerSelection
 from walkcart.fanout.routedquestion import RoutedFailure, RoutedQuestion
 from walkcart.kernel.events import Events
+from walkcart.kernel.taskfaults import note_task_fault
 from walkcart.routing.settling import GroupTimes
 from walkcart.wire.delegations import (
     DelegatedAnswer,
@@ -149,6 +150,8 @@
                 outcome = await self._wait(message, group, question)
                 if outcome is None:
                     self._note_lost(group, question)
+        except Exception as error:
+            note_task_fault(self._tools.events, f"group at {group.peer}", error)
         finally:
             del self._asked[id]
             self._outcomes.pop(id, None)
--- a/walkcart/leaves/forwarding.py
+++ b/walkcart/leaves/forwarding.py
@@ -93,7 +93,8 @@
         self._find_leaf: Callable[[str], Leaf | None] | None = None
         self._sent: dict[str, _Sent] = {}
         self._at_holder: Counter[str] = Counter()
-        self._carried: dict[str, str] = {}
+        #: Attempts of others that are in progress, by id: the sender and the leaf.
+        self._carried: dict[str, tuple[str, str]] = {}
         self._asks: dict[str, list[ForwardedAttempt]] = {}
         self._replies: dict[str, list[ForwardedOutcome]] = {}
         self._wakeup = trio.Event()
@@ -233,6 +234,13 @@
             self._carried.pop(attempt.id, None)
             self._answer(sender, forwarded, outcome)
 
+        held = self._carried.get(forwarded.id)
+        if held is not None:
+            if held[0] != sender:
+                verdict = NotRun(Reason.INTERNAL, "the attempt's id is in use")
+                self._answer(sender, forwarded, Failed(verdict))
+            # Else it came once more, and is answered once.
+            return
         deadline = self._clock.monotonic() + forwarded.remaining
         try:
             attempt = decode_attempt(forwarded.headers, forwarded.id, deadline)
@@ -241,7 +249,7 @@
             self._answer(sender, forwarded, Failed(verdict))
             return
         attempt = replace(attempt, body=forwarded.body)
-        self._carried[attempt.id] = forwarded.leaf
+        self._carried[attempt.id] = (sender, forwarded.leaf)
         assert self._submit_here is not None
         if not self._submit_here(forwarded.leaf, attempt, answer):
             verdict = NotRun(Reason.NO_LEAF, "this instance holds no connection")
@@ -250,8 +258,8 @@
     def _on_cancel(self, sender: str, message: Message) -> None:
         assert isinstance(message, ForwardCancel)
         for id in message.ids:
-            address = self._carried.get(id)
-            if address is not None and self._cancel_here is not None:
+            owner, address = self._carried.get(id, ("", ""))
+            if owner == sender and self._cancel_here is not None:
                 self._cancel_here(address, id)
 
     def _answer(
--- a/walkcart/membership/detector.py
+++ b/walkcart/membership/detector.py
@@ -25,6 +25,7 @@
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
+from walkcart.kernel.taskfaults import note_task_fault
 from walkcart.membership.gossip import GossipQueue
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.marks import LeafMarks
@@ -150,20 +151,32 @@
         number = self._next_number()
         probe = _Probe(target, trio.Event())
         self._probes[number] = probe
+        try:
+            if await self._is_answered(probe, number):
+                return
+            await self._suspect(target)
+        except Exception as error:
+            note_task_fault(self._events, f"probe of {target}", error)
+        finally:
+            self._probes.pop(number, None)
+
+    async def _is_answered(self, probe: _Probe, number: int) -> bool:
+        """Ping, then ping through others; return whether anything answered."""
+        target = probe.target
         try:
             self._links.send(target, Ping(number, self._gossip.make_digest(target)))
             with trio.move_on_after(self._interval * DIRECT_SHARE):
                 await probe.answered.wait()
-                return
+                return True
             for helper in self._choose_peers(INDIRECT_PINGS, target):
                 digest = self._gossip.make_digest()
                 self._links.send(helper, PingRequest(number, target, digest))
             with trio.move_on_after(self._interval):
                 await probe.answered.wait()
-                return
+                return True
+            return False
         finally:
             del self._probes[number]
-        await self._suspect(target)
 
     async def _suspect(self, target: str) -> None:
         """Suspect `target`; hold it dead unless it refutes that in time.
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -12,6 +12,7 @@
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.settings import HostPort
+from walkcart.kernel.taskfaults import note_task_fault
 from walkcart.membership.messageages import ClockReadings, Stamp
 from walkcart.membership.outbox import Outbox
 from walkcart.membership.peerbook import PeerBook, read_address
@@ -158,12 +159,19 @@
             async with trio.open_nursery() as self._nursery:
                 task_status.started()
                 while True:
-                    self._take_in(await self._listener.receive())
+                    self._take_in_safely(await self._listener.receive())
         finally:
             self._nursery = None
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
                 await self._listener.close()
 
+    def _take_in_safely(self, data: bytes) -> None:
+        """Take in an envelope, whose faults must not end the instance."""
+        try:
+            self._take_in(data)
+        except Exception as error:
+            note_task_fault(self._events, "peer envelope", error)
+
     def _take_in(self, data: bytes) -> None:
         self._metrics.count("peer.bytes", len(data))
         try:
@@ -195,8 +203,8 @@
             elif (handler := self._handlers.get(type(message))) is not None:
                 handler(sender, message)
         except Exception as error:
-            detail = f"{type(message).__name__}: {error!r}"[:500]
-            self._events.emit(Events.TASK_FAILED, task=f"peer {sender}", detail=detail)
+            task = f"{type(message).__name__} of {sender}"
+            note_task_fault(self._events, task, error)
 
     def _note_stranger(self, envelope: Envelope) -> None:
         """Keep the address of a sender that the book doesn't know yet."""
@@ -236,6 +244,8 @@
         except OSError:
             # The next message dials again; the detector tells whether it lives.
             self._metrics.count("peer.dropped")
+        except Exception as error:
+            note_task_fault(self._events, f"link to {name}", error)
         finally:
             if self._links.get((name, address)) is link:
                 del self._links[(name, address)]
--- /dev/null
+++ b/walkcart/platform/tests/test_quarantined_requests.py
@@ -0,0 +1,298 @@
+"""What becomes of requests under which leafs end, and never of any others.
+
+The story stands in `test_crashing_requests`; here are the paths that it can take, and
+the troubles that must not be taken for it.
+"""
+
+import json
+
+import trio
+
+from walkcart.bench.harness import run_mocked
+from walkcart.platform.tests.crashingworld import (
+    CONTACT_TIME,
+    CrashingWorld,
+    make_sharded_route,
+)
+from walkcart.platform.tests.platformworld import make_route, open_platform
+
+SHARDS = 9
+BAD = "/all/bad"
+PLACES = ("north-a", "south-a", "east-a")
+
+
+def play(act, instances=("one", "two", "three"), places=("north-a",), targets=(BAD,)):
+    """Play with instances before shards and one service of four leafs."""
+
+    async def run():
+        async with open_platform() as world:
+            crashing = CrashingWorld(world, set(targets))
+            for number in range(4):
+                await crashing.start_leaf("service", places[number % len(places)])
+            names = await crashing.start_shards(SHARDS, places=places)
+            world.configure(
+                make_sharded_route(names), make_route("one", "/one/", backend="service")
+            )
+            for number, name in enumerate(instances):
+                await world.start_instance(name, places[number % len(places)])
+                await world.wait_ready(name)
+            await trio.sleep(3)
+            return await act(crashing)
+
+    return run_mocked(run)
+
+
+def read_events(world, name):
+    """Return the lines of one event."""
+    lines = (json.loads(line) for line in world.log.getvalue().splitlines())
+    return [line for line in lines if line["event"] == name]
+
+
+async def ask_steadily(crashing, seconds, path="/all/good", interval=0.05):
+    """Ask different questions at all instances; return the statuses."""
+    world = crashing.world
+    statuses = []
+
+    async def ask(number, name):
+        statuses.append((await world.ask(f"{path}-{number}", name)).status)
+
+    names = list(world.tenants)
+    async with trio.open_nursery() as nursery:
+        for number in range(int(seconds / interval)):
+            nursery.start_soon(ask, number, names[number % len(names)])
+            await trio.sleep(interval)
+    return statuses
+
+
+def test_groups_that_are_gathered_in_other_regions_are_kept_from_leafs_too():
+    async def act(crashing):
+        for number in range(12):
+            await crashing.world.ask(BAD, ("one", "two", "three")[number % 3])
+            await trio.sleep(2)
+        return crashing.late_tries(BAD), len(crashing.ended)
+
+    late, ended = play(act, places=PLACES)
+    assert len(late) <= 1
+    # One leaf of each shard, one more in each region, one that was asked by itself.
+    assert ended <= SHARDS + 2 * len(PLACES) + 1
+
+
+def test_the_caller_is_told_at_once_that_it_did_not_run_and_when_to_come_back():
+    async def act(crashing):
+        world = crashing.world
+        for _ in range(3):
+            await world.ask(BAD, "one")
+            await trio.sleep(4)
+        arrived = len(crashing.arrivals)
+        start = trio.current_time()
+        reply = await world.ask(BAD, "two")
+        took = trio.current_time() - start
+        lines = read_events(world, "request_unserved")
+        return reply, took, len(crashing.arrivals) - arrived, lines[-1]
+
+    reply, took, arrived, line = play(act)
+    assert reply.status == 503
+    assert float(reply.header(b"retry-after")) > 60
+    assert took < 0.01
+    assert arrived == 0
+    assert line["reason"] == "quarantined"
+
+
+def test_other_questions_are_served_beside_it():
+    async def act(crashing):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_bad, crashing)
+            await trio.sleep(8)
+            return await ask_steadily(crashing, 10)
+
+    async def ask_bad(crashing):
+        for number in range(8):
+            await crashing.world.ask(BAD, ("one", "two", "three")[number % 3])
+            await trio.sleep(2)
+
+    statuses = play(act)
+    assert statuses.count(200) == len(statuses)
+
+
+def test_all_leafs_that_crash_at_once_make_no_question_suspect():
+    async def act(crashing):
+        async def crash_all():
+            await trio.sleep(1)
+            for id in crashing.leafs_alive():
+                crashing.crash(id)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(crash_all)
+            await ask_steadily(crashing, 2, interval=0.005)
+        await trio.sleep(4)
+        statuses = await ask_steadily(crashing, 2, interval=0.005)
+        return statuses, read_events(crashing.world, "request_quarantined")
+
+    statuses, suspected = play(act)
+    assert suspected == []
+    assert statuses.count(200) == len(statuses)
+
+
+def test_leafs_that_crash_one_after_the_other_make_no_question_suspect():
+    async def act(crashing):
+        async def crash_all():
+            for id in crashing.leafs_alive():
+                crashing.crash(id)
+                await trio.sleep(0.02)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(crash_all)
+            await ask_steadily(crashing, 2, interval=0.005)
+        return read_events(crashing.world, "request_quarantined")
+
+    assert play(act, places=PLACES) == []
+
+
+def test_leafs_that_go_down_and_up_make_no_request_suspect():
+    """Each second two of them crash; they are back at once. The same callers retry."""
+
+    async def act(crashing):
+        crashing.back_time = 0.3
+
+        async def flap():
+            while True:
+                alive = crashing.leafs_alive()
+                for id in alive[:: len(alive) // 2]:
+                    crashing.crash(id)
+                await trio.sleep(1)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(flap)
+            nursery.start_soon(ask_steadily, crashing, 30, "/one/good", 0.02)
+            await ask_steadily(crashing, 30, "/all/good", 0.05)
+            nursery.cancel_scope.cancel()
+        return read_events(crashing.world, "request_quarantined")
+
+    assert play(act) == []
+
+
+def test_replies_that_are_lost_are_no_ends_of_leafs():
+    async def act(crashing):
+        world = crashing.world
+        for leaf in world.leafs.values():
+            leaf.faults.drop = True
+        for _ in range(6):
+            await world.ask("/all/good", "one")
+            await world.ask("/one/good", "one")
+        for leaf in world.leafs.values():
+            leaf.faults.drop = False
+        reply = await world.ask("/all/good", "one")
+        return reply.status, read_events(world, "leaf_ended")
+
+    assert play(act) == (200, [])
+
+
+def test_a_question_that_was_struck_by_chance_goes_to_one_leaf_and_is_freed():
+    async def act(crashing):
+        world = crashing.world
+        await world.ask("/all/same", "one")
+        crashing.targets.add("/all/same")
+        await world.ask("/all/same", "one")
+        crashing.targets.clear()
+        await trio.sleep(5)
+        first = len(crashing.arrivals)
+        reply = await world.ask("/all/same", "two")
+        order = [item.at for item in crashing.arrivals[first:]]
+        again = (await world.ask("/all/same", "three")).status
+        lifted = read_events(world, "quarantine_lifted")
+        return reply.status, order, again, len(lifted)
+
+    status, order, again, lifted = play(act)
+    assert status == 200
+    # One leaf, and the others once that one has answered.
+    assert order[1] - order[0] >= 0.01
+    assert again == 200
+    assert lifted == 1
+
+
+def test_an_instance_that_was_cut_off_knows_soon_after():
+    async def act(crashing):
+        world = crashing.world
+        for other in ("north-a", "south-a"):
+            world.network.cut("east-a", other)
+        for _ in range(4):
+            await world.ask(BAD, "one")
+            await trio.sleep(4)
+        for other in ("north-a", "south-a"):
+            world.network.heal("east-a", other)
+        await trio.sleep(CONTACT_TIME)
+        arrived = len(crashing.arrivals)
+        status = (await world.ask(BAD, "three")).status
+        return status, len(crashing.arrivals) - arrived
+
+    assert play(act, places=PLACES) == (503, 0)
+
+
+def test_it_is_known_after_all_instances_started_anew():
+    async def act(crashing):
+        world = crashing.world
+        for _ in range(3):
+            await world.ask(BAD, "one")
+            await trio.sleep(4)
+        for running in list(world.tenants.values()):
+            running.scope.cancel()
+        await trio.sleep(1)
+        for name in list(world.tenants):
+            await world.start_instance(name)
+        for name in world.tenants:
+            await world.wait_ready(name)
+        await trio.sleep(1)
+        arrived = len(crashing.arrivals)
+        statuses = [(await world.ask(BAD, name)).status for name in world.tenants]
+        return statuses, len(crashing.arrivals) - arrived
+
+    assert play(act) == ([503] * 3, 0)
+
+
+def test_it_is_told_among_instances_while_the_store_is_away():
+    async def act(crashing):
+        world = crashing.world
+        world.store.faults.silent = True
+        for _ in range(3):
+            await world.ask(BAD, "one")
+            await trio.sleep(1)
+        status = (await world.ask(BAD, "two")).status
+        world.store.faults.silent = False
+        await trio.sleep(5)
+        keys = [key for key in world.store.rows if "/quarantine/" in key]
+        return status, len(keys)
+
+    assert play(act) == (503, 1)
+
+
+def test_it_costs_the_store_two_calls_and_no_reading():
+    async def act(crashing):
+        world = crashing.world
+        for _ in range(3):
+            await world.ask(BAD, "one")
+            await trio.sleep(4)
+        calls = list(world.store.calls)
+        reads = [item for item in world.store.targets if "quarantine" in item]
+        return calls, reads, world.store
+
+    _, reads, store = play(act)
+    assert reads == []
+    assert sum("/quarantine/" in key for key in store.rows) == 1
+
+
+def test_the_trial_of_a_caller_that_left_ends_with_it():
+    async def act(crashing):
+        world = crashing.world
+        await world.ask(BAD, "one")
+        await trio.sleep(5)
+        crashing.targets.clear()
+        for leaf in world.leafs.values():
+            leaf.faults.delay = 1.0
+        with trio.move_on_after(0.1):
+            await world.ask(BAD, "one")
+        for leaf in world.leafs.values():
+            leaf.faults.delay = 0.0
+        await trio.sleep(2)
+        return (await world.ask(BAD, "one")).status
+
+    assert play(act) == 200
