Keep questions of the own interface from leaves that end under them, too

Questions go by the same watch, strikes and news; a refused one that must not repeat has its claim withdrawn, since it did not run.

--- a/walkcart/daemon/assembly.py
+++ b/walkcart/daemon/assembly.py
@@ -24,6 +24,7 @@
 from walkcart.fanout.gatherer import Gatherer
 from walkcart.fanout.gathering import GatherTools
 from walkcart.fanout.ids import IdSource
+from walkcart.fanout.quarantines import Quarantines
 from walkcart.fanout.selection import LeafSelector
 from walkcart.fanout.single import SingleSender
 from walkcart.intent.distribution import ConfigurationKeeper
@@ -42,9 +43,11 @@
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.listing import InstanceList
 from walkcart.membership.marks import LeafMarks
+from walkcart.membership.quarantinenews import QuarantineSpread
 from walkcart.membership.view import MembershipView, MemberState
 from walkcart.once.claimant import Claimant
 from walkcart.once.owner import BucketOwners, OwnerTools
+from walkcart.routing.quarantine import Quarantine
 from walkcart.routing.replicas import ReplicaChooser
 from walkcart.store.backoff import Backoff
 from walkcart.store.budget import CallBudget
@@ -234,6 +237,7 @@
     kernel.add("forwarder", forwarder)
     kernel.add("gateway", gateway)
     own = view.own
+    quarantines = _add_quarantines(kernel, around)
     tools = GatherTools(
         table,
         gateway,
@@ -242,6 +246,7 @@
         around.clock,
         kernel.find("invariants", Invariants),
         metrics,
+        quarantines,
     )
     gatherer = Gatherer(tools)
     kernel.add("gatherer", gatherer)
@@ -257,6 +262,30 @@
     listing.on_change(lambda leaves: use_groups())
 
 
+def _add_quarantines(kernel: Kernel, around: Surroundings) -> Quarantines:
+    """Add what remembers requests under which leafs ended, and tells of them."""
+    view = kernel.find("view", MembershipView)
+    quarantine = Quarantine()
+    quarantines = Quarantines(
+        quarantine,
+        around.clock,
+        around.random,
+        kernel.find("events", EventLog),
+        kernel.find("metrics", Metrics),
+    )
+    spread = QuarantineSpread(
+        quarantine,
+        kernel.find("links", PeerLinks),
+        around.clock,
+        lambda: [record.name for record in view.usable_peers()],
+        lambda: False,
+        quarantines.note_news,
+    )
+    quarantines.follow(spread.tell_all, lambda fingerprint: None)
+    kernel.add("quarantine_spread", spread)
+    return quarantines
+
+
 def _add_once(kernel: Kernel, around: Surroundings) -> None:
     tools = OwnerTools(
         kernel.find("store", StoreClient),
--- a/walkcart/fanout/gatherer.py
+++ b/walkcart/fanout/gatherer.py
@@ -12,12 +12,14 @@
 from returns.result import Failure, Result, Success
 
 from walkcart.fanout.answers import Answer
+from walkcart.fanout.crashwatch import CrashWatch
 from walkcart.fanout.gathering import Gathering, GatherTools
 from walkcart.fanout.pinning import SnapshotPins
 from walkcart.fanout.questions import Question
 from walkcart.leaves.leaf import Snapshot
 from walkcart.leaves.table import ResolvedLayout
 from walkcart.routing.budgets import ShareBudget
+from walkcart.routing.quarantine import Standing
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
 #: When to come back after every leaf that was asked refused.
@@ -44,10 +46,26 @@
             The answer, or why there is none; an answer may be partial, but never
             below the question's least coverage.
         """
+        admitted = await self._tools.quarantines.admit(question.fingerprint)
+        if isinstance(admitted, NotRun):
+            return Failure(admitted)
+        careful = admitted is Standing.CAREFUL
+        _, layout = self.choose(question)
+        watch = CrashWatch(len(layout.shards), careful)
+        try:
+            return await self._gather(question, watch)
+        finally:
+            self._tools.quarantines.note(question.fingerprint, watch, careful)
+
+    async def _gather(
+        self, question: Question, watch: CrashWatch
+    ) -> Result[Answer, NotRun | MayHaveRun]:
         pin, layout = self.choose(question)
         hedges = self._hedges.setdefault(question.group, ShareBudget())
         retries = self._retries.setdefault(question.group, ShareBudget())
-        gathering = Gathering(self._tools, question, layout, pin, hedges, retries)
+        gathering = Gathering(
+            self._tools, question, layout, pin, hedges, retries, watch
+        )
         answer = await gathering.run()
         if gathering.lacks_version and self._may_move(question):
             newer, layout = self.choose(question)
--- a/walkcart/fanout/gathering.py
+++ b/walkcart/fanout/gathering.py
@@ -22,6 +22,7 @@
 import trio
 
 from walkcart.fanout.answers import Answer
+from walkcart.fanout.crashwatch import CrashWatch
 from walkcart.fanout.ids import IdSource
 from walkcart.fanout.progress import (
     Sent,
@@ -29,6 +30,7 @@
     make_coverage,
     typical_time,
 )
+from walkcart.fanout.quarantines import Quarantines
 from walkcart.fanout.questions import Question
 from walkcart.fanout.selection import LeafSelector
 from walkcart.kernel.clock import Clock
@@ -63,6 +65,7 @@
     clock: Clock
     invariants: Invariants
     metrics: Metrics
+    quarantines: Quarantines
 
 
 class Gathering:
@@ -76,7 +79,9 @@
         pin: Snapshot,
         hedges: ShareBudget,
         retries: ShareBudget,
+        watch: CrashWatch,
     ) -> None:
+        self._watch = watch
         self._tools = tools
         self._question = question
         self._layout = layout
@@ -112,7 +117,13 @@
         Replies of that snapshot which came in already are kept.
         """
         moved = Gathering(
-            self._tools, self._question, layout, pin, self._hedges, self._retries
+            self._tools,
+            self._question,
+            layout,
+            pin,
+            self._hedges,
+            self._retries,
+            self._watch,
         )
         kept = dict(self._others.get(pin, {}))
         if pin.layout == layout.epoch == self._pin.layout:
@@ -136,9 +147,14 @@
         if policy.partial_after is not None:
             self._partial_at = start + policy.partial_after.total_seconds()
         for item in self._progress:
-            if item.reply is None:
+            if item.reply is not None:
+                continue
+            if self._watch.holds:
+                item.retry_at = start
+            else:
                 self._send_first(item, start)
         try:
+            self._act()
             while self._open and not self._is_enough():
                 await self._wait()
                 self._take_in()
@@ -151,7 +167,7 @@
     def _is_enough(self) -> bool:
         """Return whether waiting for more isn't wanted."""
         now = self._tools.clock.monotonic()
-        if now >= self._deadline:
+        if now >= self._deadline or self._watch.is_over:
             return True
         if now < self._partial_at:
             return False
@@ -161,7 +177,9 @@
 
     async def _wait(self) -> None:
         """Wait for an outcome or for the next time at which something is due."""
-        due = min(self._deadline, self._hedge_at, self._next_retry())
+        due = min(self._deadline, self._next_retry())
+        if not self._watch.holds:
+            due = min(due, self._hedge_at)
         if self._tools.clock.monotonic() < self._partial_at:
             due = min(due, self._partial_at)
         if not self._inbox:
@@ -170,7 +188,11 @@
                 await self._wakeup.wait()
 
     def _next_retry(self) -> float:
-        times = [item.retry_at for item in self._progress if item.retry_at is not None]
+        times = [
+            item.retry_at
+            for item in self._progress
+            if item.retry_at is not None and self._watch.may_send(str(item.shard))
+        ]
         return min(times, default=float("inf"))
 
     def _receive(self, attempt: Attempt, outcome: Outcome) -> None:
@@ -195,8 +217,10 @@
         match outcome:
             case Replied():
                 self._may_have_run = True
+                self._watch.note_answer()
                 self._take_reply(item, outcome)
             case Refused(reason=reason):
+                self._watch.note_failed(str(item.shard))
                 if reason is Reason.VERSION_NOT_HELD:
                     item.lost_version.add(sent.leaf.address)
                 item.reason = reason
@@ -206,6 +230,10 @@
                 )
                 self._plan_retry(item, free=free)
             case Failed(verdict=verdict):
+                if verdict.reason is Reason.LEAF_ENDED:
+                    self._watch.note_ended(str(item.shard))
+                else:
+                    self._watch.note_failed(str(item.shard))
                 self._may_have_run |= isinstance(verdict, MayHaveRun)
                 item.reason = verdict.reason
                 self._plan_retry(item, free=isinstance(verdict, NotRun))
@@ -263,9 +291,10 @@
         """Send the retries and hedges that are due."""
         now = self._tools.clock.monotonic()
         for item in self._progress:
-            if item.retry_at is not None and item.retry_at <= now:
+            due = item.retry_at is not None and item.retry_at <= now
+            if due and self._watch.may_send(str(item.shard)):
                 self._send_retry(item, now)
-        if now >= self._hedge_at:
+        if now >= self._hedge_at and not self._watch.holds:
             self._rounds += 1
             more = self._rounds < HEDGE_ROUNDS
             self._hedge_at = now + self._hedge_delay if more else float("inf")
@@ -336,7 +365,9 @@
             body=self._question.body,
             traceparent=self._question.traceparent,
             fingerprint=self._fingerprint,
+            wary=self._watch.is_wary,
         )
+        self._watch.note_sent(str(item.shard))
         item.under_way[attempt.id] = Sent(leaf, now, hedge)
         item.tried.append(leaf.address)
         item.tries += 1
--- a/walkcart/fanout/single.py
+++ b/walkcart/fanout/single.py
@@ -11,11 +11,13 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from walkcart.fanout.crashwatch import CrashWatch
 from walkcart.fanout.gatherer import Gatherer
 from walkcart.fanout.gathering import GatherTools
 from walkcart.fanout.questions import Question
 from walkcart.leaves.attempts import Attempt, Failed, Outcome, Refused, Replied
 from walkcart.leaves.leaf import ANY_VERSION, Leaf, Snapshot
+from walkcart.routing.quarantine import Standing
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
 #: Seconds past the deadline after which a reply isn't waited for any longer.
@@ -54,6 +56,20 @@
 
     async def send(self, request: OnceRequest) -> Result[Replied, NotRun | MayHaveRun]:
         """Send `request` to one leaf of its shard after another, while that is safe."""
+        fingerprint = request.question.fingerprint
+        admitted = await self._tools.quarantines.admit(fingerprint)
+        if isinstance(admitted, NotRun):
+            return Failure(admitted)
+        careful = admitted is Standing.CAREFUL
+        watch = CrashWatch(1, careful)
+        try:
+            return await self._send(request, watch)
+        finally:
+            self._tools.quarantines.note(fingerprint, watch, careful)
+
+    async def _send(
+        self, request: OnceRequest, watch: CrashWatch
+    ) -> Result[Replied, NotRun | MayHaveRun]:
         pin, layout = self._gatherer.choose(request.question)
         shard = choose_shard(request.routing_key, len(layout.shards))
         leaves = [
@@ -71,8 +87,11 @@
             leaves.remove(leaf)
             match await self._try(request, shard, Snapshot(pin.layout, 0), leaf):
                 case Replied() as reply:
+                    watch.note_answer()
                     return Success(reply)
                 case Failed(verdict=MayHaveRun() as uncertain):
+                    if uncertain.reason is Reason.LEAF_ENDED:
+                        watch.note_ended("")
                     return Failure(uncertain)
                 case Failed(verdict=NotRun() as failed):
                     verdict = failed
--- a/walkcart/standins/leaf.py
+++ b/walkcart/standins/leaf.py
@@ -8,6 +8,7 @@
 
 import math
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -103,6 +104,8 @@
     ) -> None:
         self.spec = spec
         self.faults = LeafFaults()
+        #: Ends the leaf, and returns whether it does, when it begins some requests.
+        self.ends_under: Callable[[bytes], bool] | None = None
         self.versions = versions
         self.incarnation = incarnation
         self.runs: list[Run] = []
@@ -208,6 +211,8 @@
             self.runs.append(Run(attempt, once_key, now, scope, body))
             if once_key:
                 self.once[once_key] += 1
+            if self.ends_under is not None and self.ends_under(body):
+                await trio.sleep_forever()
             await trio.sleep(self._service_time())
             if self.faults.hang:
                 # Past every deadline; then the slot is free again.
