Let all clocks of an instance count the time that its machine is suspended

Seen by reading: trio's own clock is the steady one, which stands still while a machine is suspended, and the time of day was worked out from it. After a suspension of some seconds all that an instance knew looked as new as before: messages that had waited in its sockets (questions of callers that had left were begun), deadlines, leases, ages of copies.

Tests suspend a whole instance, in a thread and event loop of its own over real sockets: a question that waited isn't begun (by the clock before it is: the second test), a request whose time passed isn't sent again, a change is in force soon after.

--- a/walkcart/daemon/main.py
+++ b/walkcart/daemon/main.py
@@ -11,7 +11,7 @@
 import trio
 
 from walkcart.daemon.assembly import Instance, Surroundings, assemble_instance
-from walkcart.kernel.clock import TrioClock
+from walkcart.kernel.clock import BootClock, TrioClock
 from walkcart.kernel.settings import Loaded, Settings, describe_settings, load_settings
 from walkcart.wire.network import TcpNetwork
 from walkcart.wire.peers import NngTransport
@@ -48,7 +48,7 @@
     if check:
         _print_settings(loaded)
         return EXIT_OK
-    return trio.run(_run_instance, loaded.settings)
+    return trio.run(_run_instance, loaded.settings, clock=BootClock())
 
 
 def _print_settings(loaded: Loaded) -> None:
--- a/walkcart/daemon/platform.py
+++ b/walkcart/daemon/platform.py
@@ -19,7 +19,7 @@
     TenantSurroundings,
     assemble_tenant,
 )
-from walkcart.kernel.clock import TrioClock
+from walkcart.kernel.clock import BootClock, TrioClock
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.logsink import LogSink
@@ -60,7 +60,7 @@
     if port is None or port > LAST_PORT:
         print(f"walkcartd: {METRICS_VARIABLE} must be a port number", file=sys.stderr)
         sys.exit(EXIT_USAGE)
-    sys.exit(trio.run(_run, settings, Path(path), port))
+    sys.exit(trio.run(_run, settings, Path(path), port, clock=BootClock()))
 
 
 async def _run(settings: PlatformSettings, path: Path, port: int) -> int:
--- /dev/null
+++ b/walkcart/platform/tests/test_suspended_instances.py
@@ -0,0 +1,271 @@
+"""An instance whose machine is suspended for some seconds.
+
+Its clocks: the steady one stands still, the boot clock and the time of day go on. What
+waited in its sockets meanwhile, and what it had in hand, is as old as it is.
+"""
+
+import socket
+import time
+from dataclasses import dataclass, replace
+from io import StringIO
+from random import Random
+from types import SimpleNamespace
+
+import trio
+
+from walkcart.daemon.tenant import TenantSurroundings, assemble_tenant
+from walkcart.intent.routekeeper import RouteKeeper
+from walkcart.kernel.clock import BootClock, TrioClock
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.metrics import Metrics
+from walkcart.kernel.settings import HostPort
+from walkcart.membership.links import PeerLinks
+from walkcart.platform.tests.platformworld import (
+    PlatformWorld,
+    make_route,
+    make_settings,
+)
+from walkcart.wire.delegations import (
+    DelegatedFailure,
+    DelegatedQuestion,
+    DelegatedTaken,
+    Greeting,
+)
+from walkcart.wire.network import TcpNetwork
+from walkcart.wire.peers import NngTransport
+
+SUSPENSION = 1.5
+
+
+class TcpSite(TcpNetwork):
+    """A site whose instances talk over loopback."""
+
+    def transport(self):
+        return NngTransport()
+
+
+class TcpNetworks:
+    """The same at all sites."""
+
+    def at(self, site, link=None):
+        return TcpSite()
+
+
+@dataclass
+class Machine:
+    """A machine that can be suspended; `counts` says whether its clock goes on."""
+
+    counts: bool = True
+    wanted: float = 0.0
+    missed: float = 0.0
+    woken: float = 0.0
+
+    def read(self):
+        return time.monotonic() - (0.0 if self.counts else self.missed)
+
+    async def obey(self):
+        """Stand still when told to, with everything that runs here."""
+        while True:
+            await trio.sleep(0.005)
+            if self.wanted:
+                wanted, self.wanted = self.wanted, 0.0
+                time.sleep(wanted)
+                self.missed += wanted
+                self.woken = time.monotonic()
+
+
+def find_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Suspendable:
+    """An instance in a thread and an event loop of its own."""
+
+    def __init__(self, world, machine):
+        peer = find_port()
+        self.settings = replace(
+            make_settings("one", "north-a", world.store_address),
+            callers=HostPort("127.0.0.1", find_port()),
+            readiness=HostPort("127.0.0.1", find_port()),
+            peer_ports=(peer, peer),
+        )
+        self.machine = machine
+        self.ended = False
+        self.log = StringIO()
+        self.tenant = None
+
+    def run(self):
+        trio.run(self._run, clock=BootClock(self.machine.read))
+
+    async def _run(self):
+        around = TenantSurroundings(
+            TcpNetwork(), NngTransport(), TrioClock(), Random(7), self.log
+        )
+        self.tenant = await assemble_tenant(self.settings, around)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.machine.obey)
+            await nursery.start(self.tenant.kernel.run)
+            while not self.ended:
+                await trio.sleep(0.02)
+            nursery.cancel_scope.cancel()
+
+
+def play(act, counts=True):
+    """Play with an instance that is before one service of two leafs."""
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            world = PlatformWorld(nursery, network=TcpNetworks())
+            await world.start_store()
+            for id in ("i-0", "i-1"):
+                await world.start_leaf(id, "service")
+            world.configure(make_route("one", "/one/", backend="service"))
+            instance = Suspendable(world, Machine(counts))
+            world.tenants["one"] = SimpleNamespace(settings=instance.settings)
+            nursery.start_soon(trio.to_thread.run_sync, instance.run)
+            await wait_ready(world)
+            try:
+                result = await act(world, instance)
+            finally:
+                instance.ended = True
+            await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        return result
+
+    return trio.run(run)
+
+
+async def wait_ready(world):
+    while True:
+        try:
+            if (await world.ask_ready("one")).status == 200:
+                return
+        except OSError:
+            pass
+        await trio.sleep(0.05)
+
+
+async def suspend(instance):
+    """Suspend the machine, and return a little before it goes on."""
+    instance.machine.wanted = SUSPENSION
+    await trio.sleep(0.1)
+
+
+async def wait_woken(instance):
+    while not instance.machine.woken:
+        await trio.sleep(0.01)
+
+
+class Asker:
+    """Another instance, as far as its links go."""
+
+    def __init__(self, instance):
+        self.heard = []
+        self._instance = instance
+
+    async def start(self, nursery):
+        transport = NngTransport()
+        listener = await transport.listen(HostPort("127.0.0.1", find_port()))
+        own = SimpleNamespace(
+            name="asker", incarnation=0, peer_address=str(listener.address)
+        )
+        port = self._instance.settings.peer_ports[0]
+        other = SimpleNamespace(
+            name="one", incarnation=0, peer_address=f"127.0.0.1:{port}"
+        )
+        book = SimpleNamespace(
+            own=own, find=lambda name: other if name == "one" else None
+        )
+        events = EventLog("asker", TrioClock(), StringIO())
+        self.links = PeerLinks(
+            listener, transport, book, events, Metrics(None, "asker")
+        )
+        for kind in (Greeting, DelegatedTaken, DelegatedFailure):
+            self.links.on(kind, lambda sender, message: self.heard.append(message))
+        await nursery.start(self.links.run)
+
+    async def hear(self, kind):
+        while True:
+            found = [item for item in self.heard if isinstance(item, kind)]
+            if found:
+                return found[-1]
+            await trio.sleep(0.01)
+
+
+def ask_while_suspended(counts):
+    """Have another instance ask while this one is suspended; return what it hears."""
+
+    async def act(world, instance):
+        async with trio.open_nursery() as nursery:
+            asker = Asker(instance)
+            await asker.start(nursery)
+            asker.links.send("one", Greeting())
+            await asker.hear(Greeting)
+            # Its second envelope tells that this one was heard of.
+            asker.links.send("one", Greeting())
+            await trio.sleep(0.2)
+            await suspend(instance)
+            question = DelegatedQuestion(
+                "q", "r", "k", "GET", "/x", (), b"", ("service",), 1, 1.0, 2, 10.0, 5.0
+            )
+            asker.links.send("one", question)
+            await wait_woken(instance)
+            await trio.sleep(0.3)
+            nursery.cancel_scope.cancel()
+        ran = sum(len(leaf.ran) for leaf in world.leafs.values())
+        return [type(item) for item in asker.heard], ran
+
+    return play(act, counts)
+
+
+def test_a_question_that_waited_while_suspended_is_not_begun():
+    heard, ran = ask_while_suspended(counts=True)
+    assert DelegatedTaken not in heard
+    assert heard[-1] is DelegatedFailure
+    assert ran == 0
+
+
+def test_by_a_clock_that_stands_still_it_would_be_begun():
+    """Shows that the test above can fail: the clock that trio takes by itself."""
+    heard, ran = ask_while_suspended(counts=False)
+    assert DelegatedTaken in heard
+    assert ran == 1
+
+
+def test_a_request_whose_time_passed_while_suspended_is_not_sent_again():
+    async def act(world, instance):
+        for leaf in world.leafs.values():
+            leaf.faults.delay = 0.6
+        replies = []
+
+        async def ask():
+            reply = await world.ask("/one/x", deadline_ms=int(SUSPENSION * 900))
+            replies.append(reply.status)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.05)
+            for leaf in world.leafs.values():
+                leaf.faults.drop = True
+            await suspend(instance)
+        arrived = sum(len(leaf.arrived) for leaf in world.leafs.values())
+        return replies, arrived
+
+    statuses, arrived = play(act)
+    assert statuses == [504]
+    assert arrived == 1
+
+
+def test_a_change_made_while_suspended_is_in_force_soon_after():
+    async def act(world, instance):
+        await suspend(instance)
+        version = world.configure(make_route("two", "/two/", backend="service"))
+        await wait_woken(instance)
+        keeper = instance.tenant.kernel.find("keeper", RouteKeeper)
+        while keeper.table.document.version != version:
+            await trio.sleep(0.01)
+        return (await world.ask("/two/x")).status, (await world.ask("/one/x")).status
+
+    assert play(act) == (200, 404)
