Name strikes by the instance too; tests of roll-outs, kills and many callers

Found by a test in which three instances have the same source of chance: all named their strikes alike, so that three were one, and a request that must not repeat ended a fourth leaf. The instance's name now goes into the number. New tests: leafs replaced in turn, instances killed, hundreds of callers with one harmless question while leafs go down and up (none suspect), tries at all instances at once (none reaches a leaf 1 s after the third end), a request that must not repeat (ends three leafs).

--- a/walkcart/bench/routed/instances.py
+++ b/walkcart/bench/routed/instances.py
@@ -212,7 +212,12 @@
         delegates = Delegates(tools)
         limits = REPEAT_LIMITS if around.policy.repeat else NO_REPEATS
         quarantines = Quarantines(
-            Quarantine(), self._clock, self._random, self.events, self.metrics
+            Quarantine(),
+            self._clock,
+            record.name,
+            self._random,
+            self.events,
+            self.metrics,
         )
         self.gathering = RoutedTools(
             self.pool,
--- a/walkcart/daemon/assembly.py
+++ b/walkcart/daemon/assembly.py
@@ -269,6 +269,7 @@
     quarantines = Quarantines(
         quarantine,
         around.clock,
+        view.own.name,
         around.random,
         kernel.find("events", EventLog),
         kernel.find("metrics", Metrics),
--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -176,7 +176,12 @@
     registration = kernel.find("registration", Registration)
     quarantine = Quarantine()
     quarantines = Quarantines(
-        quarantine, around.clock, around.random, events, kernel.find("metrics", Metrics)
+        quarantine,
+        around.clock,
+        registration.own.name,
+        around.random,
+        events,
+        kernel.find("metrics", Metrics),
     )
     peers = QuarantinePeers(registration, gatherers)
     spread = QuarantineSpread(
--- a/walkcart/fanout/quarantines.py
+++ b/walkcart/fanout/quarantines.py
@@ -20,13 +20,13 @@
 from walkcart.kernel.metrics import Metrics
 from walkcart.routing.quarantine import Quarantine, Standing
 from walkcart.wire.delegations import DelegatedQuestion
-from walkcart.wire.fingerprint import fingerprint_request
+from walkcart.wire.fingerprint import fingerprint_request, make_fingerprint
 from walkcart.wire.http import HttpRequest
 from walkcart.wire.verdicts import NotRun, Reason
 
-#: Bits of the random number that names a strike: two of a thousand are alike with a
-#: probability below 1e-9.
-STRIKE_BITS = 48
+#: Bytes of the number that names a strike: two of a thousand are alike with a
+#: probability below 1e-8.
+STRIKE_BYTES = 6
 #: Seconds for which a request waits while the same one is tried at a leaf. Most leafs
 #: answer within that; a caller that waits longer is better told to come back.
 TRIAL_PATIENCE = 0.25
@@ -43,6 +43,8 @@
     Args:
         quarantine: what is remembered.
         clock: source of time.
+        instance: name of this instance; two with the same source of chance name their
+            strikes differently by it.
         random: names strikes.
         events: where decisions are logged.
         metrics: where they are counted.
@@ -52,12 +54,14 @@
         self,
         quarantine: Quarantine,
         clock: Clock,
+        instance: str,
         random: Random,
         events: EventLog,
         metrics: Metrics,
     ) -> None:
         self._quarantine = quarantine
         self._clock = clock
+        self._instance = instance.encode()
         self._random = random
         self._events = events
         self._metrics = metrics
@@ -147,7 +151,8 @@
             self._tell(fingerprint)
 
     def _note_strike(self, fingerprint: bytes) -> None:
-        strike = self._random.getrandbits(STRIKE_BITS)
+        name = make_fingerprint(self._instance, self._random.randbytes(STRIKE_BYTES))
+        strike = int.from_bytes(name[:STRIKE_BYTES], "big")
         now = self._clock.monotonic()
         self._quarantine.note_strike(fingerprint, strike, now)
         self._log_standing(fingerprint, "seen")
--- a/walkcart/platform/tests/test_quarantined_requests.py
+++ b/walkcart/platform/tests/test_quarantined_requests.py
@@ -15,6 +15,7 @@
     make_sharded_route,
 )
 from walkcart.platform.tests.platformworld import make_route, open_platform
+from walkcart.wire.http import ExchangeFailed
 
 SHARDS = 9
 BAD = "/all/bad"
@@ -54,7 +55,11 @@
     statuses = []
 
     async def ask(number, name):
-        statuses.append((await world.ask(f"{path}-{number}", name)).status)
+        try:
+            statuses.append((await world.ask(f"{path}-{number}", name)).status)
+        except (OSError, ExchangeFailed):
+            # The instance was killed.
+            statuses.append(0)
 
     names = list(world.tenants)
     async with trio.open_nursery() as nursery:
@@ -296,3 +301,118 @@
         return (await world.ask(BAD, "one")).status
 
     assert play(act) == 200
+
+
+def test_leafs_that_are_replaced_in_turn_make_no_request_suspect():
+    """Half of them announce it, the others only vanish; all serve for a while yet."""
+
+    async def act(crashing):
+        world = crashing.world
+
+        async def replace(id, announces):
+            entry = world.entries[id]
+            await crashing.start_leaf(entry["backend"], entry["zone"])
+            if announces:
+                world.drain_leaf(id)
+            else:
+                world.store.remove(f"servers/{id}")
+            await trio.sleep(3)
+            world.servers[id].stop()
+
+        async with trio.open_nursery() as nursery:
+            load = nursery.start_soon
+            load(ask_steadily, crashing, 12, "/all/good", 0.02)
+            load(ask_steadily, crashing, 12, "/one/good", 0.02)
+            for number, id in enumerate(crashing.leafs_alive()):
+                nursery.start_soon(replace, id, number % 2 == 0)
+                await trio.sleep(0.3)
+        return read_events(world, "request_quarantined")
+
+    assert play(act) == []
+
+
+def test_instances_that_are_killed_make_no_request_suspect():
+    async def act(crashing):
+        world = crashing.world
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_steadily, crashing, 6, "/all/good", 0.02)
+            for name in ("two", "three"):
+                await trio.sleep(1)
+                world.tenants[name].scope.cancel()
+        return read_events(world, "request_quarantined")
+
+    assert play(act, places=PLACES) == []
+
+
+def test_a_request_that_must_not_repeat_ends_three_leafs_and_no_more():
+    async def act(crashing):
+        world = crashing.world
+        names = [f"shard-{number}" for number in range(SHARDS)]
+        world.configure(
+            make_sharded_route(names),
+            make_route("one", "/one/", backend="service", routeType="non_idempotent"),
+        )
+        await trio.sleep(1)
+        statuses = []
+        for number in range(6):
+            name = ("one", "two", "three")[number % 3]
+            statuses.append((await world.ask("/one/bad", name, method="POST")).status)
+            await trio.sleep(4)
+        return statuses, len(crashing.ended)
+
+    statuses, ended = play(act, targets=("/one/bad",))
+    assert statuses == [502, 502, 502, 503, 503, 503]
+    assert ended == 3
+
+
+def test_tries_at_all_instances_at_once_are_soon_over():
+    """Its callers repeat at once and often, wherever they are let in."""
+
+    async def act(crashing):
+        world = crashing.world
+
+        async def repeat(name):
+            for _ in range(60):
+                await world.ask(BAD, name)
+                await trio.sleep(0.1)
+
+        async with trio.open_nursery() as nursery:
+            for name in world.tenants:
+                nursery.start_soon(repeat, name)
+        return crashing.late_tries(BAD, after=1.0), len(crashing.ended)
+
+    late, ended = play(act, places=PLACES)
+    assert late == set()
+    # The first tries were under way at all instances before any knew.
+    assert ended <= 2 * SHARDS
+
+
+def test_the_same_harmless_question_of_many_callers_is_answered_all_the_time():
+    """Leafs go down and up, and hundreds of callers ask one and the same."""
+
+    async def act(crashing):
+        crashing.back_time = 0.3
+        world = crashing.world
+        statuses = []
+
+        async def flap():
+            while True:
+                alive = crashing.leafs_alive()
+                crashing.crash(alive[len(alive) // 2])
+                await trio.sleep(0.5)
+
+        async def ask(name):
+            statuses.append((await world.ask("/all/same", name)).status)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(flap)
+            async with trio.open_nursery() as callers:
+                for number in range(500):
+                    callers.start_soon(ask, list(world.tenants)[number % 3])
+                    await trio.sleep(0.02)
+            nursery.cancel_scope.cancel()
+        return statuses, read_events(world, "request_quarantined")
+
+    statuses, suspected = play(act)
+    assert suspected == []
+    assert 503 not in statuses
