Split the log of requests, the record of instances and the leaves' assembly off

Moved as they were, but for the log of requests, which takes the question in place of its parts; its lines are the same.

--- a/walkcart/bench/routed/instances.py
+++ b/walkcart/bench/routed/instances.py
@@ -42,8 +42,8 @@
 from walkcart.leaves.exchange import LinkTools
 from walkcart.leaves.leaf import Leaf
 from walkcart.leaves.pool import PoolTools
+from walkcart.membership.instancerecord import InstanceRecord
 from walkcart.membership.links import PeerLinks
-from walkcart.membership.registration import InstanceRecord
 from walkcart.routing.distance import Distance, Place, measure_distance
 from walkcart.routing.peerchoice import PeerAccounts
 from walkcart.routing.quarantine import Quarantine
--- a/walkcart/bench/routed/members.py
+++ b/walkcart/bench/routed/members.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from walkcart.membership.registration import InstanceRecord
+from walkcart.membership.instancerecord import InstanceRecord
 
 
 class FixedRegistration:
--- a/walkcart/bench/routed/trials.py
+++ b/walkcart/bench/routed/trials.py
@@ -28,7 +28,7 @@
     ToShards,
 )
 from walkcart.leaves.attempts import Attempt
-from walkcart.membership.registration import InstanceRecord
+from walkcart.membership.instancerecord import InstanceRecord
 from walkcart.routing.distance import Place, measure_distance
 from walkcart.standins.memory import MemoryNetwork
 
--- a/walkcart/bench/world.py
+++ b/walkcart/bench/world.py
@@ -16,12 +16,8 @@
 
 import trio
 
-from walkcart.daemon.assembly import (
-    Instance,
-    Surroundings,
-    assemble_instance,
-    make_backoff,
-)
+from walkcart.daemon.assembly import Instance, assemble_instance, make_backoff
+from walkcart.daemon.surroundings import Surroundings
 from walkcart.intent.applying import Applier, Outcome, Proposal
 from walkcart.intent.diffing import merge_configurations
 from walkcart.intent.distribution import ConfigurationKeeper
--- a/walkcart/daemon/assembly.py
+++ b/walkcart/daemon/assembly.py
@@ -10,10 +10,11 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
-from typing import TextIO
 
 import trio
 
+from walkcart.daemon.instanceleaves import add_leaves
+from walkcart.daemon.surroundings import Surroundings
 from walkcart.entry.admissions import Admissions
 from walkcart.entry.app import EntryService
 from walkcart.entry.credentials import Authenticator
@@ -22,13 +23,8 @@
 from walkcart.entry.queries import CallerTools, QueryHandler
 from walkcart.entry.stopping import PlannedStop
 from walkcart.fanout.gatherer import Gatherer
-from walkcart.fanout.gathering import GatherTools
-from walkcart.fanout.ids import IdSource
-from walkcart.fanout.quarantines import Quarantines
-from walkcart.fanout.selection import LeafSelector
 from walkcart.fanout.single import SingleSender
 from walkcart.intent.distribution import ConfigurationKeeper
-from walkcart.kernel.clock import Clock
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.invariants import Invariants
 from walkcart.kernel.metrics import Metrics
@@ -43,19 +39,15 @@
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.listing import InstanceList
 from walkcart.membership.marks import LeafMarks
-from walkcart.membership.quarantinenews import QuarantineSpread
 from walkcart.membership.view import MembershipView, MemberState
 from walkcart.once.claimant import Claimant
 from walkcart.once.owner import BucketOwners, OwnerTools
-from walkcart.routing.quarantine import Quarantine
-from walkcart.routing.replicas import ReplicaChooser
 from walkcart.store.backoff import Backoff
 from walkcart.store.budget import CallBudget
 from walkcart.store.calls import StoreCalls
 from walkcart.store.client import StoreClient
 from walkcart.wire.messages import MemberRecord
-from walkcart.wire.network import Network
-from walkcart.wire.peers import PeerListener, PeerTransport
+from walkcart.wire.peers import PeerListener
 
 #: Calls a second that one instance may make to the store, and its burst. Seven
 #: instances at this rate stay under half of what the service takes.
@@ -63,17 +55,6 @@
 STORE_BURST = 200.0
 
 
-@dataclass(frozen=True, slots=True)
-class Surroundings:
-    """What an instance runs on."""
-
-    network: Network
-    transport: PeerTransport
-    clock: Clock
-    random: Random
-    log: TextIO | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class Instance:
     """An instance, put together but not running.
@@ -109,7 +90,7 @@
     _add_base(kernel, settings, around)
     _add_membership(kernel, settings, around, peers, address)
     _add_intent(kernel, around)
-    _add_leaves(kernel, around)
+    add_leaves(kernel, around)
     _add_once(kernel, around)
     _add_entry(kernel, settings, around, listener)
     stop = _make_stop(kernel, settings, around)
@@ -206,87 +187,6 @@
     return Backoff(timedelta(seconds=0.1), timedelta(seconds=2), random)
 
 
-def _add_leaves(kernel: Kernel, around: Surroundings) -> None:
-    events = kernel.find("events", EventLog)
-    metrics = kernel.find("metrics", Metrics)
-    view = kernel.find("view", MembershipView)
-    links = kernel.find("links", PeerLinks)
-    table = LeafTable()
-    listing = kernel.find("listing", InstanceList)
-    listing.on_change(table.set_listed)
-    gateway: LeafGateway | None = None
-
-    def note_status(leaf, status) -> None:
-        assert gateway is not None
-        gateway.note_status(leaf, status)
-
-    tracer = kernel.find("tracer", Tracer)
-    forwarder = Forwarder(links, view, around.clock, note_status, tracer)
-    gateway = LeafGateway(
-        table,
-        kernel.find("marks", LeafMarks),
-        view,
-        forwarder,
-        around.network,
-        around.clock,
-        events,
-        metrics,
-        tracer,
-    )
-    kernel.add("table", table)
-    kernel.add("forwarder", forwarder)
-    kernel.add("gateway", gateway)
-    own = view.own
-    quarantines = _add_quarantines(kernel, around)
-    tools = GatherTools(
-        table,
-        gateway,
-        LeafSelector(gateway, ReplicaChooser(around.random)),
-        IdSource(own.name, own.incarnation),
-        around.clock,
-        kernel.find("invariants", Invariants),
-        metrics,
-        quarantines,
-    )
-    gatherer = Gatherer(tools)
-    kernel.add("gatherer", gatherer)
-    kernel.add("sender", SingleSender(tools, gatherer))
-    keeper = kernel.find("keeper", ConfigurationKeeper)
-
-    def use_groups() -> None:
-        document = keeper.document
-        names = [group.name for group in document.configuration.shard_groups]
-        gateway.set_groups([table.find_group(document, name) for name in names])
-
-    keeper.on_change(lambda document: use_groups())
-    listing.on_change(lambda leaves: use_groups())
-
-
-def _add_quarantines(kernel: Kernel, around: Surroundings) -> Quarantines:
-    """Add what remembers requests under which leafs ended, and tells of them."""
-    view = kernel.find("view", MembershipView)
-    quarantine = Quarantine()
-    quarantines = Quarantines(
-        quarantine,
-        around.clock,
-        view.own.name,
-        around.random,
-        kernel.find("events", EventLog),
-        kernel.find("metrics", Metrics),
-    )
-    spread = QuarantineSpread(
-        quarantine,
-        kernel.find("links", PeerLinks),
-        around.clock,
-        lambda: [record.name for record in view.usable_peers()],
-        lambda: False,
-        quarantines.note_news,
-    )
-    quarantines.follow(spread.tell_all, lambda fingerprint: None)
-    kernel.add("quarantine_spread", spread)
-    return quarantines
-
-
 def _add_once(kernel: Kernel, around: Surroundings) -> None:
     tools = OwnerTools(
         kernel.find("store", StoreClient),
--- a/walkcart/daemon/main.py
+++ b/walkcart/daemon/main.py
@@ -10,7 +10,8 @@
 
 import trio
 
-from walkcart.daemon.assembly import Instance, Surroundings, assemble_instance
+from walkcart.daemon.assembly import Instance, assemble_instance
+from walkcart.daemon.surroundings import Surroundings
 from walkcart.kernel.clock import BootClock, TrioClock
 from walkcart.kernel.settings import Loaded, Settings, describe_settings, load_settings
 from walkcart.wire.network import TcpNetwork
--- a/walkcart/daemon/surroundings.py
+++ b/walkcart/daemon/surroundings.py
@@ -14,6 +14,17 @@
 from walkcart.wire.server import HttpServer
 
 
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What an instance runs on."""
+
+    network: Network
+    transport: PeerTransport
+    clock: Clock
+    random: Random
+    log: TextIO | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class TenantSurroundings:
     """What the instance runs on.
--- a/walkcart/daemon/tenantstore.py
+++ b/walkcart/daemon/tenantstore.py
@@ -21,7 +21,8 @@
 from walkcart.leaves.directory import LeafDirectory
 from walkcart.leaves.exchange import LinkTools
 from walkcart.leaves.pool import LeafPool, PoolTools
-from walkcart.membership.registration import InstanceRecord, Registration
+from walkcart.membership.instancerecord import InstanceRecord
+from walkcart.membership.registration import Registration
 from walkcart.platform.documents import (
     CONFIGURATION_KEY,
     LEAF_PREFIX,
--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -14,10 +14,10 @@
 from random import Random
 from typing import Protocol
 
-from returns.result import Failure, Result, Success
+from returns.result import Result, Success
 
+from walkcart.entry.requestlog import RequestLog
 from walkcart.entry.starting import StartGate
-from walkcart.fanout.mergedanswer import MissingPart
 from walkcart.fanout.routed import RoutedGathering
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure, RoutedQuestion
 from walkcart.fanout.routedtools import RoutedTools
@@ -120,6 +120,7 @@
         self._tools = tools
         self._splits: dict[str, tuple[ToSplit, WeightedSplit]] = {}
         self._overshoot = Overshoot()
+        self._log = RequestLog(tools.events, tools.metrics)
 
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Answer one request; never raises but for cancellation."""
@@ -156,7 +157,13 @@
                 parts = len(question.services)
                 tools.gathering.delegates.gatherers.note_question(parts)
             result = await self._gather(question, top)
-        self._note(caller, route, start, result)
+        self._log.note_end(
+            question,
+            table.document.version,
+            _describe_objective(route),
+            tools.gathering.clock.monotonic() - start,
+            result,
+        )
         match result:
             case Success(answer) if question.whole_parts:
                 reply = tools.protocol.render_merged(answer, top)
@@ -236,51 +243,6 @@
         )
         return self._tools.protocol.render_failure(RoutedFailure(verdict))
 
-    def _note(
-        self,
-        caller: CallerRequest,
-        route: Route,
-        start: float,
-        result: Result[RoutedAnswer, RoutedFailure],
-    ) -> None:
-        """Log and count how a request ended."""
-        tools = self._tools
-        elapsed = tools.gathering.clock.monotonic() - start
-        fields = {
-            "request": caller.id,
-            "route": route.name,
-            "version": tools.keeper.table.document.version,
-            "ms": round(elapsed * 1000),
-            "objective_ms": _describe_objective(route),
-        }
-        tools.metrics.time("query.time", elapsed * 1000)
-        match result:
-            case Success(answer):
-                tools.metrics.count("query.answered")
-                if answer.missing:
-                    tools.metrics.count("query.partial")
-                tools.events.emit(
-                    Events.REQUEST_DONE,
-                    **fields,
-                    sent=answer.sent,
-                    repeats=answer.repeats,
-                    direct=len(answer.replies),
-                    gathered=len(answer.merged),
-                    missing=_describe_missing(answer.missing),
-                )
-            case Failure(failure):
-                tools.metrics.count(_counter_of(failure))
-                tools.events.emit(
-                    Events.REQUEST_UNSERVED,
-                    **fields,
-                    ran=type(failure.verdict).__name__,
-                    reason=failure.verdict.reason.value,
-                    detail=failure.verdict.detail,
-                    question=fingerprint_request(caller.forwarded).hex(),
-                    sent=failure.sent,
-                    missing=_describe_missing(failure.missing),
-                )
-
 
 def _least_coverage(target: Target) -> float:
     return target.least_coverage if isinstance(target, ToShards) else 1.0
@@ -291,14 +253,3 @@
     if route.objective is None:
         return None
     return round(route.objective.total_seconds() * 1000)
-
-
-def _counter_of(failure: RoutedFailure) -> str:
-    if isinstance(failure.verdict, NotRun):
-        return "query.refused"
-    return "query.uncertain"
-
-
-def _describe_missing(missing: tuple[MissingPart, ...]) -> dict[str, str]:
-    """Return the missing services for the log, a few at the most."""
-    return {part.service: part.reason.value for part in missing[:5]}
--- a/walkcart/fanout/gatherers.py
+++ b/walkcart/fanout/gatherers.py
@@ -12,7 +12,8 @@
 from walkcart.intent.routes import RouteTable, ToShards
 from walkcart.kernel.clock import Clock
 from walkcart.leaves.directory import LeafDirectory
-from walkcart.membership.registration import InstanceRecord, Registration
+from walkcart.membership.instancerecord import InstanceRecord
+from walkcart.membership.registration import Registration
 from walkcart.routing.distance import Place
 from walkcart.routing.gatherers import (
     PartRate,
--- a/walkcart/fanout/peerselection.py
+++ b/walkcart/fanout/peerselection.py
@@ -9,7 +9,7 @@
 
 from walkcart.fanout.delegatetools import DelegateTools
 from walkcart.fanout.groups import Group
-from walkcart.membership.registration import InstanceRecord
+from walkcart.membership.instancerecord import InstanceRecord
 from walkcart.routing.shares import rank_rendezvous
 from walkcart.wire.delegations import Greeting
 from walkcart.wire.messagebase import Message
--- a/walkcart/fanout/tests/test_crashing_questions.py
+++ b/walkcart/fanout/tests/test_crashing_questions.py
@@ -1,6 +1,6 @@
 """Questions of the product's own interface that end the leaves which run them.
 
-As on the platform (`walkcart.platform.tests.test_crashing_requests`): one question took
+As with routed requests, where the incident stands in full: one question took
 both replicas of each shard down, at each try anew.
 """
 
--- a/walkcart/membership/registration.py
+++ b/walkcart/membership/registration.py
@@ -24,6 +24,11 @@
 from walkcart.kernel.clock import Clock
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
+from walkcart.membership.instancerecord import (
+    INSTANCE_PREFIX,
+    SHARED_PREFIX,
+    InstanceRecord,
+)
 from walkcart.store.backoff import Backoff
 from walkcart.store.calls import StoreUnavailable
 from walkcart.store.items import (
@@ -36,10 +41,6 @@
     Transaction,
 )
 
-#: Start of all keys that instances of the platform store.
-SHARED_PREFIX = "walkcart/"
-#: Start of the keys of instances.
-INSTANCE_PREFIX = "walkcart/instances/"
 #: Life of the lease: an instance that died is forgotten after this. Four renewals may
 #: fail before a living one loses its key.
 LEASE_TIME = timedelta(seconds=15)
@@ -68,31 +69,6 @@
 COUNT_MEMORY = timedelta(seconds=20)
 
 
-class InstanceRecord(msgspec.Struct, frozen=True):
-    """What an instance stores about itself.
-
-    Args:
-        name: of the instance.
-        started: names its process life.
-        data_centre: where it stands.
-        region: of that data centre.
-        peer_address: ``IP:port`` for other instances; empty when it takes no peers.
-        cores: of its machine, in cores of the usual speed.
-    """
-
-    name: str
-    started: str
-    data_centre: str
-    region: str
-    peer_address: str = ""
-    cores: float = 1.0
-
-    @property
-    def incarnation(self) -> int:
-        """Return 0: messages to any life of an instance may be taken by the present."""
-        return 0
-
-
 @dataclass(frozen=True, slots=True)
 class Registered:
     """A stored key and the lease that it hangs on."""
--- a/walkcart/platform/tests/test_store_trouble.py
+++ b/walkcart/platform/tests/test_store_trouble.py
@@ -4,7 +4,8 @@
 
 from walkcart.bench.harness import run_mocked
 from walkcart.leaves.directory import LeafDirectory
-from walkcart.membership.registration import INSTANCE_PREFIX, Registration
+from walkcart.membership.instancerecord import INSTANCE_PREFIX
+from walkcart.membership.registration import Registration
 from walkcart.platform.tests.platformworld import make_route, open_platform
 
 
