--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -25,6 +25,7 @@
 
 from walkcart.fanout.crashwatch import CrashWatch
 from walkcart.fanout.dependence import is_vital, may_send_second_attempts
+from walkcart.fanout.duetimes import DueTimes
 from walkcart.fanout.elsewhere import GatheredElsewhere
 from walkcart.fanout.handing import Handing
 from walkcart.fanout.lateparts import plan_settling
@@ -69,6 +70,7 @@
         self._sends = RoutedSends(
             tools, question, self._receive, self._is_vital, self.watch
         )
+        self._due = DueTimes(question, self._sends, self.watch, tools.clock)
         self._elsewhere = GatheredElsewhere(
             tools,
             question,
@@ -221,36 +223,17 @@
         if self._inbox or self._elsewhere.has_news:
             return
         self._wakeup = trio.Event()
-        with trio.move_on_at(self._next_due()):
+        with trio.move_on_at(self._find_next_due()):
             await self._wakeup.wait()
 
-    def _next_due(self) -> float:
-        due = self._question.deadline
-        if not self._handed and covers(self._question, self._covered):
-            due = min(due, self._question.objective_at)
-        for item in self._tries.values():
-            if not item.covered:
-                due = min(due, self._due_at(item), self._hedge_at(item))
-        now = self._tools.clock.monotonic()
-        if now < self._last_call and any(i.held_back for i in self._tries.values()):
-            due = min(due, self._last_call)
-        if now < self._question.settle_at:
-            due = min(due, self._question.settle_at)
-        elif (at := self._late_due_at()) > now:
-            due = min(due, at)
-        return due
-
-    def _due_at(self, item: ServiceTry) -> float:
-        """Return when the next planned attempt at a service may be sent."""
-        if not self.watch.may_send(item.service):
-            return float("inf")
-        return self._sends.due_at(item)
-
-    def _hedge_at(self, item: ServiceTry) -> float:
-        """Return when a second attempt beside one that is late may be sent."""
-        return float("inf") if self.watch.holds else self._sends.hedge_at(item)
+    def _find_next_due(self) -> float:
+        """Return when something is due, if no outcome comes before."""
+        answerable = not self._handed and covers(self._question, self._covered)
+        return self._due.find_next(
+            self._tries.values(), answerable, self._last_call, self._find_late_due()
+        )
 
-    def _late_due_at(self) -> float:
+    def _find_late_due(self) -> float:
         """Return when late parts are asked for together."""
         if self.watch.holds:
             return float("inf")
@@ -329,16 +312,16 @@
         """Send what is due."""
         now = self._tools.clock.monotonic()
         for item in self._tries.values():
-            if not item.covered and self._due_at(item) <= now:
+            if not item.covered and self._due.attempt_at(item) <= now:
                 self._try_next(item, now)
         late = [
             item
             for item in self._tries.values()
-            if not item.covered and self._hedge_at(item) <= now
+            if not item.covered and self._due.hedge_at(item) <= now
         ]
-        if now >= self._late_due_at():
+        if now >= self._find_late_due():
             self._elsewhere.ask_late(now)
-        elif self._handing and not self._handed and now >= self._question.settle_at:
+        elif self._is_left_too_much(now):
             # Too much is late for asking together.
             self._sends.send_left(self._tries.values(), now)
         may = may_send_second_attempts(self._tries.values())
@@ -348,6 +331,12 @@
             else:
                 item.given_up = True
 
+    def _is_left_too_much(self, now: float) -> bool:
+        """Return whether what was left to be handed over is asked for from here."""
+        if self._handing is None or self._handed or self.watch.holds:
+            return False
+        return now >= self._question.settle_at
+
     def _try_next(self, item: ServiceTry, now: float) -> None:
         before = self._sends.sent
         self._sends.try_next(item, now)
