Begin no copy of a question, whoever brings it

Copies are now known by the id and the caller's request, for five seconds, and a question that is at work for longer isn't said to be not run either.

--- a/walkcart/fanout/carrying.py
+++ b/walkcart/fanout/carrying.py
@@ -51,9 +51,10 @@
 #: Seconds without a renewal after which a question is given up: within the half second
 #: that leafs may work on for a caller that left, and three renewals.
 HOLD_TIME = 0.4
-#: Seconds for which a cancellation or an end is kept, for the same question that comes
-#: after it, or once more; an older question isn't begun anyway.
-CLOSED_MEMORY = 1.0
+#: Seconds for which a question's coming, cancellation or end is kept, for the same one
+#: that comes after it, or once more. A question isn't begun `MOST_AGE` after it left,
+#: but said to be "not run", which its sender may rely on for as long as it waits.
+CLOSED_MEMORY = 5.0
 
 
 class Handover:
@@ -143,6 +144,8 @@
         self._carried: dict[QuestionKey, _Carried] = {}
         #: When questions were cancelled or ended, for messages that may yet come.
         self._closed: dict[QuestionKey, float] = {}
+        #: When questions came, by what tells them from all others, whoever sent them.
+        self._begun: dict[tuple[str, str], float] = {}
         self._nursery: trio.Nursery | None = None
         self._stopping = False
         links.on_work(DelegatedQuestion, self._on_question)
@@ -171,7 +174,9 @@
     def _on_question(self, sender: str, message: Message, age: float) -> None:
         assert isinstance(message, DelegatedQuestion)
         key = (sender, message.id)
-        if self._nursery is None or key in self._closed or key in self._carried:
+        copy = (message.id, message.request)
+        known = copy in self._begun or key in self._closed or key in self._carried
+        if self._nursery is None or known:
             # Cancelled before it came, or come once more: its sender has its answer,
             # or gets it. "Not run", as of a late one, would be untrue: 3 of 300
             # questions ran on more leafs than allowed where one in seven came twice.
@@ -191,6 +196,7 @@
         scope = trio.CancelScope(deadline=trio.current_time() + HOLD_TIME)
         handover = Handover(message.id, partial(self._links.send, sender))
         self._carried[key] = carried = _Carried(scope, handover)
+        _remember(self._begun, copy, self._clock.monotonic())
         late = max(0.0, age - USUAL_AGE)
         self._nursery.start_soon(self._carry, sender, message, late, carried)
 
@@ -233,14 +239,7 @@
             self._links.renew(sender)
 
     def _remember_closed(self, key: QuestionKey) -> None:
-        now = self._clock.monotonic()
-        self._closed.pop(key, None)
-        self._closed[key] = now
-        while self._closed:
-            first = next(iter(self._closed))
-            if self._closed[first] > now - CLOSED_MEMORY:
-                break
-            del self._closed[first]
+        _remember(self._closed, key, self._clock.monotonic())
 
     def _on_renewal(self, sender: str, message: Message) -> None:
         assert isinstance(message, DelegatedRenewal)
@@ -295,3 +294,16 @@
         verdict = MayHaveRun(Reason.CANCELLED, "the question wasn't renewed")
         outcome: Outcome = Failure(RoutedFailure(verdict))
         self._links.send(sender, encode_outcome(message.id, outcome))
+
+
+def _remember(
+    known: dict[tuple[str, str], float], key: tuple[str, str], now: float
+) -> None:
+    """Note that `key` was seen now, and forget what was seen long ago."""
+    known.pop(key, None)
+    known[key] = now
+    while known:
+        first = next(iter(known))
+        if known[first] > now - CLOSED_MEMORY:
+            break
+        del known[first]
--- a/walkcart/fanout/tests/test_foreign_messages.py
+++ b/walkcart/fanout/tests/test_foreign_messages.py
@@ -113,9 +113,9 @@
     return run_mocked(run)
 
 
-def make_question(id, target="/x"):
+def make_question(id, target="/x", request="r"):
     return DelegatedQuestion(
-        id, "r", "k", "GET", target, (), b"", ("s",), 1, 1.0, 2, 1.0, 0.5
+        id, request, "k", "GET", target, (), b"", ("s",), 1, 1.0, 2, 1.0, 0.5
     )
 
 
@@ -142,15 +142,27 @@
         carried.take("a", make_question("q"))
         await trio.sleep(WORK)
         carried.take("a", make_question("q"), age=0.4)
+        await trio.sleep(2)
+        carried.take("a", make_question("q"), age=2.4)
         return carried.answers(DelegatedFailure), carried.answers()
 
     assert play(act) == ([], [("a", "q", b"/x")])
 
 
+def test_a_copy_under_the_name_of_another_is_not_begun():
+    async def act(carried):
+        carried.take("a", make_question("q"))
+        carried.take("nobody", make_question("q"))
+        await trio.sleep(WORK * 2)
+        return carried.gathering.begun, carried.answers()
+
+    assert play(act) == (["/x"], [("a", "q", b"/x")])
+
+
 def test_two_senders_may_use_the_same_id():
     async def act(carried):
-        carried.take("a", make_question("q", "/a"))
-        carried.take("b", make_question("q", "/b"))
+        carried.take("a", make_question("q", "/a", "of a"))
+        carried.take("b", make_question("q", "/b", "of b"))
         await trio.sleep(WORK * 2)
         return sorted(carried.answers())
 
@@ -232,7 +244,9 @@
         for sender, message, pause in told:
             if isinstance(message, DelegatedQuestion):
                 target = f"/{sender}/{message.id}"
-                message = msgspec.structs.replace(message, target=target)
+                message = msgspec.structs.replace(
+                    message, target=target, request=sender
+                )
                 asked.setdefault((sender, message.id), target.encode())
             carried.take(sender, message)
             await trio.sleep(pause)
