--- /dev/null
+++ b/walkcart/platform/tests/crashingplay.py
@@ -0,0 +1,61 @@
+"""What the tests of requests under which leafs end play on."""
+
+import json
+
+import trio
+
+from walkcart.bench.harness import run_mocked
+from walkcart.platform.tests.crashingworld import CrashingWorld, make_sharded_route
+from walkcart.platform.tests.platformworld import make_route, open_platform
+from walkcart.wire.http import ExchangeFailed
+
+SHARDS = 9
+BAD = "/all/bad"
+PLACES = ("north-a", "south-a", "east-a")
+
+
+def play(act, instances=("one", "two", "three"), places=("north-a",), targets=(BAD,)):
+    """Play with instances before shards and one service of four leafs."""
+
+    async def run():
+        async with open_platform() as world:
+            crashing = CrashingWorld(world, set(targets))
+            for number in range(4):
+                await crashing.start_leaf("service", places[number % len(places)])
+            names = await crashing.start_shards(SHARDS, places=places)
+            world.configure(
+                make_sharded_route(names), make_route("one", "/one/", backend="service")
+            )
+            for number, name in enumerate(instances):
+                await world.start_instance(name, places[number % len(places)])
+                await world.wait_ready(name)
+            await trio.sleep(3)
+            return await act(crashing)
+
+    return run_mocked(run)
+
+
+def read_events(world, name):
+    """Return the lines of one event."""
+    lines = (json.loads(line) for line in world.log.getvalue().splitlines())
+    return [line for line in lines if line["event"] == name]
+
+
+async def ask_steadily(crashing, seconds, path="/all/good", interval=0.05):
+    """Ask different questions at all instances; return the statuses."""
+    world = crashing.world
+    statuses = []
+
+    async def ask(number, name):
+        try:
+            statuses.append((await world.ask(f"{path}-{number}", name)).status)
+        except (OSError, ExchangeFailed):
+            # The instance was killed.
+            statuses.append(0)
+
+    names = list(world.tenants)
+    async with trio.open_nursery() as nursery:
+        for number in range(int(seconds / interval)):
+            nursery.start_soon(ask, number, names[number % len(names)])
+            await trio.sleep(interval)
+    return statuses
--- a/walkcart/platform/tests/test_quarantined_requests.py
+++ b/walkcart/platform/tests/test_quarantined_requests.py
@@ -1,72 +1,21 @@
-"""What becomes of requests under which leafs end, and never of any others.
+"""What becomes of requests under which leafs end.
 
-The story stands in `test_crashing_requests`; here are the paths that it can take, and
-the troubles that must not be taken for it.
+The story stands in `test_crashing_requests`; here are the paths that it can take. The
+troubles that must not be taken for it are in `test_innocent_requests`.
 """
 
-import json
-
 import trio
 
-from walkcart.bench.harness import run_mocked
-from walkcart.platform.tests.crashingworld import (
-    CONTACT_TIME,
-    CrashingWorld,
-    make_sharded_route,
+from walkcart.platform.tests.crashingplay import (
+    BAD,
+    PLACES,
+    SHARDS,
+    ask_steadily,
+    play,
+    read_events,
 )
-from walkcart.platform.tests.platformworld import make_route, open_platform
-from walkcart.wire.http import ExchangeFailed
-
-SHARDS = 9
-BAD = "/all/bad"
-PLACES = ("north-a", "south-a", "east-a")
-
-
-def play(act, instances=("one", "two", "three"), places=("north-a",), targets=(BAD,)):
-    """Play with instances before shards and one service of four leafs."""
-
-    async def run():
-        async with open_platform() as world:
-            crashing = CrashingWorld(world, set(targets))
-            for number in range(4):
-                await crashing.start_leaf("service", places[number % len(places)])
-            names = await crashing.start_shards(SHARDS, places=places)
-            world.configure(
-                make_sharded_route(names), make_route("one", "/one/", backend="service")
-            )
-            for number, name in enumerate(instances):
-                await world.start_instance(name, places[number % len(places)])
-                await world.wait_ready(name)
-            await trio.sleep(3)
-            return await act(crashing)
-
-    return run_mocked(run)
-
-
-def read_events(world, name):
-    """Return the lines of one event."""
-    lines = (json.loads(line) for line in world.log.getvalue().splitlines())
-    return [line for line in lines if line["event"] == name]
-
-
-async def ask_steadily(crashing, seconds, path="/all/good", interval=0.05):
-    """Ask different questions at all instances; return the statuses."""
-    world = crashing.world
-    statuses = []
-
-    async def ask(number, name):
-        try:
-            statuses.append((await world.ask(f"{path}-{number}", name)).status)
-        except (OSError, ExchangeFailed):
-            # The instance was killed.
-            statuses.append(0)
-
-    names = list(world.tenants)
-    async with trio.open_nursery() as nursery:
-        for number in range(int(seconds / interval)):
-            nursery.start_soon(ask, number, names[number % len(names)])
-            await trio.sleep(interval)
-    return statuses
+from walkcart.platform.tests.crashingworld import CONTACT_TIME, make_sharded_route
+from walkcart.platform.tests.platformworld import make_route
 
 
 def test_groups_that_are_gathered_in_other_regions_are_kept_from_leafs_too():
@@ -119,79 +68,6 @@
     assert statuses.count(200) == len(statuses)
 
 
-def test_all_leafs_that_crash_at_once_make_no_question_suspect():
-    async def act(crashing):
-        async def crash_all():
-            await trio.sleep(1)
-            for id in crashing.leafs_alive():
-                crashing.crash(id)
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(crash_all)
-            await ask_steadily(crashing, 2, interval=0.005)
-        await trio.sleep(4)
-        statuses = await ask_steadily(crashing, 2, interval=0.005)
-        return statuses, read_events(crashing.world, "request_quarantined")
-
-    statuses, suspected = play(act)
-    assert suspected == []
-    assert statuses.count(200) == len(statuses)
-
-
-def test_leafs_that_crash_one_after_the_other_make_no_question_suspect():
-    async def act(crashing):
-        async def crash_all():
-            for id in crashing.leafs_alive():
-                crashing.crash(id)
-                await trio.sleep(0.02)
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(crash_all)
-            await ask_steadily(crashing, 2, interval=0.005)
-        return read_events(crashing.world, "request_quarantined")
-
-    assert play(act, places=PLACES) == []
-
-
-def test_leafs_that_go_down_and_up_make_no_request_suspect():
-    """Each second two of them crash; they are back at once. The same callers retry."""
-
-    async def act(crashing):
-        crashing.back_time = 0.3
-
-        async def flap():
-            while True:
-                alive = crashing.leafs_alive()
-                for id in alive[:: len(alive) // 2]:
-                    crashing.crash(id)
-                await trio.sleep(1)
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(flap)
-            nursery.start_soon(ask_steadily, crashing, 30, "/one/good", 0.02)
-            await ask_steadily(crashing, 30, "/all/good", 0.05)
-            nursery.cancel_scope.cancel()
-        return read_events(crashing.world, "request_quarantined")
-
-    assert play(act) == []
-
-
-def test_replies_that_are_lost_are_no_ends_of_leafs():
-    async def act(crashing):
-        world = crashing.world
-        for leaf in world.leafs.values():
-            leaf.faults.drop = True
-        for _ in range(6):
-            await world.ask("/all/good", "one")
-            await world.ask("/one/good", "one")
-        for leaf in world.leafs.values():
-            leaf.faults.drop = False
-        reply = await world.ask("/all/good", "one")
-        return reply.status, read_events(world, "leaf_ended")
-
-    assert play(act) == (200, [])
-
-
 def test_a_question_that_was_struck_by_chance_goes_to_one_leaf_and_is_freed():
     async def act(crashing):
         world = crashing.world
@@ -303,47 +179,6 @@
     assert play(act) == 200
 
 
-def test_leafs_that_are_replaced_in_turn_make_no_request_suspect():
-    """Half of them announce it, the others only vanish; all serve for a while yet."""
-
-    async def act(crashing):
-        world = crashing.world
-
-        async def replace(id, announces):
-            entry = world.entries[id]
-            await crashing.start_leaf(entry["backend"], entry["zone"])
-            if announces:
-                world.drain_leaf(id)
-            else:
-                world.store.remove(f"servers/{id}")
-            await trio.sleep(3)
-            world.servers[id].stop()
-
-        async with trio.open_nursery() as nursery:
-            load = nursery.start_soon
-            load(ask_steadily, crashing, 12, "/all/good", 0.02)
-            load(ask_steadily, crashing, 12, "/one/good", 0.02)
-            for number, id in enumerate(crashing.leafs_alive()):
-                nursery.start_soon(replace, id, number % 2 == 0)
-                await trio.sleep(0.3)
-        return read_events(world, "request_quarantined")
-
-    assert play(act) == []
-
-
-def test_instances_that_are_killed_make_no_request_suspect():
-    async def act(crashing):
-        world = crashing.world
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask_steadily, crashing, 6, "/all/good", 0.02)
-            for name in ("two", "three"):
-                await trio.sleep(1)
-                world.tenants[name].scope.cancel()
-        return read_events(world, "request_quarantined")
-
-    assert play(act, places=PLACES) == []
-
-
 def test_a_request_that_must_not_repeat_ends_three_leafs_and_no_more():
     async def act(crashing):
         world = crashing.world
@@ -385,34 +220,3 @@
     assert late == set()
     # The first tries were under way at all instances before any knew.
     assert ended <= 2 * SHARDS
-
-
-def test_the_same_harmless_question_of_many_callers_is_answered_all_the_time():
-    """Leafs go down and up, and hundreds of callers ask one and the same."""
-
-    async def act(crashing):
-        crashing.back_time = 0.3
-        world = crashing.world
-        statuses = []
-
-        async def flap():
-            while True:
-                alive = crashing.leafs_alive()
-                crashing.crash(alive[len(alive) // 2])
-                await trio.sleep(0.5)
-
-        async def ask(name):
-            statuses.append((await world.ask("/all/same", name)).status)
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(flap)
-            async with trio.open_nursery() as callers:
-                for number in range(500):
-                    callers.start_soon(ask, list(world.tenants)[number % 3])
-                    await trio.sleep(0.02)
-            nursery.cancel_scope.cancel()
-        return statuses, read_events(world, "request_quarantined")
-
-    statuses, suspected = play(act)
-    assert suspected == []
-    assert 503 not in statuses
