Let only a leaf's success free a request under which leafs ended

Found by reading: a leaf that fails part of what it gets, before it begins, counted as one that had run the request and lived. A suspect request to one leaf was freed by a 500 and the next try ended two leafs. The trial of such a request now also ends when an unexpected error comes between its admission and its gathering.

--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -18,6 +18,7 @@
 
 from walkcart.entry.requestlog import RequestLog
 from walkcart.entry.starting import StartGate
+from walkcart.fanout.crashwatch import CrashWatch
 from walkcart.fanout.routed import RoutedGathering
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure, RoutedQuestion
 from walkcart.fanout.routedtools import RoutedTools
@@ -148,15 +149,8 @@
         if isinstance(admitted, NotRun):
             return self._refuse(caller, admitted)
         question = replace(question, careful=admitted is Standing.CAREFUL)
-        span = tools.tracer.start(
-            "routed.request", caller.traceparent, request=caller.id, route=route.name
-        )
         top = route.target.top if isinstance(route.target, ToShards) else 0
-        with tools.tracer.hold(span):
-            if tools.gathering.delegates is not None:
-                parts = len(question.services)
-                tools.gathering.delegates.gatherers.note_question(parts)
-            result = await self._gather(question, top)
+        result = await self._gather(question, top)
         self._log.note_end(
             question,
             table.document.version,
@@ -181,13 +175,20 @@
     ) -> Result[RoutedAnswer, RoutedFailure]:
         """Ask the leafs, and remember how they fared."""
         tools = self._tools.gathering
-        gathering = RoutedGathering(tools, question, top)
+        watch = CrashWatch(len(question.services), question.careful)
         try:
-            return await gathering.run()
-        finally:
-            tools.quarantines.note(
-                question.fingerprint, gathering.watch, question.careful
+            span = self._tools.tracer.start(
+                "routed.request",
+                question.traceparent,
+                request=question.id,
+                route=question.kind,
             )
+            with self._tools.tracer.hold(span):
+                if tools.delegates is not None:
+                    tools.delegates.gatherers.note_question(len(question.services))
+                return await RoutedGathering(tools, question, top, watch=watch).run()
+        finally:
+            tools.quarantines.note(question.fingerprint, watch, question.careful)
 
     def _make_question(
         self, caller: CallerRequest, route: Route, start: float
--- a/walkcart/fanout/crashwatch.py
+++ b/walkcart/fanout/crashwatch.py
@@ -65,7 +65,7 @@
             self._lone = service
 
     def note_answer(self) -> None:
-        """Note that a leaf ran the question and lives."""
+        """Note that a leaf ran the question to its end and lives."""
         self.answered = True
         self.is_over = False
 
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -40,6 +40,8 @@
 
 #: From this status on a leaf's answer is a failure of its own.
 SERVER_FAILURE = 500
+#: Statuses of a leaf that ran a request to its end.
+SUCCESSES = range(200, 300)
 
 
 class RoutedGathering:
@@ -51,6 +53,7 @@
         top: records of a merged answer at the most; 0 where nothing is merged, and
             then nothing is delegated.
         handing: hands over to another instance what is in before the late parts.
+        watch: counts the leafs that end under it; None for one that nobody reads.
     """
 
     def __init__(
@@ -59,25 +62,25 @@
         question: RoutedQuestion,
         top: int = 0,
         handing: Handing | None = None,
+        watch: CrashWatch | None = None,
     ) -> None:
         question = plan_settling(tools, question, top)
         self._tools = tools
         self._question = question
         self._top = top
         self._tries = {name: ServiceTry(name) for name in question.services}
-        #: Leafs that ended under the question, and what it may still do.
-        self.watch = CrashWatch(len(question.services), question.careful)
+        self._watch = watch or CrashWatch(len(question.services), question.careful)
         self._sends = RoutedSends(
-            tools, question, self._receive, self._is_vital, self.watch
+            tools, question, self._receive, self._is_vital, self._watch
         )
-        self._due = DueTimes(question, self._sends, self.watch, tools.clock)
+        self._due = DueTimes(question, self._sends, self._watch, tools.clock)
         self._elsewhere = GatheredElsewhere(
             tools,
             question,
             top,
             self._sends,
             self._tries,
-            self.watch,
+            self._watch,
             wake=lambda: self._wakeup.set(),
         )
         self._handing = handing
@@ -116,7 +119,7 @@
             self._tools.clock.monotonic(),
             self._sends.sent,
             self._sends.repeats,
-            self.watch.is_over,
+            self._watch.is_over,
         )
 
     def _can_cover(self) -> bool:
@@ -131,7 +134,7 @@
 
     def _start(self, now: float) -> None:
         """Send the first attempts, and delegate what is far."""
-        if self.watch.holds:
+        if self._watch.holds:
             self._start_with_one(now)
             return
         far = self._elsewhere.start()
@@ -158,7 +161,7 @@
         now = self._tools.clock.monotonic()
         if self._covered == len(self._tries) or now >= self._question.deadline:
             return True
-        if self.watch.is_over:
+        if self._watch.is_over:
             return True
         still_open = sum(1 for item in self._tries.values() if item.open)
         if not still_open:
@@ -191,7 +194,7 @@
         question = self._question
         if self._handing is None or self._handed or question.settle_at == float("inf"):
             return False
-        if self.watch.holds:
+        if self._watch.holds:
             return False
         waiting = [item for item in self._tries.values() if not item.covered]
         if not any(item.open and not item.left for item in waiting):
@@ -235,7 +238,7 @@
 
     def _find_late_due(self) -> float:
         """Return when late parts are asked for together."""
-        if self.watch.holds:
+        if self._watch.holds:
             return float("inf")
         busy = any(item.under_way or item.next_at for item in self._tries.values())
         return self._elsewhere.late_due_at(busy)
@@ -268,20 +271,20 @@
                 status < SERVER_FAILURE or not self._question.idempotent
             ):
                 item.ran += 1
-                self.watch.note_answer()
+                self._watch_reply(item, status)
                 self._accept(item, outcome)
                 return
-            case Replied():
+            case Replied(status=status):
                 item.ran += 1
-                self.watch.note_answer()
+                self._watch_reply(item, status)
                 item.failure = outcome
                 item.reason = Reason.LEAF_FAILED
             case Refused(reason, retry_after):
-                self.watch.note_failed(item.service)
+                self._watch.note_failed(item.service)
                 item.reason = reason
                 item.refusal = NotRun(reason, "the leaf refused", retry_after)
             case Failed(NotRun() as verdict):
-                self.watch.note_failed(item.service)
+                self._watch.note_failed(item.service)
                 item.reason = verdict.reason
                 item.refusal = verdict
                 # It reached no leaf, so it is no repeat when it is sent again.
@@ -289,14 +292,24 @@
             case Failed(MayHaveRun(reason=Reason.LEAF_ENDED)):
                 item.ran += 1
                 item.ended += 1
-                self.watch.note_ended(item.service)
+                self._watch.note_ended(item.service)
             case Failed(MayHaveRun() as verdict):
-                self.watch.note_failed(item.service)
+                self._watch.note_failed(item.service)
                 item.ran += 1
                 item.reason = verdict.reason
         if not self._handed:
             self._sends.plan(item, now)
 
+    def _watch_reply(self, item: ServiceTry, status: int) -> None:
+        """Note that a leaf replied; only a success shows that it ran the question.
+
+        One that fails part of what it gets may do so before it begins.
+        """
+        if status in SUCCESSES:
+            self._watch.note_answer()
+        else:
+            self._watch.note_failed(item.service)
+
     def _accept(self, item: ServiceTry, reply: Replied) -> None:
         if item.covered:
             self._tools.metrics.count("leaf.late")
@@ -333,7 +346,7 @@
 
     def _is_left_too_much(self, now: float) -> bool:
         """Return whether what was left to be handed over is asked for from here."""
-        if self._handing is None or self._handed or self.watch.holds:
+        if self._handing is None or self._handed or self._watch.holds:
             return False
         return now >= self._question.settle_at
 
@@ -341,7 +354,7 @@
         before = self._sends.sent
         self._sends.try_next(item, now)
         if self._sends.sent > before:
-            self.watch.note_sent(item.service)
+            self._watch.note_sent(item.service)
 
     def _cancel_rest(self) -> None:
         for item in self._tries.values():
--- a/walkcart/platform/tests/leafstandin.py
+++ b/walkcart/platform/tests/leafstandin.py
@@ -19,6 +19,7 @@
         refuse: every request is turned away, not run.
         refuse_tenths: of ten requests so many are turned away, spread evenly.
         status: of every answer, if not 0.
+        fail_first: status of every answer, which is given before anything is run.
         drop: every request is run and its connection closed without an answer.
         other_id: echoes the id of another request.
         unstamped: answers lack their stamp.
@@ -28,6 +29,7 @@
     refuse: bool = False
     refuse_tenths: int = 0
     status: int = 0
+    fail_first: int = 0
     drop: bool = False
     other_id: bool = False
     unstamped: bool = False
@@ -75,6 +77,9 @@
             return HttpReply(421, (echo, (b"x-instance-id", self.id.encode())))
         if self.faults.refuse or self._is_refused():
             return HttpReply(503, (echo, (b"x-not-executed", b"1")))
+        if self.faults.fail_first:
+            stamp = (b"x-response-stamp", f"stamp-{self.id}-{id}".encode())
+            return HttpReply(self.faults.fail_first, (echo, stamp))
         self.ran.append(id)
         self.running += 1
         try:
--- a/walkcart/platform/tests/test_quarantined_requests.py
+++ b/walkcart/platform/tests/test_quarantined_requests.py
@@ -220,3 +220,26 @@
     assert late == set()
     # The first tries were under way at all instances before any knew.
     assert ended <= 2 * SHARDS
+
+
+def test_a_leaf_that_fails_part_of_its_requests_frees_no_request():
+    """Such a leaf replies with a failure before it begins."""
+
+    async def act(crashing):
+        world = crashing.world
+        await world.ask("/one/bad", "one")
+        await trio.sleep(4)
+        for leaf in world.leafs.values():
+            leaf.faults.fail_first = 500
+        await world.ask("/one/bad", "two")
+        for leaf in world.leafs.values():
+            leaf.faults.fail_first = 0
+        ended = len(crashing.ended)
+        await trio.sleep(1)
+        for name in ("one", "two", "three"):
+            await world.ask("/one/bad", name)
+        return ended, len(crashing.ended), read_events(world, "quarantine_lifted")
+
+    ended, later, lifted = play(act, targets=("/one/bad",))
+    assert lifted == []
+    assert later <= ended + 1
