--- a/walkcart/platform/tests/soak.py
+++ b/walkcart/platform/tests/soak.py
@@ -165,11 +165,7 @@
                 await trio.sleep(span)
                 self.daemons.signal(name, signal.SIGCONT)
             case "herd":
-                chosen = [item for item in names if item in self.daemons.running]
-                for item in chosen:
-                    await self.daemons.end(item, signal.SIGKILL)
-                for item in chosen:
-                    self.daemons.start(item)
+                await self._kill_all(names)
                 await trio.sleep(span)
             case "store":
                 await self.estate.trouble_store(span)
@@ -180,6 +176,16 @@
             case "route":
                 self.estate.change_routes()
 
+    async def _kill_all(self, names: list[str]) -> None:
+        """Kill all that run, and start these again; another series may end some."""
+        killed = []
+        for name in names:
+            if name in self.daemons.running:
+                killed.append(name)
+                await self.daemons.end(name, signal.SIGKILL)
+        for name in killed:
+            self.daemons.start(name)
+
     def _end_faults(self, names: list[str]) -> None:
         """Bring back what the end of the faults left paused, ended or troubled."""
         self.estate.heal()
