Keep requests to the regions that their route may be served in

Where a request may go is decided in one module, routing/eligibility.py, over plain data. A question's pool shows only the leafs that it may go to, so that first attempts, repeats, hedges, late parts, groups and gatherers follow without a flag of their own; the link asks once more before the first byte; the regions go along to other instances, which are asked only inside of them. What the configuration in force takes away binds questions under way too. A region that no data centre is in is logged once.

--- a/walkcart/bench/routed/instances.py
+++ b/walkcart/bench/routed/instances.py
@@ -41,10 +41,11 @@
 from walkcart.leaves.directory import LeafDirectory, LeafEntry
 from walkcart.leaves.exchange import LinkTools
 from walkcart.leaves.leaf import Leaf
-from walkcart.leaves.pool import PoolTools
+from walkcart.leaves.pooltools import PoolTools
 from walkcart.membership.instancerecord import InstanceRecord
 from walkcart.membership.links import PeerLinks
 from walkcart.routing.distance import Distance, Place, measure_distance
+from walkcart.routing.eligibility import ANYWHERE, Regions
 from walkcart.routing.peerchoice import PeerAccounts
 from walkcart.routing.quarantine import Quarantine
 from walkcart.routing.repeats import RepeatBudget, RepeatLimits
@@ -109,11 +110,13 @@
         without: frozenset[str],
         objective: float,
         now: float,
+        regions: Regions = ANYWHERE,
     ) -> Leaf | None:
         """Return the leaf for the next request."""
         if self._policy.choose:
-            return super().choose(service, kind, without, objective, now)
-        left = [item for item in self.leaves_of(service) if item.id not in without]
+            return super().choose(service, kind, without, objective, now, regions)
+        leaves = self.leaves_of(service, regions)
+        left = [item for item in leaves if item.id not in without]
         return self._random.choice(left) if left else None
 
     def _note_failure(self, leaf: Leaf, now: float) -> None:
--- a/walkcart/bench/routed/links.py
+++ b/walkcart/bench/routed/links.py
@@ -17,7 +17,8 @@
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused, Replied
 from walkcart.leaves.leaf import UNPINNED, Leaf
 from walkcart.leaves.link import CONNECT_TIME
-from walkcart.leaves.pool import LeafPool, PoolTools
+from walkcart.leaves.pool import LeafPool
+from walkcart.leaves.pooltools import PoolTools
 from walkcart.leaves.protocol import LeafStatus
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
--- a/walkcart/daemon/tenant.py
+++ b/walkcart/daemon/tenant.py
@@ -56,7 +56,7 @@
     kernel = Kernel()
     add_base(kernel, settings, around)
     add_store(kernel, settings, around, peers)
-    add_intent(kernel, around)
+    add_intent(kernel, settings, around)
     add_leaves(kernel, settings, around)
     add_delegates(kernel, settings, around, peers)
     add_entry(kernel, settings, around, callers)
--- a/walkcart/daemon/tenantstore.py
+++ b/walkcart/daemon/tenantstore.py
@@ -18,9 +18,13 @@
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.registry import Kernel
 from walkcart.kernel.spans import OUTPUT_NONE, Tracer
+from walkcart.leaves.attempts import Attempt
 from walkcart.leaves.directory import LeafDirectory
 from walkcart.leaves.exchange import LinkTools
-from walkcart.leaves.pool import LeafPool, PoolTools
+from walkcart.leaves.leaf import Leaf
+from walkcart.leaves.pool import LeafPool
+from walkcart.leaves.pooltools import PoolTools
+from walkcart.leaves.protocol import LeafStatus
 from walkcart.membership.instancerecord import InstanceRecord
 from walkcart.membership.registration import Registration
 from walkcart.platform.documents import (
@@ -40,6 +44,7 @@
 from walkcart.store.following import PrefixFollower
 from walkcart.store.updates import Update
 from walkcart.wire.peers import PeerListener
+from walkcart.wire.verdicts import NotRun
 
 #: Share of the store's rate that one instance may use at once; with seven instances
 #: that leaves more than half to the others.
@@ -110,10 +115,14 @@
     return Backoff(STORE_FIRST_BACKOFF, STORE_LONGEST_BACKOFF, random)
 
 
-def add_intent(kernel: Kernel, around: TenantSurroundings) -> None:
+def add_intent(
+    kernel: Kernel, settings: PlatformSettings, around: TenantSurroundings
+) -> None:
     """Add the routing document in force and what follows it."""
     events = kernel.find("events", EventLog)
-    keeper = RouteKeeper(around.clock, events, kernel.find("metrics", Metrics))
+    regions = frozenset(settings.regions.values())
+    metrics = kernel.find("metrics", Metrics)
+    keeper = RouteKeeper(around.clock, events, metrics, regions)
 
     def take(update: Update) -> None:
         item = update.items.get(CONFIGURATION_KEY)
@@ -182,10 +191,14 @@
     """Return the pool of links to leafs."""
     pool: LeafPool | None = None
 
-    def note_status(leaf, status) -> None:
+    def note_status(leaf: Leaf, status: LeafStatus) -> None:
         assert pool is not None
         pool.note_status(leaf, status)
 
+    def admit(leaf: Leaf, attempt: Attempt) -> NotRun | None:
+        assert pool is not None
+        return pool.admit(leaf, attempt)
+
     link = LinkTools(
         around.network,
         around.clock,
@@ -194,6 +207,7 @@
         kernel.find("tracer", Tracer),
         note_status,
         PlatformLeafProtocol(),
+        admit,
     )
     pool = LeafPool(
         PoolTools(
--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -215,6 +215,7 @@
             whole_parts=sharded,
             traceparent=caller.traceparent,
             fingerprint=fingerprint_request(caller.forwarded),
+            regions=route.regions,
         )
 
     def _choose_services(self, route: Route) -> tuple[str, ...]:
--- a/walkcart/fanout/delegates.py
+++ b/walkcart/fanout/delegates.py
@@ -31,6 +31,7 @@
 from walkcart.fanout.routedquestion import RoutedFailure, RoutedQuestion
 from walkcart.kernel.events import Events
 from walkcart.kernel.taskfaults import note_task_fault
+from walkcart.routing.eligibility import may_carry
 from walkcart.routing.settling import GroupTimes
 from walkcart.wire.delegations import (
     DelegatedAnswer,
@@ -115,6 +116,8 @@
         peer = self._selection.choose(wanted, without)
         if peer is None or self._nursery is None:
             return None
+        if not may_carry(question.regions, peer.region):
+            return None
         now = self._tools.clock.monotonic()
         group = DelegatedGroup(
             wanted.services,
--- a/walkcart/fanout/delegationcodec.py
+++ b/walkcart/fanout/delegationcodec.py
@@ -15,6 +15,7 @@
 from walkcart.fanout.delegatedgroup import Outcome
 from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
 from walkcart.fanout.routedquestion import RoutedQuestion
+from walkcart.routing.eligibility import ANYWHERE, Regions
 from walkcart.wire.delegations import (
     NEVER,
     DelegatedAnswer,
@@ -68,9 +69,18 @@
         settle=min(NEVER, max(0.0, question.settle_at - spent)),
         granted=question.granted,
         traceparent=question.traceparent,
+        regions=_encode_regions(question.regions),
     )
 
 
+def _encode_regions(regions: Regions) -> tuple[str, ...] | None:
+    return None if regions.names is None else tuple(sorted(regions.names))
+
+
+def _decode_regions(names: tuple[str, ...] | None) -> Regions:
+    return ANYWHERE if names is None else Regions(frozenset(names))
+
+
 def decode_question(message: DelegatedQuestion, now: float) -> RoutedQuestion:
     """Return the question that a message asks for, on this instance's clock."""
     request = HttpRequest(message.method, message.target, message.headers, message.body)
@@ -89,6 +99,7 @@
         granted=message.granted,
         traceparent=message.traceparent,
         fingerprint=fingerprint_request(request),
+        regions=_decode_regions(message.regions),
     )
 
 
--- a/walkcart/fanout/gatherers.py
+++ b/walkcart/fanout/gatherers.py
@@ -40,7 +40,11 @@
         match route.target:
             case ToShards(services):
                 for service in services:
-                    places |= directory.places_of(service)
+                    places |= {
+                        place
+                        for place in directory.places_of(service)
+                        if route.regions.allows(place.region)
+                    }
     return frozenset(places)
 
 
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -19,6 +19,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import replace
 
 import trio
 from returns.result import Failure, Result
@@ -64,6 +65,8 @@
         handing: Handing | None = None,
         watch: CrashWatch | None = None,
     ) -> None:
+        pool = tools.pool.limit_to(question.kind, question.regions)
+        tools = replace(tools, pool=pool)
         question = plan_settling(tools, question, top)
         self._tools = tools
         self._question = question
--- a/walkcart/fanout/routedquestion.py
+++ b/walkcart/fanout/routedquestion.py
@@ -6,6 +6,7 @@
 
 from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
 from walkcart.leaves.attempts import Replied
+from walkcart.routing.eligibility import ANYWHERE, Regions
 from walkcart.wire.http import HttpRequest
 from walkcart.wire.verdicts import MayHaveRun, NotRun
 
@@ -34,6 +35,7 @@
         traceparent: of the trace.
         fingerprint: of the request (`walkcart.wire.fingerprint`).
         careful: whether one leaf is to answer before others are asked.
+        regions: that it may be served in, by the configuration of who admitted it.
     """
 
     id: str
@@ -52,6 +54,7 @@
     traceparent: str | None = None
     fingerprint: bytes = b""
     careful: bool = False
+    regions: Regions = ANYWHERE
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -247,6 +247,8 @@
             traceparent=question.traceparent,
             fingerprint=question.fingerprint,
             wary=self._watch.is_wary,
+            kind=question.kind,
+            regions=question.regions,
         )
         item.under_way[attempt.id] = Sent(leaf, now, self._find_hedge_time(leaf, now))
         item.tried.append(leaf.id)
--- a/walkcart/fanout/routedtools.py
+++ b/walkcart/fanout/routedtools.py
@@ -13,6 +13,7 @@
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.metrics import Metrics
 from walkcart.leaves.pool import LeafPool
+from walkcart.leaves.scopedpool import ScopedPool
 from walkcart.routing.distance import Place
 from walkcart.routing.overshoot import Overshoot
 from walkcart.routing.repeats import RepeatBudget
@@ -23,7 +24,7 @@
     """What every routed question of an instance uses.
 
     Args:
-        pool: sends attempts.
+        pool: sends attempts; a question's own sees only where that one may go.
         budget: of repeats.
         instances: returns the number of instances that divide the budget.
         ids: names attempts.
@@ -38,7 +39,7 @@
             reading it and writing its answer take is about the same.
     """
 
-    pool: LeafPool
+    pool: LeafPool | ScopedPool
     budget: RepeatBudget
     instances: Callable[[], int]
     ids: IdSource
--- a/walkcart/intent/routekeeper.py
+++ b/walkcart/intent/routekeeper.py
@@ -30,9 +30,18 @@
         clock: source of time.
         events: where changes are logged.
         metrics: where the version in force and its delay are shown.
+        regions: that there are; None where that isn't known.
     """
 
-    def __init__(self, clock: Clock, events: EventLog, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        events: EventLog,
+        metrics: Metrics,
+        regions: frozenset[str] | None = None,
+    ) -> None:
+        self._regions = regions
+        self._unknown: set[str] = set()
         self._clock = clock
         self._events = events
         self._metrics = metrics
@@ -80,6 +89,19 @@
         self._metrics.gauge("intent.revision", document.version)
         if known:
             self._metrics.time("intent.delay", origin.delay * 1000)
+        self._note_unknown_regions(document)
         for listener in self._listeners:
             listener(self.table)
         return True
+
+    def _note_unknown_regions(self, document: RoutingDocument) -> None:
+        """Log regions that no data centre is in, once each: they serve nothing."""
+        if self._regions is None:
+            return
+        for route in document.routes:
+            unknown = (route.regions.names or frozenset()) - self._regions
+            for region in sorted(unknown - self._unknown):
+                self._unknown.add(region)
+                self._events.emit(
+                    Events.ROUTE_REGION_UNKNOWN, region=region, route=route.name
+                )
--- a/walkcart/intent/routes.py
+++ b/walkcart/intent/routes.py
@@ -18,6 +18,8 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from walkcart.routing.eligibility import ANYWHERE, Regions
+
 #: Attempts at one leaf or shard where a route sets no bound.
 MOST_ATTEMPTS = 3
 #: Longest time for a request where a route sets none.
@@ -78,6 +80,7 @@
         objective: time within which an answer is of full value; None when any is.
         most_attempts: leafs that may run one request, for each shard.
         rank: 0 is the most urgent.
+        regions: that its requests may be served in.
     """
 
     name: str
@@ -89,6 +92,7 @@
     objective: timedelta | None = None
     most_attempts: int = MOST_ATTEMPTS
     rank: int = 0
+    regions: Regions = ANYWHERE
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,12 +152,22 @@
     def __init__(self, document: RoutingDocument) -> None:
         self.document = document
         self.services = {spec.name: spec for spec in document.services}
+        self._by_name = {route.name: route for route in document.routes}
         self._by_host: dict[str, list[Route]] = {}
         for route in document.routes:
             self._by_host.setdefault(route.host, []).append(route)
         for routes in self._by_host.values():
             routes.sort(key=lambda route: -len(route.prefix))
 
+    def regions_of(self, name: str) -> Regions:
+        """Return where requests of a route may be served; anywhere if it isn't known.
+
+        Args:
+            name: of the route.
+        """
+        route = self._by_name.get(name)
+        return route.regions if route else ANYWHERE
+
     def find(self, host: str, target: str) -> Route | None:
         """Return the route with the longest prefix of a request's path, or None.
 
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -129,6 +129,9 @@
     ROUTES_IN_FORCE = _info(509, "routes_in_force", "A routing document is applied.")
     ROUTES_IGNORED = _info(510, "routes_ignored", "Not newer than what is in force.")
     ROUTES_BAD = _error(511, "routes_bad", "A routing document can't be read.")
+    ROUTE_REGION_UNKNOWN = _warn(
+        518, "route_region_unknown", "No data centre is in a region that a route names."
+    )
     LEAF_ENTRY_BAD = _error(512, "leaf_entry_bad", "A leaf's entry can't be read.")
     REGISTERED = _info(513, "registered", "This instance's leased key is stored.")
     REGISTRATION_LOST = _warn(
--- a/walkcart/leaves/attempts.py
+++ b/walkcart/leaves/attempts.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 from walkcart.leaves.leaf import UNPINNED, Snapshot
+from walkcart.routing.eligibility import ANYWHERE, Regions
 from walkcart.wire.http import Headers, HttpRequest
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
@@ -36,6 +37,8 @@
         fingerprint: of the question, the same whenever it is asked again.
         wary: whether the leaf is first seen to live, so that one which had ended
             before isn't taken for one that ended under it.
+        kind: name of the route that a routed request came by.
+        regions: that a routed request may be served in.
     """
 
     id: str
@@ -53,6 +56,8 @@
     whole_part: bool = False
     fingerprint: bytes = b""
     wary: bool = False
+    kind: str = ""
+    regions: Regions = ANYWHERE
 
     @property
     def repeatable(self) -> bool:
--- a/walkcart/leaves/directory.py
+++ b/walkcart/leaves/directory.py
@@ -20,6 +20,13 @@
 from walkcart.kernel.events import Events
 from walkcart.leaves.leaf import Leaf
 from walkcart.routing.distance import Place
+from walkcart.routing.eligibility import (
+    NO_DATA_CENTRES,
+    LeafStanding,
+    Obstacle,
+    Regions,
+    find_obstacle,
+)
 
 #: How long after the store's return a lapsed entry is kept: living leafs have stored
 #: theirs again by then, as the platform's operators state.
@@ -83,6 +90,7 @@
         self._places: dict[str, frozenset[Place]] = {}
         self._lapsed: dict[str, float] = {}
         self._replaced: dict[tuple[str, int, str], None] = {}
+        self._evacuated = NO_DATA_CENTRES
         self._listeners: list[Callable[[], None]] = []
         self.known = False
 
@@ -106,6 +114,22 @@
         """Return the account of the leaf with this id, or None."""
         return self._leaves.get(id)
 
+    def find_obstacle(self, leaf: Leaf, regions: Regions) -> Obstacle | None:
+        """Return why a request may not go to a leaf now, or None when it may.
+
+        Args:
+            leaf: as it was chosen; another life of it may have begun since.
+            regions: that the request may be served in.
+        """
+        entry = self._entries.get(leaf.id)
+        if entry is None or self._leaves.get(leaf.id) is not leaf:
+            return Obstacle.GONE
+        return find_obstacle(self._describe(entry), regions, self._evacuated)
+
+    def _describe(self, entry: LeafEntry) -> LeafStanding:
+        replaced = entry.life in self._replaced
+        return LeafStanding(entry.region, entry.data_centre, entry.leaving, replaced)
+
     def forget(self, leaf: Leaf) -> None:
         """Take note that another leaf answers at the address of this one."""
         entry = self._entries.get(leaf.id)
@@ -185,7 +209,8 @@
             if leaf is None or not _is_life_of(leaf, entry):
                 leaf = self._make_leaf(entry, now)
             leaves[id] = leaf
-            if not entry.leaving and entry.life not in self._replaced:
+            standing = self._describe(entry)
+            if find_obstacle(standing, evacuated=self._evacuated) is None:
                 by_service.setdefault(entry.service, []).append(leaf)
         self._leaves = leaves
         self._by_service = {name: tuple(found) for name, found in by_service.items()}
--- a/walkcart/leaves/exchange.py
+++ b/walkcart/leaves/exchange.py
@@ -51,6 +51,15 @@
     scope: trio.CancelScope | None = None
 
 
+#: Returns why an attempt may not be sent to a leaf now; None when it may.
+Admit = Callable[[Leaf, Attempt], NotRun | None]
+
+
+def admit_all(leaf: Leaf, attempt: Attempt) -> NotRun | None:
+    """Return None: every attempt may be sent."""
+    return None
+
+
 @dataclass(frozen=True, slots=True)
 class LinkTools:
     """What every link of an instance uses."""
@@ -62,6 +71,7 @@
     tracer: Tracer
     on_status: Callable[[Leaf, LeafStatus], None]
     protocol: LeafProtocol = field(default_factory=QuestionProtocol)
+    admit: Admit = admit_all
 
 
 class LeafExchanges:
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -295,6 +295,10 @@
             # Nothing of the attempt was sent: it goes on over another one.
             self._queue.appendleft(pending)
             return False
+        refusal = self._tools.admit(self.leaf, attempt)
+        if refusal is not None:
+            self._end(pending, Failed(refusal))
+            return True
         return await self._exchange(connection, pending, attempt)
 
     async def _is_fresh(self, connection: HttpConnection) -> bool:
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -10,23 +10,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
-from random import Random
-from typing import Protocol
-
 import trio
 
-from walkcart.intent.routekeeper import RouteKeeper
 from walkcart.kernel.events import Events
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused, Replied
-from walkcart.leaves.directory import LeafDirectory
-from walkcart.leaves.exchange import LinkTools
 from walkcart.leaves.leaf import Leaf
 from walkcart.leaves.link import LeafLink
+from walkcart.leaves.pooltools import Gathering, PoolTools
 from walkcart.leaves.protocol import LeafStatus
+from walkcart.leaves.scopedpool import ScopedPool
 from walkcart.routing.distance import Distance, Place, measure_distance
 from walkcart.routing.ejection import may_eject
+from walkcart.routing.eligibility import ANYWHERE, Regions
 from walkcart.routing.kindtimes import KindTimes
 from walkcart.routing.placement import Standing, choose_leaf
 from walkcart.routing.shares import ConnectionShares
@@ -50,39 +45,6 @@
 LEAST_STALL = 0.03
 
 
-@dataclass(frozen=True, slots=True)
-class PoolTools:
-    """What the pool works with.
-
-    Args:
-        directory: the leafs.
-        keeper: the routing document, for the services' connections.
-        link: what every link uses.
-        instances: returns the number of instances that share connections.
-        place: of this instance.
-        random: breaks ties.
-    """
-
-    directory: LeafDirectory
-    keeper: RouteKeeper
-    link: LinkTools
-    instances: Callable[[], int]
-    place: Place
-    random: Random
-
-
-class Gathering(Protocol):
-    """Who asks the leafs for most questions."""
-
-    def is_own(self) -> bool:
-        """Return whether this instance is one of them."""
-        ...
-
-    def count(self) -> int:
-        """Return how many they are."""
-        ...
-
-
 class LeafPool:
     """Sends routed attempts to leafs and keeps their accounts."""
 
@@ -114,13 +76,45 @@
         """Have more connections to leafs while this instance asks for others too."""
         self._gathering = gathering
 
-    def leaves_of(self, service: str) -> tuple[Leaf, ...]:
-        """Return the leafs of a service that may get new work."""
-        return self._tools.directory.leaves_of(service)
+    def limit_to(self, kind: str, regions: Regions) -> ScopedPool:
+        """Return the pool as a question sees it that may go to some regions only.
 
-    def places_of(self, service: str) -> frozenset[Place]:
-        """Return the places where a service has leafs that may get work."""
-        return self._tools.directory.places_of(service)
+        Args:
+            kind: name of the question's route.
+            regions: that it may be served in, by whoever admitted it.
+        """
+        return ScopedPool(self, kind, regions)
+
+    def regions_now(self, kind: str, regions: Regions) -> Regions:
+        """Return the regions among some that the routes in force allow still."""
+        return regions.intersect(self._tools.keeper.table.regions_of(kind))
+
+    def leaves_of(self, service: str, regions: Regions = ANYWHERE) -> tuple[Leaf, ...]:
+        """Return the leafs of a service in some regions that may get new work."""
+        leaves = self._tools.directory.leaves_of(service)
+        if regions.names is None:
+            return leaves
+        return tuple(leaf for leaf in leaves if regions.allows(leaf.region))
+
+    def places_of(self, service: str, regions: Regions = ANYWHERE) -> frozenset[Place]:
+        """Return the places in some regions where a service has such leafs."""
+        places = self._tools.directory.places_of(service)
+        if regions.names is None:
+            return places
+        return frozenset(place for place in places if regions.allows(place.region))
+
+    def admit(self, leaf: Leaf, attempt: Attempt) -> NotRun | None:
+        """Return why an attempt may not be sent to a leaf now; None when it may.
+
+        Asked just before the first byte: regions and data centres may have been taken
+        away while the attempt waited for a connection.
+        """
+        regions = self.regions_now(attempt.kind, attempt.regions)
+        obstacle = self._tools.directory.find_obstacle(leaf, regions)
+        if obstacle is None:
+            return None
+        self._tools.link.metrics.count("leaf.barred")
+        return NotRun(Reason.NO_LEAF, f"leaf {leaf.id}: {obstacle.value}")
 
     def choose(
         self,
@@ -129,6 +123,7 @@
         without: frozenset[str],
         objective: float,
         now: float,
+        regions: Regions = ANYWHERE,
     ) -> Leaf | None:
         """Return the leaf for the next request, or None when none may get it.
 
@@ -138,8 +133,11 @@
             without: ids of leafs that it must not go to.
             objective: seconds within which the request is to be answered.
             now: the present, in seconds.
+            regions: that the request may be served in.
         """
-        leaves = [leaf for leaf in self.leaves_of(service) if leaf.id not in without]
+        leaves = [
+            leaf for leaf in self.leaves_of(service, regions) if leaf.id not in without
+        ]
         if len(leaves) <= 1:
             return leaves[0] if leaves else None
         standings = [self._describe(leaf, kind, now) for leaf in leaves]
@@ -263,7 +261,7 @@
             case Refused():
                 leaf.replied_at = now
                 leaf.replies.note(now, good=False)
-            case Failed(NotRun(Reason.CANCELLED | Reason.DEADLINE)):
+            case Failed(NotRun(Reason.CANCELLED | Reason.DEADLINE | Reason.NO_LEAF)):
                 pass
             case Failed(MayHaveRun(Reason.CANCELLED)):
                 pass
--- a/walkcart/platform/documents.py
+++ b/walkcart/platform/documents.py
@@ -22,6 +22,7 @@
 from walkcart.kernel.events import Events
 from walkcart.leaves.directory import LeafEntry
 from walkcart.platform.settings import parse_duration_ms
+from walkcart.routing.eligibility import ANYWHERE, Regions
 from walkcart.store.items import Item
 
 #: The key of the configuration.
@@ -64,6 +65,8 @@
     top_k: int = msgspec.field(default=0, name="topK")
     # Least share of the shards that an answer must hold.
     min_coverage: float = 0.0
+    # The only regions that requests may be served in; empty means everywhere.
+    allowed_regions: list[str] = []
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -147,9 +150,14 @@
         objective=objective,
         most_attempts=max(1, route.max_attempts),
         rank=route.priority,
+        regions=_read_regions(route.allowed_regions),
     )
 
 
+def _read_regions(names: list[str]) -> Regions:
+    return Regions(frozenset(names)) if names else ANYWHERE
+
+
 def _read_target(route: _Route) -> Target:
     if route.fanout_services:
         services = tuple(dict.fromkeys(route.fanout_services))
--- a/walkcart/wire/delegations.py
+++ b/walkcart/wire/delegations.py
@@ -34,6 +34,7 @@
             unless too many are late; `NEVER` where the receiver sees to them.
         granted: whether the budgets of repeats already hold the first attempts.
         traceparent: of the trace.
+        regions: that the question may be served in; None where any will do.
     """
 
     id: str
@@ -52,6 +53,7 @@
     settle: float = NEVER
     granted: bool = False
     traceparent: str | None = None
+    regions: tuple[str, ...] | None = None
 
 
 class DelegatedTaken(Message, frozen=True):
