--- a/walkcart/bench/__main__.py
+++ b/walkcart/bench/__main__.py
@@ -10,7 +10,7 @@
     """Run one of the bench's jobs; return its exit code."""
     parser = argparse.ArgumentParser(prog="python -m walkcart.bench")
     jobs = parser.add_subparsers(dest="job", required=True)
-    jobs.add_parser("demo", help="the embedded estate of `make run`")
+    jobs.add_parser("demo", help="the small estate of `make run`")
     _add_run(jobs.add_parser("run", help="experiments over the stand-ins"))
     _add_routed(jobs.add_parser("routed", help="decisions on routed requests"))
     _add_soak(jobs.add_parser("soak", help="long randomised runs"))
--- a/walkcart/bench/fleet.py
+++ b/walkcart/bench/fleet.py
@@ -200,7 +200,11 @@
     _started: dict[str, tuple[int, int, tuple[str, ...]]] = field(default_factory=dict)
 
     def start(
-        self, daemons: int, leaves: Iterable[str] = (), settings: Iterable[str] = ()
+        self,
+        daemons: int,
+        leaves: Iterable[str] = (),
+        settings: Iterable[str] = (),
+        listed: Iterable[str] = (),
     ) -> None:
         """Start the platform, leaves and daemons.
 
@@ -208,6 +212,7 @@
             daemons: how many.
             leaves: ``GROUP:SHARDS:REPLICAS``; each is a process of its own.
             settings: further flags of every daemon.
+            listed: ``GROUP:SHARDS:REPLICAS:IP:PORT`` of leaves that run already.
         """
         ports = take_ports(2 + 2 * daemons)
         self.store, self.listing = (f"{HOST}:{port}" for port in ports[:2])
@@ -216,6 +221,8 @@
         words = ["list", "--listen", self.listing]
         for words_of_group in leaves:
             words += ["--leaves", self._start_leaves(words_of_group)]
+        for words_of_group in listed:
+            words += ["--leaves", words_of_group]
         pairs = list(zip(ports[2::2], ports[3::2], strict=True))
         for number, (entry, peer) in enumerate(pairs):
             words += ["--instance", f"daemon-{number},{HOST}:{entry},{HOST}:{peer}"]
--- a/walkcart/routing/eligibility.py
+++ b/walkcart/routing/eligibility.py
@@ -1,11 +1,11 @@
 """Where a request may go: the one place that decides it.
 
-Operators keep some requests to some regions, and take data centres out of service; leafs
-leave, are replaced, and bear little while they are cold. Every way by which a request
-travels asks here: first attempts, repeats, hedges, late parts and groups handed to
-other instances. It is asked twice: when a leaf or an instance is chosen, and again just
-before the first byte leaves, since an attempt may have waited for a connection while
-the answer changed.
+Operators keep some requests to some regions, and take data centres out of service;
+leafs leave, are replaced, and bear little while they are cold. Every way by which a
+request travels asks here: first attempts, repeats, hedges, late parts and groups handed
+to other instances. It is asked twice: when a leaf or an instance is chosen, and again
+just before the first byte leaves, since an attempt may have waited for a connection
+while the answer changed.
 
 Examples:
     >>> home = Regions(frozenset({"north"}))
--- a/walkcart/standins/main.py
+++ b/walkcart/standins/main.py
@@ -66,6 +66,8 @@
     leaves.add_argument("leaves", metavar="GROUP:SHARDS:REPLICAS:IP:PORT")
     leaves.add_argument("--median-ms", type=float, default=8.0)
     leaves.add_argument("--seed", type=int, default=1)
+    leaves.add_argument("--only", default="", help="name of the one leaf to serve")
+    leaves.add_argument("--without", default="", help="name of a leaf to leave out")
     leaves.set_defaults(run=_run_leaves)
     balancer = kinds.add_parser("balancer", help="passes connections on")
     balancer.add_argument("--listen", default="127.0.0.1:7102")
@@ -95,6 +97,24 @@
     return found
 
 
+def choose_leaves(options: argparse.Namespace) -> list[tuple[LeafSpec, HostPort]]:
+    """Return the leaves that this process is to serve.
+
+    Raises:
+        BadValue: a leaf that is named isn't among them.
+    """
+    found = list_leaves(options.leaves)
+    names = {spec.name for spec, _ in found}
+    for name in (options.only, options.without):
+        if name and name not in names:
+            raise BadValue(f"no leaf is called {name!r}")
+    return [
+        (spec, address)
+        for spec, address in found
+        if spec.name != options.without and options.only in ("", spec.name)
+    ]
+
+
 async def _run_store(options: argparse.Namespace) -> None:
     server = StoreStandin(Random(1)).make_server()
     await server.run(TcpNetwork(), parse_host_port(options.listen))
@@ -124,7 +144,7 @@
 async def _run_leaves(options: argparse.Namespace) -> None:
     random = Random(options.seed)
     async with trio.open_nursery() as nursery:
-        for spec, address in list_leaves(options.leaves):
+        for spec, address in choose_leaves(options):
             spec = LeafSpec(
                 spec.name, spec.group, spec.shard, median=options.median_ms / 1000
             )
