Send nothing to the leafs of evacuated data centres

Cause: no code read evacuations. The operators' keys are now followed as one prefix, by the watch and the feed that brought the configuration alone: no further watch, and an instance that starts or is fed holds both together. Work under way goes on; what can't be served is refused at once.

A feeder that is behind could bring back a key that had been removed since (an evacuation that ended, a leaf that had gone): changes up to a copy's revision are passed over (property, failed before).

--- a/walkcart/daemon/tenantstore.py
+++ b/walkcart/daemon/tenantstore.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from walkcart.daemon.surroundings import TenantSurroundings
+from walkcart.intent.evacuations import Evacuations
 from walkcart.intent.routekeeper import RouteKeeper
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
@@ -30,9 +31,11 @@
 from walkcart.platform.documents import (
     CONFIGURATION_KEY,
     LEAF_PREFIX,
+    OPERATOR_PREFIX,
     LeafEntries,
     leaf_entry_differs,
     read_configuration,
+    read_evacuated,
 )
 from walkcart.platform.leafprotocol import PlatformLeafProtocol
 from walkcart.platform.settings import PlatformSettings
@@ -123,10 +126,13 @@
     regions = frozenset(settings.regions.values())
     metrics = kernel.find("metrics", Metrics)
     keeper = RouteKeeper(around.clock, events, metrics, regions)
+    evacuations = Evacuations(events, metrics, frozenset(settings.regions))
 
     def take(update: Update) -> None:
+        # First: whoever acts on the routes must know where nothing may go.
+        evacuations.take(read_evacuated(update.items), update.origin)
         item = update.items.get(CONFIGURATION_KEY)
-        if item is None:
+        if item is None or CONFIGURATION_KEY not in update.changed:
             return
         try:
             keeper.apply(read_configuration(item.value), update.origin)
@@ -136,7 +142,7 @@
     follower = PrefixFollower(
         kernel.find("store", PlatformStore),
         kernel.find("calls", StoreCalls),
-        CONFIGURATION_KEY,
+        OPERATOR_PREFIX,
         around.clock,
         make_store_backoff(around.random),
         events,
@@ -144,6 +150,7 @@
         read_past=CONFIGURATION_READ_PAST,
     )
     kernel.add("keeper", keeper)
+    kernel.add("evacuations", evacuations)
     kernel.add("configuration", follower)
 
 
@@ -159,6 +166,8 @@
         return calls.reachable_since if calls.reachable else clock.monotonic()
 
     directory = LeafDirectory(clock, events, find_return)
+    evacuations = kernel.find("evacuations", Evacuations)
+    evacuations.on_change(lambda names, ended: directory.set_evacuated(names))
     entries = LeafEntries(settings.regions, events)
 
     def take(update: Update) -> None:
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -132,6 +132,12 @@
     ROUTE_REGION_UNKNOWN = _warn(
         518, "route_region_unknown", "No data centre is in a region that a route names."
     )
+    EVACUATED = _info(
+        519, "evacuated", "A data centre's leafs get nothing from now on."
+    )
+    EVACUATION_ENDED = _info(
+        520, "evacuation_ended", "A data centre's leafs get requests again."
+    )
     LEAF_ENTRY_BAD = _error(512, "leaf_entry_bad", "A leaf's entry can't be read.")
     REGISTERED = _info(513, "registered", "This instance's leased key is stored.")
     REGISTRATION_LOST = _warn(
--- a/walkcart/leaves/directory.py
+++ b/walkcart/leaves/directory.py
@@ -144,6 +144,11 @@
         self._events.emit(Events.LEAF_REMOVED, leaf=leaf.id, reason="replaced")
         self._rebuild()
 
+    def set_evacuated(self, data_centres: frozenset[str]) -> None:
+        """Take the data centres whose leafs get nothing."""
+        self._evacuated = data_centres
+        self._rebuild()
+
     def set_entries(self, entries: Iterable[LeafEntry]) -> None:
         """Take all entries that are stored now."""
         self.known = True
--- a/walkcart/platform/documents.py
+++ b/walkcart/platform/documents.py
@@ -25,8 +25,13 @@
 from walkcart.routing.eligibility import ANYWHERE, Regions
 from walkcart.store.items import Item
 
+#: Start of all that operators store; followed as one, so that what an instance starts
+#: with, or is fed, holds evacuations together with the configuration.
+OPERATOR_PREFIX = "op/"
 #: The key of the configuration.
 CONFIGURATION_KEY = "op/config"
+#: Start of the keys of evacuated data centres; the rest is the data centre's name.
+_EVACUATION_PREFIX = "op/evacuate/"
 #: Start of the keys of the leafs' entries; the rest is the id.
 LEAF_PREFIX = "servers/"
 
@@ -170,6 +175,20 @@
     return ToSplit(parts) if parts else ToService(route.backend)
 
 
+def read_evacuated(keys: Iterable[str]) -> frozenset[str]:
+    """Return the data centres that are evacuated, by the keys that operators stored.
+
+    Examples:
+        >>> sorted(read_evacuated(["op/config", "op/evacuate/north-a"]))
+        ['north-a']
+    """
+    return frozenset(
+        key.removeprefix(_EVACUATION_PREFIX)
+        for key in keys
+        if key.startswith(_EVACUATION_PREFIX)
+    )
+
+
 def leaf_entry_differs(old: bytes, new: bytes) -> bool:
     """Return whether a leaf's entry says anything new that is acted on.
 
--- /dev/null
+++ b/walkcart/platform/tests/test_evacuations.py
@@ -0,0 +1,193 @@
+"""Data centres whose leafs are to get nothing for a while."""
+
+import pytest
+import trio
+
+from walkcart.bench.harness import run_mocked
+from walkcart.platform.tests.platformworld import make_route, open_platform
+
+DATA_CENTRES = ("north-a", "south-a", "east-a")
+SHARDS = [f"shard-{number}" for number in range(4)]
+#: Seconds within which an evacuation is to be in force at every instance.
+IN_FORCE = 1.0
+
+
+def in_three_data_centres(action, instances=DATA_CENTRES, routes=None):
+    """Run `action(world)` with leafs of each service in each data centre."""
+
+    async def run():
+        async with open_platform() as world:
+            for service in (*SHARDS, "single"):
+                for data_centre in DATA_CENTRES:
+                    id = f"{service}-{data_centre}"
+                    await world.start_leaf(
+                        id, service, data_centre, records=id.encode()[-16:].zfill(16)
+                    )
+            world.configure(
+                make_route("single", "/one/", backend="single"),
+                make_route(
+                    "once", "/once/", backend="single", routeType="non_idempotent"
+                ),
+                make_route(
+                    "all", "/all/", fanoutServices=SHARDS, topK=8, minCoverage=0.5
+                ),
+            )
+            return await action(world)
+
+    return run_mocked(run)
+
+
+async def start_all(world, names=DATA_CENTRES):
+    for name in names:
+        await world.start_instance(name, name.removesuffix("-2"))
+    for name in names:
+        await world.wait_ready(name)
+    await trio.sleep(10)
+
+
+def count_arrived(world, data_centre):
+    return sum(
+        len(leaf.arrived)
+        for id, leaf in world.leafs.items()
+        if id.endswith(data_centre)
+    )
+
+
+def evacuate(world, data_centre):
+    world.store.put(f"op/evacuate/{data_centre}", {})
+
+
+def take_back(world, data_centre):
+    world.store.remove(f"op/evacuate/{data_centre}")
+
+
+async def ask_everything(world, names=DATA_CENTRES, times=3):
+    replies = []
+    for name in names * times:
+        for path in ("/one/x", "/all/x"):
+            replies.append((await world.ask(path, name)).status)
+    return replies
+
+
+def test_nothing_goes_to_the_leafs_of_an_evacuated_data_centre_until_it_is_back():
+    async def act(world):
+        await start_all(world)
+        await ask_everything(world)
+        evacuate(world, "south-a")
+        await trio.sleep(IN_FORCE)
+        before = count_arrived(world, "south-a")
+        # Repeats and late parts have to go elsewhere too.
+        for shard in SHARDS[:2]:
+            world.leafs[f"{shard}-north-a"].faults.delay = 0.5
+        world.leafs["single-north-a"].faults.refuse = True
+        statuses = await ask_everything(world)
+        during = count_arrived(world, "south-a") - before
+        take_back(world, "south-a")
+        await trio.sleep(IN_FORCE)
+        await ask_everything(world)
+        return statuses, before, during, count_arrived(world, "south-a") - before
+
+    statuses, before, during, after = in_three_data_centres(act)
+    assert set(statuses) == {200}
+    assert before > 0
+    assert during == 0
+    assert after > 0
+
+
+def test_an_evacuation_that_stands_at_the_start_binds_the_first_request():
+    async def act(world):
+        evacuate(world, "north-a")
+        await world.start_instance("north-a", "north-a")
+        await world.wait_ready("north-a")
+        statuses = await ask_everything(world, ("north-a",), times=1)
+        return statuses, count_arrived(world, "north-a")
+
+    assert in_three_data_centres(act) == ([200, 200], 0)
+
+
+def test_several_at_once_one_unknown_and_what_cant_be_served_is_refused_at_once():
+    async def act(world):
+        await start_all(world)
+        for data_centre in ("north-a", "south-a", "nowhere"):
+            evacuate(world, data_centre)
+        await trio.sleep(IN_FORCE)
+        some = await ask_everything(world, times=1)
+        evacuate(world, "east-a")
+        await trio.sleep(IN_FORCE)
+        start = trio.current_time()
+        replies = [await world.ask(path, "east-a") for path in ("/one/x", "/all/x")]
+        return some, replies, trio.current_time() - start
+
+    some, replies, elapsed = in_three_data_centres(act)
+    assert set(some) == {200}
+    assert [reply.status for reply in replies] == [503, 503]
+    assert all(float(reply.header(b"retry-after")) > 0 for reply in replies)
+    assert elapsed < 0.05
+
+
+def test_work_under_way_goes_on():
+    async def act(world):
+        await start_all(world, ("north-a",))
+        world.leafs["single-north-a"].faults.delay = 1.5
+        statuses = []
+
+        async def ask():
+            statuses.append((await world.ask("/once/x", "north-a")).status)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.05)
+            begun = count_arrived(world, "north-a")
+            evacuate(world, "north-a")
+        return statuses, begun, world.leafs["single-north-a"].finished
+
+    statuses, begun, finished = in_three_data_centres(act)
+    assert (statuses, begun) == ([200], 1)
+    assert len(finished) == 1
+
+
+@pytest.mark.parametrize("trouble", ["history lost", "store turns it away"])
+def test_it_comes_to_those_that_the_store_does_not_tell(trouble):
+    async def act(world):
+        await start_all(world)
+        if trouble == "history lost":
+            world.store.compact()
+            evacuate(world, "south-a")
+            world.store.compact()
+        else:
+            world.network.cut("store", "east-a")
+            await trio.sleep(6)
+            evacuate(world, "south-a")
+        await trio.sleep(IN_FORCE)
+        before = count_arrived(world, "south-a")
+        await ask_everything(world)
+        return count_arrived(world, "south-a") - before
+
+    assert in_three_data_centres(act) == 0
+
+
+def test_fed_instances_act_within_the_aim_and_it_costs_no_further_calls():
+    names = tuple(
+        f"{dc}{n}" for dc in DATA_CENTRES for n in ("", "-2", "-3", "-4", "-5")
+    )
+
+    async def act(world):
+        for name in names:
+            await world.start_instance(name, name[: name.index("-") + 2])
+        for name in names:
+            await world.wait_ready(name)
+        await trio.sleep(10)
+        calls = len([call for call in world.store.targets if "op/" in call])
+        evacuate(world, "south-a")
+        await trio.sleep(IN_FORCE)
+        before = count_arrived(world, "south-a")
+        await ask_everything(world, names, times=1)
+        made = [call for call in world.store.targets if "op/" in call][calls:]
+        return count_arrived(world, "south-a") - before, made
+
+    arrived, made = in_three_data_centres(act)
+    assert arrived == 0
+    # Two watch in each data centre; each begins its watch of all the operators' keys
+    # anew after the change.
+    assert len(made) <= 2 * len(DATA_CENTRES)
+    assert all("kv-watch" in call for call in made)
--- a/walkcart/store/following.py
+++ b/walkcart/store/following.py
@@ -31,7 +31,7 @@
     SharedStore,
 )
 from walkcart.store.reading import read_prefix
-from walkcart.store.updates import Origin, Update, UpdateListener
+from walkcart.store.updates import STORE, Origin, Update, UpdateListener
 
 #: How long one watch waits; a call each, so long is cheap. That its connection went
 #: silent is found by probes (`walkcart.store.calls.PROBE`), not by this.
@@ -274,6 +274,10 @@
             revision: of the copy afterwards.
             origin: of the changes.
         """
+        if origin.source != STORE:
+            # All up to the copy's revision is in it: what is older may be removed
+            # since, and a feeder that is behind must not bring it back.
+            changes = [item for item in changes if item.revision > self.revision]
         return self._take_changes(changes, revision, origin, tell=False)
 
     def _take_changes(
--- a/walkcart/store/tests/test_following.py
+++ b/walkcart/store/tests/test_following.py
@@ -11,6 +11,7 @@
 from walkcart.store.backoff import Backoff
 from walkcart.store.following import PrefixFollower, differ
 from walkcart.store.items import Item, Removal
+from walkcart.store.updates import Origin
 
 KEYS = "abcde"
 
@@ -121,3 +122,18 @@
     assert told == [frozenset("a")]
     assert follower.changes_after(1) == ()
     assert [item.value for item in follower.items()] == [b"2"]
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from(KEYS), st.booleans()), min_size=1, max_size=30),
+    st.integers(0, 30),
+    st.integers(0, 30),
+)
+def test_a_feeder_that_is_behind_never_brings_back_what_was_removed(draws, first, last):
+    history = make_history(draws)
+    base, behind = sorted((min(first, len(history)), min(last, len(history))))
+    receiver = make_follower()
+    receiver.replace(read_state(history, len(history)), len(history))
+    before = state_of(receiver)
+    receiver.apply(history[base:behind], behind, Origin("behind", 0.1))
+    assert state_of(receiver) == before
