Bound what all instances together send to a cold leaf

Cause: neither the rate that a cold leaf bears nor that one becomes cold again was read; the entry's time was left out of what counts as news, so that instances that are fed never heard of it.

Now a leaf is cold by its entry (also when the time rises again), by what its answers say and for its service's time after an evacuation. The bound of each cold leaf is cut into three shares by data centre; a share is a key on the lease of its holder, read freshly before it is used and trusted for 2 s, and who takes one that became free waits for that and the window. Who holds none uses the leaf's siblings; what doesn't fit is refused at once with when there is room. After it a leaf takes part in choices by and by. Nothing is stored while no service has a bound, nothing read while no leaf is cold.

The stated load's fourth figure, the pace of work, is read; nothing weighs it yet.

--- a/walkcart/daemon/tenantstore.py
+++ b/walkcart/daemon/tenantstore.py
@@ -20,6 +20,7 @@
 from walkcart.kernel.registry import Kernel
 from walkcart.kernel.spans import OUTPUT_NONE, Tracer
 from walkcart.leaves.attempts import Attempt
+from walkcart.leaves.coldroom import ColdRoom
 from walkcart.leaves.directory import LeafDirectory
 from walkcart.leaves.exchange import LinkTools
 from walkcart.leaves.leaf import Leaf
@@ -167,7 +168,15 @@
 
     directory = LeafDirectory(clock, events, find_return)
     evacuations = kernel.find("evacuations", Evacuations)
-    evacuations.on_change(lambda names, ended: directory.set_evacuated(names))
+    cold = ColdRoom(
+        directory, kernel.find("keeper", RouteKeeper), settings.cold_bound, clock
+    )
+
+    def evacuate(names: frozenset[str], ended: frozenset[str]) -> None:
+        directory.set_evacuated(names)
+        cold.note_returned(ended)
+
+    evacuations.on_change(evacuate)
     entries = LeafEntries(settings.regions, events)
 
     def take(update: Update) -> None:
@@ -185,8 +194,9 @@
         leaf_entry_differs,
         first_fresh=False,
     )
-    pool = make_pool(kernel, settings, around, directory)
+    pool = make_pool(kernel, settings, around, directory, cold)
     kernel.add("directory", directory)
+    kernel.add("cold", cold)
     kernel.add("leaf_entries", follower)
     kernel.add("pool", pool)
 
@@ -196,6 +206,7 @@
     settings: PlatformSettings,
     around: TenantSurroundings,
     directory: LeafDirectory,
+    cold: ColdRoom,
 ) -> LeafPool:
     """Return the pool of links to leafs."""
     pool: LeafPool | None = None
@@ -206,7 +217,7 @@
 
     def admit(leaf: Leaf, attempt: Attempt) -> NotRun | None:
         assert pool is not None
-        return pool.admit(leaf, attempt)
+        return pool.access.admit(leaf, attempt)
 
     link = LinkTools(
         around.network,
@@ -226,6 +237,7 @@
             kernel.find("registration", Registration).count,
             Place(settings.region, settings.data_centre),
             around.random,
+            cold,
         )
     )
     return pool
--- a/walkcart/fanout/gatherers.py
+++ b/walkcart/fanout/gatherers.py
@@ -21,6 +21,7 @@
     find_needed_capacity,
     rank_by_capacity,
 )
+from walkcart.routing.shares import rank_rendezvous
 
 #: Returns the places that have leafs of the services that questions go to.
 FindPlaces = Callable[[], Collection[Place]]
@@ -93,6 +94,17 @@
         needed = find_needed_capacity(rate, instances, len(self._gathering_places()))
         return choose_gatherers(ranked, capacities, needed)
 
+    def rank_for(self, data_centre: str) -> list[str]:
+        """Return who is to work with the leafs of a data centre, in order.
+
+        Those that gather there; where no instance stands in it, all of them.
+        """
+        found = self.of(data_centre)
+        if found:
+            return found
+        names = [record.name for record in self._list_instances()]
+        return sorted(names, key=lambda name: rank_rendezvous(data_centre, name))
+
     def all(self) -> list[str]:
         """Return the names of the others that gather, of all data centres."""
         own = self._registration.own.name
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -129,12 +129,23 @@
         """Return whether enough services have leafs, before any is asked."""
         served = 0
         for item in self._tries.values():
-            if self._tools.pool.leaves_of(item.service):
+            if self._may_be_served(item):
                 served += 1
             else:
                 item.reason = Reason.NO_LEAF
+                wait = self._tools.pool.find_room(item.service)
+                item.refusal = NotRun(Reason.NO_LEAF, "no leaf has room", wait)
         return covers(self._question, served)
 
+    def _may_be_served(self, item: ServiceTry) -> bool:
+        """Return whether a service has leafs that may get the question now.
+
+        Cold ones without room here may have some at the instances that gather.
+        """
+        if self._top:
+            return bool(self._tools.pool.leaves_of(item.service))
+        return bool(self._tools.pool.leaves_with_room(item.service))
+
     def _start(self, now: float) -> None:
         """Send the first attempts, and delegate what is far."""
         if self._watch.holds:
--- a/walkcart/intent/routes.py
+++ b/walkcart/intent/routes.py
@@ -102,10 +102,14 @@
     Args:
         name: names the service.
         most_connections: that one of its leafs takes from all callers together.
+        cold_time: for which a leaf is cold after a start or an evacuation.
+        cold_rate: requests a second that a cold leaf bears; 0 where no bound is set.
     """
 
     name: str
     most_connections: int
+    cold_time: timedelta = timedelta()
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -138,6 +138,12 @@
     EVACUATION_ENDED = _info(
         520, "evacuation_ended", "A data centre's leafs get requests again."
     )
+    COLD_SHARE_TAKEN = _info(
+        521, "cold_share_taken", "May use a share of the bound of cold leafs, soon."
+    )
+    COLD_SHARE_LOST = _info(
+        522, "cold_share_lost", "A share of cold leafs' bound isn't this instance's."
+    )
     LEAF_ENTRY_BAD = _error(512, "leaf_entry_bad", "A leaf's entry can't be read.")
     REGISTERED = _info(513, "registered", "This instance's leased key is stored.")
     REGISTRATION_LOST = _warn(
--- /dev/null
+++ b/walkcart/leaves/access.py
@@ -0,0 +1,85 @@
+"""Which leafs a request may go to now, by all that bears on it.
+
+See Also:
+    `walkcart.routing.eligibility` and `walkcart.routing.coldleafs`, which decide.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from walkcart.leaves.attempts import Attempt
+from walkcart.leaves.leaf import Leaf
+from walkcart.leaves.pooltools import PoolTools
+from walkcart.routing.distance import Place
+from walkcart.routing.eligibility import ANYWHERE, Obstacle, Regions
+from walkcart.wire.verdicts import NotRun, Reason
+
+
+class LeafAccess:
+    """Shows the leafs that requests may go to, and asks again before each send.
+
+    Args:
+        tools: of the pool.
+    """
+
+    def __init__(self, tools: PoolTools) -> None:
+        self._tools = tools
+
+    def regions_now(self, kind: str, regions: Regions) -> Regions:
+        """Return the regions among some that the routes in force allow still."""
+        return regions.intersect(self._tools.keeper.table.regions_of(kind))
+
+    def leaves_of(self, service: str, regions: Regions = ANYWHERE) -> tuple[Leaf, ...]:
+        """Return the leafs of a service in some regions that may get new work."""
+        leaves = self._tools.directory.leaves_of(service)
+        if regions.names is None:
+            return leaves
+        return tuple(leaf for leaf in leaves if regions.allows(leaf.region))
+
+    def leaves_with_room(self, service: str, regions: Regions) -> list[Leaf]:
+        """Return those among them that may get a request now, cold ones included."""
+        leaves = list(self.leaves_of(service, regions))
+        cold = self._tools.cold
+        if cold is None:
+            return leaves
+        now = self._tools.link.clock.monotonic()
+        leaves = [leaf for leaf in leaves if cold.wait(leaf, now) <= 0.0]
+        draw = self._tools.random.random
+        offered = [
+            leaf
+            for leaf in leaves
+            if (share := cold.find_offered_share(leaf, now)) >= 1.0 or draw() < share
+        ]
+        return offered or leaves
+
+    def places_of(self, service: str, regions: Regions = ANYWHERE) -> frozenset[Place]:
+        """Return the places in some regions where a service has such leafs."""
+        places = self._tools.directory.places_of(service)
+        if regions.names is None:
+            return places
+        return frozenset(place for place in places if regions.allows(place.region))
+
+    def admit(self, leaf: Leaf, attempt: Attempt) -> NotRun | None:
+        """Return why an attempt may not be sent to a leaf now; None when it may.
+
+        Asked just before the first byte: regions and data centres may have been taken
+        away while the attempt waited for a connection.
+        """
+        regions = self.regions_now(attempt.kind, attempt.regions)
+        obstacle = self._tools.directory.find_obstacle(leaf, regions)
+        cold, now = self._tools.cold, self._tools.link.clock.monotonic()
+        if obstacle is None and cold is not None and not cold.take(leaf, now):
+            obstacle = Obstacle.COLD
+        if obstacle is None:
+            return None
+        self._tools.link.metrics.count("leaf.barred")
+        return NotRun(Reason.NO_LEAF, f"leaf {leaf.id}: {obstacle.value}")
+
+    def find_room(self, service: str, regions: Regions) -> timedelta | None:
+        """Return when a service's leafs have room again; None where none is cold."""
+        cold, now = self._tools.cold, self._tools.link.clock.monotonic()
+        if cold is None:
+            return None
+        waits = [cold.wait(leaf, now) for leaf in self.leaves_of(service, regions)]
+        return timedelta(seconds=min(waits)) if waits else None
--- /dev/null
+++ b/walkcart/leaves/coldroom.py
@@ -0,0 +1,125 @@
+"""What this instance may send to cold leafs now.
+
+See Also:
+    `walkcart.routing.coldleafs`, which decides by plain data.
+    `walkcart.membership.coldshares`, which says what share is this instance's.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from walkcart.intent.routekeeper import RouteKeeper
+from walkcart.intent.routes import ServiceSpec
+from walkcart.kernel.clock import Clock
+from walkcart.leaves.directory import LeafDirectory
+from walkcart.leaves.leaf import Leaf
+from walkcart.routing.coldleafs import (
+    ColdBound,
+    SendLog,
+    Share,
+    find_offered_share,
+)
+
+#: Returns the share of the cold leafs of a data centre that this instance holds now.
+FindShare = Callable[[str], Share | None]
+
+
+class ColdRoom:
+    """Keeps what is sent to cold leafs within this instance's share of their bounds.
+
+    Args:
+        directory: the leafs.
+        keeper: the services, with the rates that their cold leafs bear.
+        bound: what follows from such a rate.
+        clock: source of time.
+    """
+
+    def __init__(
+        self,
+        directory: LeafDirectory,
+        keeper: RouteKeeper,
+        bound: ColdBound,
+        clock: Clock,
+    ) -> None:
+        self._directory = directory
+        self._keeper = keeper
+        self._bound = bound
+        self._clock = clock
+        self._logs: dict[str, SendLog] = {}
+        self._find_share: FindShare = lambda data_centre: None
+
+    def follow(self, find_share: FindShare) -> None:
+        """Ask `find_share` for this instance's shares."""
+        self._find_share = find_share
+
+    def wait(self, leaf: Leaf, now: float) -> float:
+        """Return the seconds until a request may go to a leaf; 0 when it may now."""
+        most = self._find_most(leaf, now)
+        if most is None:
+            return 0.0
+        until_warm = leaf.cold_until - now
+        share = self._find_share(leaf.data_centre)
+        if share is None:
+            return until_warm
+        return min(until_warm, self._log_of(leaf).wait(now, share.of(most)))
+
+    def take(self, leaf: Leaf, now: float) -> bool:
+        """Take room for a request that is sent now; return False when there is none."""
+        most = self._find_most(leaf, now)
+        if most is None:
+            self._logs.pop(leaf.id, None)
+            return True
+        share = self._find_share(leaf.data_centre)
+        return share is not None and self._log_of(leaf).take(now, share.of(most))
+
+    def find_offered_share(self, leaf: Leaf, now: float) -> float:
+        """Return the share of choices that a leaf takes part in after it was cold."""
+        if not leaf.cold_until or now < leaf.cold_until:
+            # It never was cold, or how much it may get is bounded already.
+            return 1.0
+        spec = self._spec_of(leaf)
+        if spec is None or self._bound.most(spec.cold_rate) is None:
+            return 1.0
+        cold_time = spec.cold_time.total_seconds()
+        return find_offered_share(now, leaf.cold_until, cold_time)
+
+    def note_returned(self, data_centres: frozenset[str]) -> None:
+        """Take the leafs of data centres that are taken back for cold."""
+        now = self._clock.monotonic()
+        for leaf in self._directory.leaves():
+            spec = self._spec_of(leaf)
+            if spec is not None and leaf.data_centre in data_centres:
+                leaf.note_cold(now + spec.cold_time.total_seconds())
+
+    def find_bounded(self) -> frozenset[str]:
+        """Return the data centres with leafs that have a bound while they are cold."""
+        return frozenset(
+            leaf.data_centre
+            for leaf in self._directory.leaves()
+            if (spec := self._spec_of(leaf)) is not None and spec.cold_rate > 0.0
+        )
+
+    def find_cold(self) -> frozenset[str]:
+        """Return the data centres with leafs that are cold now and have a bound."""
+        now = self._clock.monotonic()
+        return frozenset(
+            leaf.data_centre
+            for leaf in self._directory.leaves()
+            if self._find_most(leaf, now) is not None
+        )
+
+    def _find_most(self, leaf: Leaf, now: float) -> int | None:
+        """Return what a leaf may get of all instances; None when it isn't bounded."""
+        if now >= leaf.cold_until:
+            return None
+        spec = self._spec_of(leaf)
+        return None if spec is None else self._bound.most(spec.cold_rate)
+
+    def _spec_of(self, leaf: Leaf) -> ServiceSpec | None:
+        return self._keeper.table.services.get(leaf.labels["service"])
+
+    def _log_of(self, leaf: Leaf) -> SendLog:
+        if leaf.id not in self._logs:
+            self._logs[leaf.id] = SendLog()
+        return self._logs[leaf.id]
--- a/walkcart/leaves/directory.py
+++ b/walkcart/leaves/directory.py
@@ -47,7 +47,7 @@
         region: of that data centre.
         slots: requests that it runs at once.
         leaving: whether it is about to end and wants no new work.
-        cold_time: how much longer it is slow after its start.
+        cold_time: how much longer it is cold, counted from when the entry was read.
         incarnation: of its process life, where a leaf keeps its id when it starts
             again; 0 where it doesn't say.
     """
@@ -110,6 +110,10 @@
         """Return all entries, of leaving leafs too."""
         return self._entries.values()
 
+    def leaves(self) -> Iterable[Leaf]:
+        """Return the accounts of all leafs, of leaving ones too."""
+        return self._leaves.values()
+
     def find(self, id: str) -> Leaf | None:
         """Return the account of the leaf with this id, or None."""
         return self._leaves.get(id)
@@ -167,8 +171,13 @@
                 self._lapsed.pop(id, None)
                 self._events.emit(Events.LEAF_REMOVED, leaf=id, reason="entry gone")
         self._note_news(found)
-        self._entries = found
+        before, self._entries = self._entries, found
         self._rebuild()
+        for id, entry in found.items():
+            if before.get(id) is not entry and entry.cold_time:
+                # A leaf may become cold again at any moment of its life.
+                until = now + entry.cold_time.total_seconds()
+                self._leaves[id].note_cold(until)
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Drop entries that stay lapsed, until cancelled."""
@@ -234,7 +243,8 @@
             "region": entry.region,
         }
         leaf = Leaf(entry.address, labels, entry.slots, id=entry.id)
-        leaf.cold_until = now + entry.cold_time.total_seconds()
+        if entry.cold_time:
+            leaf.note_cold(now + entry.cold_time.total_seconds())
         leaf.incarnation = entry.incarnation
         return leaf
 
--- a/walkcart/leaves/leaf.py
+++ b/walkcart/leaves/leaf.py
@@ -76,7 +76,7 @@
         self.replies = ReplyShare()
         self.held: frozenset[int] | None = None
         self.first_used: float | None = None
-        #: Until when it is slow after its start, as it said itself.
+        #: Until when it is cold, as it said itself or as follows from an evacuation.
         self.cold_until = 0.0
         #: When the oldest requests under way there were sent, by attempt.
         self.under_way: dict[str, float] = {}
@@ -108,6 +108,10 @@
         """Return the requests of others that likely are there still."""
         return self._stated * 0.5 ** ((now - self._stated_at) / STATED_HALF_LIFE)
 
+    def note_cold(self, until: float) -> None:
+        """Take in until when it is cold; it never becomes warm sooner than it said."""
+        self.cold_until = max(self.cold_until, until)
+
     def age(self, now: float) -> float:
         """Return the seconds since this instance first used this life of it."""
         if self.first_used is None:
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -13,13 +13,15 @@
 import trio
 
 from walkcart.kernel.events import Events
+from walkcart.leaves.access import LeafAccess
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused, Replied
 from walkcart.leaves.leaf import Leaf
 from walkcart.leaves.link import LeafLink
 from walkcart.leaves.pooltools import Gathering, PoolTools
 from walkcart.leaves.protocol import LeafStatus
 from walkcart.leaves.scopedpool import ScopedPool
-from walkcart.routing.distance import Distance, Place, measure_distance
+from walkcart.leaves.stalls import is_stalled
+from walkcart.routing.distance import Distance, measure_distance
 from walkcart.routing.ejection import may_eject
 from walkcart.routing.eligibility import ANYWHERE, Regions
 from walkcart.routing.kindtimes import KindTimes
@@ -39,10 +41,6 @@
     Distance.SAME_REGION: 0.032,
     Distance.OTHER_REGION: 0.05,
 }
-#: A leaf is stalled when nothing came for this many usual times, and at least
-#: `LEAST_STALL` seconds, while a request waits there.
-STALL_FACTOR = 3.0
-LEAST_STALL = 0.03
 
 
 class LeafPool:
@@ -50,6 +48,7 @@
 
     def __init__(self, tools: PoolTools) -> None:
         self._tools = tools
+        self.access = LeafAccess(tools)
         self._gathering: Gathering | None = None
         #: Instances that gather if this one does, else 0, as of the last look.
         self._gatherers = 0
@@ -85,36 +84,9 @@
         """
         return ScopedPool(self, kind, regions)
 
-    def regions_now(self, kind: str, regions: Regions) -> Regions:
-        """Return the regions among some that the routes in force allow still."""
-        return regions.intersect(self._tools.keeper.table.regions_of(kind))
-
     def leaves_of(self, service: str, regions: Regions = ANYWHERE) -> tuple[Leaf, ...]:
         """Return the leafs of a service in some regions that may get new work."""
-        leaves = self._tools.directory.leaves_of(service)
-        if regions.names is None:
-            return leaves
-        return tuple(leaf for leaf in leaves if regions.allows(leaf.region))
-
-    def places_of(self, service: str, regions: Regions = ANYWHERE) -> frozenset[Place]:
-        """Return the places in some regions where a service has such leafs."""
-        places = self._tools.directory.places_of(service)
-        if regions.names is None:
-            return places
-        return frozenset(place for place in places if regions.allows(place.region))
-
-    def admit(self, leaf: Leaf, attempt: Attempt) -> NotRun | None:
-        """Return why an attempt may not be sent to a leaf now; None when it may.
-
-        Asked just before the first byte: regions and data centres may have been taken
-        away while the attempt waited for a connection.
-        """
-        regions = self.regions_now(attempt.kind, attempt.regions)
-        obstacle = self._tools.directory.find_obstacle(leaf, regions)
-        if obstacle is None:
-            return None
-        self._tools.link.metrics.count("leaf.barred")
-        return NotRun(Reason.NO_LEAF, f"leaf {leaf.id}: {obstacle.value}")
+        return self.access.leaves_of(service, regions)
 
     def choose(
         self,
@@ -136,7 +108,9 @@
             regions: that the request may be served in.
         """
         leaves = [
-            leaf for leaf in self.leaves_of(service, regions) if leaf.id not in without
+            leaf
+            for leaf in self.access.leaves_with_room(service, regions)
+            if leaf.id not in without
         ]
         if len(leaves) <= 1:
             return leaves[0] if leaves else None
@@ -181,8 +155,11 @@
 
     def note_status(self, leaf: Leaf, status: LeafStatus) -> None:
         """Take in what a leaf said about itself."""
+        now = self._tools.link.clock.monotonic()
         if status.load is not None:
-            leaf.note_stated(self._tools.link.clock.monotonic(), status.load)
+            leaf.note_stated(now, status.load)
+        if status.cold_time:
+            leaf.note_cold(now + status.cold_time.total_seconds())
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Carry attempts until cancelled."""
@@ -285,12 +262,3 @@
         ejected = sum(1 for item in leaves if item.ejection.is_ejected(now))
         if leaf.ejection.note_failure(now, may_eject(len(leaves), ejected)):
             self._tools.link.events.emit(Events.LEAF_EJECTED, leaf=leaf.id)
-
-
-def is_stalled(leaf: Leaf, usual: float, now: float) -> bool:
-    """Return whether a leaf owes a reply for longer than it should."""
-    if not leaf.under_way:
-        return False
-    limit = max(STALL_FACTOR * usual, LEAST_STALL)
-    oldest = next(iter(leaf.under_way.values()))
-    return now - max(oldest, leaf.replied_at) > limit
--- a/walkcart/leaves/pooltools.py
+++ b/walkcart/leaves/pooltools.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from walkcart.intent.routekeeper import RouteKeeper
+from walkcart.leaves.coldroom import ColdRoom
 from walkcart.leaves.directory import LeafDirectory
 from walkcart.leaves.exchange import LinkTools
 from walkcart.routing.distance import Place
@@ -24,6 +25,7 @@
         instances: returns the number of instances that share connections.
         place: of this instance.
         random: breaks ties.
+        cold: what may be sent to cold leafs; None where leafs don't say that they are.
     """
 
     directory: LeafDirectory
@@ -32,6 +34,7 @@
     instances: Callable[[], int]
     place: Place
     random: Random
+    cold: ColdRoom | None = None
 
 
 class Gathering(Protocol):
--- a/walkcart/leaves/protocol.py
+++ b/walkcart/leaves/protocol.py
@@ -105,12 +105,17 @@
         load: requests that wait or run there; None when it didn't say.
         incarnation: number of its process life, 0 when it didn't say.
         leaving: whether it is leaving.
+        pace: how many times as long as usual work takes there now; None when it didn't
+            say.
+        cold_time: how much longer it is cold; None when it didn't say.
     """
 
     held: frozenset[int] | None
     load: int | None
     incarnation: int
     leaving: bool
+    pace: float | None = None
+    cold_time: timedelta | None = None
 
 
 def read_status(found: HeaderMap) -> LeafStatus:
--- a/walkcart/leaves/scopedpool.py
+++ b/walkcart/leaves/scopedpool.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from walkcart.leaves.attempts import Attempt, Deliver
@@ -32,21 +33,30 @@
 
     def __init__(self, pool: LeafPool, kind: str, regions: Regions) -> None:
         self._pool = pool
+        self._access = pool.access
         self._kind = kind
         self._regions = regions
 
     @property
     def regions(self) -> Regions:
         """Regions that the question may be served in now."""
-        return self._pool.regions_now(self._kind, self._regions)
+        return self._access.regions_now(self._kind, self._regions)
 
     def leaves_of(self, service: str) -> tuple[Leaf, ...]:
         """Return the leafs of a service that may get the question."""
-        return self._pool.leaves_of(service, self.regions)
+        return self._access.leaves_of(service, self.regions)
+
+    def leaves_with_room(self, service: str) -> list[Leaf]:
+        """Return those among them that may get a request now, cold ones included."""
+        return self._access.leaves_with_room(service, self.regions)
+
+    def find_room(self, service: str) -> timedelta | None:
+        """Return when a service's leafs have room again; None where none is cold."""
+        return self._access.find_room(service, self.regions)
 
     def places_of(self, service: str) -> frozenset[Place]:
         """Return the places where a service has such leafs."""
-        return self._pool.places_of(service, self.regions)
+        return self._access.places_of(service, self.regions)
 
     def choose(
         self,
--- a/walkcart/membership/registration.py
+++ b/walkcart/membership/registration.py
@@ -122,6 +122,11 @@
         """Whether the others were read twice: those that start together are known."""
         return self._turn > 1
 
+    @property
+    def lease(self) -> Lease | None:
+        """The lease that this instance's key hangs on; None without one."""
+        return self._registered.lease if self._registered else None
+
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call `listener` after instances came or went."""
         self._listeners.append(listener)
--- a/walkcart/platform/documents.py
+++ b/walkcart/platform/documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping
+from datetime import timedelta
 from typing import Literal
 
 import msgspec
@@ -78,6 +79,10 @@
     name: str
     # Connections that one leaf takes from all callers together.
     max_conns: int = 8
+    # How long a leaf stays cold after a start or an evacuation, in seconds.
+    warmup_s: float = 0.0
+    # Requests a second that a cold leaf bears; 0 where no bound is set.
+    warmup_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -129,9 +134,7 @@
     return RoutingDocument(
         version=stored.version,
         routes=tuple(_read_route(route) for route in stored.routes),
-        services=tuple(
-            ServiceSpec(service.name, service.max_conns) for service in stored.services
-        ),
+        services=tuple(_read_service(service) for service in stored.services),
         limits=CallerLimits(
             header_bytes=limits.max_header_bytes,
             body_bytes=limits.max_body_bytes,
@@ -141,6 +144,15 @@
     )
 
 
+def _read_service(service: _Service) -> ServiceSpec:
+    return ServiceSpec(
+        service.name,
+        service.max_conns,
+        timedelta(seconds=service.warmup_s),
+        service.warmup_per_s,
+    )
+
+
 def _read_route(route: _Route) -> Route:
     objective = None
     if route.target_latency_ms:
@@ -192,13 +204,16 @@
 def leaf_entry_differs(old: bytes, new: bytes) -> bool:
     """Return whether a leaf's entry says anything new that is acted on.
 
-    Leafs write theirs anew all the time; that they are still alive, and how much longer
-    they are slow, changes nothing for who has the entry already.
+    Leafs write theirs anew all the time; that they are still alive, and that less of
+    the time is left for which they are cold, changes nothing for who has the entry
+    already. That they became cold again does.
     """
     before, after = _decode_leaf_entry(old), _decode_leaf_entry(new)
     if before is None or after is None:
         # One that can't be read is logged by who reads it, once.
         return before is not after
+    if 0 < after.warmup_left_ms >= before.warmup_left_ms:
+        return True
     before.warmup_left_ms = after.warmup_left_ms
     before.seq = after.seq
     return before != after
--- a/walkcart/platform/headers.py
+++ b/walkcart/platform/headers.py
@@ -12,8 +12,11 @@
 STAMP = b"x-response-stamp"
 #: The life of a leaf that a request is meant for; any other one answers 421.
 EXPECTED_LEAF = b"x-expect-instance"
-#: Requests running, requests waiting, slots; of the leaf that answers.
+#: Of the leaf that answers: requests running, requests waiting, slots, and how long
+#: work takes there now as a share of the usual, in percent.
 LOAD = b"x-server-load"
+#: Milliseconds for which the leaf that answers is cold still.
+COLD_MS = b"x-warmup-ms"
 #: On a refusal: the leaf has not run the request and won't.
 NOT_RUN = b"x-not-executed"
 #: Stamps of the replies that a merged answer holds.
--- a/walkcart/platform/leafprotocol.py
+++ b/walkcart/platform/leafprotocol.py
@@ -8,6 +8,7 @@
 from walkcart.leaves.attempts import Attempt, Failed, Outcome, Refused, Replied
 from walkcart.leaves.protocol import HeaderMap, LeafStatus
 from walkcart.platform.headers import (
+    COLD_MS,
     CONTENT_ENCODING,
     DEADLINE_MS,
     EXPECTED_LEAF,
@@ -26,7 +27,7 @@
 _MISDIRECTED = 421
 _TIMEOUT_PARAMETER = b"timeout="
 #: Headers that a leaf says about itself, not about the request.
-_OF_THE_LEAF = frozenset({LOAD})
+_OF_THE_LEAF = frozenset({LOAD, COLD_MS})
 
 
 class PlatformLeafProtocol:
@@ -56,12 +57,23 @@
         )
 
     def read_status(self, found: HeaderMap) -> LeafStatus:
-        """Return the requests that run and wait at the leaf, if it said."""
-        parts = found.get(LOAD, b"").split(b",")
-        running = read_number(parts[0].strip())
-        waiting = read_number(parts[1].strip()) if len(parts) > 1 else None
+        """Return what the leaf says of its load, its pace and of being cold."""
+        figures = [
+            read_number(part.strip()) for part in found.get(LOAD, b"").split(b",")
+        ]
+        running, waiting, _, percent = (*figures, None, None, None)[:4]
         load = None if running is None else running + (waiting or 0)
-        return LeafStatus(held=None, load=load, incarnation=0, leaving=False)
+        if None in figures:
+            percent = None
+        cold = read_number(found.get(COLD_MS))
+        return LeafStatus(
+            held=None,
+            load=load,
+            incarnation=0,
+            leaving=False,
+            pace=percent / 100 if percent else None,
+            cold_time=None if cold is None else timedelta(milliseconds=cold),
+        )
 
     def read_outcome(
         self, attempt: Attempt, reply: HttpReply, found: HeaderMap, elapsed: float
--- a/walkcart/platform/settings.py
+++ b/walkcart/platform/settings.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from walkcart.kernel.settings import BadValue, HostPort, parse_host_port
+from walkcart.routing.coldleafs import ColdBound
 
 #: The variable that holds the file's path.
 FILE_VARIABLE = "WALKCART_NODE_FILE"
@@ -42,6 +43,10 @@
     retry_window_s: float = 10.0
     # Repeats on top of that share, of all instances together.
     budget_slack: float = 0.0
+    # Requests that a cold leaf gets in one second, of all instances together: its
+    # service's rate times the first, plus the second.
+    warmup_tolerance: float = 1.0
+    warmup_slack: float = 0.0
     # From SIGTERM to SIGKILL, in seconds.
     grace_s: float = 6.0
 
@@ -102,6 +107,7 @@
         repeat_allowance: repeats on top, of all instances together.
         grace: time from the signal to stop until the process is killed.
         cores: of the machine, in cores of the usual speed.
+        cold_bound: what cold leafs may get.
     """
 
     instance: str
@@ -119,6 +125,7 @@
     repeat_allowance: float
     grace: timedelta
     cores: float = 1.0
+    cold_bound: ColdBound = ColdBound()
 
 
 def parse_duration_ms(milliseconds: float) -> timedelta:
@@ -159,4 +166,5 @@
         repeat_allowance=file.bounds.budget_slack,
         grace=timedelta(seconds=file.bounds.grace_s),
         cores=file.limits.cpu_share * file.limits.cores,
+        cold_bound=ColdBound(file.bounds.warmup_tolerance, file.bounds.warmup_slack),
     )
--- a/walkcart/platform/tests/platformworld.py
+++ b/walkcart/platform/tests/platformworld.py
@@ -17,6 +17,7 @@
 from walkcart.platform.settings import PlatformSettings
 from walkcart.platform.tests.leafstandin import PlatformLeafStandin
 from walkcart.platform.tests.storestandin import PlatformStoreStandin
+from walkcart.routing.coldleafs import ColdBound
 from walkcart.standins.machinelinks import MachineLink
 from walkcart.standins.memory import MemoryNetwork
 from walkcart.standins.serving import StandinServer
@@ -210,13 +211,22 @@
         repeat_window=timedelta(seconds=10),
         repeat_allowance=54.0,
         grace=timedelta(seconds=6),
+        cold_bound=ColdBound(1.5, 5.0),
     )
 
 
 def make_configuration(
     version: int, routes: list[dict[str, Any]], **limits: int
 ) -> dict[str, Any]:
-    """Return a configuration as operators store it."""
+    """Return a configuration as operators store it.
+
+    Args:
+        version: of the configuration.
+        routes: as `make_route` makes them.
+        limits: of callers; ``warmupS`` and ``warmupPerS`` are of all services.
+    """
+    details = {"warmupS": limits.pop("warmupS", 0)}
+    details["warmupPerS"] = limits.pop("warmupPerS", 0)
     names = {name for route in routes for name in _services_of(route)}
     return {
         "version": version,
@@ -228,6 +238,7 @@
                 "maxConns": 26,
                 "protocol": "h1",
                 "tls": False,
+                **details,
             }
             for name in sorted(names)
         ],
--- /dev/null
+++ b/walkcart/platform/tests/test_cold_leafs.py
@@ -0,0 +1,156 @@
+"""Leafs that are cold: no second holds more than they bear, over all instances."""
+
+import trio
+
+from walkcart.bench.harness import run_mocked
+from walkcart.platform.leafprotocol import PlatformLeafProtocol
+from walkcart.platform.tests.leafstandin import PlatformLeafStandin
+from walkcart.platform.tests.platformworld import make_route, open_platform
+
+DATA_CENTRES = ("north-a", "south-a", "east-a")
+INSTANCES = [f"{dc}{n}" for dc in DATA_CENTRES for n in ("", "-2", "-3")]
+SHARDS = [f"shard-{number}" for number in range(3)]
+#: Requests a second that a cold leaf bears, and what follows for any second.
+RATE = 4
+MOST = RATE * 1.5 + 5
+COLD_SECONDS = 3
+
+
+class TimedLeaf(PlatformLeafStandin):
+    """Notes when requests arrive."""
+
+    async def handle(self, request):
+        self.times = getattr(self, "times", [])
+        self.times.append(trio.current_time())
+        return await PlatformLeafStandin.handle(self, request)
+
+
+def most_in_a_second(leaf, since=0.0):
+    times = [at for at in getattr(leaf, "times", []) if at >= since]
+    return max((sum(a <= b <= a + 1.0 for b in times) for a in times), default=0)
+
+
+def with_many_instances(action, data_centres=DATA_CENTRES):
+    async def run():
+        async with open_platform() as world:
+            for service in (*SHARDS, "single"):
+                for data_centre in data_centres:
+                    id = f"{service}-{data_centre}"
+                    leaf = TimedLeaf(id, records=id.encode()[-16:].zfill(16))
+                    await world.run_leaf(leaf, service, data_centre)
+            world.configure(
+                make_route("single", "/one/", backend="single"),
+                make_route(
+                    "all", "/all/", fanoutServices=SHARDS, topK=8, minCoverage=0.5
+                ),
+                warmupS=COLD_SECONDS,
+                warmupPerS=RATE,
+            )
+            for name in INSTANCES:
+                await world.start_instance(name, name[: name.index("-") + 2])
+            for name in INSTANCES:
+                await world.wait_ready(name)
+            await trio.sleep(12)
+            return await action(world)
+
+    return run_mocked(run)
+
+
+async def ask_much(world, seconds, rate=90):
+    """Ask for all shards and for one, many times a second, at all instances."""
+    statuses = []
+
+    async def ask(number):
+        path = "/one/x" if number % 2 else "/all/x"
+        name = INSTANCES[number % len(INSTANCES)]
+        statuses.append((await world.ask(path, name)).status)
+
+    async with trio.open_nursery() as nursery:
+        for number in range(int(seconds * rate)):
+            nursery.start_soon(ask, number)
+            await trio.sleep(1 / rate)
+    return statuses
+
+
+def note_cold(world, id, left_ms):
+    entry = world.entries[id]
+    entry["seq"] += 1
+    entry["warmupLeftMs"] = left_ms
+    world.store.put(f"servers/{id}", entry)
+
+
+def test_a_leaf_that_becomes_cold_again_gets_no_more_than_it_bears():
+    async def act(world):
+        await ask_much(world, 2)
+        ids = [f"{service}-south-a" for service in (*SHARDS, "single")]
+        warm = max(most_in_a_second(world.leafs[id]) for id in ids)
+        for id in ids:
+            note_cold(world, id, COLD_SECONDS * 1000)
+        await trio.sleep(1.0)
+        since = trio.current_time()
+        statuses = await ask_much(world, COLD_SECONDS - 1.2)
+        most = max(most_in_a_second(world.leafs[id], since) for id in ids)
+        return warm, most, statuses
+
+    warm, most, statuses = with_many_instances(act)
+    assert warm > MOST
+    assert most <= MOST
+    # The siblings serve.
+    assert set(statuses) == {200}
+
+
+def test_leafs_are_cold_when_their_data_centre_is_taken_back():
+    async def act(world):
+        world.store.put("op/evacuate/south-a", {})
+        await trio.sleep(2)
+        world.store.remove("op/evacuate/south-a")
+        since = trio.current_time()
+        await ask_much(world, COLD_SECONDS - 0.2)
+        ids = [f"{service}-south-a" for service in (*SHARDS, "single")]
+        cold = max(most_in_a_second(world.leafs[id], since) for id in ids)
+        await trio.sleep(2 * COLD_SECONDS)
+        await ask_much(world, 2)
+        return cold, max(most_in_a_second(world.leafs[id]) for id in ids)
+
+    cold, warm = with_many_instances(act)
+    assert cold <= MOST
+    assert warm > MOST
+
+
+def test_when_all_of_a_service_are_cold_the_rest_is_refused_at_once():
+    async def act(world):
+        for service in ("single", *SHARDS):
+            note_cold(world, f"{service}-north-a", COLD_SECONDS * 1000)
+        await trio.sleep(1.0)
+        refusals = []
+
+        async def ask(number):
+            start = trio.current_time()
+            reply = await world.ask("/one/x", INSTANCES[number % len(INSTANCES)])
+            if reply.status != 200:
+                wait = float(reply.header(b"retry-after"))
+                refusals.append((reply.status, wait, trio.current_time() - start))
+
+        since = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for number in range(100):
+                nursery.start_soon(ask, number)
+                await trio.sleep(0.01)
+        return refusals, most_in_a_second(world.leafs["single-north-a"], since)
+
+    refusals, most = with_many_instances(act, data_centres=("north-a",))
+    assert 0 < most <= MOST
+    assert {status for status, _, _ in refusals} == {503}
+    assert all(0 < wait <= COLD_SECONDS for _, wait, _ in refusals)
+    assert max(elapsed for _, _, elapsed in refusals) < 0.05
+
+
+def test_what_a_leaf_says_of_itself_is_read():
+    read = PlatformLeafProtocol().read_status
+    four = read({b"x-server-load": b"3,1,2,400", b"x-warmup-ms": b"1500"})
+    assert (four.load, four.pace) == (4, 4.0)
+    assert four.cold_time.total_seconds() == 1.5
+    three = read({b"x-server-load": b"3,0,2"})
+    assert (three.load, three.pace, three.cold_time) == (3, None, None)
+    for bad in (b"", b"x", b"3", b"3,,,", b"-1,2,3,4", b"1,2,3,zero"):
+        assert read({b"x-server-load": bad}).pace is None
--- a/walkcart/routing/eligibility.py
+++ b/walkcart/routing/eligibility.py
@@ -67,6 +67,7 @@
     LEAVING = "leaving"
     REPLACED = "replaced"
     GONE = "gone"
+    COLD = "cold"
     EVACUATED = "evacuated"
     OUTSIDE_REGIONS = "outside_regions"
 
