--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from walkcart.fanout.crashwatch import CrashWatch
 from walkcart.fanout.routedquestion import RoutedQuestion
@@ -11,7 +12,11 @@
 from walkcart.leaves.attempts import Attempt, Deliver
 from walkcart.leaves.leaf import Leaf
 from walkcart.routing.distance import Distance
-from walkcart.routing.kindtimes import HEDGE_RESERVE, find_hedge_time
+from walkcart.routing.kindtimes import (
+    HEDGE_RESERVE,
+    find_hedge_time,
+    find_last_hedge_time,
+)
 from walkcart.wire.verdicts import Reason
 
 #: Seconds before a service whose leafs all refused or can't be reached is tried again.
@@ -155,6 +160,8 @@
         leaf = pool.choose(
             item.service, kind, frozenset(item.tried), self._objective, now
         )
+        if leaf is not None and self._postpone(item, leaf, now):
+            return
         if leaf is None or self._is_left(leaf) or not self.take_repeat(item, now):
             item.given_up = True
             return
@@ -163,6 +170,15 @@
         self._tools.metrics.count("leaf.hedged")
         self._send(item, leaf, now)
 
+    def _postpone(self, item: ServiceTry, leaf: Leaf, now: float) -> bool:
+        """Put a second attempt off while its leaf is busy; return whether it was."""
+        busy = leaf.outstanding + leaf.stated_load(now) >= leaf.slots
+        for id, sent in item.under_way.items():
+            if busy and now < sent.last_hedge_at:
+                item.under_way[id] = replace(sent, hedge_at=sent.last_hedge_at)
+                return True
+        return False
+
     def cancel(self, item: ServiceTry) -> None:
         """Cancel what is under way at a service."""
         now = self._tools.clock.monotonic()
@@ -214,24 +230,28 @@
         item.held_back = not vital
         return False
 
-    def _find_hedge_time(self, leaf: Leaf, now: float) -> float:
-        """Return when a second attempt is due beside one at `leaf`."""
+    def _find_hedge_times(self, leaf: Leaf, now: float) -> tuple[float, float]:
+        """Return from when and until when a second attempt is due beside one at `leaf`.
+
+        The second of them holds where the leaf for it is busy.
+        """
         pool = self._tools.pool
         kind = self._question.kind
         if not self._question.idempotent:
-            return now + CONNECTION_TIME
+            return now + CONNECTION_TIME, now + CONNECTION_TIME
         service = leaf.labels["service"]
         others = [item for item in pool.leaves_of(service) if item is not leaf]
         nearest = min(
             (pool.distance_to(item) for item in others), default=pool.distance_to(leaf)
         )
         if self._leaves_far and nearest is Distance.OTHER_REGION:
-            return float("inf")
-        return find_hedge_time(
-            now,
-            self._question.objective_at,
-            pool.times_of(kind, pool.distance_to(leaf)).high(now),
-            pool.times_of(kind, nearest).high(now),
+            return float("inf"), float("inf")
+        usual = pool.times_of(kind, pool.distance_to(leaf)).high(now)
+        other = pool.times_of(kind, nearest).high(now)
+        objective = self._question.objective_at
+        return (
+            find_hedge_time(now, objective, usual, other),
+            find_last_hedge_time(now, objective, usual, other),
         )
 
     def _send(self, item: ServiceTry, leaf: Leaf, now: float) -> None:
@@ -250,7 +270,7 @@
             kind=question.kind,
             regions=question.regions,
         )
-        item.under_way[attempt.id] = Sent(leaf, now, self._find_hedge_time(leaf, now))
+        item.under_way[attempt.id] = Sent(leaf, now, *self._find_hedge_times(leaf, now))
         item.tried.append(leaf.id)
         item.places.add(leaf.place)
         item.arrived += 1
--- a/walkcart/fanout/servicetry.py
+++ b/walkcart/fanout/servicetry.py
@@ -19,11 +19,13 @@
         leaf: that has it.
         at: when it was sent, in seconds.
         hedge_at: when a second one is due beside it.
+        last_hedge_at: until when that one may wait for a leaf with a free slot.
     """
 
     leaf: Leaf
     at: float
     hedge_at: float
+    last_hedge_at: float = float("-inf")
 
 
 @dataclass(slots=True)
--- a/walkcart/routing/kindtimes.py
+++ b/walkcart/routing/kindtimes.py
@@ -1,13 +1,16 @@
 """How long one kind of request takes, and when a second attempt is due.
 
-A second attempt is sent as late as it may be and still come in time: most requests
-that are late by a little need none, and each one costs a leaf work and bytes.
+A second attempt is due once the first has taken longer than nine in ten do, if a leaf
+for it has a free slot; a busy one gets it as late as it may be and still come in time,
+since it would take the place of another question's first attempt.
 
 Examples:
-    >>> time = find_hedge_time(0.0, objective=0.2, usual_high=0.05, other_high=0.08)
+    >>> find_hedge_time(0.0, objective=0.2, usual_high=0.05, other_high=0.08)
+    0.05
+    >>> time = find_last_hedge_time(0.0, 0.2, usual_high=0.05, other_high=0.08)
     >>> round(time, 3)
     0.115
-    >>> find_hedge_time(sent=0.0, objective=0.1, usual_high=0.06, other_high=0.08)
+    >>> find_last_hedge_time(0.0, 0.1, usual_high=0.06, other_high=0.08)
     0.06
 """
 
@@ -60,7 +63,7 @@
 def find_hedge_time(
     sent: float, objective: float, usual_high: float, other_high: float
 ) -> float:
-    """Return when a second attempt is due.
+    """Return when a second attempt is due at a leaf with a free slot.
 
     Args:
         sent: when the first one was sent, in seconds.
@@ -70,5 +73,22 @@
     """
     if objective == float("inf"):
         return sent + PLAIN_FACTOR * max(usual_high, other_high)
+    return sent + usual_high
+
+
+def find_last_hedge_time(
+    sent: float, objective: float, usual_high: float, other_high: float
+) -> float:
+    """Return until when a second attempt may wait for a leaf with a free slot.
+
+    Args:
+        sent: when the first one was sent, in seconds.
+        objective: by when the reply is wanted; infinite when it doesn't matter.
+        usual_high: a long time for the first attempt's leaf.
+        other_high: a long time for the second attempt's leaf.
+    """
+    earliest = find_hedge_time(sent, objective, usual_high, other_high)
+    if objective == float("inf"):
+        return earliest
     latest = objective - OTHER_FACTOR * other_high - HEDGE_RESERVE
-    return max(sent + usual_high, latest)
+    return max(earliest, latest)
--- a/walkcart/routing/settling.py
+++ b/walkcart/routing/settling.py
@@ -2,12 +2,12 @@
 
 Where a leaf of each shard stands in every region, a second attempt at a late shard
 goes to another region. One message there that brings back merged records costs less
-than a request and a reply for each late shard. It takes a little longer, so it is sent
-a little earlier.
+than a request and a reply for each late shard. It is sent once a near leaf has taken
+longer than nine in ten do: what waits there in vain is then found in time.
 
 Examples:
     >>> round(find_settle_time(0.0, objective=0.2, near_high=0.04, late_high=0.06), 3)
-    0.135
+    0.05
     >>> find_settle_time(0.0, objective=0.05, near_high=0.03, late_high=0.06)
     inf
 
@@ -83,4 +83,4 @@
     earliest = now + near_high + STEP_TIME
     if earliest > latest + late_high / 2:
         return float("inf")
-    return max(earliest, latest)
+    return earliest
