--- a/walkcart/routing/peerchoice.py
+++ b/walkcart/routing/peerchoice.py
@@ -2,8 +2,8 @@
 
 The one with the least expected time wins, among those that answered of late or that
 nothing bad is known of. Expected is its average time, times the questions of this
-instance that it has already, and the time for which they keep its processor: its average
-shows little of that, since most answers wait for the slowest leaf.
+instance that it has already, and the time for which they keep its processor: its
+average shows little of that, since most answers wait for the slowest leaf.
 
 Examples:
     >>> accounts = PeerAccounts()
