--- a/walkcart/fanout/lateparts.py
+++ b/walkcart/fanout/lateparts.py
@@ -130,15 +130,15 @@
         return len(item.under_way) == 1 and item.may_run < self._question.most_attempts
 
     def _submit(self, places: dict[str, set[Place]]) -> list[DelegatedGroup]:
-        delegates = self._tools.delegates
-        assert delegates is not None
         question = replace(
             self._question,
             least_coverage=0.0,
             most_attempts=1,
-            settle_at=self._find_hand_over_time(),
+            settle_at=float("inf"),
             granted=True,
         )
+        delegates = self._tools.delegates
+        assert delegates is not None
         groups = divide_services(
             tuple(places), places.__getitem__, self._tools.place, self._tools.random
         )
@@ -147,18 +147,6 @@
         ]
         return [group for group in asked if group is not None]
 
-    def _find_hand_over_time(self) -> float:
-        """Return when an instance hands over what it has of the late parts.
-
-        Without that a single leaf that is slow there too holds back the other parts
-        until the objective, and they come too late by as much as the way takes.
-        """
-        now = self._tools.clock.monotonic()
-        kind = self._question.kind
-        own = self._tools.pool.times_of(kind, Distance.SAME_DATA_CENTRE).high(now)
-        assert self._tools.delegates is not None
-        return now + self._tools.delegates.times.expect_late(kind, own)
-
     def _note(self, late: list[ServiceTry], groups: list[DelegatedGroup]) -> None:
         self._tools.events.emit(
             Events.LATE_PARTS,
