--- a/walkcart/routing/peerchoice.py
+++ b/walkcart/routing/peerchoice.py
@@ -44,6 +44,11 @@
 LONGEST_SILENCE = 4.0
 #: How much each question in progress adds to the expected time, as a share of it.
 PER_QUESTION = 0.1
+#: Another instance than the first of those for a group gets it only if that one is
+#: expected to take this many times as long: the same one keeps getting the same
+#: services, learns three times as soon which of their leafs are slow, and has
+#: connections to them.
+SWITCH_FACTOR = 1.25
 #: Weight of a new round trip.
 ROUND_TRIP_GAIN = 0.2
 FIRST_ROUND_TRIP = 0.02
@@ -77,7 +82,7 @@
         """Return the instance for the next question, or None when none may get it.
 
         Args:
-            names: of the instances.
+            names: of the instances; with `work` those that are wanted more go first.
             now: the present, in seconds.
             random: breaks ties.
             work: seconds for which the question keeps the processor of each.
@@ -85,15 +90,14 @@
         usable = [name for name in names if self._account(name).silent_until <= now]
         if not usable:
             return None
-        timed = [
-            (
-                self._expect(name, now, (work or {}).get(name, 0.0)),
-                random.random(),
-                name,
-            )
+        times = {
+            name: self._expect(name, now, (work or {}).get(name, 0.0))
             for name in usable
-        ]
-        return min(timed)[2]
+        }
+        if work is None:
+            return min(usable, key=lambda name: (times[name], random.random()))
+        least = min(times.values())
+        return next(name for name in usable if times[name] <= SWITCH_FACTOR * least)
 
     def note_sent(self, name: str, now: float) -> None:
         """Note that a question was sent."""
