Leave the pace that leafs state unweighed

The figure changes many times a second and a leaf is asked some eight times in one, so that what is heard is mostly old.

--- a/walkcart/leaves/leaf.py
+++ b/walkcart/leaves/leaf.py
@@ -12,9 +12,6 @@
 
 #: Seconds after which half of a leaf's stated load is forgotten.
 STATED_HALF_LIFE = 0.1
-#: Seconds after which half of what a leaf said of its pace is forgotten: the neighbours
-#: on its machine change several times a second.
-PACE_HALF_LIFE = 0.25
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -86,8 +83,6 @@
         self.replied_at = 0.0
         self._stated = 0.0
         self._stated_at = 0.0
-        self._pace = 1.0
-        self._pace_at = 0.0
 
     @property
     def region(self) -> str:
@@ -113,16 +108,6 @@
         """Return the requests of others that likely are there still."""
         return self._stated * 0.5 ** ((now - self._stated_at) / STATED_HALF_LIFE)
 
-    def note_pace(self, now: float, pace: float) -> None:
-        """Take in how many times as long as usual work takes there, by its own word."""
-        self._pace = pace
-        self._pace_at = now
-
-    def stated_pace(self, now: float) -> float:
-        """Return how many times as long as usual work likely takes there still."""
-        kept = 0.5 ** ((now - self._pace_at) / PACE_HALF_LIFE)
-        return 1.0 + (self._pace - 1.0) * kept
-
     def note_cold(self, until: float) -> None:
         """Take in until when it is cold; it never becomes warm sooner than it said."""
         self.cold_until = max(self.cold_until, until)
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -158,8 +158,6 @@
         now = self._tools.link.clock.monotonic()
         if status.load is not None:
             leaf.note_stated(now, status.load)
-        if status.pace is not None:
-            leaf.note_pace(now, status.pace)
         if status.cold_time:
             leaf.note_cold(now + status.cold_time.total_seconds())
 
@@ -220,7 +218,7 @@
             key=leaf.id,
             load=leaf.outstanding + leaf.stated_load(now),
             slots=leaf.slots,
-            time=usual * max(leaf.latency.estimate(now, 1.0), leaf.stated_pace(now)),
+            time=usual * leaf.latency.estimate(now, 1.0),
             distance=self.distance_to(leaf),
             cold=now < leaf.cold_until,
             stalled=is_stalled(leaf, usual, now),
