--- /dev/null
+++ b/walkcart/platform/tests/test_where_requests_go.py
@@ -0,0 +1,196 @@
+"""Whatever operators and leafs do, no request reaches a leaf that it may not go to.
+
+Each play walks all ways: first attempts, repeats, hedges, late parts, groups at other
+instances, splits and single leafs, beside changes, evacuations, cuts and restarts.
+"""
+
+from pathlib import Path
+from random import Random
+
+import pytest
+import trio
+
+import walkcart
+from walkcart.bench.harness import run_mocked
+from walkcart.platform.tests.leafstandin import PlatformLeafStandin
+from walkcart.platform.tests.platformworld import REGIONS, make_route, open_platform
+from walkcart.wire.http import ExchangeFailed
+
+DATA_CENTRES = ("north-a", "south-a", "east-a")
+SHARDS = [f"shard-{number}" for number in range(3)]
+#: Seconds within which what operators store is in force at every instance.
+IN_FORCE = 1.0
+SECONDS = 12.0
+
+
+class Story:
+    """What operators stored, by time, and what arrived where."""
+
+    def __init__(self):
+        self.regions = {}
+        self.evacuated = {name: [] for name in DATA_CENTRES}
+        self.wrong = []
+        self.arrived = 0
+
+    def note_regions(self, route, names):
+        self.regions.setdefault(route, []).append((trio.current_time(), names))
+
+    def note_evacuated(self, data_centre, stands):
+        self.evacuated[data_centre].append((trio.current_time(), stands))
+
+    def allows(self, route, region):
+        """Return whether any configuration of late let a route go to a region."""
+        now = trio.current_time()
+        held = self.regions[route]
+        ends = [at for at, _ in held[1:]] + [now]
+        recent = [
+            names
+            for (_, names), end in zip(held, ends, strict=True)
+            if end >= now - IN_FORCE
+        ]
+        return any(not names or region in names for names in recent)
+
+    def is_evacuated(self, data_centre):
+        """Return whether an evacuation has stood for long enough."""
+        held = self.evacuated[data_centre]
+        return (
+            bool(held)
+            and held[-1][1]
+            and (trio.current_time() - held[-1][0] > IN_FORCE)
+        )
+
+    def note_arrival(self, route, data_centre):
+        self.arrived += 1
+        if not self.allows(route, REGIONS[data_centre]):
+            self.wrong.append((route, data_centre, "region"))
+        if self.is_evacuated(data_centre):
+            self.wrong.append((route, data_centre, "evacuated"))
+
+
+class WatchedLeaf(PlatformLeafStandin):
+    """Tells the story what arrives."""
+
+    async def handle(self, request):
+        route = request.target.split("/")[1]
+        self.story.note_arrival(route, self.id[-7:].lstrip("-"))
+        return await PlatformLeafStandin.handle(self, request)
+
+
+ROUTES = {
+    "all": {"fanoutServices": SHARDS, "topK": 4, "minCoverage": 0.6},
+    "one": {"backend": "single", "maxAttempts": 3},
+    "once": {"backend": "single", "routeType": "non_idempotent"},
+    "split": {
+        "trafficSplit": [
+            {"backend": "single", "weight": 2},
+            {"backend": "shard-0", "weight": 1},
+        ]
+    },
+}
+
+
+def configure(world, story, random):
+    routes = []
+    for name, fields in ROUTES.items():
+        count = random.choice([0, 0, 1, 2])
+        names = random.sample(["north", "south", "east"], count)
+        story.note_regions(name, names)
+        routes.append(make_route(name, f"/{name}/", allowedRegions=names, **fields))
+    world.configure(*routes)
+
+
+async def disturb(world, story, random):
+    while True:
+        await trio.sleep(random.uniform(0.3, 1.2))
+        leaf = random.choice(list(world.leafs.values()))
+        match random.choice(["configure", "evacuate", "leaf", "restart", "cut"]):
+            case "configure":
+                configure(world, story, random)
+            case "evacuate":
+                name = random.choice(DATA_CENTRES)
+                key = f"op/evacuate/{name}"
+                if stands := key not in world.store.rows:
+                    world.store.put(key, {})
+                else:
+                    world.store.remove(key)
+                story.note_evacuated(name, stands)
+            case "leaf":
+                leaf.faults.delay = random.choice([0.0, 0.15, 0.6])
+                leaf.faults.drop = random.random() < 0.3
+                leaf.faults.refuse = random.random() < 0.3
+            case "restart":
+                name = random.choice(DATA_CENTRES)
+                world.tenants[name].scope.cancel()
+                await trio.sleep(0.2)
+                await world.start_instance(name, name)
+            case _:
+                one, other = random.sample(DATA_CENTRES, 2)
+                world.network.cut(one, other)
+                await trio.sleep(random.uniform(0.1, 0.8))
+                world.network.heal(one, other)
+
+
+async def ask(world, random):
+    name = random.choice(DATA_CENTRES)
+    try:
+        with trio.move_on_after(3):
+            await world.ask(f"/{random.choice(list(ROUTES))}/x", name)
+    except (OSError, ExchangeFailed):
+        # The instance has just ended; callers see that.
+        return
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_request_reaches_a_leaf_that_it_may_not_go_to(seed):
+    async def run():
+        random, story = Random(seed), Story()
+        async with open_platform() as world:
+            for service in (*SHARDS, "single"):
+                for data_centre in DATA_CENTRES:
+                    leaf = WatchedLeaf(f"{service}-{data_centre}", records=b"r" * 16)
+                    leaf.story = story
+                    await world.run_leaf(leaf, service, data_centre)
+            configure(world, story, random)
+            for name in DATA_CENTRES:
+                await world.start_instance(name, name)
+            for name in DATA_CENTRES:
+                await world.wait_ready(name)
+            await trio.sleep(3)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(disturb, world, story, random)
+                for _ in range(int(SECONDS / 0.05)):
+                    nursery.start_soon(ask, world, random)
+                    await trio.sleep(0.05)
+                nursery.cancel_scope.cancel()
+        return story
+
+    story = run_mocked(run)
+    assert story.arrived > 100
+    assert story.wrong == []
+
+
+def find_uses(word):
+    root = Path(walkcart.__file__).parent
+    return {
+        path.relative_to(root).as_posix()
+        for path in root.rglob("*.py")
+        if "tests" not in path.parts and word in path.read_text(encoding="utf-8")
+    }
+
+
+def test_requests_leave_by_ways_that_ask_and_by_no_other():
+    # Links ask before the first byte; only pool and gateway have links.
+    assert "leaves/link.py" in find_uses("_tools.admit(")
+    assert find_uses("link.submit(") <= {
+        "leaves/pool.py",
+        "leaves/gateway.py",
+        "leaves/forwarding.py",
+    }
+    # The only message with a request's body is made where the receiver is checked.
+    assert find_uses("encode_question(") == {
+        "fanout/delegationcodec.py",
+        "fanout/delegates.py",
+    }
+    assert "may_carry(" in (
+        Path(walkcart.__file__).parent / "fanout/delegates.py"
+    ).read_text(encoding="utf-8")
--- a/walkcart/routing/kindtimes.py
+++ b/walkcart/routing/kindtimes.py
@@ -1,8 +1,8 @@
 """How long one kind of request takes, and when a second attempt is due.
 
-A second attempt is due once the first is late, if a leaf for it has a free slot; a busy
-one gets it as late as it may be and still come in time, since it would take the place of
-another question's first attempt.
+A second attempt is due once the first is late, if a leaf for it has a free slot. A busy
+one gets it as late as it may be and still come in time, since it would take the place
+of another question's first attempt.
 
 Examples:
     >>> find_hedge_time(0.0, objective=0.2, late=0.05, other_high=0.08)
