--- a/walkcart/platform/tests/soak.py
+++ b/walkcart/platform/tests/soak.py
@@ -140,7 +140,10 @@
         while True:
             await trio.sleep(self._random.uniform(*FAULT_GAP))
             kind = self._random.choice(
-                ("kill", "pause", "stop", "store", "leaf", "link", "route", "herd")
+                (
+                    *("kill", "pause", "stop", "store", "leaf", "link", "route"),
+                    *("herd", "evacuate"),
+                )
             )
             self.faults[kind] += 1
             await self._bring_one(kind, names)
@@ -173,6 +176,8 @@
                 await self.estate.trouble_leaf(span)
             case "link":
                 await self.estate.trouble_link(span)
+            case "evacuate":
+                await self.estate.evacuate(span)
             case "route":
                 self.estate.change_routes()
 
@@ -206,6 +211,19 @@
             status = await self.callers.ask_status(name, "/last/x")
             if status != 200:
                 self.broken.append(f"after the end {name} answered {status}")
+        await self._check_evacuation(names)
+
+    async def _check_evacuation(self, names: list[str]) -> None:
+        """Nothing goes to an evacuated data centre, now that all are in touch."""
+        place = DATA_CENTRES[0]
+        self.estate.store.put(f"op/evacuate/{place}", {})
+        await trio.sleep(3)
+        before = self.estate.count_arrived(place)
+        for name in names * 3:
+            await self.callers.ask_status(name, "/last/x")
+        arrived = self.estate.count_arrived(place) - before
+        if arrived:
+            self.broken.append(f"{arrived} requests went to evacuated {place}")
 
 
 def run_seed(seed: int, minutes: float) -> bool:
--- a/walkcart/platform/tests/soakcalls.py
+++ b/walkcart/platform/tests/soakcalls.py
@@ -110,7 +110,7 @@
 
     async def _ask(self, connection: HttpConnection) -> bool:
         """Ask once; return whether an answer came."""
-        kind = self._random.choice(["all", "all", "one", "once"])
+        kind = self._random.choice(["all", "all", "one", "once", "home"])
         request = self._make_request(kind, f"/{kind}/x")
         with trio.move_on_after(GIVE_UP):
             try:
--- a/walkcart/platform/tests/soakestate.py
+++ b/walkcart/platform/tests/soakestate.py
@@ -30,6 +30,10 @@
 TOP = 4
 LEAST_COVERAGE = 0.6
 LOOPBACK = HostPort("127.0.0.1", 0)
+#: The one region that requests of the route "home" may be served in.
+HOME_REGION = "south"
+#: Requests a second that a cold leaf bears; callers ask each for some 40.
+COLD_RATE = 5
 #: First port for the daemons' own addresses, of which each takes four, and the runs
 #: that find room below the ports that the machine gives out by itself.
 FIRST_PORT = 23000
@@ -71,6 +75,7 @@
         self._index = 0
         self.store = PlatformStoreStandin()
         self.leafs: dict[str, PlatformLeafStandin] = {}
+        self.leaf_places: dict[str, str] = {}
         self.leaf_proxies: dict[str, Proxy] = {}
         self.store_proxies: dict[str, Proxy] = {}
         self.places: dict[str, str] = {}
@@ -103,6 +108,7 @@
         proxy = Proxy(address)
         await self._nursery.start(proxy.run)
         self.leafs[id] = leaf
+        self.leaf_places[id] = place
         self.leaf_proxies[id] = proxy
         self.store.put(
             f"servers/{id}",
@@ -133,7 +139,7 @@
             f"[zones]\n{zones}\n"
             f'[listen]\nfront = "127.0.0.1:{port}"\nready = "127.0.0.1:{port + 1}"\n'
             "[bounds]\nretryBudgetRatio = 0.2\nretryWindowS = 10\nbudgetSlack = 54\n"
-            "graceS = 6\n"
+            "graceS = 6\nwarmupTolerance = 1.5\nwarmupSlack = 5\n"
             f'[platform]\naddress = "{self.store_proxies[name].address}"\n'
             "writesPerS = 400\nreadsPerS = 2000\n"
         )
@@ -153,16 +159,37 @@
             )
         )
 
+    async def evacuate(self, span: float) -> None:
+        """Evacuate a data centre for a while; its leafs are cold afterwards."""
+        place = self._random.choice(sorted(set(self.places.values())))
+        self.store.put(f"op/evacuate/{place}", {})
+        await trio.sleep(span)
+        self.take_back(place)
+
+    def take_back(self, place: str) -> None:
+        """End the evacuation of a data centre, if it stands."""
+        if f"op/evacuate/{place}" in self.store.rows:
+            self.store.remove(f"op/evacuate/{place}")
+
+    def count_arrived(self, place: str) -> int:
+        """Return the requests that the leafs of a data centre have had."""
+        return sum(len(self.leafs[id].arrived) for id in self._find_leafs(place))
+
+    def _find_leafs(self, place: str) -> list[str]:
+        return [id for id, where in self.leaf_places.items() if where == place]
+
     def configure(self, *routes: dict[str, Any]) -> None:
         """Store a new version with these routes and those to single leafs."""
         self._version += 1
         single = (
             make_route("one", "/one/", backend="plain"),
             make_route("once", "/once/", backend="plain", routeType="non_idempotent"),
+            make_route("home", "/home/", backend="plain", allowedRegions=[HOME_REGION]),
         )
-        self.store.put(
-            "op/config", make_configuration(self._version, [*routes, *single])
+        content = make_configuration(
+            self._version, [*routes, *single], warmupS=1, warmupPerS=COLD_RATE
         )
+        self.store.put("op/config", content)
 
     async def trouble_store(self, span: float) -> None:
         """Have the store fail for a while, for all or for one daemon."""
@@ -208,6 +235,8 @@
     def heal(self) -> None:
         """End all troubles."""
         self.store.faults = PlatformStoreFaults()
+        for place in set(self.places.values()):
+            self.take_back(place)
         for leaf in self.leafs.values():
             leaf.faults = PlatformLeafFaults()
         for proxy in (*self.store_proxies.values(), *self.leaf_proxies.values()):
@@ -224,4 +253,10 @@
             if id.startswith("once-") and count > 1
         ]
         broken += [f"{id} was told not run, and ran" for id in told_not_run & set(ran)]
+        broken += [
+            f"{id} had a request of another region"
+            for id, place in self.leaf_places.items()
+            if REGIONS[place] != HOME_REGION
+            and any(item.target == "/home/x" for item in self.leafs[id].arrived)
+        ]
         return broken
