End an attempt that is barred just before its send, whatever happens there

Cause: the counter of barred attempts wasn't in the catalogue, so that counting raised. The fault ended the connection's task as it should, but not the attempt: its question waited until the deadline, and its leaf counted as stalled for good.

--- a/walkcart/kernel/metrics.py
+++ b/walkcart/kernel/metrics.py
@@ -45,6 +45,9 @@
     "leaf.retried": Metric("counter", "requests", "Retries among them."),
     "leaf.ended": Metric("counter", "leafs", "Ended while they had a request."),
     "leaf.failed": Metric("counter", "requests", "Attempts without a usable reply."),
+    "leaf.barred": Metric(
+        "counter", "requests", "Stopped just before they left: not allowed any more."
+    ),
     "leaf.repeat_denied": Metric("counter", "requests", "Repeats past the budget."),
     "leaf.late": Metric("counter", "replies", "Replies that nobody waited for."),
     "leaf.connections": Metric("gauge", "connections", "Open to leaves."),
@@ -63,6 +66,9 @@
     "intent.delay": Metric(
         "timer", "ms", "From a version's first reading here or at a feeder to force."
     ),
+    "intent.evacuated": Metric(
+        "gauge", "data centres", "Whose leafs get nothing, by operators' word."
+    ),
     "intent.age": Metric(
         "gauge",
         "s",
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -295,12 +295,22 @@
             # Nothing of the attempt was sent: it goes on over another one.
             self._queue.appendleft(pending)
             return False
-        refusal = self._tools.admit(self.leaf, attempt)
-        if refusal is not None:
-            self._end(pending, Failed(refusal))
+        if not self._admit(pending, attempt):
             return True
         return await self._exchange(connection, pending, attempt)
 
+    def _admit(self, pending: Pending, attempt: Attempt) -> bool:
+        """Return whether an attempt may be sent now; one that may not is ended."""
+        refusal: NotRun | None = NotRun(Reason.INTERNAL, "a fault of walkcart")
+        try:
+            refusal = self._tools.admit(self.leaf, attempt)
+        finally:
+            # Also after a fault: an attempt that is never ended keeps its question
+            # waiting until the deadline, and its leaf out of use for good.
+            if refusal is not None:
+                self._end(pending, Failed(refusal))
+        return refusal is None
+
     async def _is_fresh(self, connection: HttpConnection) -> bool:
         with trio.move_on_after(CONNECT_TIME.total_seconds()):
             try:
