--- a/walkcart/kernel/tests/test_catalogues.py
+++ b/walkcart/kernel/tests/test_catalogues.py
@@ -1,11 +1,15 @@
 """The pages that are made from the code are in step with it."""
 
+import re
 from pathlib import Path
 
 from walkcart.bench.pages import PAGES
 from walkcart.kernel.events import list_events
+from walkcart.kernel.metrics import CATALOGUE
 
 DOCS = Path(__file__).resolve().parents[3] / "docs"
+#: Counting under a name that isn't in the catalogue raises.
+METRIC_CALL = re.compile(r'metrics\.(?:count|gauge|time)\(\s*"([a-z_.]+)"')
 
 
 def test_numbers_and_names_of_events_are_used_once():
@@ -18,3 +22,16 @@
     for name, render in PAGES.items():
         page = (DOCS / name).read_text(encoding="utf-8")
         assert page == render(), f"run python -m walkcart.bench pages for {name}"
+
+
+def test_every_metric_that_the_sources_name_is_in_the_catalogue():
+    sources = (
+        path
+        for path in (DOCS.parent / "walkcart").rglob("*.py")
+        if "tests" not in path.parts
+    )
+    named = set()
+    for path in sources:
+        named.update(METRIC_CALL.findall(path.read_text(encoding="utf-8")))
+    assert len(named) > 20
+    assert named <= set(CATALOGUE)
