--- a/walkcart/leaves/coldroom.py
+++ b/walkcart/leaves/coldroom.py
@@ -94,6 +94,8 @@
 
     def find_bounded(self) -> frozenset[str]:
         """Return the data centres with leafs that have a bound while they are cold."""
+        if not self._has_bounds():
+            return frozenset()
         return frozenset(
             leaf.data_centre
             for leaf in self._directory.leaves()
@@ -102,6 +104,8 @@
 
     def find_cold(self) -> frozenset[str]:
         """Return the data centres with leafs that are cold now and have a bound."""
+        if not self._has_bounds():
+            return frozenset()
         now = self._clock.monotonic()
         return frozenset(
             leaf.data_centre
@@ -109,6 +113,11 @@
             if self._find_most(leaf, now) is not None
         )
 
+    def _has_bounds(self) -> bool:
+        """Return whether any service has a bound; looked up twice a second."""
+        services = self._keeper.table.services.values()
+        return any(spec.cold_rate > 0.0 for spec in services)
+
     def _find_most(self, leaf: Leaf, now: float) -> int | None:
         """Return what a leaf may get of all instances; None when it isn't bounded."""
         if now >= leaf.cold_until:
