--- a/walkcart/fanout/peerselection.py
+++ b/walkcart/fanout/peerselection.py
@@ -87,7 +87,7 @@
         parts = len(wanted.services) * PART_TIME
         work = {name: parts / cores[name] for name in names[:CANDIDATES]}
         now = tools.clock.monotonic()
-        name = tools.accounts.choose(names[:CANDIDATES], now, tools.random, work)
+        name = tools.accounts.choose(names[:CANDIDATES], now, work)
         return tools.registration.find(name) if name else None
 
     def _find_connected(self, names: list[str]) -> list[str]:
--- a/walkcart/membership/coldshares.py
+++ b/walkcart/membership/coldshares.py
@@ -207,35 +207,23 @@
         )
         match outcome:
             case Committed(revision):
-                self._take(data_centre, HeldShare(share, key, revision, lease, 0.0))
+                self._take(data_centre, share, Item(key, value, revision), lease)
                 return True
             case Rejected(present):
                 # An answer that was lost may have been of a call that was done.
-                return self._adopt(data_centre, share, lease, present, value)
+                own_items = [item for item in present if item.value == value]
+                for item in own_items:
+                    self._take(data_centre, share, item, lease)
+                return bool(own_items)
             case _:
                 return False
 
-    def _adopt(
-        self,
-        data_centre: str,
-        share: Share,
-        lease: Lease,
-        present: tuple[Item, ...],
-        value: bytes,
-    ) -> bool:
-        for item in present:
-            if item.value == value:
-                held = HeldShare(share, item.key, item.revision, lease, 0.0)
-                self._take(data_centre, held)
-                return True
-        return False
-
-    def _take(self, data_centre: str, held: HeldShare) -> None:
-        now = self._clock.monotonic()
-        usable_from = now + TRUST + WINDOW + WINDOW_MARGIN
+    def _take(self, data_centre: str, share: Share, item: Item, lease: Lease) -> None:
+        """Hold a share whose key is stored; it is used once no former holder is."""
+        usable_from = self._clock.monotonic() + TRUST + WINDOW + WINDOW_MARGIN
         self._held[data_centre] = HeldShare(
-            held.share, held.key, held.revision, held.lease, usable_from
+            share, item.key, item.revision, lease, usable_from
         )
         self._events.emit(
-            Events.COLD_SHARE_TAKEN, data_centre=data_centre, share=held.share.index
+            Events.COLD_SHARE_TAKEN, data_centre=data_centre, share=share.index
         )
--- a/walkcart/routing/peerchoice.py
+++ b/walkcart/routing/peerchoice.py
@@ -1,18 +1,19 @@
 """Which other instance gathers the next question for this one.
 
-The one with the least expected time wins, among those that answered of late or that
-nothing bad is known of. Expected is its average time, times the questions of this
-instance that it has already, and the time for which they keep its processor: its
-average shows little of that, since most answers wait for the slowest leaf.
+It is the first of those that are wanted for it, unless another is expected to be much
+faster, among those that answered of late or that nothing bad is known of. Expected is
+its average time, times the questions of this instance that it has already, and the time
+for which they keep its processor: its average shows little of that, since most answers
+wait for the slowest leaf.
 
 Examples:
-    >>> accounts = PeerAccounts()
+    >>> accounts, work = PeerAccounts(), {"a": 0.01, "b": 0.01}
     >>> accounts.note_answer("a", 1.0, 0.05)
     >>> accounts.note_answer("b", 1.0, 0.2)
-    >>> accounts.choose(["a", "b"], 1.1, Random(1))
+    >>> accounts.choose(["b", "a"], 1.1, work)
     'a'
     >>> accounts.note_silent("a", 1.2)
-    >>> accounts.choose(["a", "b"], 1.3, Random(1))
+    >>> accounts.choose(["b", "a"], 1.3, work)
     'b'
 """
 
@@ -20,7 +21,6 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
-from random import Random
 
 from walkcart.routing.latency import DecayedLatency
 
@@ -73,29 +73,19 @@
         self._accounts: dict[str, _Account] = {}
 
     def choose(
-        self,
-        names: Sequence[str],
-        now: float,
-        random: Random,
-        work: Mapping[str, float] | None = None,
+        self, names: Sequence[str], now: float, work: Mapping[str, float]
     ) -> str | None:
         """Return the instance for the next question, or None when none may get it.
 
         Args:
-            names: of the instances; with `work` those that are wanted more go first.
+            names: of the instances; those that are wanted more go first.
             now: the present, in seconds.
-            random: breaks ties.
             work: seconds for which the question keeps the processor of each.
         """
         usable = [name for name in names if self._account(name).silent_until <= now]
         if not usable:
             return None
-        times = {
-            name: self._expect(name, now, (work or {}).get(name, 0.0))
-            for name in usable
-        }
-        if work is None:
-            return min(usable, key=lambda name: (times[name], random.random()))
+        times = {name: self._expect(name, now, work[name]) for name in usable}
         least = min(times.values())
         return next(name for name in usable if times[name] <= SWITCH_FACTOR * least)
 
--- a/walkcart/routing/tests/test_gatherers.py
+++ b/walkcart/routing/tests/test_gatherers.py
@@ -74,9 +74,9 @@
     accounts = PeerAccounts()
     for second in range(6):
         accounts.note_silent("a", float(second))
-    assert accounts.choose(["a"], 6.0, Random(1)) is None
+    assert accounts.choose(["a"], 6.0, {"a": 0.0}) is None
     accounts.note_greeting("a")
-    assert accounts.choose(["a"], 6.0, Random(1)) == "a"
+    assert accounts.choose(["a"], 6.0, {"a": 0.0}) == "a"
 
 
 def test_patience_follows_the_peer_and_the_time_that_a_question_has():
--- a/walkcart/routing/tests/test_peer_choice.py
+++ b/walkcart/routing/tests/test_peer_choice.py
@@ -1,7 +1,5 @@
 """Which instance gathers a group."""
 
-from random import Random
-
 from walkcart.routing.peerchoice import SWITCH_FACTOR, PeerAccounts
 from walkcart.routing.shares import rank_by_weight
 
@@ -18,7 +16,7 @@
 
 
 def choose(accounts, names, **work):
-    return accounts.choose(names, 1.0, Random(1), work or dict.fromkeys(names, 0.0))
+    return accounts.choose(names, 1.0, work or dict.fromkeys(names, 0.0))
 
 
 def test_the_first_one_keeps_a_group_while_others_are_about_as_fast():
