--- a/walkcart/store/following.py
+++ b/walkcart/store/following.py
@@ -286,7 +286,7 @@
         """Take changes in order, and tell of them or anyway; return whether any was."""
         changed = set()
         for change in changes:
-            news = self._apply_one(change)
+            news = self._apply_one(change, passed_on=origin.source != STORE)
             if news:
                 changed.add(change.key)
             if news or isinstance(change, Removal):
@@ -300,13 +300,20 @@
             self.on_change(self)
         return bool(changed)
 
-    def _apply_one(self, change: Change) -> bool:
+    def _apply_one(self, change: Change, passed_on: bool) -> bool:
+        """Take one change; return whether it is news.
+
+        What a feeder passes on was news to it, compared with values that this copy may
+        never have had: a leaf that became cold for 1.8 s after 3 s and none.
+        """
         held = self._items.get(change.key)
         if held is not None and held.revision >= change.revision:
             return False
         match change:
             case Item():
                 self._items[change.key] = change
-                return held is None or self._matters(held.value, change.value)
+                if held is None or passed_on:
+                    return held is None or held.value != change.value
+                return self._matters(held.value, change.value)
             case Removal():
                 return self._items.pop(change.key, None) is not None
--- a/walkcart/store/tests/test_following.py
+++ b/walkcart/store/tests/test_following.py
@@ -137,3 +137,17 @@
     before = state_of(receiver)
     receiver.apply(history[base:behind], behind, Origin("behind", 0.1))
     assert state_of(receiver) == before
+
+
+def test_what_a_feeder_passes_on_is_news_whatever_this_copy_would_make_of_it():
+    """A leaf that became cold again, for less time than the last that was heard of."""
+
+    def rises(old, new):
+        return int(new) > int(old)
+
+    told = []
+    receiver = make_follower(told, rises)
+    receiver.replace({"leaf": Item("leaf", b"3000", 1)}, 1)
+    # The feeder saw 3000, then 0, which it kept to itself, and then 1800.
+    receiver.apply([Item("leaf", b"1800", 3)], 3, Origin("feeder", 0.1))
+    assert told == [{"leaf"}, {"leaf"}]
