Interfaces of teams, limits and ranks, agreed before the parts are built

Cause: nothing of teams, keys, limits or ranks exists on the routed path; several parts that are built side by side need the same names.

--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -24,6 +24,7 @@
 from walkcart.fanout.routedtools import RoutedTools
 from walkcart.intent.routekeeper import RouteKeeper
 from walkcart.intent.routes import Route, Target, ToService, ToShards, ToSplit
+from walkcart.intent.teams import Team
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
@@ -54,8 +55,9 @@
         id: that the caller gave it.
         host: that it is meant for.
         patience: for how long the caller waits; None when it doesn't say.
-        forwarded: what leafs get.
+        forwarded: what leafs get where requests need no key.
         traceparent: of the caller's trace.
+        credential: digest of the API key that came along; None without exactly one.
     """
 
     id: str
@@ -63,6 +65,24 @@
     patience: timedelta | None
     forwarded: HttpRequest
     traceparent: str | None = None
+    credential: bytes | None = None
+
+
+class TeamLimits(Protocol):
+    """Holds the teams' requests to their limits, over all instances together."""
+
+    async def admit(self, team: Team, patience: float) -> NotRun | None:
+        """Take one request of a team from its limit; return why it may not run.
+
+        Args:
+            team: that asks.
+            patience: seconds that the request can wait for the others' word at most.
+        """
+        ...
+
+    def give_back(self, team: Team) -> None:
+        """Return what was taken for a request that no leaf got."""
+        ...
 
 
 class CallerProtocol(Protocol):
@@ -72,6 +92,15 @@
         """Return what a request means."""
         ...
 
+    def name_team(self, request: HttpRequest, team: str) -> HttpRequest:
+        """Return a request as leafs get it where requests need keys.
+
+        Args:
+            request: that was to be forwarded.
+            team: whose key came along; empty on a public route without one.
+        """
+        ...
+
     def render_merged(self, answer: RoutedAnswer, top: int) -> HttpReply:
         """Return the answer of many shards."""
         ...
@@ -102,6 +131,7 @@
         tracer: makes a span for each request.
         random: shifts where splits begin.
         gate: holds requests while the instance starts.
+        limits: of the teams' requests; None where nobody keeps them.
     """
 
     keeper: RouteKeeper
@@ -112,6 +142,7 @@
     tracer: Tracer
     random: Random
     gate: StartGate
+    limits: TeamLimits | None = None
 
 
 class RoutedHandler:
--- a/walkcart/fanout/routedquestion.py
+++ b/walkcart/fanout/routedquestion.py
@@ -36,6 +36,8 @@
         fingerprint: of the request (`walkcart.wire.fingerprint`).
         careful: whether one leaf is to answer before others are asked.
         regions: that it may be served in, by the configuration of who admitted it.
+        team: name of the team that asks; empty where requests need no key.
+        rank: 0 is the most urgent: its team's, else its route's.
     """
 
     id: str
@@ -55,6 +57,8 @@
     fingerprint: bytes = b""
     careful: bool = False
     regions: Regions = ANYWHERE
+    team: str = ""
+    rank: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkcart/intent/routes.py
+++ b/walkcart/intent/routes.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from walkcart.intent.teams import Team, TeamBook
 from walkcart.routing.eligibility import ANYWHERE, Regions
 
 #: Attempts at one leaf or shard where a route sets no bound.
@@ -81,6 +82,7 @@
         most_attempts: leafs that may run one request, for each shard.
         rank: 0 is the most urgent.
         regions: that its requests may be served in.
+        public: whether its requests need no key where there are teams.
     """
 
     name: str
@@ -93,6 +95,7 @@
     most_attempts: int = MOST_ATTEMPTS
     rank: int = 0
     regions: Regions = ANYWHERE
+    public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,12 +141,14 @@
         routes: all routes.
         services: all services.
         limits: of callers.
+        teams: whose keys requests need; None where requests need none.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: tuple[ServiceSpec, ...] = ()
     limits: CallerLimits = field(default_factory=CallerLimits)
+    teams: tuple[Team, ...] | None = None
 
 
 class RouteTable:
@@ -156,6 +161,7 @@
     def __init__(self, document: RoutingDocument) -> None:
         self.document = document
         self.services = {spec.name: spec for spec in document.services}
+        self.teams = TeamBook(document.teams or ())
         self._by_name = {route.name: route for route in document.routes}
         self._by_host: dict[str, list[Route]] = {}
         for route in document.routes:
--- /dev/null
+++ b/walkcart/intent/teams.py
@@ -0,0 +1,87 @@
+"""Teams: who may ask, by which keys, how urgently, where and how much.
+
+A team's keys are kept as digests alone, so that no key can appear in a log, a metric
+or a message between instances.
+
+Examples:
+    >>> team = Team("fitters", keys=frozenset({digest_key(b"secret")}))
+    >>> book = TeamBook((team,))
+    >>> book.find(digest_key(b"secret")).name
+    'fitters'
+    >>> book.find(digest_key(b"other")) is None
+    True
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from walkcart.routing.eligibility import ANYWHERE, Regions
+
+#: Bytes of a key's digest: two keys never share one by chance.
+DIGEST_SIZE = 16
+
+
+def digest_key(key: bytes) -> bytes:
+    """Return what stands for an API key inside walkcart."""
+    return blake2b(key, digest_size=DIGEST_SIZE).digest()
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimit:
+    """What all callers of a team may send together, over all instances.
+
+    Args:
+        rate: requests a second.
+        burst: requests on top, at once.
+    """
+
+    rate: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class Team:
+    """An organisation whose callers share keys, a rank and a limit.
+
+    Args:
+        name: names it; leafs are told.
+        keys: digests of its API keys.
+        rank: goes before the rank of a route; None where it has none.
+        limit: of its requests; None where there is none.
+        regions: that its requests may be served in.
+    """
+
+    name: str
+    keys: frozenset[bytes] = frozenset()
+    rank: int | None = None
+    limit: RateLimit | None = None
+    regions: Regions = ANYWHERE
+
+
+class TeamBook:
+    """The teams of one routing document, by name and by the digests of their keys.
+
+    Args:
+        teams: all teams.
+    """
+
+    def __init__(self, teams: Iterable[Team] = ()) -> None:
+        self._by_name = {team.name: team for team in teams}
+        self._by_key = {
+            key: team for team in self._by_name.values() for key in team.keys
+        }
+
+    def find(self, digest: bytes) -> Team | None:
+        """Return the team that has a key, by the key's digest."""
+        return self._by_key.get(digest)
+
+    def named(self, name: str) -> Team | None:
+        """Return the team of a name."""
+        return self._by_name.get(name)
+
+    def all(self) -> tuple[Team, ...]:
+        """Return all teams."""
+        return tuple(self._by_name.values())
--- a/walkcart/wire/verdicts.py
+++ b/walkcart/wire/verdicts.py
@@ -47,6 +47,9 @@
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
     REPEAT_BUDGET = "repeat_budget"
+    RATE_LIMITED = "rate_limited"
+    LIMIT_UNKNOWN = "limit_unknown"
+    CONFIGURATION_OLD = "configuration_old"
     INTERNAL = "internal"
 
 
