Rate limits of teams that all instances share

Cause: nothing counted what a team sends over all instances. Change: each limit is cut into up to six shares; an instance that holds a share's leased key in the store accounts it in token buckets, others ask it for each request and ahead of demand; the design, with how the bound adds up, in docs/design/quotas.md. The port's give_back takes the time of admission, as a late return would let a window run more than it may.

--- a/walkcart/daemon/tenant.py
+++ b/walkcart/daemon/tenant.py
@@ -10,6 +10,7 @@
 from functools import partial
 
 from walkcart.daemon.surroundings import ListenerService, TenantSurroundings
+from walkcart.daemon.tenantlimits import add_limits
 from walkcart.daemon.tenantserving import (
     add_delegates,
     add_entry,
@@ -23,6 +24,7 @@
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.registry import Kernel
 from walkcart.kernel.taskfaults import note_task_fault
+from walkcart.membership.quotashares import QuotaShares
 from walkcart.membership.registration import Registration
 from walkcart.platform.callerprotocol import PlatformCallerProtocol
 from walkcart.platform.settings import PlatformSettings
@@ -59,6 +61,7 @@
     add_intent(kernel, settings, around)
     add_leaves(kernel, settings, around)
     add_delegates(kernel, settings, around, peers)
+    add_limits(kernel, settings, around)
     add_entry(kernel, settings, around, callers)
     service = kernel.find("entry", RoutedService)
     events = kernel.find("events", EventLog)
@@ -77,5 +80,6 @@
         kernel.find("registration", Registration),
         events,
         settings.grace,
+        kernel.find("quota_shares", QuotaShares),
     )
     return Tenant(kernel, stop)
--- /dev/null
+++ b/walkcart/daemon/tenantlimits.py
@@ -0,0 +1,121 @@
+"""The services of an instance that hold teams to their rate limits.
+
+See Also:
+    `walkcart.daemon.tenant.assemble_tenant`, which puts them together.
+"""
+
+from __future__ import annotations
+
+from walkcart.daemon.surroundings import TenantSurroundings
+from walkcart.entry.teamlimits import SharedTeamLimits
+from walkcart.intent.routekeeper import RouteKeeper
+from walkcart.intent.routes import RouteTable
+from walkcart.intent.teams import RateLimit
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.metrics import Metrics
+from walkcart.kernel.registry import Kernel
+from walkcart.membership.links import PeerLinks
+from walkcart.membership.quotaanswers import QuotaAnswers
+from walkcart.membership.quotaasks import QuotaAsks
+from walkcart.membership.quotaholders import QuotaHolders
+from walkcart.membership.quotakeys import QUOTA_PREFIX, QuotaKeys
+from walkcart.membership.quotashares import QuotaShares
+from walkcart.membership.registration import Registration
+from walkcart.platform.settings import PlatformSettings
+from walkcart.platform.store import PlatformStore
+
+
+class LimitsInForce:
+    """The teams' rate limits, as the routing document in force has them.
+
+    Args:
+        keeper: of that document.
+    """
+
+    def __init__(self, keeper: RouteKeeper) -> None:
+        self._keeper = keeper
+        self.limited = _find_limited(keeper.table)
+
+    def take(self, table: RouteTable) -> None:
+        """Take the limits of a new document."""
+        self.limited = _find_limited(table)
+
+    @property
+    def any(self) -> bool:
+        """Whether any team has a limit."""
+        return bool(self.limited)
+
+    @property
+    def version(self) -> int:
+        """The version of the document."""
+        return self._keeper.table.document.version
+
+    def find(self, team: str) -> tuple[int, RateLimit | None]:
+        """Return the version in force and the limit of a team."""
+        found = self._keeper.table.teams.named(team)
+        return self.version, found.limit if found else None
+
+
+def add_limits(
+    kernel: Kernel, settings: PlatformSettings, around: TenantSurroundings
+) -> None:
+    """Add what holds teams to their rate limits, over all instances together."""
+    registration = kernel.find("registration", Registration)
+    links = kernel.find("links", PeerLinks)
+    events = kernel.find("events", EventLog)
+    metrics = kernel.find("metrics", Metrics)
+    keeper = kernel.find("keeper", RouteKeeper)
+    bounds = settings.quota_bounds
+    in_force = LimitsInForce(keeper)
+    keys = QuotaKeys(
+        kernel.find("store", PlatformStore),
+        registration.own,
+        around.clock,
+        bounds.window,
+    )
+    holders = QuotaHolders(registration, around.clock, events)
+    shares = QuotaShares(
+        keys,
+        holders,
+        links,
+        bounds,
+        lambda: in_force.any,
+        around.clock,
+        events,
+        metrics,
+    )
+    registration.read_along(QUOTA_PREFIX, shares.take_item)
+    answers = QuotaAnswers(links, shares, holders, bounds, in_force.find, around.clock)
+    asks = QuotaAsks(
+        links,
+        registration,
+        shares,
+        holders,
+        bounds,
+        around.clock,
+        around.random,
+        metrics,
+    )
+    limits = SharedTeamLimits(
+        asks,
+        bounds,
+        lambda: in_force.version,
+        around.clock,
+        around.random,
+        events,
+        metrics,
+    )
+
+    def take(table: RouteTable) -> None:
+        in_force.take(table)
+        limits.keep_only(in_force.limited)
+
+    keeper.on_change(take)
+    kernel.add("quota_shares", shares)
+    kernel.add("quota_answers", answers)
+    kernel.add("limits", limits)
+
+
+def _find_limited(table: RouteTable) -> frozenset[str]:
+    teams = table.teams.all()
+    return frozenset(team.name for team in teams if team.limit is not None)
--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -15,6 +15,7 @@
 from walkcart.entry.routed import RoutedEntryTools, RoutedHandler
 from walkcart.entry.routedservice import RoutedService
 from walkcart.entry.starting import StartGate
+from walkcart.entry.teamlimits import SharedTeamLimits
 from walkcart.fanout.carrying import Carrier, Handover
 from walkcart.fanout.delegatedgroup import Outcome
 from walkcart.fanout.delegates import Delegates
@@ -252,6 +253,7 @@
             kernel.find("tracer", Tracer),
             around.random,
             gate,
+            kernel.find("limits", SharedTeamLimits),
         )
     )
     service = RoutedService(
--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -80,8 +80,13 @@
         """
         ...
 
-    def give_back(self, team: Team) -> None:
-        """Return what was taken for a request that no leaf got."""
+    def give_back(self, team: Team, admitted_at: float) -> None:
+        """Return what was taken for a request that no leaf got.
+
+        Args:
+            team: whose request it was.
+            admitted_at: when it came, in seconds of the steady clock.
+        """
         ...
 
 
--- a/walkcart/entry/routedstop.py
+++ b/walkcart/entry/routedstop.py
@@ -15,6 +15,7 @@
 from walkcart.fanout.carrying import Carrier
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
+from walkcart.membership.quotashares import QuotaShares
 from walkcart.membership.registration import Registration
 
 #: Until the balancer has asked twice, once a second, and a late connection came up.
@@ -37,6 +38,7 @@
         registration: tells the other instances.
         events: where the stop is logged.
         grace: time until the platform kills the process.
+        quota_shares: of rate limits that this instance accounts.
     """
 
     def __init__(
@@ -46,12 +48,14 @@
         registration: Registration,
         events: EventLog,
         grace: timedelta,
+        quota_shares: QuotaShares,
     ) -> None:
         self._service = service
         self._carrier = carrier
         self._registration = registration
         self._events = events
         self._grace = grace
+        self._quota_shares = quota_shares
 
     async def stop(self) -> bool:
         """Stop; return whether all that was in progress ended."""
@@ -60,6 +64,8 @@
         self._service.stopping = True
         self._service.server.announce_stop()
         self._carrier.stop_taking()
+        with trio.move_on_after(LEASE_END_TIME.total_seconds()):
+            await self._quota_shares.leave()
         with trio.move_on_after(LEASE_END_TIME.total_seconds()):
             await self._registration.leave()
         await trio.sleep_until(start + BALANCER_TIME.total_seconds())
--- /dev/null
+++ b/walkcart/entry/teamlimits.py
@@ -0,0 +1,188 @@
+"""Admission of teams' requests under the rate limits that all instances share.
+
+See Also:
+    `walkcart.entry.routed.TeamLimits`, the port that this serves.
+    ``docs/design/quotas.md``.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+from walkcart.intent.teams import RateLimit, Team
+from walkcart.kernel.clock import Clock
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
+from walkcart.kernel.metrics import Metrics
+from walkcart.membership.quotaasks import Answer, QuotaAsks
+from walkcart.routing.allowances import Allowance
+from walkcart.routing.quotas import QuotaBounds, Want, list_shares
+from walkcart.wire.verdicts import NotRun, Reason
+
+#: Refused callers are told a wait of up to so many times what is left, by chance, so
+#: that they don't return together.
+SPREAD = 1.5
+#: Longest time for which a request waits for the accountants, in seconds: all have been
+#: asked by then unless most of them are silent.
+MOST_ASKING = 0.5
+#: Seconds after which a caller may try another instance when no accountant is reached
+#: from this one.
+UNKNOWN_WAIT = 0.3
+#: Shortest wait that a refused caller is told, in seconds: its way back and forth.
+SHORTEST_WAIT = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class LastDenial:
+    """The latest denial of one team at this instance.
+
+    Args:
+        at: when, in seconds.
+        use: requests a second that the accountant saw.
+        accountant: its name.
+    """
+
+    at: float
+    use: float
+    accountant: str
+
+
+class SharedTeamLimits:
+    """Holds teams to their limits by asking the accountants.
+
+    Args:
+        asks: by which they are asked.
+        bounds: by how much limits may be passed.
+        find_version: returns the version of the configuration in force.
+        clock: source of time.
+        random: spreads what refused callers are told.
+        events: where refusals are logged.
+        metrics: where refusals are counted.
+    """
+
+    def __init__(
+        self,
+        asks: QuotaAsks,
+        bounds: QuotaBounds,
+        find_version: Callable[[], int],
+        clock: Clock,
+        random: Random,
+        events: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self._asks = asks
+        self._bounds = bounds
+        self._find_version = find_version
+        self._clock = clock
+        self._random = random
+        self._events = events
+        self._metrics = metrics
+        self._allowances: dict[str, Allowance] = {}
+        self._denials: dict[str, LastDenial] = {}
+        asks.follow_late(self._put_late)
+
+    def keep_only(self, teams: frozenset[str]) -> None:
+        """Forget all teams but these: the others have no limit any more."""
+        for name in set(self._allowances) - teams:
+            del self._allowances[name]
+            self._denials.pop(name, None)
+
+    async def admit(self, team: Team, patience: float) -> NotRun | None:
+        """Take one request of a team from its limit; return why it may not run."""
+        if team.limit is None or team.limit.rate <= 0.0:
+            return None
+        start = self._clock.monotonic()
+        allowance = self._allowances.get(team.name)
+        if allowance is None:
+            allowance = self._allowances[team.name] = Allowance(self._bounds.hold)
+        if not allowance.take(start):
+            refusal = await self._ask(team.name, team.limit, allowance, patience)
+            if refusal is not None:
+                return refusal
+            self._metrics.time("quota.wait", (self._clock.monotonic() - start) * 1000)
+        allowance.note_use(start)
+        return None
+
+    def give_back(self, team: Team, admitted_at: float) -> None:
+        """Return what was taken for a request that no leaf got.
+
+        Only at once: a late return would let the team run more in a window than its
+        limit allows.
+        """
+        allowance = self._allowances.get(team.name)
+        if allowance is not None:
+            allowance.give_back(admitted_at, self._clock.monotonic())
+
+    async def _ask(
+        self, team: str, limit: RateLimit, allowance: Allowance, patience: float
+    ) -> NotRun | None:
+        """Ask the shares in turn until one grants a request."""
+        start = self._clock.monotonic()
+        deadline = start + min(patience, MOST_ASKING)
+        shares = list_shares(limit, self._bounds, team)
+        open_shares = self._asks.sort_by_distance(allowance.find_open(shares, start))
+        turns: list[float] = []
+        for share in open_shares:
+            now = self._clock.monotonic()
+            if now >= deadline:
+                break
+            want = Want(team, limit, self._find_version(), allowance.find_wanted(now))
+            answer = await self._asks.ask(share, want, deadline)
+            if allowance.take(self._clock.monotonic()):
+                # What came for another request, or late, will do as well.
+                self._keep(allowance, answer, 0)
+                return None
+            if answer is None:
+                continue
+            if answer.reply.granted:
+                allowance.note_room(share)
+                self._keep(allowance, answer, 1)
+                return None
+            now = self._clock.monotonic()
+            allowance.note_full(share, answer.reply.wait, now)
+            turns.append(answer.reply.turn)
+            denial = LastDenial(now, answer.reply.use, answer.accountant)
+            self._denials[team] = denial
+        if not turns and open_shares:
+            return self._refuse_unknown(team, len(open_shares))
+        wait = min(turns, default=allowance.find_room(self._clock.monotonic()))
+        return self._refuse(team, limit, wait)
+
+    def _keep(self, allowance: Allowance, answer: Answer | None, used: int) -> None:
+        if answer is not None:
+            allowance.put(answer.reply.granted - used, answer.until)
+
+    def _put_late(self, team: str, amount: int, until: float) -> None:
+        allowance = self._allowances.get(team)
+        if allowance is not None:
+            allowance.put(amount, until)
+
+    def _refuse(self, team: str, limit: RateLimit, wait: float) -> NotRun:
+        """Refuse a request above the limit, with when there will be room."""
+        self._metrics.count("quota.refused")
+        told = max(SHORTEST_WAIT, wait * self._random.uniform(1.0, SPREAD))
+        denial = self._denials.get(team)
+        now = self._clock.monotonic()
+        self._events.emit(
+            Events.RATE_LIMITED,
+            team=team,
+            rate=limit.rate,
+            burst=limit.burst,
+            use_seen=round(denial.use, 2) if denial else None,
+            age_ms=round((now - denial.at) * 1000) if denial else None,
+            accountant=denial.accountant if denial else None,
+            retry_ms=round(told * 1000),
+        )
+        detail = f"the team's limit of {limit.rate:g} a second is used"
+        return NotRun(Reason.RATE_LIMITED, detail, timedelta(seconds=told))
+
+    def _refuse_unknown(self, team: str, asked: int) -> NotRun:
+        """Refuse a request since nobody can tell whether it is above the limit."""
+        self._metrics.count("quota.unknown")
+        self._events.emit(Events.LIMIT_UNKNOWN, team=team, shares=asked)
+        told = UNKNOWN_WAIT * self._random.uniform(1.0, SPREAD)
+        detail = "nobody who accounts the team's limit was reached"
+        return NotRun(Reason.LIMIT_UNKNOWN, detail, timedelta(seconds=told))
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -69,6 +69,12 @@
     QUARANTINE_LIFTED = _info(
         209, "quarantine_lifted", "A leaf answered a request that leafs ended under."
     )
+    RATE_LIMITED = _info(
+        210, "rate_limited", "A team's request found no room in its rate limit."
+    )
+    LIMIT_UNKNOWN = _warn(
+        211, "limit_unknown", "Nobody who accounts a team's rate limit was reached."
+    )
     REQUEST_DONE = _info(205, "request_done", "A routed request got its answer.")
     REQUEST_UNSERVED = _info(
         206, "request_unserved", "A routed request got no leaf's answer; says why."
@@ -144,6 +150,12 @@
     COLD_SHARE_LOST = _info(
         522, "cold_share_lost", "A share of cold leafs' bound isn't this instance's."
     )
+    QUOTA_SHARE_TAKEN = _info(
+        523, "quota_share_taken", "Accounts a share of all teams' rate limits."
+    )
+    QUOTA_SHARE_LOST = _info(
+        524, "quota_share_lost", "Accounts a share of the rate limits no longer."
+    )
     LEAF_ENTRY_BAD = _error(512, "leaf_entry_bad", "A leaf's entry can't be read.")
     REGISTERED = _info(513, "registered", "This instance's leased key is stored.")
     REGISTRATION_LOST = _warn(
--- a/walkcart/kernel/metrics.py
+++ b/walkcart/kernel/metrics.py
@@ -34,6 +34,13 @@
     "quarantine.entries": Metric(
         "gauge", "requests", "Remembered since leafs ended under them."
     ),
+    "quota.asked": Metric("counter", "asks", "Of accountants of rate limits."),
+    "quota.refused": Metric("counter", "requests", "Above their team's rate limit."),
+    "quota.unknown": Metric(
+        "counter", "requests", "Refused since no accountant was reached."
+    ),
+    "quota.wait": Metric("timer", "ms", "From a request to its team's grant."),
+    "quota.shares": Metric("gauge", "shares", "Of rate limits, accounted here."),
     "query.uncertain": Metric("counter", "replies", "Replies 'may have run'."),
     "query.time": Metric("timer", "ms", "From the request's last byte to the reply."),
     "leaf.time": Metric("timer", "ms", "From a request's send to the leaf's reply."),
--- a/walkcart/platform/settings.py
+++ b/walkcart/platform/settings.py
@@ -16,6 +16,7 @@
 
 from walkcart.kernel.settings import BadValue, HostPort, parse_host_port
 from walkcart.routing.coldleafs import ColdBound
+from walkcart.routing.quotas import QuotaBounds
 
 #: The variable that holds the file's path.
 FILE_VARIABLE = "WALKCART_NODE_FILE"
@@ -47,6 +48,11 @@
     # service's rate times the first, plus the second.
     warmup_tolerance: float = 1.0
     warmup_slack: float = 0.0
+    # Window in which teams' rate limits hold, in seconds, and by how much they may be
+    # passed in it: a share of the limit, and requests on top.
+    quota_window_s: float = 5.0
+    quota_tolerance: float = 0.1
+    quota_slack: float = 0.0
     # From SIGTERM to SIGKILL, in seconds.
     grace_s: float = 6.0
 
@@ -108,6 +114,7 @@
         grace: time from the signal to stop until the process is killed.
         cores: of the machine, in cores of the usual speed.
         cold_bound: what cold leafs may get.
+        quota_bounds: by how much teams' rate limits may be passed.
     """
 
     instance: str
@@ -126,6 +133,7 @@
     grace: timedelta
     cores: float = 1.0
     cold_bound: ColdBound = ColdBound()
+    quota_bounds: QuotaBounds = QuotaBounds()
 
 
 def parse_duration_ms(milliseconds: float) -> timedelta:
@@ -167,4 +175,9 @@
         grace=timedelta(seconds=file.bounds.grace_s),
         cores=file.limits.cpu_share * file.limits.cores,
         cold_bound=ColdBound(file.bounds.warmup_tolerance, file.bounds.warmup_slack),
+        quota_bounds=QuotaBounds(
+            file.bounds.quota_window_s,
+            file.bounds.quota_tolerance,
+            file.bounds.quota_slack,
+        ),
     )
--- /dev/null
+++ b/walkcart/routing/allowances.py
@@ -0,0 +1,145 @@
+"""What an instance holds of teams' rate limits, and whom it asks for more.
+
+The load this answers: many instances with a few requests of each team, one instance
+with many, and a team far above its limit whose refusals must cost next to nothing.
+
+Examples:
+    >>> allowance = Allowance(hold=0.25)
+    >>> allowance.take(now=10.0)
+    False
+    >>> allowance.put(2, until=10.25)
+    >>> allowance.take(now=10.1), allowance.take(now=10.3)
+    (True, False)
+
+See Also:
+    `walkcart.routing.quotas`, the side that grants.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+#: Seconds over which the use of a team at this instance is averaged.
+USE_TIME = 1.0
+#: Most that is asked for at once: the flow of a very busy instance within the hold.
+MOST_WANTED = 64
+#: Part of the hold within which a request that didn't run gives back what it took.
+GIVE_BACK_PART = 0.5
+#: Longest time for which a share that had no room isn't asked again, in seconds: a
+#: limit may be raised, and another share's accountant may start anew.
+LONGEST_SKIP = 1.0
+#: Least and most seconds that an accountant may take before the next one is asked.
+#: The least is above the pauses of a busy processor; with the most, all three shares
+#: are asked well within the objectives of most routes.
+LEAST_PATIENCE = 0.04
+MOST_PATIENCE = 0.12
+#: Patience in usual times of an answer.
+PATIENCE_FACTOR = 3.0
+#: Weight of the newest answer in the usual time.
+NEWEST_WEIGHT = 0.1
+
+
+class Allowance:
+    """What is held of one team's limit, and which shares have no room.
+
+    Args:
+        hold: seconds for which a grant holds.
+    """
+
+    __slots__ = ("_at", "_held", "_hold", "_room_at", "_until", "_use")
+
+    def __init__(self, hold: float) -> None:
+        self._hold = hold
+        self._held = 0
+        self._until = -math.inf
+        self._use = 0.0
+        self._at = -math.inf
+        self._room_at: dict[int, float] = {}
+
+    def take(self, now: float) -> bool:
+        """Take one request from what is held; False when nothing is."""
+        if now >= self._until:
+            self._held = 0
+        if self._held < 1:
+            return False
+        self._held -= 1
+        return True
+
+    def put(self, amount: int, until: float) -> None:
+        """Hold what was granted, until the earlier end of what is held."""
+        if amount < 1:
+            return
+        self._until = min(until, self._until) if self._held else until
+        self._held += amount
+
+    def give_back(self, admitted_at: float, now: float) -> None:
+        """Hold again what a request took that didn't run, if that was just now.
+
+        Args:
+            admitted_at: when the request came, in seconds.
+            now: seconds of the same clock.
+        """
+        until = admitted_at + self._hold * GIVE_BACK_PART
+        if now < until:
+            self.put(1, until)
+
+    def note_use(self, now: float) -> None:
+        """Note that a request was admitted."""
+        self._fade(now)
+        self._use += 1.0 / USE_TIME
+
+    def find_wanted(self, now: float) -> int:
+        """Return how much to ask for: one, and what is used while a grant holds."""
+        self._fade(now)
+        return min(MOST_WANTED, 1 + math.floor(self._use * self._hold))
+
+    def note_full(self, share: int, wait: float, now: float) -> None:
+        """Note that a share has no room for some seconds."""
+        self._room_at[share] = now + min(wait, LONGEST_SKIP)
+
+    def note_room(self, share: int) -> None:
+        """Note that a share had room."""
+        self._room_at.pop(share, None)
+
+    def find_open(self, shares: Iterable[int], now: float) -> list[int]:
+        """Return those shares that may have room."""
+        return [share for share in shares if self._room_at.get(share, 0.0) <= now]
+
+    def find_room(self, now: float) -> float:
+        """Return the seconds until a share that was full may have room."""
+        return max(0.0, min(self._room_at.values(), default=now) - now)
+
+    def _fade(self, now: float) -> None:
+        if now > self._at:
+            self._use *= math.exp((self._at - now) / USE_TIME)
+            self._at = now
+
+
+class ReplyPatience:
+    """For how long to wait for an accountant before another is asked.
+
+    Examples:
+        >>> patience = ReplyPatience()
+        >>> patience.find()
+        0.12
+        >>> for _ in range(60):
+        ...     patience.note(0.002)
+        >>> patience.find()
+        0.04
+    """
+
+    __slots__ = ("_usual",)
+
+    def __init__(self) -> None:
+        self._usual = MOST_PATIENCE / PATIENCE_FACTOR
+
+    def note(self, seconds: float) -> None:
+        """Note how long an answer took; longer ones count at once."""
+        faded = self._usual + NEWEST_WEIGHT * (seconds - self._usual)
+        self._usual = max(seconds, faded)
+
+    def find(self) -> float:
+        """Return the seconds to wait."""
+        wanted = PATIENCE_FACTOR * self._usual
+        return min(MOST_PATIENCE, max(LEAST_PATIENCE, wanted))
--- /dev/null
+++ b/walkcart/routing/quotas.py
@@ -0,0 +1,294 @@
+"""Rate limits of teams, shared by all instances: what an accountant grants.
+
+The load this answers: a team's callers come to any instance, a few requests a second at
+each, some teams far above their limit. The limit holds for all instances together, so
+each is cut into shares, and one instance at a time accounts a share of all teams
+(`walkcart.membership.quotashares`). Its token buckets live in memory. Whoever takes a
+share over can't know what was granted before it, so it starts with empty buckets, but
+for a small start level that the bound has room for.
+
+Examples:
+    >>> bounds = QuotaBounds(window=5.0, tolerance=0.1, slack=36.0)
+    >>> limit = RateLimit(rate=18.0, burst=6.0)
+    >>> size_bucket(limit, bounds, "fitters", 0)
+    BucketSize(rate=3.0, depth=3.0, start=1.0)
+    >>> account = ShareAccount(0, bounds, started_at=0.0, with_start=True)
+    >>> account.ask(Want("fitters", limit, version=1, amount=1), now=0.0).granted
+    1
+    >>> reply = account.ask(Want("fitters", limit, version=1, amount=1), now=0.1)
+    >>> reply.granted, round(reply.wait, 2)
+    (0, 0.23)
+
+See Also:
+    `walkcart.routing.allowances`, the side that asks.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from walkcart.intent.teams import RateLimit
+from walkcart.routing.shares import rank_rendezvous
+
+#: Shares of a limit at the most: one that is lost leaves five sixths in use.
+SHARES = 6
+#: Tokens of one share's bucket at the least: of smaller ones much lies idle as parts of
+#: a request, so that small limits are cut into fewer shares.
+LEAST_DEPTH = 2.0
+#: Part of the slack that is added to the burst: short rushes of requests within the
+#: limit, which fall unevenly on the shares, aren't refused.
+DEPTH_PART = 1 / 3
+#: Part of the slack with which the buckets of all shares start anew.
+START_PART = 1 / 6
+#: Starts of one share within a window that get it.
+MOST_STARTS = 2
+#: Part of the tolerance that grants may use by being held; the rest is for the way
+#: from the grant to the leafs.
+HOLD_PART = 0.5
+#: Seconds for which a grant holds at the least: a round trip between regions and a
+#: busy processor at both ends.
+LEAST_HOLD = 0.1
+#: Of a bucket below this part of its depth each ask gets one at a time, so that near
+#: the limit nothing is held without being used.
+SCARCE_PART = 0.5
+#: Seconds over which the use of a team is averaged.
+USE_TIME = 2.0
+#: Longest wait that refused callers are told, in seconds: what they ask may change.
+LONGEST_TURN = 5.0
+#: Full buckets are forgotten past so many; they come back full.
+MOST_BUCKETS = 4096
+#: For comparing sums of fractions.
+_TINY = 1e-9
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaBounds:
+    """By how much a limit may be passed in any window.
+
+    Args:
+        window: length of the window, in seconds.
+        tolerance: share of the limit by which it may be passed.
+        slack: requests on top.
+    """
+
+    window: float = 5.0
+    tolerance: float = 0.1
+    slack: float = 0.0
+
+    @property
+    def hold(self) -> float:
+        """Seconds for which a grant holds."""
+        return max(LEAST_HOLD, HOLD_PART * self.tolerance * self.window)
+
+    def most(self, limit: RateLimit) -> float:
+        """Return the requests of a team that may run within a window."""
+        due = limit.rate * self.window + limit.burst
+        return due * (1.0 + self.tolerance) + self.slack
+
+
+@dataclass(frozen=True, slots=True)
+class BucketSize:
+    """How a share of a limit is accounted.
+
+    Args:
+        rate: tokens a second.
+        depth: most tokens at once.
+        start: tokens with which a new account starts.
+    """
+
+    rate: float
+    depth: float
+    start: float
+
+
+def list_shares(limit: RateLimit, bounds: QuotaBounds, team: str) -> tuple[int, ...]:
+    """Return the shares that a limit is cut into, from one that the name chooses."""
+    depth = limit.burst + bounds.slack * DEPTH_PART
+    count = min(SHARES, max(1, math.floor(depth / LEAST_DEPTH)))
+    first = rank_rendezvous(team, "quota")
+    return tuple((first + step) % SHARES for step in range(count))
+
+
+def size_bucket(
+    limit: RateLimit, bounds: QuotaBounds, team: str, share: int
+) -> BucketSize | None:
+    """Return how a share of a limit is accounted; None if it has no part of it."""
+    shares = list_shares(limit, bounds, team)
+    if share not in shares:
+        return None
+    depth = limit.burst + bounds.slack * DEPTH_PART
+    return BucketSize(
+        limit.rate / len(shares),
+        max(1.0, depth / len(shares)),
+        bounds.slack * START_PART / len(shares),
+    )
+
+
+class TokenBucket:
+    """Tokens of one team in one share.
+
+    Args:
+        size: rate and depth.
+        level: tokens now.
+        now: seconds of a steady clock.
+    """
+
+    __slots__ = ("_at", "_level", "_turn_at", "_use", "size")
+
+    def __init__(self, size: BucketSize, level: float, now: float) -> None:
+        self.size = size
+        self._level = min(size.depth, level)
+        self._at = now
+        self._use = 0.0
+        self._turn_at = now
+
+    def is_full(self, now: float) -> bool:
+        """Return whether a new bucket would be no different."""
+        self._fill(now)
+        return self._level >= self.size.depth
+
+    def resize(self, size: BucketSize, now: float) -> None:
+        """Take another size from now on; what is above its depth is gone."""
+        self._fill(now)
+        self.size = size
+        self._level = min(self._level, size.depth)
+        self._turn_at = now
+
+    def take(self, wanted: int, now: float) -> int:
+        """Take up to `wanted` tokens; return how many, 0 where there is none."""
+        self._fill(now)
+        if self._level < 1.0 - _TINY:
+            return 0
+        spare = self._level - 1.0 - self.size.depth * SCARCE_PART
+        taken = 1 + min(max(0, wanted - 1), max(0, math.floor(spare)))
+        self._level -= taken
+        self._use += taken / USE_TIME
+        return taken
+
+    def find_wait(self, now: float) -> float:
+        """Return the seconds until there is a token."""
+        self._fill(now)
+        return max(0.0, 1.0 - self._level) / self.size.rate
+
+    def take_turn(self, now: float) -> float:
+        """Return the seconds until one more refused caller's turn.
+
+        Each gets a later one, so that they return as fast as tokens do.
+        """
+        earliest = now + self.find_wait(now)
+        self._turn_at = max(earliest, self._turn_at + 1.0 / self.size.rate)
+        self._turn_at = min(self._turn_at, max(earliest, now + LONGEST_TURN))
+        return self._turn_at - now
+
+    def find_use(self, now: float) -> float:
+        """Return the tokens a second that were taken of late."""
+        self._fill(now)
+        return self._use
+
+    def _fill(self, now: float) -> None:
+        passed = max(0.0, now - self._at)
+        self._level = min(self.size.depth, self._level + passed * self.size.rate)
+        self._use *= math.exp(-passed / USE_TIME)
+        self._at = max(self._at, now)
+
+
+@dataclass(frozen=True, slots=True)
+class Want:
+    """What is asked for.
+
+    Args:
+        team: whose requests.
+        limit: of the team.
+        version: of the configuration that says so.
+        amount: requests, at least 1.
+    """
+
+    team: str
+    limit: RateLimit
+    version: int
+    amount: int
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What an accountant answers.
+
+    Args:
+        granted: requests that may run; 0 when there is no room.
+        wait: seconds until there is room for one; infinite if never here.
+        turn: seconds until the asker's turn, behind others that were refused.
+        use: requests of the team a second that were granted of late.
+    """
+
+    granted: int
+    wait: float = 0.0
+    turn: float = 0.0
+    use: float = 0.0
+
+
+@dataclass(slots=True)
+class _Entry:
+    """A bucket and the version of the configuration that gave its size."""
+
+    bucket: TokenBucket
+    version: int
+
+
+class ShareAccount:
+    """The buckets of all teams in one share, for as long as one holds it.
+
+    Args:
+        share: which one.
+        bounds: by how much limits may be passed.
+        started_at: when it was taken, in seconds.
+        with_start: whether its buckets get the start level.
+    """
+
+    def __init__(
+        self, share: int, bounds: QuotaBounds, started_at: float, with_start: bool
+    ) -> None:
+        self._share = share
+        self._bounds = bounds
+        self._started_at = started_at
+        self._with_start = with_start
+        self._entries: dict[str, _Entry] = {}
+
+    def ask(self, want: Want, now: float) -> Reply:
+        """Grant what there is room for."""
+        size = size_bucket(want.limit, self._bounds, want.team, self._share)
+        entry = self._entries.get(want.team)
+        if entry is None:
+            if size is None:
+                return Reply(0, math.inf, LONGEST_TURN)
+            entry = self._add(want, size, now)
+        elif want.version > entry.version:
+            entry.version = want.version
+            entry.bucket.resize(size or _NOTHING, now)
+        bucket = entry.bucket
+        if bucket.size is _NOTHING:
+            return Reply(0, math.inf, LONGEST_TURN)
+        granted = bucket.take(want.amount, now)
+        if granted:
+            return Reply(granted, use=bucket.find_use(now))
+        wait, turn = bucket.find_wait(now), bucket.take_turn(now)
+        return Reply(0, wait, turn, bucket.find_use(now))
+
+    def _add(self, want: Want, size: BucketSize, now: float) -> _Entry:
+        """Keep a team's bucket as if it were there since the start."""
+        if len(self._entries) >= MOST_BUCKETS:
+            self._forget_full(now)
+        level = size.start if self._with_start else 0.0
+        level += size.rate * (now - self._started_at)
+        bucket = TokenBucket(size, level, now)
+        entry = self._entries[want.team] = _Entry(bucket, want.version)
+        return entry
+
+    def _forget_full(self, now: float) -> None:
+        for team, entry in list(self._entries.items()):
+            if entry.bucket.is_full(now):
+                del self._entries[team]
+
+
+#: What a share has of a limit that lies whole in another one.
+_NOTHING = BucketSize(rate=1e-9, depth=0.0, start=0.0)
--- a/walkcart/wire/messages.py
+++ b/walkcart/wire/messages.py
@@ -24,6 +24,7 @@
 )
 from walkcart.wire.messagebase import Message
 from walkcart.wire.quarantines import QuarantineNews
+from walkcart.wire.quotas import QuotaAsk, QuotaElsewhere, QuotaGrant, QuotaHolder
 from walkcart.wire.relays import (
     RelayChanges,
     RelayCopy,
@@ -264,6 +265,10 @@
     | RelayCopy
     | RelayCurrent
     | QuarantineNews
+    | QuotaAsk
+    | QuotaGrant
+    | QuotaElsewhere
+    | QuotaHolder
 )
 
 
