Teams and their API keys on the routed path

Change: teams and public routes are read, keys kept as digests; entry/teamaccess.py decides whose a request is or why it is refused (401, 503 where this instance knows that its configuration is old, 429 and 503 by the port TeamLimits, whose call site is in entry/routed.py). Leafs and other instances get the team's name and no key, on every way. Question and attempt hold the grant by which the request was let in; once key or team are gone nothing more is sent for it, looked up beside regions when a leaf is chosen and before the first byte. Instances that gather look up rank and regions by the team's name in the request, so that no message grows. The fingerprint's sender is the team where there are teams; without them it and all requests and messages are as before, byte for byte (tests). Ruled out: digests in questions to other instances, 401 for each unknown key, an empty list of teams read as none (docs/design/teams.md).

--- a/walkcart/bench/routed/callers.py
+++ b/walkcart/bench/routed/callers.py
@@ -92,6 +92,10 @@
         patience = timedelta(seconds=float(request.header(b"patience") or 0))
         return CallerRequest(request.header(b"id") or "", "host", patience, request)
 
+    def name_team(self, request: HttpRequest, team: str) -> HttpRequest:
+        """Return the request: no trial has teams."""
+        return request
+
     def render_merged(self, answer: RoutedAnswer, top: int) -> HttpReply:
         """Return how many parts are in."""
         merged = merge_parts(answer)
@@ -216,5 +220,7 @@
             instance.tracer,
             random,
             StartGate(lambda: True),
+            instance.origins,
+            find_age=lambda: 0.0,
         )
     )
--- a/walkcart/bench/routed/instances.py
+++ b/walkcart/bench/routed/instances.py
@@ -26,6 +26,7 @@
 from walkcart.fanout.handing import Handing
 from walkcart.fanout.ids import IdSource
 from walkcart.fanout.mergedanswer import MergedAnswer
+from walkcart.fanout.origins import RequestOrigins
 from walkcart.fanout.quarantines import Quarantines
 from walkcart.fanout.routed import RoutedGathering
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedQuestion
@@ -143,6 +144,7 @@
         self.metrics = Metrics(None, record.name)
         self.keeper = RouteKeeper(clock, self.events, self.metrics)
         self.keeper.apply(around.document, Origin())
+        self.origins = RequestOrigins(self.keeper, b"team")
         self.directory = LeafDirectory(clock, self.events, lambda: float("-inf"))
         registration = FixedRegistration(record, around.records)
         tracer = Tracer(record.name, OUTPUT_NONE, 0.0)
@@ -242,6 +244,7 @@
             self._find_usual_high,
             self.events,
             quarantines,
+            self.origins,
         )
         for service in (links, self.pool, delegates, carrier):
             await nursery.start(service.run)
--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -23,6 +23,7 @@
 from walkcart.fanout.handing import Handing
 from walkcart.fanout.ids import IdSource
 from walkcart.fanout.mergedanswer import MergedAnswer
+from walkcart.fanout.origins import RequestOrigins
 from walkcart.fanout.quarantinepeers import QuarantinePeers
 from walkcart.fanout.quarantines import Quarantines
 from walkcart.fanout.routed import RoutedGathering
@@ -147,7 +148,15 @@
         times = gathering.pool.times_of(kind, Distance.SAME_DATA_CENTRE)
         return times.high(around.clock.monotonic())
 
-    carrier = Carrier(links, around.clock, gather, find_usual_high, events, quarantines)
+    carrier = Carrier(
+        links,
+        around.clock,
+        gather,
+        find_usual_high,
+        events,
+        quarantines,
+        kernel.find("origins", RequestOrigins),
+    )
     relay = Relay(
         [
             kernel.find("configuration", PrefixFollower),
@@ -252,6 +261,8 @@
             kernel.find("tracer", Tracer),
             around.random,
             gate,
+            kernel.find("origins", RequestOrigins),
+            kernel.find("configuration", PrefixFollower).find_age,
         )
     )
     service = RoutedService(
--- a/walkcart/daemon/tenantstore.py
+++ b/walkcart/daemon/tenantstore.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from walkcart.daemon.surroundings import TenantSurroundings
+from walkcart.fanout.origins import RequestOrigins
 from walkcart.intent.evacuations import Evacuations
 from walkcart.intent.routekeeper import RouteKeeper
 from walkcart.kernel.eventlog import EventLog
@@ -38,6 +39,7 @@
     read_configuration,
     read_evacuated,
 )
+from walkcart.platform.headers import TEAM
 from walkcart.platform.leafprotocol import PlatformLeafProtocol
 from walkcart.platform.settings import PlatformSettings
 from walkcart.platform.store import PlatformStore
@@ -151,6 +153,7 @@
         read_past=CONFIGURATION_READ_PAST,
     )
     kernel.add("keeper", keeper)
+    kernel.add("origins", RequestOrigins(keeper, TEAM))
     kernel.add("evacuations", evacuations)
     kernel.add("configuration", follower)
 
--- a/walkcart/entry/requestlog.py
+++ b/walkcart/entry/requestlog.py
@@ -6,17 +6,27 @@
 
 from __future__ import annotations
 
+from math import isfinite
+
 from returns.result import Failure, Result, Success
 
+from walkcart.entry.callerports import CallerRequest
 from walkcart.fanout.mergedanswer import MissingPart
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure, RoutedQuestion
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
-from walkcart.wire.verdicts import NotRun
+from walkcart.wire.verdicts import NotRun, Reason
 
 #: Missing services that a line names at the most.
 MOST_NAMED = 5
+#: Counted by themselves: what a team's operators look for first.
+REFUSALS = {
+    Reason.UNAUTHENTICATED: "query.unauthenticated",
+    Reason.CONFIGURATION_OLD: "query.configuration_old",
+    Reason.RATE_LIMITED: "query.rate_limited",
+    Reason.LIMIT_UNKNOWN: "query.limit_unknown",
+}
 
 
 class RequestLog:
@@ -55,6 +65,8 @@
             "ms": round(elapsed * 1000),
             "objective_ms": objective_ms,
         }
+        if question.team:
+            fields["team"] = question.team
         self._metrics.time("query.time", elapsed * 1000)
         match result:
             case Success(answer):
@@ -63,6 +75,43 @@
                 fields["question"] = question.fingerprint.hex()
                 self._note_failure(failure, fields)
 
+    def note_refusal(
+        self,
+        caller: CallerRequest,
+        verdict: NotRun,
+        version: int,
+        fingerprint: bytes,
+        team: str,
+        age: float | None,
+    ) -> None:
+        """Log and count a request that was refused before anything was sent for it.
+
+        Args:
+            caller: its request.
+            verdict: why it was refused.
+            version: of the routing document.
+            fingerprint: of the request.
+            team: whose it is; empty where that isn't known.
+            age: seconds since the document surely was the newest; None where requests
+                need no key.
+        """
+        self._metrics.count("query.refused")
+        if verdict.reason in REFUSALS:
+            self._metrics.count(REFUSALS[verdict.reason])
+        fields: dict[str, object] = {
+            "request": caller.id,
+            "host": caller.host,
+            "target": caller.forwarded.target,
+            "reason": verdict.reason.value,
+            "question": fingerprint.hex(),
+            "version": version,
+        }
+        if age is not None:
+            fields["team"] = team
+            fields["detail"] = verdict.detail
+            fields["age_ms"] = round(age * 1000) if isfinite(age) else None
+        self._events.emit(Events.REQUEST_UNSERVED, **fields)
+
     def _note_answer(self, answer: RoutedAnswer, fields: dict[str, object]) -> None:
         self._metrics.count("query.answered")
         if answer.missing:
--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -9,21 +9,31 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from datetime import timedelta
 from random import Random
-from typing import Protocol
 
 from returns.result import Result, Success
 
+from walkcart.entry.callerports import CallerProtocol, CallerRequest, TeamLimits
 from walkcart.entry.requestlog import RequestLog
 from walkcart.entry.starting import StartGate
+from walkcart.entry.teamaccess import Access, find_access
 from walkcart.fanout.crashwatch import CrashWatch
+from walkcart.fanout.origins import RequestOrigins
 from walkcart.fanout.routed import RoutedGathering
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure, RoutedQuestion
 from walkcart.fanout.routedtools import RoutedTools
 from walkcart.intent.routekeeper import RouteKeeper
-from walkcart.intent.routes import Route, Target, ToService, ToShards, ToSplit
+from walkcart.intent.routes import (
+    Route,
+    RouteTable,
+    Target,
+    ToService,
+    ToShards,
+    ToSplit,
+)
 from walkcart.intent.teams import Team
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
@@ -32,9 +42,7 @@
 from walkcart.routing.overshoot import Overshoot
 from walkcart.routing.quarantine import Standing
 from walkcart.routing.splits import WeightedSplit
-from walkcart.wire.fingerprint import fingerprint_request
 from walkcart.wire.http import HttpReply, HttpRequest
-from walkcart.wire.server import Fault
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
 #: Time kept back from the caller's for the answer's way home.
@@ -47,77 +55,6 @@
 START_TIME = timedelta(seconds=1)
 
 
-@dataclass(frozen=True, slots=True)
-class CallerRequest:
-    """A request as the callers' protocol tells it.
-
-    Args:
-        id: that the caller gave it.
-        host: that it is meant for.
-        patience: for how long the caller waits; None when it doesn't say.
-        forwarded: what leafs get where requests need no key.
-        traceparent: of the caller's trace.
-        credential: digest of the API key that came along; None without exactly one.
-    """
-
-    id: str
-    host: str
-    patience: timedelta | None
-    forwarded: HttpRequest
-    traceparent: str | None = None
-    credential: bytes | None = None
-
-
-class TeamLimits(Protocol):
-    """Holds the teams' requests to their limits, over all instances together."""
-
-    async def admit(self, team: Team, patience: float) -> NotRun | None:
-        """Take one request of a team from its limit; return why it may not run.
-
-        Args:
-            team: that asks.
-            patience: seconds that the request can wait for the others' word at most.
-        """
-        ...
-
-    def give_back(self, team: Team) -> None:
-        """Return what was taken for a request that no leaf got."""
-        ...
-
-
-class CallerProtocol(Protocol):
-    """What callers speak."""
-
-    def read_request(self, request: HttpRequest) -> CallerRequest:
-        """Return what a request means."""
-        ...
-
-    def name_team(self, request: HttpRequest, team: str) -> HttpRequest:
-        """Return a request as leafs get it where requests need keys.
-
-        Args:
-            request: that was to be forwarded.
-            team: whose key came along; empty on a public route without one.
-        """
-        ...
-
-    def render_merged(self, answer: RoutedAnswer, top: int) -> HttpReply:
-        """Return the answer of many shards."""
-        ...
-
-    def render_single(self, answer: RoutedAnswer) -> HttpReply:
-        """Return the answer of one leaf, unchanged."""
-        ...
-
-    def render_failure(self, failure: RoutedFailure) -> HttpReply:
-        """Return a leaf's failure unchanged, or why there is no answer."""
-        ...
-
-    def render_fault(self, fault: Fault) -> HttpReply:
-        """Return the answer to bytes that are no request."""
-        ...
-
-
 @dataclass(frozen=True, slots=True)
 class RoutedEntryTools:
     """What the handler works with.
@@ -131,6 +68,8 @@
         tracer: makes a span for each request.
         random: shifts where splits begin.
         gate: holds requests while the instance starts.
+        origins: tells whose requests are.
+        find_age: returns the seconds since the configuration surely was the newest.
         limits: of the teams' requests; None where nobody keeps them.
     """
 
@@ -142,6 +81,8 @@
     tracer: Tracer
     random: Random
     gate: StartGate
+    origins: RequestOrigins
+    find_age: Callable[[], float]
     limits: TeamLimits | None = None
 
 
@@ -175,31 +116,68 @@
         route = table.find(caller.host, caller.forwarded.target)
         if route is None:
             return self._refuse(caller, NotRun(Reason.NO_ROUTE, "no such route"))
-        question = self._make_question(caller, route, start)
+        access = find_access(table, route, caller.credential, tools.find_age())
+        if isinstance(access, NotRun):
+            return self._refuse(caller, access)
+        question = self._make_question(caller, table, route, access, start)
+        refusal = await self._take_from_limit(access.team, question.deadline)
+        if refusal is not None:
+            return self._refuse(caller, refusal, question.team)
         admitted = await tools.gathering.quarantines.admit(question.fingerprint)
         if isinstance(admitted, NotRun):
-            return self._refuse(caller, admitted)
+            self._give_back(access.team)
+            return self._refuse(caller, admitted, question.team)
         question = replace(question, careful=admitted is Standing.CAREFUL)
+        return await self._answer(question, table, route, access.team, start)
+
+    async def _take_from_limit(
+        self, team: Team | None, deadline: float
+    ) -> NotRun | None:
+        """Take a request from its team's limit; return why it may not run."""
+        limits = self._tools.limits
+        if limits is None or team is None or team.limit is None:
+            return None
+        patience = deadline - self._tools.gathering.clock.monotonic()
+        return await limits.admit(team, max(0.0, patience))
+
+    def _give_back(self, team: Team | None) -> None:
+        """Return to a team's limit what was taken for a request that didn't run."""
+        limits = self._tools.limits
+        if limits is not None and team is not None and team.limit is not None:
+            limits.give_back(team)
+
+    async def _answer(
+        self,
+        question: RoutedQuestion,
+        table: RouteTable,
+        route: Route,
+        team: Team | None,
+        start: float,
+    ) -> HttpReply:
+        """Ask the leafs and make the caller's answer."""
+        tools = self._tools
         top = route.target.top if isinstance(route.target, ToShards) else 0
         result = await self._gather(question, top)
+        now = tools.gathering.clock.monotonic()
         self._log.note_end(
             question,
             table.document.version,
             _describe_objective(route),
-            tools.gathering.clock.monotonic() - start,
+            now - start,
             result,
         )
         match result:
             case Success(answer) if question.whole_parts:
-                reply = tools.protocol.render_merged(answer, top)
                 if answer.missing:
-                    now = tools.gathering.clock.monotonic()
                     self._overshoot.observe(max(0.0, now - question.objective_at))
-                return reply
+                return tools.protocol.render_merged(answer, top)
             case Success(answer):
                 return tools.protocol.render_single(answer)
             case _:
-                return tools.protocol.render_failure(result.failure())
+                failure = result.failure()
+                if isinstance(failure.verdict, NotRun):
+                    self._give_back(team)
+                return tools.protocol.render_failure(failure)
 
     async def _gather(
         self, question: RoutedQuestion, top: int
@@ -222,7 +200,12 @@
             tools.quarantines.note(question.fingerprint, watch, question.careful)
 
     def _make_question(
-        self, caller: CallerRequest, route: Route, start: float
+        self,
+        caller: CallerRequest,
+        table: RouteTable,
+        route: Route,
+        access: Access,
+        start: float,
     ) -> RoutedQuestion:
         time = route.timeout
         if caller.patience is not None:
@@ -233,10 +216,14 @@
             objective = (route.objective - OBJECTIVE_RESERVE).total_seconds()
             objective -= self._overshoot.estimate(start)
             objective -= self._tools.gathering.send_time.estimate(start)
+        team = access.grant.team
+        request = caller.forwarded
+        if table.document.teams is not None:
+            request = self._tools.protocol.name_team(request, team)
         return RoutedQuestion(
             id=caller.id,
             kind=route.name,
-            request=caller.forwarded,
+            request=request,
             services=self._choose_services(route),
             deadline=start + max(0.0, time.total_seconds()),
             objective_at=start + objective,
@@ -245,8 +232,11 @@
             most_attempts=route.most_attempts,
             whole_parts=sharded,
             traceparent=caller.traceparent,
-            fingerprint=fingerprint_request(caller.forwarded),
-            regions=route.regions,
+            fingerprint=self._tools.origins.fingerprint(request),
+            regions=table.regions_of(route.name, team),
+            team=team,
+            rank=table.rank_of(route.name, team),
+            grant=access.grant,
         )
 
     def _choose_services(self, route: Route) -> tuple[str, ...]:
@@ -263,16 +253,14 @@
                 weights = [(part.service, part.weight) for part in parts]
                 return (held[1].choose(weights),)
 
-    def _refuse(self, caller: CallerRequest, verdict: NotRun) -> HttpReply:
-        self._tools.metrics.count("query.refused")
-        self._tools.events.emit(
-            Events.REQUEST_UNSERVED,
-            request=caller.id,
-            host=caller.host,
-            target=caller.forwarded.target,
-            reason=verdict.reason.value,
-            question=fingerprint_request(caller.forwarded).hex(),
-            version=self._tools.keeper.table.document.version,
+    def _refuse(
+        self, caller: CallerRequest, verdict: NotRun, team: str = ""
+    ) -> HttpReply:
+        document = self._tools.keeper.table.document
+        fingerprint = self._tools.origins.fingerprint(caller.forwarded)
+        age = None if document.teams is None else self._tools.find_age()
+        self._log.note_refusal(
+            caller, verdict, document.version, fingerprint, team, age
         )
         return self._tools.protocol.render_failure(RoutedFailure(verdict))
 
--- a/walkcart/fanout/carrying.py
+++ b/walkcart/fanout/carrying.py
@@ -24,6 +24,7 @@
     encode_outcome,
 )
 from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
+from walkcart.fanout.origins import RequestOrigins
 from walkcart.fanout.quarantines import Quarantines
 from walkcart.fanout.routedquestion import RoutedFailure, RoutedQuestion
 from walkcart.kernel.clock import Clock
@@ -124,6 +125,7 @@
         usual_high: returns a long time for a kind of request at leafs that are near.
         events: where questions that aren't worked on are logged.
         quarantines: requests under which leafs ended.
+        origins: tells whose a question is.
     """
 
     def __init__(
@@ -134,7 +136,9 @@
         usual_high: Callable[[str], float],
         events: EventLog,
         quarantines: Quarantines,
+        origins: RequestOrigins,
     ) -> None:
+        self._origins = origins
         self._quarantines = quarantines
         self._links = links
         self._clock = clock
@@ -187,7 +191,7 @@
         if age > MOST_AGE:
             self._turn_down_stale(sender, message, age)
             return
-        if self._quarantines.is_kept(message):
+        if self._quarantines.is_kept(message, self._origins):
             detail = "leafs end when they run this request"
             self._turn_down(sender, message, Reason.QUARANTINED, detail)
             return
@@ -263,7 +267,8 @@
                 # A cancellation that came with the question is seen here, before
                 # anything is sent.
                 await trio.lowlevel.checkpoint()
-                question = decode_question(message, self._clock.monotonic() - late)
+                now = self._clock.monotonic() - late
+                question = decode_question(message, now, self._origins)
                 outcome = await self._gather(question, message.top, handover)
                 if handover.done:
                     handover.end()
--- a/walkcart/fanout/delegationcodec.py
+++ b/walkcart/fanout/delegationcodec.py
@@ -14,6 +14,7 @@
 
 from walkcart.fanout.delegatedgroup import Outcome
 from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
+from walkcart.fanout.origins import RequestOrigins
 from walkcart.fanout.routedquestion import RoutedQuestion
 from walkcart.routing.eligibility import ANYWHERE, Regions
 from walkcart.wire.delegations import (
@@ -23,7 +24,6 @@
     DelegatedMissing,
     DelegatedQuestion,
 )
-from walkcart.wire.fingerprint import fingerprint_request
 from walkcart.wire.http import HttpRequest
 from walkcart.wire.messagebase import Message
 from walkcart.wire.verdicts import MayHaveRun, Reason
@@ -81,9 +81,23 @@
     return ANYWHERE if names is None else Regions(frozenset(names))
 
 
-def decode_question(message: DelegatedQuestion, now: float) -> RoutedQuestion:
-    """Return the question that a message asks for, on this instance's clock."""
-    request = HttpRequest(message.method, message.target, message.headers, message.body)
+def read_request(message: DelegatedQuestion) -> HttpRequest:
+    """Return the request that leafs get."""
+    return HttpRequest(message.method, message.target, message.headers, message.body)
+
+
+def decode_question(
+    message: DelegatedQuestion, now: float, origins: RequestOrigins
+) -> RoutedQuestion:
+    """Return the question that a message asks for, on this instance's clock.
+
+    Args:
+        message: that asks for it.
+        now: the present, in seconds.
+        origins: tells whose request it is, by the configuration in force here.
+    """
+    request = read_request(message)
+    team = origins.find_team(request)
     return RoutedQuestion(
         id=message.request,
         kind=message.kind,
@@ -98,8 +112,11 @@
         settle_at=now + message.settle if message.settle < NEVER else float("inf"),
         granted=message.granted,
         traceparent=message.traceparent,
-        fingerprint=fingerprint_request(request),
+        fingerprint=origins.fingerprint(request),
         regions=_decode_regions(message.regions),
+        team=team,
+        rank=origins.find_rank(message.kind, team),
+        grant=origins.find_grant(message.kind, team),
     )
 
 
--- a/walkcart/fanout/elsewhere.py
+++ b/walkcart/fanout/elsewhere.py
@@ -232,6 +232,7 @@
             question = replace(question, settle_at=float("inf"))
         question = replace(
             question,
+            regions=self._tools.pool.regions,
             least_coverage=0.0 if late else question.least_coverage,
             most_attempts=question.most_attempts - max(i.may_run for i in waiting),
             granted=late or group.may_have_arrived,
--- a/walkcart/fanout/lateparts.py
+++ b/walkcart/fanout/lateparts.py
@@ -132,6 +132,7 @@
     def _submit(self, places: dict[str, set[Place]]) -> list[DelegatedGroup]:
         question = replace(
             self._question,
+            regions=self._tools.pool.regions,
             least_coverage=0.0,
             most_attempts=1,
             settle_at=float("inf"),
--- a/walkcart/fanout/quarantines.py
+++ b/walkcart/fanout/quarantines.py
@@ -14,14 +14,15 @@
 import trio
 
 from walkcart.fanout.crashwatch import CrashWatch
+from walkcart.fanout.delegationcodec import read_request
+from walkcart.fanout.origins import RequestOrigins
 from walkcart.kernel.clock import Clock
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
 from walkcart.routing.quarantine import Quarantine, Standing
 from walkcart.wire.delegations import DelegatedQuestion
-from walkcart.wire.fingerprint import fingerprint_request, make_fingerprint
-from walkcart.wire.http import HttpRequest
+from walkcart.wire.fingerprint import make_fingerprint
 from walkcart.wire.verdicts import NotRun, Reason
 
 #: Bytes of the number that names a strike: two of a thousand are alike with a
@@ -83,17 +84,15 @@
         """Return what a request may do."""
         return self._quarantine.find_standing(fingerprint, self._clock.monotonic())
 
-    def is_kept(self, question: DelegatedQuestion) -> bool:
+    def is_kept(self, question: DelegatedQuestion, origins: RequestOrigins) -> bool:
         """Return whether a question of another instance isn't asked as a whole.
 
         Its sender doesn't know yet what is known here.
         """
         if not len(self._quarantine):
             return False
-        request = HttpRequest(
-            question.method, question.target, question.headers, question.body
-        )
-        return self.find_standing(fingerprint_request(request)) is not Standing.USUAL
+        fingerprint = origins.fingerprint(read_request(question))
+        return self.find_standing(fingerprint) is not Standing.USUAL
 
     async def admit(self, fingerprint: bytes) -> Standing | NotRun:
         """Return what a request may do, or why it isn't run.
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -65,7 +65,7 @@
         handing: Handing | None = None,
         watch: CrashWatch | None = None,
     ) -> None:
-        pool = tools.pool.limit_to(question.kind, question.regions)
+        pool = tools.pool.limit_to(question.kind, question.regions, question.grant)
         tools = replace(tools, pool=pool)
         question = plan_settling(tools, question, top)
         self._tools = tools
--- a/walkcart/fanout/routedquestion.py
+++ b/walkcart/fanout/routedquestion.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
+from walkcart.intent.teams import Grant
 from walkcart.leaves.attempts import Replied
 from walkcart.routing.eligibility import ANYWHERE, Regions
 from walkcart.wire.http import HttpRequest
@@ -38,6 +39,7 @@
         regions: that it may be served in, by the configuration of who admitted it.
         team: name of the team that asks; empty where requests need no key.
         rank: 0 is the most urgent: its team's, else its route's.
+        grant: by what it was let in; None where that isn't looked at.
     """
 
     id: str
@@ -59,6 +61,7 @@
     regions: Regions = ANYWHERE
     team: str = ""
     rank: int = 0
+    grant: Grant | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -190,6 +190,8 @@
             return False
         if item.may_run >= self._question.most_attempts:
             return False
+        if not self._tools.pool.is_open:
+            return False
         return len(item.tried) < MOST_TRIES and self._has_time(now)
 
     def _has_time(self, now: float) -> bool:
@@ -269,6 +271,7 @@
             wary=self._watch.is_wary,
             kind=question.kind,
             regions=question.regions,
+            grant=question.grant,
         )
         item.under_way[attempt.id] = Sent(leaf, now, *self._find_hedge_times(leaf, now))
         item.tried.append(leaf.id)
--- a/walkcart/fanout/tests/test_foreign_messages.py
+++ b/walkcart/fanout/tests/test_foreign_messages.py
@@ -18,6 +18,8 @@
 from walkcart.bench.harness import run_mocked
 from walkcart.fanout.carrying import HOLD_TIME, Carrier
 from walkcart.fanout.mergedanswer import MergedAnswer
+from walkcart.fanout.origins import RequestOrigins
+from walkcart.intent.routekeeper import RouteKeeper
 from walkcart.kernel.clock import TrioClock
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.metrics import Metrics
@@ -96,9 +98,16 @@
             quarantine, links, clock, lambda: [], lambda: False, lambda item: None
         )
         gathering = Gathering()
-        quarantines = SimpleNamespace(is_kept=lambda message: False)
+        quarantines = SimpleNamespace(is_kept=lambda message, origins: False)
+        origins = RequestOrigins(RouteKeeper(clock, events, metrics), b"team")
         carrier = Carrier(
-            links, clock, gathering.gather, lambda kind: 0.01, events, quarantines
+            links,
+            clock,
+            gathering.gather,
+            lambda kind: 0.01,
+            events,
+            quarantines,
+            origins,
         )
         async with trio.open_nursery() as nursery:
             await nursery.start(links.run)
--- a/walkcart/intent/routes.py
+++ b/walkcart/intent/routes.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from walkcart.intent.teams import Team, TeamBook
+from walkcart.intent.teams import Grant, Team, TeamBook
 from walkcart.routing.eligibility import ANYWHERE, Regions
 
 #: Attempts at one leaf or shard where a route sets no bound.
@@ -169,14 +169,49 @@
         for routes in self._by_host.values():
             routes.sort(key=lambda route: -len(route.prefix))
 
-    def regions_of(self, name: str) -> Regions:
-        """Return where requests of a route may be served; anywhere if it isn't known.
+    def regions_of(self, name: str, team: str = "") -> Regions:
+        """Return where requests of a route and a team may be served.
+
+        What isn't known here binds nothing.
+
+        Args:
+            name: of the route.
+            team: name of the team; empty for none.
+        """
+        route = self._by_name.get(name)
+        asker = self.teams.named(team) if team else None
+        regions = route.regions if route else ANYWHERE
+        return regions.intersect(asker.regions) if asker else regions
+
+    def rank_of(self, name: str, team: str = "") -> int:
+        """Return the rank of a request: its team's, else its route's.
 
         Args:
             name: of the route.
+            team: name of the team; empty for none.
         """
+        asker = self.teams.named(team) if team else None
+        if asker is not None and asker.rank is not None:
+            return asker.rank
         route = self._by_name.get(name)
-        return route.regions if route else ANYWHERE
+        return route.rank if route else 0
+
+    def upholds(self, name: str, grant: Grant) -> bool:
+        """Return whether a request that was let in once would be let in now.
+
+        Args:
+            name: of the route.
+            grant: by what it was let in.
+        """
+        if self.document.teams is None:
+            return True
+        if not grant.team:
+            route = self._by_name.get(name)
+            return route is None or route.public
+        if grant.credential is None:
+            return self.teams.named(grant.team) is not None
+        team = self.teams.find(grant.credential)
+        return team is not None and team.name == grant.team
 
     def find(self, host: str, target: str) -> Route | None:
         """Return the route with the longest prefix of a request's path, or None.
--- a/walkcart/intent/teams.py
+++ b/walkcart/intent/teams.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from hashlib import blake2b
 
 from walkcart.routing.eligibility import ANYWHERE, Regions
@@ -55,12 +55,26 @@
     """
 
     name: str
-    keys: frozenset[bytes] = frozenset()
+    keys: frozenset[bytes] = field(default=frozenset(), repr=False)
     rank: int | None = None
     limit: RateLimit | None = None
     regions: Regions = ANYWHERE
 
 
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """By what a request was let in; nothing more is sent for it once that is gone.
+
+    Args:
+        team: whose key came along; empty where none did, or none was needed.
+        credential: digest of that key; None at an instance that only helps, to which
+            the key isn't told.
+    """
+
+    team: str = ""
+    credential: bytes | None = field(default=None, repr=False)
+
+
 class TeamBook:
     """The teams of one routing document, by name and by the digests of their keys.
 
--- a/walkcart/kernel/metrics.py
+++ b/walkcart/kernel/metrics.py
@@ -28,6 +28,20 @@
     "query.answered": Metric("counter", "replies", "Replies with an answer."),
     "query.partial": Metric("counter", "replies", "Answers that miss a shard."),
     "query.refused": Metric("counter", "replies", "Requests refused, not run."),
+    "query.unauthenticated": Metric(
+        "counter", "requests", "Refused for want of a key that a team has."
+    ),
+    "query.configuration_old": Metric(
+        "counter",
+        "requests",
+        "Refused for an unknown key while this instance's configuration may be old.",
+    ),
+    "query.rate_limited": Metric(
+        "counter", "requests", "Refused above their team's limit."
+    ),
+    "query.limit_unknown": Metric(
+        "counter", "requests", "Refused while nobody could say what a limit allows."
+    ),
     "query.quarantined": Metric(
         "counter", "requests", "Refused since leafs end when they run them."
     ),
--- a/walkcart/leaves/access.py
+++ b/walkcart/leaves/access.py
@@ -8,11 +8,12 @@
 
 from datetime import timedelta
 
+from walkcart.intent.teams import Grant
 from walkcart.leaves.attempts import Attempt
 from walkcart.leaves.leaf import Leaf
 from walkcart.leaves.pooltools import PoolTools
 from walkcart.routing.distance import Place
-from walkcart.routing.eligibility import ANYWHERE, Obstacle, Regions
+from walkcart.routing.eligibility import ANYWHERE, NOWHERE, Obstacle, Regions
 from walkcart.wire.verdicts import NotRun, Reason
 
 
@@ -26,9 +27,22 @@
     def __init__(self, tools: PoolTools) -> None:
         self._tools = tools
 
-    def regions_now(self, kind: str, regions: Regions) -> Regions:
-        """Return the regions among some that the routes in force allow still."""
-        return regions.intersect(self._tools.keeper.table.regions_of(kind))
+    def is_upheld(self, kind: str, grant: Grant | None) -> bool:
+        """Return whether what let a request in is still in force."""
+        return grant is None or self._tools.keeper.table.upholds(kind, grant)
+
+    def regions_now(self, kind: str, regions: Regions, grant: Grant | None) -> Regions:
+        """Return the regions among some that the document in force allows still.
+
+        Args:
+            kind: name of the request's route.
+            regions: that whoever admitted it allowed.
+            grant: by what it was let in; None where that isn't looked at.
+        """
+        if not self.is_upheld(kind, grant):
+            return NOWHERE
+        table = self._tools.keeper.table
+        return regions.intersect(table.regions_of(kind, grant.team if grant else ""))
 
     def leaves_of(self, service: str, regions: Regions = ANYWHERE) -> tuple[Leaf, ...]:
         """Return the leafs of a service in some regions that may get new work."""
@@ -63,11 +77,10 @@
     def admit(self, leaf: Leaf, attempt: Attempt) -> NotRun | None:
         """Return why an attempt may not be sent to a leaf now; None when it may.
 
-        Asked just before the first byte: regions and data centres may have been taken
-        away while the attempt waited for a connection.
+        Asked just before the first byte: regions, data centres and keys may have been
+        taken away while the attempt waited for a connection.
         """
-        regions = self.regions_now(attempt.kind, attempt.regions)
-        obstacle = self._tools.directory.find_obstacle(leaf, regions)
+        obstacle = self._find_obstacle(leaf, attempt)
         cold, now = self._tools.cold, self._tools.link.clock.monotonic()
         if obstacle is None and cold is not None and not cold.take(leaf, now):
             obstacle = Obstacle.COLD
@@ -76,6 +89,12 @@
         self._tools.link.metrics.count("leaf.barred")
         return NotRun(Reason.NO_LEAF, f"leaf {leaf.id}: {obstacle.value}")
 
+    def _find_obstacle(self, leaf: Leaf, attempt: Attempt) -> Obstacle | None:
+        if not self.is_upheld(attempt.kind, attempt.grant):
+            return Obstacle.ACCESS_GONE
+        regions = self.regions_now(attempt.kind, attempt.regions, attempt.grant)
+        return self._tools.directory.find_obstacle(leaf, regions)
+
     def find_room(self, service: str, regions: Regions) -> timedelta | None:
         """Return when a service's leafs have room again; None where none is cold."""
         cold, now = self._tools.cold, self._tools.link.clock.monotonic()
--- a/walkcart/leaves/attempts.py
+++ b/walkcart/leaves/attempts.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from walkcart.intent.teams import Grant
 from walkcart.leaves.leaf import UNPINNED, Snapshot
 from walkcart.routing.eligibility import ANYWHERE, Regions
 from walkcart.wire.http import Headers, HttpRequest
@@ -39,6 +40,7 @@
             before isn't taken for one that ended under it.
         kind: name of the route that a routed request came by.
         regions: that a routed request may be served in.
+        grant: by what it was let in; None where that isn't looked at.
     """
 
     id: str
@@ -58,6 +60,7 @@
     wary: bool = False
     kind: str = ""
     regions: Regions = ANYWHERE
+    grant: Grant | None = None
 
     @property
     def repeatable(self) -> bool:
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from walkcart.intent.teams import Grant
 from walkcart.kernel.events import Events
 from walkcart.leaves.access import LeafAccess
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused, Replied
@@ -75,14 +76,15 @@
         """Have more connections to leafs while this instance asks for others too."""
         self._gathering = gathering
 
-    def limit_to(self, kind: str, regions: Regions) -> ScopedPool:
+    def limit_to(self, kind: str, regions: Regions, grant: Grant | None) -> ScopedPool:
         """Return the pool as a question sees it that may go to some regions only.
 
         Args:
             kind: name of the question's route.
             regions: that it may be served in, by whoever admitted it.
+            grant: by what it was let in; None where that isn't looked at.
         """
-        return ScopedPool(self, kind, regions)
+        return ScopedPool(self, kind, regions, grant)
 
     def leaves_of(self, service: str, regions: Regions = ANYWHERE) -> tuple[Leaf, ...]:
         """Return the leafs of a service in some regions that may get new work."""
--- a/walkcart/leaves/scopedpool.py
+++ b/walkcart/leaves/scopedpool.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from walkcart.intent.teams import Grant
 from walkcart.leaves.attempts import Attempt, Deliver
 from walkcart.leaves.leaf import Leaf
 from walkcart.routing.distance import Distance, Place
@@ -22,25 +23,34 @@
 class ScopedPool:
     """Shows the leafs that a question may go to, and the way to them.
 
-    The regions are looked up each time: a configuration that takes one away binds what
-    is sent from then on, also for questions under way.
+    Regions, teams and keys are looked up each time: a configuration that takes one
+    away binds what is sent from then on, also for questions under way.
 
     Args:
         pool: of the instance.
         kind: name of the question's route.
         regions: that it may be served in, by whoever admitted it.
+        grant: by what it was let in; None where that isn't looked at.
     """
 
-    def __init__(self, pool: LeafPool, kind: str, regions: Regions) -> None:
+    def __init__(
+        self, pool: LeafPool, kind: str, regions: Regions, grant: Grant | None
+    ) -> None:
         self._pool = pool
         self._access = pool.access
         self._kind = kind
         self._regions = regions
+        self._grant = grant
 
     @property
     def regions(self) -> Regions:
         """Regions that the question may be served in now."""
-        return self._access.regions_now(self._kind, self._regions)
+        return self._access.regions_now(self._kind, self._regions, self._grant)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether anything more may be sent for the question at all."""
+        return self._access.is_upheld(self._kind, self._grant)
 
     def leaves_of(self, service: str) -> tuple[Leaf, ...]:
         """Return the leafs of a service that may get the question."""
--- a/walkcart/platform/callerprotocol.py
+++ b/walkcart/platform/callerprotocol.py
@@ -4,12 +4,15 @@
 
 from datetime import timedelta
 
-from walkcart.entry.routed import CallerRequest
+from walkcart.entry.callerports import CallerRequest
 from walkcart.fanout.mergedanswer import MergedAnswer
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure
 from walkcart.kernel.numbers import read_number
 from walkcart.leaves.attempts import Replied
+from walkcart.platform.apikeys import read_credential
 from walkcart.platform.headers import (
+    AUTHORIZATION,
+    CHALLENGE,
     DEADLINE_MS,
     EXPECTED_LEAF,
     MISSING_PARTS,
@@ -17,6 +20,7 @@
     REQUEST_ID,
     RETRY_AFTER,
     STAMP,
+    TEAM,
     strip_hop_headers,
 )
 from walkcart.platform.records import merge_records
@@ -26,12 +30,17 @@
 
 #: Set anew for each leaf, whatever the caller sent.
 _SET_HERE = frozenset({DEADLINE_MS, EXPECTED_LEAF})
+#: Said by this instance alone where requests need keys, or by nobody.
+_OF_CALLERS = frozenset({AUTHORIZATION, TEAM})
 _TRACEPARENT = b"traceparent"
 _OCTETS = (b"content-type", b"application/octet-stream")
+_NEEDS_KEY = (CHALLENGE, b"Bearer")
 
 #: Statuses that promise that the request did not run and won't.
 _PROMISES = frozenset({408, 421, 429, 503})
+_NO_KEY = 401
 _NO_ROUTE = 404
+_ABOVE_LIMIT = 429
 _BAD_GATEWAY = 502
 _NOT_RUN = 503
 _TIMED_OUT = 504
@@ -55,8 +64,21 @@
                 request.method, request.target, headers, request.body
             ),
             traceparent=request.header(_TRACEPARENT),
+            credential=read_credential(request.headers),
         )
 
+    def name_team(self, request: HttpRequest, team: str) -> HttpRequest:
+        """Return a request with its team's name and without the key.
+
+        Args:
+            request: that was to be forwarded.
+            team: whose key came along; empty on a public route without one.
+        """
+        kept = (item for item in request.headers if item[0].lower() not in _OF_CALLERS)
+        named = ((TEAM, team.encode()),) if team else ()
+        headers = (*kept, *named)
+        return HttpRequest(request.method, request.target, headers, request.body)
+
     def render_merged(self, answer: RoutedAnswer, top: int) -> HttpReply:
         """Return the greatest records of the parts, with the parts' stamps."""
         merged = merge_parts(answer, top)
@@ -77,9 +99,12 @@
         match failure.verdict:
             case NotRun(reason=Reason.NO_ROUTE):
                 return HttpReply(_NO_ROUTE)
+            case NotRun(reason=Reason.UNAUTHENTICATED):
+                return HttpReply(_NO_KEY, (_NEEDS_KEY,))
+            case NotRun(reason=Reason.RATE_LIMITED, retry_after=retry_after):
+                return HttpReply(_ABOVE_LIMIT, (_tell_return(retry_after),))
             case NotRun(retry_after=retry_after):
-                seconds = retry_after.total_seconds() if retry_after else 0.0
-                return HttpReply(_NOT_RUN, ((RETRY_AFTER, b"%.3f" % seconds),))
+                return HttpReply(_NOT_RUN, (_tell_return(retry_after),))
             case MayHaveRun(reason=Reason.DEADLINE):
                 return HttpReply(_TIMED_OUT)
             case MayHaveRun():
@@ -101,6 +126,12 @@
     )
 
 
+def _tell_return(retry_after: timedelta | None) -> tuple[bytes, bytes]:
+    """Return the header that says when asking again makes sense."""
+    seconds = retry_after.total_seconds() if retry_after else 0.0
+    return (RETRY_AFTER, b"%.3f" % seconds)
+
+
 def _stamp_of(reply: Replied) -> bytes:
     stamp = find_header(reply.headers, STAMP)
     assert stamp is not None
--- a/walkcart/platform/documents.py
+++ b/walkcart/platform/documents.py
@@ -23,7 +23,7 @@
 from walkcart.kernel.events import Events
 from walkcart.leaves.directory import LeafEntry
 from walkcart.platform.settings import parse_duration_ms
-from walkcart.routing.eligibility import ANYWHERE, Regions
+from walkcart.platform.teamdocuments import StoredTeam, read_regions, read_teams
 from walkcart.store.items import Item
 
 #: Start of all that operators store; followed as one, so that what an instance starts
@@ -73,6 +73,8 @@
     min_coverage: float = 0.0
     # The only regions that requests may be served in; empty means everywhere.
     allowed_regions: list[str] = []
+    # Whether its requests need no key.
+    public: bool = False
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -97,6 +99,8 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Whose keys requests need; without the list they need none.
+    tenants: list[StoredTeam] | None = None
 
 
 class _LeafEntry(msgspec.Struct, rename="camel"):
@@ -141,6 +145,7 @@
             head_time=parse_duration_ms(limits.header_timeout_ms),
             idle_time=parse_duration_ms(limits.idle_timeout_ms),
         ),
+        teams=read_teams(stored.tenants),
     )
 
 
@@ -167,14 +172,11 @@
         objective=objective,
         most_attempts=max(1, route.max_attempts),
         rank=route.priority,
-        regions=_read_regions(route.allowed_regions),
+        regions=read_regions(route.allowed_regions),
+        public=route.public,
     )
 
 
-def _read_regions(names: list[str]) -> Regions:
-    return Regions(frozenset(names)) if names else ANYWHERE
-
-
 def _read_target(route: _Route) -> Target:
     if route.fanout_services:
         services = tuple(dict.fromkeys(route.fanout_services))
--- a/walkcart/platform/headers.py
+++ b/walkcart/platform/headers.py
@@ -25,6 +25,12 @@
 MISSING_PARTS = b"x-missing-parts"
 #: Seconds, with fractions, until asking again makes sense.
 RETRY_AFTER = b"retry-after"
+#: Name of the team that asks, for leafs and other instances.
+TEAM = b"x-tenant"
+#: Holds a caller's API key.
+AUTHORIZATION = b"authorization"
+#: How a caller that is refused for want of a key may show one.
+CHALLENGE = b"www-authenticate"
 KEEP_ALIVE = b"keep-alive"
 CONTENT_ENCODING = b"content-encoding"
 
--- a/walkcart/platform/tests/platformworld.py
+++ b/walkcart/platform/tests/platformworld.py
@@ -117,10 +117,17 @@
         self.entries[id]["state"] = "draining"
         self.store.put(f"servers/{id}", self.entries[id])
 
-    def configure(self, *routes: dict[str, Any], **limits: int) -> int:
+    def configure(
+        self,
+        *routes: dict[str, Any],
+        teams: list[dict[str, Any]] | None = None,
+        **limits: int,
+    ) -> int:
         """Store a new version of the configuration; return its number."""
         self.version += 3
         content = make_configuration(self.version, list(routes), **limits)
+        if teams is not None:
+            content["tenants"] = teams
         self.store.put("op/config", content)
         return self.version
 
@@ -267,6 +274,16 @@
     }
 
 
+def make_team(name: str, *keys: str, **fields: Any) -> dict[str, Any]:
+    """Return a team as operators store it."""
+    return {"name": name, "apiKeys": list(keys), **fields}
+
+
+def show_key(key: str) -> tuple[tuple[bytes, bytes], ...]:
+    """Return the header by which a caller shows its key."""
+    return ((b"authorization", f"Bearer {key}".encode()),)
+
+
 @asynccontextmanager
 async def open_platform():
     """Open a world with a running store."""
--- a/walkcart/platform/tests/test_boundary.py
+++ b/walkcart/platform/tests/test_boundary.py
@@ -28,6 +28,12 @@
     "targetLatencyMs",
     "minCoverage",
     "kv-watch",
+    "x-tenant",
+    "X-Tenant",
+    "apiKeys",
+    "api_keys",
+    "ratePerS",
+    "rate_per_s",
 )
 
 
--- a/walkcart/routing/eligibility.py
+++ b/walkcart/routing/eligibility.py
@@ -59,6 +59,8 @@
 
 #: Where operators set no regions.
 ANYWHERE = Regions()
+#: For what may not be served at all any more.
+NOWHERE = Regions(frozenset())
 
 
 class Obstacle(Enum):
@@ -70,6 +72,7 @@
     COLD = "cold"
     EVACUATED = "evacuated"
     OUTSIDE_REGIONS = "outside_regions"
+    ACCESS_GONE = "access_gone"
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkcart/store/following.py
+++ b/walkcart/store/following.py
@@ -133,6 +133,10 @@
             return max(self._confirmed_at, self._calls.last_success)
         return self._confirmed_at
 
+    def find_age(self) -> float:
+        """Return the seconds since then; infinite before the first reading."""
+        return self._clock.monotonic() - self.current_at
+
     def note_current(self, revision: int, at: float) -> None:
         """Note that the copy held all that was stored at a time, up to a revision."""
         self.revision = max(self.revision, revision)
--- a/walkcart/wire/fingerprint.py
+++ b/walkcart/wire/fingerprint.py
@@ -34,9 +34,16 @@
     return digest.digest()
 
 
-def fingerprint_request(request: HttpRequest) -> bytes:
-    """Return the fingerprint of a request: method, target, host, sender and body."""
+def fingerprint_request(
+    request: HttpRequest, identifying: tuple[bytes, ...] = IDENTIFYING_HEADERS
+) -> bytes:
+    """Return the fingerprint of a request: method, target, host, sender and body.
+
+    Args:
+        request: as leafs get it.
+        identifying: headers that say where it goes and who sends it.
+    """
     found = dict(request.headers)
-    headers = (found.get(name, b"") for name in IDENTIFYING_HEADERS)
+    headers = (found.get(name, b"") for name in identifying)
     method, target = request.method.encode(), request.target.encode("latin-1")
     return make_fingerprint(method, target, *headers, request.body)
--- a/walkcart/wire/http.py
+++ b/walkcart/wire/http.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 import h11
@@ -42,8 +42,9 @@
 
     method: str
     target: str
-    headers: Headers = ()
-    body: bytes = b""
+    # Not shown: headers hold keys, and what a caller sends is its own.
+    headers: Headers = field(default=(), repr=False)
+    body: bytes = field(default=b"", repr=False)
 
     def header(self, name: bytes) -> str | None:
         """Return the first header called `name`, or None."""
