Join teams' admission and their limits

The teams' branch calls the port; what it gives back says when the request came. Refusals are logged and counted by its request log, with the use seen in their detail, so that their own events and metrics went.

--- a/walkcart/daemon/tenantlimits.py
+++ b/walkcart/daemon/tenantlimits.py
@@ -102,7 +102,6 @@
         lambda: in_force.version,
         around.clock,
         around.random,
-        events,
         metrics,
     )
 
--- a/walkcart/entry/teamlimits.py
+++ b/walkcart/entry/teamlimits.py
@@ -1,7 +1,7 @@
 """Admission of teams' requests under the rate limits that all instances share.
 
 See Also:
-    `walkcart.entry.routed.TeamLimits`, the port that this serves.
+    `walkcart.entry.callerports.TeamLimits`, the port that this serves.
     ``docs/design/quotas.md``.
 """
 
@@ -14,8 +14,6 @@
 
 from walkcart.intent.teams import RateLimit, Team
 from walkcart.kernel.clock import Clock
-from walkcart.kernel.eventlog import EventLog
-from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
 from walkcart.membership.quotaasks import Answer, QuotaAsks
 from walkcart.routing.allowances import Allowance
@@ -59,8 +57,7 @@
         find_version: returns the version of the configuration in force.
         clock: source of time.
         random: spreads what refused callers are told.
-        events: where refusals are logged.
-        metrics: where refusals are counted.
+        metrics: where the time until a grant is shown.
     """
 
     def __init__(
@@ -70,7 +67,6 @@
         find_version: Callable[[], int],
         clock: Clock,
         random: Random,
-        events: EventLog,
         metrics: Metrics,
     ) -> None:
         self._asks = asks
@@ -78,7 +74,6 @@
         self._find_version = find_version
         self._clock = clock
         self._random = random
-        self._events = events
         self._metrics = metrics
         self._allowances: dict[str, Allowance] = {}
         self._denials: dict[str, LastDenial] = {}
@@ -147,7 +142,7 @@
             denial = LastDenial(now, answer.reply.use, answer.accountant)
             self._denials[team] = denial
         if not turns and open_shares:
-            return self._refuse_unknown(team, len(open_shares))
+            return self._refuse_unknown(len(open_shares))
         wait = min(turns, default=allowance.find_room(self._clock.monotonic()))
         return self._refuse(team, limit, wait)
 
@@ -162,27 +157,17 @@
 
     def _refuse(self, team: str, limit: RateLimit, wait: float) -> NotRun:
         """Refuse a request above the limit, with when there will be room."""
-        self._metrics.count("quota.refused")
         told = max(SHORTEST_WAIT, wait * self._random.uniform(1.0, SPREAD))
+        detail = f"the limit of {limit.rate:g} a second and {limit.burst:g} is used"
         denial = self._denials.get(team)
-        now = self._clock.monotonic()
-        self._events.emit(
-            Events.RATE_LIMITED,
-            team=team,
-            rate=limit.rate,
-            burst=limit.burst,
-            use_seen=round(denial.use, 2) if denial else None,
-            age_ms=round((now - denial.at) * 1000) if denial else None,
-            accountant=denial.accountant if denial else None,
-            retry_ms=round(told * 1000),
-        )
-        detail = f"the team's limit of {limit.rate:g} a second is used"
+        if denial is not None:
+            age = self._clock.monotonic() - denial.at
+            detail += f": {denial.accountant} saw {denial.use:.2f} a second of its"
+            detail += f" share {age * 1000:.0f} ms ago"
         return NotRun(Reason.RATE_LIMITED, detail, timedelta(seconds=told))
 
-    def _refuse_unknown(self, team: str, asked: int) -> NotRun:
+    def _refuse_unknown(self, asked: int) -> NotRun:
         """Refuse a request since nobody can tell whether it is above the limit."""
-        self._metrics.count("quota.unknown")
-        self._events.emit(Events.LIMIT_UNKNOWN, team=team, shares=asked)
         told = UNKNOWN_WAIT * self._random.uniform(1.0, SPREAD)
-        detail = "nobody who accounts the team's limit was reached"
+        detail = f"no accountant of {asked} shares was reached"
         return NotRun(Reason.LIMIT_UNKNOWN, detail, timedelta(seconds=told))
--- a/walkcart/entry/tests/quotafleet.py
+++ b/walkcart/entry/tests/quotafleet.py
@@ -208,7 +208,6 @@
             lambda: self.fleet.version,
             clock,
             self.fleet.random,
-            events,
             self.metrics,
         )
         self.links.on(Greeting, self._on_greeting)
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -69,12 +69,6 @@
     QUARANTINE_LIFTED = _info(
         209, "quarantine_lifted", "A leaf answered a request that leafs ended under."
     )
-    RATE_LIMITED = _info(
-        210, "rate_limited", "A team's request found no room in its rate limit."
-    )
-    LIMIT_UNKNOWN = _warn(
-        211, "limit_unknown", "Nobody who accounts a team's rate limit was reached."
-    )
     REQUEST_DONE = _info(205, "request_done", "A routed request got its answer.")
     REQUEST_UNSERVED = _info(
         206, "request_unserved", "A routed request got no leaf's answer; says why."
