--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -15,6 +15,7 @@
 from walkcart.entry.routed import RoutedEntryTools, RoutedHandler
 from walkcart.entry.routedservice import RoutedService
 from walkcart.entry.starting import StartGate
+from walkcart.entry.teamlimits import SharedTeamLimits
 from walkcart.fanout.carrying import Carrier, Handover
 from walkcart.fanout.delegatedgroup import Outcome
 from walkcart.fanout.delegates import Delegates
@@ -23,6 +24,7 @@
 from walkcart.fanout.handing import Handing
 from walkcart.fanout.ids import IdSource
 from walkcart.fanout.mergedanswer import MergedAnswer
+from walkcart.fanout.origins import RequestOrigins
 from walkcart.fanout.quarantinepeers import QuarantinePeers
 from walkcart.fanout.quarantines import Quarantines
 from walkcart.fanout.routed import RoutedGathering
@@ -147,7 +149,15 @@
         times = gathering.pool.times_of(kind, Distance.SAME_DATA_CENTRE)
         return times.high(around.clock.monotonic())
 
-    carrier = Carrier(links, around.clock, gather, find_usual_high, events, quarantines)
+    carrier = Carrier(
+        links,
+        around.clock,
+        gather,
+        find_usual_high,
+        events,
+        quarantines,
+        kernel.find("origins", RequestOrigins),
+    )
     relay = Relay(
         [
             kernel.find("configuration", PrefixFollower),
@@ -252,6 +262,9 @@
             kernel.find("tracer", Tracer),
             around.random,
             gate,
+            kernel.find("origins", RequestOrigins),
+            kernel.find("configuration", PrefixFollower).find_age,
+            kernel.find("limits", SharedTeamLimits),
         )
     )
     service = RoutedService(
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -144,6 +144,12 @@
     COLD_SHARE_LOST = _info(
         522, "cold_share_lost", "A share of cold leafs' bound isn't this instance's."
     )
+    QUOTA_SHARE_TAKEN = _info(
+        523, "quota_share_taken", "Accounts a share of all teams' rate limits."
+    )
+    QUOTA_SHARE_LOST = _info(
+        524, "quota_share_lost", "Accounts a share of the rate limits no longer."
+    )
     LEAF_ENTRY_BAD = _error(512, "leaf_entry_bad", "A leaf's entry can't be read.")
     REGISTERED = _info(513, "registered", "This instance's leased key is stored.")
     REGISTRATION_LOST = _warn(
--- a/walkcart/kernel/metrics.py
+++ b/walkcart/kernel/metrics.py
@@ -28,12 +28,29 @@
     "query.answered": Metric("counter", "replies", "Replies with an answer."),
     "query.partial": Metric("counter", "replies", "Answers that miss a shard."),
     "query.refused": Metric("counter", "replies", "Requests refused, not run."),
+    "query.unauthenticated": Metric(
+        "counter", "requests", "Refused for want of a key that a team has."
+    ),
+    "query.configuration_old": Metric(
+        "counter",
+        "requests",
+        "Refused for an unknown key while this instance's configuration may be old.",
+    ),
+    "query.rate_limited": Metric(
+        "counter", "requests", "Refused above their team's limit."
+    ),
+    "query.limit_unknown": Metric(
+        "counter", "requests", "Refused while nobody could say what a limit allows."
+    ),
     "query.quarantined": Metric(
         "counter", "requests", "Refused since leafs end when they run them."
     ),
     "quarantine.entries": Metric(
         "gauge", "requests", "Remembered since leafs ended under them."
     ),
+    "quota.asked": Metric("counter", "asks", "Of accountants of rate limits."),
+    "quota.wait": Metric("timer", "ms", "From a request to its team's grant."),
+    "quota.shares": Metric("gauge", "shares", "Of rate limits, accounted here."),
     "query.uncertain": Metric("counter", "replies", "Replies 'may have run'."),
     "query.time": Metric("timer", "ms", "From the request's last byte to the reply."),
     "leaf.time": Metric("timer", "ms", "From a request's send to the leaf's reply."),
