Feed instances that the store turns away also where it turns their feeders away

Cause, found by a test of keys that change while the store turns half of the instances away (test_key_changes.py, first run on the code before): of 72 instances, those whose data centre had both watchers turned away as well weren't fed until the watchers' entries had lapsed: they asked the same three instances in turn, 1.3 s for each (copies 10.2 s old after 10 s, 39.8 s at the worst in 36 s). And one that was turned away for longer than its own entry lasts (15 s) lost its feed: its feeder no longer knew where to answer (21.2 s at 7 instances). So keys that were taken away went on to work there. Change: who is asked to feed and can't says so (a sign of life without states); an instance that the store turns away turns to the next one at once, and to the watchers of other data centres when the near ones have all failed it; links keep the last address of an instance whose entry is gone.

--- a/walkcart/membership/feeding.py
+++ b/walkcart/membership/feeding.py
@@ -153,6 +153,8 @@
             if prefix in self._followers:
                 subscriber.take_word(prefix, revision, now)
         if not self._may_feed():
+            # So that it turns to another one now, and not once it is late.
+            self._links.send(sender, RelayCurrent({}))
             return
         for follower in self._followers.values():
             self._offer(sender, subscriber, follower)
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -63,7 +63,9 @@
         self._work_handlers: dict[type[Message], WorkHandler] = {}
         self._readings = ClockReadings(secrets.token_hex(LIFE_BYTES))
         self._links: dict[tuple[str, HostPort], Outbox] = {}
-        #: Addresses that senders gave, for answers to those not yet in the book.
+        #: Addresses that senders gave or the book held last, for answers to those that
+        #: aren't in it yet, or any more: the store may turn one away for longer than
+        #: its entry lasts.
         self._heard: dict[str, str] = {}
         self._nursery: trio.Nursery | None = None
         self.last_received = trio.current_time()
@@ -100,9 +102,9 @@
 
     def _find_address(self, name: str) -> HostPort | None:
         record = self._view.find(name)
-        return read_address(
-            record.peer_address if record else self._heard.get(name, "")
-        )
+        if record is not None:
+            self._heard[name] = record.peer_address
+        return read_address(self._heard.get(name, ""))
 
     def is_waiting(self, name: str, message: Message) -> bool:
         """Return whether a message to an instance wasn't sent yet."""
--- a/walkcart/membership/relaying.py
+++ b/walkcart/membership/relaying.py
@@ -31,7 +31,7 @@
 from walkcart.membership.feeding import Feeder, unpack_changes
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.registration import Registration
-from walkcart.membership.watchers import Watchers
+from walkcart.membership.watchers import SILENT_MEMORY, Watchers
 from walkcart.store.calls import StoreCalls
 from walkcart.store.following import PrefixFollower
 from walkcart.store.packing import BadValue
@@ -60,6 +60,11 @@
 #: A feeder is taken for good again when the copy is this new, so that one that is just
 #: about late doesn't cost a reading of the store each second.
 GOOD = timedelta(seconds=0.9)
+#: Instances that are asked in a row while each says that it doesn't feed: those near,
+#: then some of others, of which a third may be turned away too.
+MOST_DECLINED = 6
+#: After so long a feeder of another data centre is left for one that is near.
+FAR_TIME = timedelta(seconds=10)
 #: An instance that has just started reads the store itself; only after this is it fed
 #: all of the copies. A reading takes some 50 ms.
 FIRST_READ_TIME = timedelta(seconds=0.3)
@@ -103,6 +108,8 @@
         #: date, another not.
         self._complete_at = dict.fromkeys(self._followers, float("-inf"))
         self._silent: dict[str, float] = {}
+        #: Instances that said since the last look that they don't feed.
+        self._declined = 0
         self._fed = False
         feeds = Feeder(self._followers, links, clock, self._may_feed)
         calls.on_success(feeds.note_served)
@@ -136,6 +143,7 @@
         Another one is tried first; when that doesn't help in time the store is read.
         """
         now = self._clock.monotonic()
+        self._declined = 0
         self._show_age(now)
         if self._registration.is_settled and self.watches:
             for follower in self._followers.values():
@@ -145,16 +153,23 @@
             self._set_fed(False, "watches itself")
             return
         age = now - min(self._complete_at.values())
-        if age > SUSPECT.total_seconds() < now - self._chosen_at:
+        is_late = age > SUSPECT.total_seconds() < now - self._chosen_at
+        if is_late or self._is_far_for_long(now):
             self._choose_feeder(now)
         if age > LATE.total_seconds():
             heard = now - self._heard_at <= LATE.total_seconds()
             self._set_fed(False, "late" if heard else "silence", age)
 
+    def _is_far_for_long(self, now: float) -> bool:
+        if self._feeder is None or not self._watchers.is_far(self._feeder):
+            return False
+        return now - self._chosen_at > FAR_TIME.total_seconds()
+
     def _choose_feeder(self, now: float) -> None:
         if self._feeder is not None:
             self._silent[self._feeder] = now
-        self._feeder = self._watchers.choose_feeder(self._silent)
+        far_since = float("inf") if self._calls.reachable else now - SILENT_MEMORY
+        self._feeder = self._watchers.choose_feeder(self._silent, far_since)
         self._chosen_at = now
         self._tell()
 
@@ -223,6 +238,8 @@
 
     def _on_current(self, sender: str, message: Message, way: float) -> None:
         assert isinstance(message, RelayCurrent)
+        if not message.states:
+            self._note_declined(sender)
         for prefix, state in message.states.items():
             follower = self._take_from(sender, prefix)
             if follower is None or not follower.known:
@@ -230,6 +247,21 @@
             if follower.revision >= state.latest_change:
                 self._note_complete(follower, state.revision, state.current_age + way)
 
+    def _note_declined(self, sender: str) -> None:
+        """Turn to another one at once; at the next look where nobody feeds now.
+
+        An instance that the store serves reads it in time, and doesn't add to what its
+        feeders have to do while they are late.
+        """
+        if sender != self._feeder or self._calls.reachable:
+            return
+        self._declined += 1
+        if self._declined < MOST_DECLINED:
+            self._choose_feeder(self._clock.monotonic())
+        else:
+            self._silent[sender] = self._clock.monotonic()
+            self._feeder, self._chosen_at = None, float("-inf")
+
     def _take_from(self, sender: str, prefix: str) -> PrefixFollower | None:
         if sender != self._feeder:
             return None
--- a/walkcart/membership/tests/test_feeding.py
+++ b/walkcart/membership/tests/test_feeding.py
@@ -130,10 +130,11 @@
     assert fixture.links.take() == []
 
 
-def test_who_does_not_watch_sends_nothing():
+def test_who_does_not_watch_says_so_and_sends_nothing():
     fixture = FeederFixture()
     fixture.feeds = False
     fixture.tell(1)
+    assert fixture.links.take() == [RelayCurrent({})]
     fixture.change(2)
     fixture.feeder.note_served()
     assert fixture.links.take() == []
--- a/walkcart/membership/watchers.py
+++ b/walkcart/membership/watchers.py
@@ -18,6 +18,9 @@
 WATCHERS = 2
 #: Candidates besides these, for an instance whose view of the others is older.
 SPARE_WATCHERS = 1
+#: Seconds for which one that didn't feed isn't hoped for: some renewals of its lease,
+#: by which it notices that the store serves it again.
+SILENT_MEMORY = 5.0
 
 
 class Watchers:
@@ -38,20 +41,25 @@
             return True
         return self._registration.own.name in self._ranked()[:WATCHERS]
 
-    def choose_feeder(self, silent: Mapping[str, float]) -> str | None:
+    def choose_feeder(
+        self, silent: Mapping[str, float], far_since: float = float("inf")
+    ) -> str | None:
         """Return who is to feed this instance, or None when there is nobody.
 
-        The subscribers of a data centre divide themselves over its watchers.
+        The subscribers of a data centre divide themselves over its watchers. Those of
+        others are turned to where the store serves neither this instance nor these.
 
         Args:
             silent: when each instance that didn't feed was found silent or late last;
                 who was so longest ago, or never, goes first.
+            far_since: others are turned to if all near were silent since then.
         """
         own = self._registration.own.name
-        names = [name for name in self._ranked() if name != own]
-        if not self._is_few():
-            names = names[: WATCHERS + SPARE_WATCHERS]
-        spare = set(names[WATCHERS:])
+        near = self._near()
+        names = near
+        if all(silent.get(name, float("-inf")) >= far_since for name in near):
+            names = self._far() or near
+        spare = set(near[WATCHERS:])
 
         def rank(name: str) -> tuple[float, bool, int]:
             silent_at = silent.get(name, float("-inf"))
@@ -59,6 +67,28 @@
 
         return min(names, key=rank, default=None)
 
+    def is_far(self, name: str) -> bool:
+        """Return whether a feeder stands in another data centre."""
+        return name not in self._near()
+
+    def _near(self) -> list[str]:
+        """Return those that may feed this instance at any time, in their order."""
+        own = self._registration.own.name
+        names = [name for name in self._ranked() if name != own]
+        return names if self._is_few() else names[: WATCHERS + SPARE_WATCHERS]
+
+    def _far(self) -> list[str]:
+        """Return the watchers of the other data centres."""
+        places: dict[str, list[str]] = {}
+        for record in self._registration.others():
+            if record.data_centre != self._registration.own.data_centre:
+                places.setdefault(record.data_centre, []).append(record.name)
+        found = []
+        for place, names in places.items():
+            names.sort(key=lambda name: rank_rendezvous(place, name))
+            found += names[:WATCHERS]
+        return found
+
     def _is_few(self) -> bool:
         return len(self._registration.others()) + 1 <= FEW_INSTANCES
 
--- a/walkcart/wire/relays.py
+++ b/walkcart/wire/relays.py
@@ -101,7 +101,7 @@
     """Says that nothing else has changed: the sign of life of a feed.
 
     Args:
-        states: by prefix.
+        states: by prefix; none where the sender doesn't feed the receiver.
     """
 
     states: dict[str, RelayedState]
