--- a/walkcart/daemon/tenantlimits.py
+++ b/walkcart/daemon/tenantlimits.py
@@ -1,4 +1,4 @@
-"""The services of an instance that hold teams to their rate limits.
+"""The services of an instance that hold bounds which all instances share.
 
 See Also:
     `walkcart.daemon.tenant.assemble_tenant`, which puts them together.
@@ -8,12 +8,15 @@
 
 from walkcart.daemon.surroundings import TenantSurroundings
 from walkcart.entry.teamlimits import SharedTeamLimits
+from walkcart.fanout.gatherers import Gatherers
 from walkcart.intent.routekeeper import RouteKeeper
 from walkcart.intent.routes import RouteTable
 from walkcart.intent.teams import RateLimit
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.registry import Kernel
+from walkcart.leaves.coldroom import ColdRoom
+from walkcart.membership.coldshares import ColdNeeds, ColdShares
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.quotaanswers import QuotaAnswers
 from walkcart.membership.quotaasks import QuotaAsks
@@ -56,6 +59,22 @@
         return self.version, found.limit if found else None
 
 
+def add_cold_shares(
+    kernel: Kernel, around: TenantSurroundings, gatherers: Gatherers
+) -> None:
+    """Add what divides the bounds of cold leafs among the instances."""
+    cold = kernel.find("cold", ColdRoom)
+    shares = ColdShares(
+        kernel.find("store", PlatformStore),
+        kernel.find("registration", Registration),
+        ColdNeeds(cold.find_bounded, cold.find_cold, gatherers.rank_for),
+        around.clock,
+        kernel.find("events", EventLog),
+    )
+    cold.follow(shares.find_share)
+    kernel.add("cold_shares", shares)
+
+
 def add_limits(
     kernel: Kernel, settings: PlatformSettings, around: TenantSurroundings
 ) -> None:
--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -11,6 +11,7 @@
 import trio
 
 from walkcart.daemon.surroundings import ListenerService, TenantSurroundings
+from walkcart.daemon.tenantlimits import add_cold_shares
 from walkcart.daemon.tenantstore import make_store_backoff
 from walkcart.entry.routed import RoutedEntryTools, RoutedHandler
 from walkcart.entry.routedservice import RoutedService
@@ -37,10 +38,8 @@
 from walkcart.kernel.settings import HostPort
 from walkcart.kernel.spans import Tracer
 from walkcart.kernel.taskfaults import note_task_fault
-from walkcart.leaves.coldroom import ColdRoom
 from walkcart.leaves.directory import LeafDirectory
 from walkcart.leaves.pool import LeafPool
-from walkcart.membership.coldshares import ColdNeeds, ColdShares
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.quarantinekeys import QUARANTINE_PREFIX, QuarantineKeys
 from walkcart.membership.quarantinenews import QuarantineSpread
@@ -178,22 +177,6 @@
     kernel.add("gathering", gathering)
 
 
-def add_cold_shares(
-    kernel: Kernel, around: TenantSurroundings, gatherers: Gatherers
-) -> None:
-    """Add what divides the bounds of cold leafs among the instances."""
-    cold = kernel.find("cold", ColdRoom)
-    shares = ColdShares(
-        kernel.find("store", PlatformStore),
-        kernel.find("registration", Registration),
-        ColdNeeds(cold.find_bounded, cold.find_cold, gatherers.rank_for),
-        around.clock,
-        kernel.find("events", EventLog),
-    )
-    cold.follow(shares.find_share)
-    kernel.add("cold_shares", shares)
-
-
 def add_quarantines(
     kernel: Kernel,
     around: TenantSurroundings,
--- a/walkcart/membership/quotaanswers.py
+++ b/walkcart/membership/quotaanswers.py
@@ -14,7 +14,8 @@
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.quotaholders import QuotaHolders
 from walkcart.membership.quotashares import QuotaShares
-from walkcart.routing.quotas import LONGEST_TURN, SHARES, QuotaBounds, Want
+from walkcart.routing.quotas import SHARES, QuotaBounds, Want
+from walkcart.routing.tokenbucket import LONGEST_TURN
 from walkcart.wire.messagebase import Message
 from walkcart.wire.quotas import QuotaAsk, QuotaElsewhere, QuotaGrant
 
--- a/walkcart/membership/quotakeys.py
+++ b/walkcart/membership/quotakeys.py
@@ -138,6 +138,11 @@
         """
         return stored is None or stored.key.holder in ("", self._own.name)
 
+    def is_own(self, stored: StoredKey) -> bool:
+        """Return whether a key was stored by this life of this instance."""
+        own = (self._own.name, self._own.started)
+        return (stored.key.holder, stored.key.started) == own
+
     async def take(self, share: int, stored: StoredKey | None) -> TakenKey | None:
         """Take a share that is free; return None if it wasn't any more.
 
--- a/walkcart/membership/quotashares.py
+++ b/walkcart/membership/quotashares.py
@@ -99,8 +99,8 @@
         held = self._held.get(share)
         if held is None or stored.revision <= held.taken.stored.revision:
             return
-        if stored.key.holder != self._holders.own:
-            self._lose(share, "another instance has it")
+        if not self._keys.is_own(stored):
+            self._lose(share, "another process has it")
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Hold what is to be held, until cancelled."""
--- a/walkcart/routing/quotas.py
+++ b/walkcart/routing/quotas.py
@@ -31,6 +31,7 @@
 from walkcart.intent.teams import RateLimit
 from walkcart.routing.fullshares import FullShares, Told
 from walkcart.routing.shares import rank_rendezvous
+from walkcart.routing.tokenbucket import LONGEST_TURN, BucketSize, TokenBucket
 
 #: Shares of a limit at the most: one that is lost leaves five sixths in use.
 SHARES = 6
@@ -50,17 +51,8 @@
 #: Seconds for which a grant holds at the least: a round trip between regions and a
 #: busy processor at both ends.
 LEAST_HOLD = 0.1
-#: Of a bucket below this part of its depth each ask gets one at a time, so that near
-#: the limit nothing is held without being used.
-SCARCE_PART = 0.5
-#: Seconds over which the use of a team is averaged.
-USE_TIME = 2.0
-#: Longest wait that refused callers are told, in seconds: what they ask may change.
-LONGEST_TURN = 5.0
 #: Full buckets are forgotten past so many; they come back full.
 MOST_BUCKETS = 4096
-#: For comparing sums of fractions.
-_TINY = 1e-9
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,21 +80,6 @@
         return due * (1.0 + self.tolerance) + self.slack
 
 
-@dataclass(frozen=True, slots=True)
-class BucketSize:
-    """How a share of a limit is accounted.
-
-    Args:
-        rate: tokens a second.
-        depth: most tokens at once.
-        start: tokens with which a new account starts.
-    """
-
-    rate: float
-    depth: float
-    start: float
-
-
 def list_shares(limit: RateLimit, bounds: QuotaBounds, team: str) -> tuple[int, ...]:
     """Return the shares that a limit is cut into, from one that the name chooses."""
     depth = limit.burst + bounds.slack * DEPTH_PART
@@ -126,74 +103,6 @@
     )
 
 
-class TokenBucket:
-    """Tokens of one team in one share.
-
-    Args:
-        size: rate and depth.
-        level: tokens now.
-        now: seconds of a steady clock.
-    """
-
-    __slots__ = ("_at", "_level", "_turn_at", "_use", "size")
-
-    def __init__(self, size: BucketSize, level: float, now: float) -> None:
-        self.size = size
-        self._level = min(size.depth, level)
-        self._at = now
-        self._use = 0.0
-        self._turn_at = now
-
-    def is_full(self, now: float) -> bool:
-        """Return whether a new bucket would be no different."""
-        self._fill(now)
-        return self._level >= self.size.depth
-
-    def resize(self, size: BucketSize, now: float) -> None:
-        """Take another size from now on; what is above its depth is gone."""
-        self._fill(now)
-        self.size = size
-        self._level = min(self._level, size.depth)
-        self._turn_at = now
-
-    def take(self, wanted: int, now: float) -> int:
-        """Take up to `wanted` tokens; return how many, 0 where there is none."""
-        self._fill(now)
-        if self._level < 1.0 - _TINY:
-            return 0
-        spare = self._level - 1.0 - self.size.depth * SCARCE_PART
-        taken = 1 + min(max(0, wanted - 1), max(0, math.floor(spare)))
-        self._level -= taken
-        self._use += taken / USE_TIME
-        return taken
-
-    def find_wait(self, now: float) -> float:
-        """Return the seconds until there is a token."""
-        self._fill(now)
-        return max(0.0, 1.0 - self._level) / self.size.rate
-
-    def take_turn(self, now: float) -> float:
-        """Return the seconds until one more refused caller's turn.
-
-        Each gets a later one, so that they return as fast as tokens do.
-        """
-        earliest = now + self.find_wait(now)
-        self._turn_at = max(earliest, self._turn_at + 1.0 / self.size.rate)
-        self._turn_at = min(self._turn_at, max(earliest, now + LONGEST_TURN))
-        return self._turn_at - now
-
-    def find_use(self, now: float) -> float:
-        """Return the tokens a second that were taken of late."""
-        self._fill(now)
-        return self._use
-
-    def _fill(self, now: float) -> None:
-        passed = max(0.0, now - self._at)
-        self._level = min(self.size.depth, self._level + passed * self.size.rate)
-        self._use *= math.exp(-passed / USE_TIME)
-        self._at = max(self._at, now)
-
-
 @dataclass(frozen=True, slots=True)
 class Want:
     """What is asked for.
--- a/walkcart/routing/tests/test_quota_ways.py
+++ b/walkcart/routing/tests/test_quota_ways.py
@@ -20,13 +20,12 @@
 from walkcart.routing.quotas import (
     MOST_STARTS,
     SHARES,
-    BucketSize,
     QuotaBounds,
     ShareAccount,
-    TokenBucket,
     Want,
     list_shares,
 )
+from walkcart.routing.tokenbucket import BucketSize, TokenBucket
 
 BOUNDS = QuotaBounds(window=5.0, tolerance=0.1, slack=20.0)
 LIMIT = RateLimit(12.0, 6.0)
--- a/walkcart/routing/tests/test_quotas.py
+++ b/walkcart/routing/tests/test_quotas.py
@@ -21,7 +21,6 @@
 )
 from walkcart.routing.fullshares import FullShares
 from walkcart.routing.quotas import (
-    LONGEST_TURN,
     MOST_STARTS,
     SHARES,
     QuotaBounds,
@@ -30,6 +29,7 @@
     list_shares,
     size_bucket,
 )
+from walkcart.routing.tokenbucket import LONGEST_TURN
 
 BOUNDS = QuotaBounds(window=5.0, tolerance=0.1, slack=20.0)
 TEAM = "fitters"
