--- a/walkcart/daemon/tenantlimits.py
+++ b/walkcart/daemon/tenantlimits.py
@@ -127,6 +127,7 @@
     def take(table: RouteTable) -> None:
         in_force.take(table)
         limits.keep_only(in_force.limited)
+        shares.wake()
 
     keeper.on_change(take)
     kernel.add("quota_shares", shares)
--- a/walkcart/entry/teamlimits.py
+++ b/walkcart/entry/teamlimits.py
@@ -142,7 +142,7 @@
                 self._keep(allowance, answer, 1)
                 return None
             turns.append(self._note_denial(team, share, answer, allowance))
-        if not turns and order:
+        if not turns and len(order) == len(shares):
             return self._refuse_unknown(len(order))
         now = self._clock.monotonic()
         wait = min(turns, default=allowance.full.find_room(now))
--- a/walkcart/membership/quotaasks.py
+++ b/walkcart/membership/quotaasks.py
@@ -158,7 +158,7 @@
         asked: set[str] = set()
         for _ in range(MOST_ASKED):
             name = self._choose(share, asked)
-            if name is None:
+            if name is None or self._clock.monotonic() >= deadline:
                 return None
             asked.add(name)
             answer = await self._ask_other(name, share, want, deadline)
--- a/walkcart/membership/quotaholders.py
+++ b/walkcart/membership/quotaholders.py
@@ -157,11 +157,13 @@
         """
         known = self._known[share]
         now = self._clock.monotonic()
-        if now < known.retry_at or not self._registration.is_settled:
+        if now < known.retry_at:
             return False
         if known.holder.name == self.own:
             # The key of a former life, which nobody else can take yet.
             return True
+        if not self._registration.is_settled:
+            return False
         candidates = self.find_candidates(share)
         if self.own not in candidates:
             return False
--- a/walkcart/membership/quotashares.py
+++ b/walkcart/membership/quotashares.py
@@ -37,11 +37,19 @@
 
 @dataclass(slots=True)
 class _Held:
-    """A share that this instance accounts."""
+    """A share that this instance accounts.
+
+    Args:
+        taken: its key.
+        account: what was granted of it.
+        since: when it was taken, in seconds.
+        kept_at: when its lease was renewed last.
+    """
 
     taken: TakenKey
     account: ShareAccount
     since: float
+    kept_at: float
 
 
 class QuotaShares:
@@ -96,6 +104,8 @@
         if found is None:
             return
         share, stored = found
+        if stored.key.holder == self._holders.own:
+            self.wake()
         held = self._held.get(share)
         if held is None or stored.revision <= held.taken.stored.revision:
             return
@@ -106,11 +116,15 @@
         """Hold what is to be held, until cancelled."""
         task_status.started()
         while not self._left:
-            await self.look()
             self._wakeup = trio.Event()
+            await self.look()
             with trio.move_on_after(LOOK):
                 await self._wakeup.wait()
 
+    def wake(self) -> None:
+        """Look at once: what is to be held may have changed."""
+        self._wakeup.set()
+
     async def look(self) -> None:
         """Renew what is held, and take what is free."""
         if not self._is_wanted():
@@ -119,10 +133,9 @@
             return
         if self._wanted_since is None:
             self._wanted_since = self._clock.monotonic()
-        for share in list(self._held):
-            await self._keep(share)
-        for share, held in self._held.items():
-            self._tell_held(share, held.taken)
+        for share, held in list(self._held.items()):
+            if self._clock.monotonic() >= held.kept_at + LOOK / 2:
+                await self._keep(share, held)
         for share in range(SHARES):
             if share not in self._held and self._may_try(share):
                 await self._try(share)
@@ -145,9 +158,10 @@
             self._holders.note(share, Holder("", revision))
             self._tell(share, QuotaHolder(share, "", revision))
 
-    async def _keep(self, share: int) -> None:
+    async def _keep(self, share: int, held: _Held) -> None:
         """Renew a share's lease, and note in the store that it is held for long."""
-        held = self._held[share]
+        held.kept_at = self._clock.monotonic()
+        self._tell_held(share, held.taken)
         try:
             taken = await self._keys.renew(held.taken)
             settled = self._clock.monotonic() - held.since > self._bounds.window
@@ -207,7 +221,7 @@
         now = self._clock.monotonic()
         starts = taken.stored.key.starts
         account = ShareAccount(share, self._bounds, now, starts <= MOST_STARTS)
-        self._held[share] = _Held(taken, account, now)
+        self._held[share] = _Held(taken, account, now, now)
         self._holders.note(share, Holder(self._holders.own, taken.stored.revision))
         self._events.emit(Events.QUOTA_SHARE_TAKEN, share=share, starts=starts)
         self._metrics.gauge("quota.shares", len(self._held))
@@ -231,4 +245,4 @@
         is_new = self._holders.note_heard(message.share, holder)
         if is_new and not message.holder:
             # Given up: somebody is to take it at once.
-            self._wakeup.set()
+            self.wake()
--- a/walkcart/routing/quotas.py
+++ b/walkcart/routing/quotas.py
@@ -9,7 +9,7 @@
 
 Examples:
     >>> bounds = QuotaBounds(window=5.0, tolerance=0.1, slack=36.0)
-    >>> limit = RateLimit(rate=18.0, burst=6.0)
+    >>> limit = RateLimit(rate=18.0, burst=0.0)
     >>> size_bucket(limit, bounds, "fitters", 0)
     BucketSize(rate=3.0, depth=3.0, start=1.0)
     >>> account = ShareAccount(0, bounds, started_at=0.0, with_start=True)
@@ -40,8 +40,8 @@
 LEAST_DEPTH = 2.0
 #: Part of the slack that is added to the burst: short rushes of requests within the
 #: limit, which fall unevenly on the shares, aren't refused.
-DEPTH_PART = 1 / 3
-#: Part of the slack with which the buckets of all shares start anew.
+DEPTH_PART = 1 / 2
+#: Part of the slack with which the buckets of all shares start anew together.
 START_PART = 1 / 6
 #: Starts of one share within a window that get it.
 MOST_STARTS = 2
@@ -99,10 +99,21 @@
     return BucketSize(
         limit.rate / len(shares),
         max(1.0, depth / len(shares)),
-        bounds.slack * START_PART / len(shares),
+        _cut_start(bounds.slack * START_PART, shares.index(share), len(shares)),
     )
 
 
+def _cut_start(tokens: float, place: int, count: int) -> float:
+    """Return the start level of one of `count` shares.
+
+    Where there isn't a whole token for each, the first shares get one: with parts of
+    a token nobody could run anything.
+    """
+    if tokens >= count:
+        return tokens / count
+    return min(1.0, max(0.0, tokens - place))
+
+
 @dataclass(frozen=True, slots=True)
 class Want:
     """What is asked for.
--- a/walkcart/routing/tests/test_quotas.py
+++ b/walkcart/routing/tests/test_quotas.py
@@ -23,6 +23,7 @@
 from walkcart.routing.quotas import (
     MOST_STARTS,
     SHARES,
+    START_PART,
     QuotaBounds,
     ShareAccount,
     Want,
@@ -210,6 +211,14 @@
     assert len(play.ran) == sent
 
 
+def test_a_start_gives_whole_requests_to_some_shares():
+    limit = RateLimit(5.0, 5.0)
+    shares = list_shares(limit, BOUNDS, TEAM)
+    starts = [size_bucket(limit, BOUNDS, TEAM, share).start for share in shares]
+    assert starts[:3] == [1.0, 1.0, 1.0]
+    assert sum(starts) == pytest.approx(BOUNDS.slack * START_PART)
+
+
 def test_a_limit_that_is_too_small_to_cut_stays_whole():
     bounds = QuotaBounds(slack=0.0)
     limit = RateLimit(4.0, 1.0)
