--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -158,19 +158,20 @@
         tools = self._tools
         top = route.target.top if isinstance(route.target, ToShards) else 0
         result = await self._gather(question, top)
-        now = tools.gathering.clock.monotonic()
         self._log.note_end(
             question,
             table.document.version,
             _describe_objective(route),
-            now - start,
+            tools.gathering.clock.monotonic() - start,
             result,
         )
         match result:
             case Success(answer) if question.whole_parts:
+                reply = tools.protocol.render_merged(answer, top)
                 if answer.missing:
+                    now = tools.gathering.clock.monotonic()
                     self._overshoot.observe(max(0.0, now - question.objective_at))
-                return tools.protocol.render_merged(answer, top)
+                return reply
             case Success(answer):
                 return tools.protocol.render_single(answer)
             case _:
--- a/walkcart/intent/routekeeper.py
+++ b/walkcart/intent/routekeeper.py
@@ -17,6 +17,7 @@
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
+from walkcart.routing.eligibility import Regions
 from walkcart.store.updates import Origin
 
 #: Told the new table; must not wait.
@@ -83,6 +84,7 @@
             replaced=held,
             routes=len(document.routes),
             services=len(document.services),
+            teams=None if document.teams is None else len(document.teams),
             source=origin.source,
             delay_ms=round(origin.delay * 1000, 1) if known else None,
         )
@@ -99,9 +101,19 @@
         if self._regions is None:
             return
         for route in document.routes:
-            unknown = (route.regions.names or frozenset()) - self._regions
-            for region in sorted(unknown - self._unknown):
-                self._unknown.add(region)
+            for region in self._find_unknown(route.regions):
                 self._events.emit(
                     Events.ROUTE_REGION_UNKNOWN, region=region, route=route.name
                 )
+        for team in document.teams or ():
+            for region in self._find_unknown(team.regions):
+                self._events.emit(
+                    Events.TEAM_REGION_UNKNOWN, region=region, team=team.name
+                )
+
+    def _find_unknown(self, regions: Regions) -> list[str]:
+        """Return the regions that no data centre is in and that weren't logged yet."""
+        named = regions.names or frozenset()
+        unknown = sorted(named - (self._regions or frozenset()) - self._unknown)
+        self._unknown.update(unknown)
+        return unknown
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -132,6 +132,9 @@
     ROUTE_REGION_UNKNOWN = _warn(
         518, "route_region_unknown", "No data centre is in a region that a route names."
     )
+    TEAM_REGION_UNKNOWN = _warn(
+        523, "team_region_unknown", "No data centre is in a region that a team names."
+    )
     EVACUATED = _info(
         519, "evacuated", "A data centre's leafs get nothing from now on."
     )
--- a/walkcart/platform/tests/test_teams.py
+++ b/walkcart/platform/tests/test_teams.py
@@ -411,3 +411,23 @@
         return early, later
 
     assert with_teams(act) == ([503, 503], [200, 401])
+
+
+def test_a_region_that_only_a_team_names_and_nothing_is_in_is_logged_once():
+    lost = [make_team("riders", RIDERS, allowedRegions=["west"]), TEAMS[1]]
+
+    async def act(world):
+        refused = await world.ask("/one/x", "north-a", headers=show_key(RIDERS))
+        served = await world.ask("/one/x", "north-a", headers=show_key(FITTERS))
+        world.configure(*ROUTES, teams=lost)
+        await trio.sleep(IN_FORCE)
+        lines = [
+            msgspec.json.decode(line) for line in world.log.getvalue().splitlines()
+        ]
+        told = [line for line in lines if line["event"] == "team_region_unknown"]
+        return refused.status, served.status, told
+
+    refused, served, told = with_teams(act, teams=lost)
+    assert (refused, served) == (503, 200)
+    assert sorted(line["instance"] for line in told) == sorted(DATA_CENTRES)
+    assert {(line["region"], line["team"]) for line in told} == {("west", "riders")}
