--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -132,6 +132,9 @@
     ROUTE_REGION_UNKNOWN = _warn(
         518, "route_region_unknown", "No data centre is in a region that a route names."
     )
+    TEAM_REGION_UNKNOWN = _warn(
+        523, "team_region_unknown", "No data centre is in a region that a team names."
+    )
     EVACUATED = _info(
         519, "evacuated", "A data centre's leafs get nothing from now on."
     )
@@ -145,10 +148,10 @@
         522, "cold_share_lost", "A share of cold leafs' bound isn't this instance's."
     )
     QUOTA_SHARE_TAKEN = _info(
-        523, "quota_share_taken", "Accounts a share of all teams' rate limits."
+        524, "quota_share_taken", "Accounts a share of all teams' rate limits."
     )
     QUOTA_SHARE_LOST = _info(
-        524, "quota_share_lost", "Accounts a share of the rate limits no longer."
+        525, "quota_share_lost", "Accounts a share of the rate limits no longer."
     )
     LEAF_ENTRY_BAD = _error(512, "leaf_entry_bad", "A leaf's entry can't be read.")
     REGISTERED = _info(513, "registered", "This instance's leased key is stored.")
