--- a/walkcart/entry/teamlimits.py
+++ b/walkcart/entry/teamlimits.py
@@ -23,6 +23,11 @@
 #: Refused callers are told a wait of up to so many times what is left, by chance, so
 #: that they don't return together.
 SPREAD = 1.5
+#: Queue of refused callers at an accountant, in seconds, from which on the team is far
+#: above its limit; and the part of the shares that are then not asked any more: they
+#: have a request now and then, which others get. Callers hear at once.
+BUSY_TURN = 2.0
+LEFT_PART = 0.4
 #: Longest time for which a request waits for the accountants, in seconds: all have been
 #: asked by then unless most of them are silent.
 MOST_ASKING = 0.5
@@ -142,6 +147,9 @@
                 self._keep(allowance, answer, 1)
                 return None
             turns.append(self._note_denial(team, share, answer, allowance))
+            left = allowance.full.find_open(shares, self._clock.monotonic())
+            if turns[-1] >= BUSY_TURN and len(left) <= len(shares) * LEFT_PART:
+                break
         if not turns and len(order) == len(shares):
             return self._refuse_unknown(len(order))
         now = self._clock.monotonic()
