Tell accountants a limit with the version that has it

Cause, by reading: a request that came under one document and asked under the next named the old limit with the new version, and the accountant kept it until the version after that. Change: what is asked for is read from the configuration in force as one; the search of one request for room is a record of its own. The test fails with the old reading. Run: entry/tests/test_team_limits.py, 28, green.

--- a/walkcart/daemon/tenantlimits.py
+++ b/walkcart/daemon/tenantlimits.py
@@ -48,15 +48,11 @@
         """Whether any team has a limit."""
         return bool(self.limited)
 
-    @property
-    def version(self) -> int:
-        """The version of the document."""
-        return self._keeper.table.document.version
-
     def find(self, team: str) -> tuple[int, RateLimit | None]:
         """Return the version in force and the limit of a team."""
-        found = self._keeper.table.teams.named(team)
-        return self.version, found.limit if found else None
+        table = self._keeper.table
+        found = table.teams.named(team)
+        return table.document.version, found.limit if found else None
 
 
 def add_cold_shares(
@@ -118,7 +114,7 @@
     limits = SharedTeamLimits(
         asks,
         bounds,
-        lambda: in_force.version,
+        in_force.find,
         around.clock,
         around.random,
         metrics,
--- a/walkcart/entry/teamlimits.py
+++ b/walkcart/entry/teamlimits.py
@@ -7,15 +7,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
 
 from walkcart.intent.teams import RateLimit, Team
 from walkcart.kernel.clock import Clock
 from walkcart.kernel.metrics import Metrics
-from walkcart.membership.quotaasks import Answer, QuotaAsks
+from walkcart.membership.quotaanswers import FindLimit
+from walkcart.membership.quotaasks import QuotaAsks
 from walkcart.routing.allowances import Allowance
 from walkcart.routing.quotas import QuotaBounds, Want, list_shares
 from walkcart.wire.verdicts import NotRun, Reason
@@ -53,13 +53,41 @@
     accountant: str
 
 
+@dataclass(frozen=True, slots=True)
+class _Search:
+    """One request's search for room.
+
+    Args:
+        team: whose request it is.
+        limit: of the team when it came.
+        shares: that the limit is cut into.
+        allowance: of the team here.
+        deadline: to when to ask at the latest, in seconds.
+        turns: that the accountants told it which had no room, in seconds.
+    """
+
+    team: str
+    limit: RateLimit
+    shares: tuple[int, ...]
+    allowance: Allowance
+    deadline: float
+    turns: list[float] = field(default_factory=list)
+
+    def is_far_above(self, now: float) -> bool:
+        """Return whether the rest isn't worth asking."""
+        if not self.turns or self.turns[-1] < BUSY_TURN:
+            return False
+        left = self.allowance.full.find_open(self.shares, now)
+        return len(left) <= len(self.shares) * LEFT_PART
+
+
 class SharedTeamLimits:
     """Holds teams to their limits by asking the accountants.
 
     Args:
         asks: by which they are asked.
         bounds: by how much limits may be passed.
-        find_version: returns the version of the configuration in force.
+        find_limit: tells the limits in force here.
         clock: source of time.
         random: spreads what refused callers are told.
         metrics: where the time until a grant is shown.
@@ -69,14 +97,14 @@
         self,
         asks: QuotaAsks,
         bounds: QuotaBounds,
-        find_version: Callable[[], int],
+        find_limit: FindLimit,
         clock: Clock,
         random: Random,
         metrics: Metrics,
     ) -> None:
         self._asks = asks
         self._bounds = bounds
-        self._find_version = find_version
+        self._find_limit = find_limit
         self._clock = clock
         self._random = random
         self._metrics = metrics
@@ -99,7 +127,10 @@
         if allowance is None:
             allowance = self._allowances[team.name] = Allowance(self._bounds.hold)
         if not allowance.take(start):
-            refusal = await self._ask(team.name, team.limit, allowance, patience)
+            shares = list_shares(team.limit, self._bounds, team.name)
+            deadline = start + min(patience, MOST_ASKING)
+            search = _Search(team.name, team.limit, shares, allowance, deadline)
+            refusal = await self._ask(search)
             if refusal is not None:
                 return refusal
             self._metrics.time("quota.wait", (self._clock.monotonic() - start) * 1000)
@@ -116,70 +147,70 @@
         if allowance is not None:
             allowance.give_back(admitted_at, self._clock.monotonic())
 
-    async def _ask(
-        self, team: str, limit: RateLimit, allowance: Allowance, patience: float
-    ) -> NotRun | None:
+    async def _ask(self, search: _Search) -> NotRun | None:
         """Ask the shares in turn until one grants a request."""
-        start = self._clock.monotonic()
-        deadline = start + min(patience, MOST_ASKING)
-        shares = list_shares(limit, self._bounds, team)
-        order = self._asks.sort_by_distance(allowance.full.find_open(shares, start))
-        turns: list[float] = []
-        for share in order:
+        full = search.allowance.full
+        order = full.find_open(search.shares, self._clock.monotonic())
+        for share in self._asks.sort_by_distance(order):
             now = self._clock.monotonic()
-            if now >= deadline:
+            if now >= search.deadline or search.is_far_above(now):
                 break
-            if not allowance.full.find_open([share], now):
+            if not full.find_open([share], now):
                 # Another accountant has just told so.
                 continue
-            told = allowance.full.tell(now)
-            wanted = allowance.find_wanted(now)
-            want = Want(team, limit, self._find_version(), wanted, told)
-            answer = await self._asks.ask(share, want, deadline)
-            if allowance.take(self._clock.monotonic()):
-                # What came for another request, or late, will do as well.
-                self._keep(allowance, answer, 0)
+            if await self._ask_share(share, search):
                 return None
-            if answer is None:
-                continue
-            if answer.reply.granted:
-                allowance.full.forget(share)
-                self._keep(allowance, answer, 1)
-                return None
-            turns.append(self._note_denial(team, share, answer, allowance))
-            left = allowance.full.find_open(shares, self._clock.monotonic())
-            if turns[-1] >= BUSY_TURN and len(left) <= len(shares) * LEFT_PART:
-                break
-        if not turns and len(order) == len(shares):
+        if not search.turns and len(order) == len(search.shares):
             return self._refuse_unknown(len(order))
+        wait = min(search.turns, default=full.find_room(self._clock.monotonic()))
+        return self._refuse(search, wait)
+
+    async def _ask_share(self, share: int, search: _Search) -> bool:
+        """Ask one share; return whether the request may run."""
+        allowance = search.allowance
+        want = self._make_want(search)
+        answer = await self._asks.ask(share, want, search.deadline)
         now = self._clock.monotonic()
-        wait = min(turns, default=allowance.full.find_room(now))
-        return self._refuse(team, limit, wait)
-
-    def _note_denial(
-        self, team: str, share: int, answer: Answer, allowance: Allowance
-    ) -> float:
-        """Note that a share has no room; return the seconds until the asker's turn."""
-        now = self._clock.monotonic()
+        # What came for another request, or late, will do as well.
+        taken = allowance.take(now)
+        if answer is None:
+            return taken
+        if answer.reply.granted:
+            allowance.full.forget(share)
+            allowance.put(answer.reply.granted - (not taken), answer.until)
+            return True
         allowance.full.take(answer.reply.full, now)
         allowance.full.note(share, answer.reply.wait, now)
-        self._denials[team] = LastDenial(now, answer.reply.use, answer.accountant)
-        return answer.reply.turn
+        search.turns.append(answer.reply.turn)
+        denial = LastDenial(now, answer.reply.use, answer.accountant)
+        self._denials[search.team] = denial
+        return taken
+
+    def _make_want(self, search: _Search) -> Want:
+        """Return what to ask for, by the configuration in force now.
 
-    def _keep(self, allowance: Allowance, answer: Answer | None, used: int) -> None:
-        if answer is not None:
-            allowance.put(answer.reply.granted - used, answer.until)
+        Where it has no limit for the team any more the request keeps its own, behind
+        any that an accountant knows.
+        """
+        now = self._clock.monotonic()
+        version, limit = self._find_limit(search.team)
+        if limit is None:
+            version, limit = 0, search.limit
+        wanted = search.allowance.find_wanted(now)
+        told = search.allowance.full.tell(now)
+        return Want(search.team, limit, version, wanted, told)
 
     def _put_late(self, team: str, amount: int, until: float) -> None:
         allowance = self._allowances.get(team)
         if allowance is not None:
             allowance.put(amount, until)
 
-    def _refuse(self, team: str, limit: RateLimit, wait: float) -> NotRun:
+    def _refuse(self, search: _Search, wait: float) -> NotRun:
         """Refuse a request above the limit, with when there will be room."""
+        limit = search.limit
         told = max(SHORTEST_WAIT, wait * self._random.uniform(1.0, SPREAD))
         detail = f"the limit of {limit.rate:g} a second and {limit.burst:g} is used"
-        denial = self._denials.get(team)
+        denial = self._denials.get(search.team)
         if denial is not None:
             age = self._clock.monotonic() - denial.at
             detail += f": {denial.accountant} saw {denial.use:.2f} a second of its"
--- a/walkcart/entry/tests/quotafleet.py
+++ b/walkcart/entry/tests/quotafleet.py
@@ -205,7 +205,7 @@
         self.limits = SharedTeamLimits(
             asks,
             BOUNDS,
-            lambda: self.fleet.version,
+            self.fleet.find_limit,
             clock,
             self.fleet.random,
             self.metrics,
--- a/walkcart/entry/tests/test_team_limits.py
+++ b/walkcart/entry/tests/test_team_limits.py
@@ -326,6 +326,24 @@
     play(act)
 
 
+def test_a_request_that_came_before_a_change_does_not_bring_the_old_limit_back():
+    low = RateLimit(2.0, 1.0)
+
+    async def act(fleet):
+        former = fleet.teams["large"]
+        fleet.change_limit("large", low)
+        member = fleet.members[0]
+        start = trio.current_time()
+        while trio.current_time() < start + 10:
+            # Admitted under the former document, asked under the one in force.
+            if await member.limits.admit(former, 1.0) is None:
+                fleet.admitted["large"].append(trio.current_time())
+            await trio.sleep(0.02)
+        fleet.check_windows("large", low, since=start + 1.0)
+
+    play(act)
+
+
 def test_a_lowered_limit_holds_within_a_second_and_a_window():
     low = RateLimit(2.0, 1.0)
 
