--- a/walkcart/daemon/tenantlimits.py
+++ b/walkcart/daemon/tenantlimits.py
@@ -1,4 +1,4 @@
-"""The services of an instance that hold teams to their rate limits.
+"""The services of an instance that hold bounds which all instances share.
 
 See Also:
     `walkcart.daemon.tenant.assemble_tenant`, which puts them together.
@@ -8,12 +8,15 @@
 
 from walkcart.daemon.surroundings import TenantSurroundings
 from walkcart.entry.teamlimits import SharedTeamLimits
+from walkcart.fanout.gatherers import Gatherers
 from walkcart.intent.routekeeper import RouteKeeper
 from walkcart.intent.routes import RouteTable
 from walkcart.intent.teams import RateLimit
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.registry import Kernel
+from walkcart.leaves.coldroom import ColdRoom
+from walkcart.membership.coldshares import ColdNeeds, ColdShares
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.quotaanswers import QuotaAnswers
 from walkcart.membership.quotaasks import QuotaAsks
@@ -45,15 +48,27 @@
         """Whether any team has a limit."""
         return bool(self.limited)
 
-    @property
-    def version(self) -> int:
-        """The version of the document."""
-        return self._keeper.table.document.version
-
     def find(self, team: str) -> tuple[int, RateLimit | None]:
         """Return the version in force and the limit of a team."""
-        found = self._keeper.table.teams.named(team)
-        return self.version, found.limit if found else None
+        table = self._keeper.table
+        found = table.teams.named(team)
+        return table.document.version, found.limit if found else None
+
+
+def add_cold_shares(
+    kernel: Kernel, around: TenantSurroundings, gatherers: Gatherers
+) -> None:
+    """Add what divides the bounds of cold leafs among the instances."""
+    cold = kernel.find("cold", ColdRoom)
+    shares = ColdShares(
+        kernel.find("store", PlatformStore),
+        kernel.find("registration", Registration),
+        ColdNeeds(cold.find_bounded, cold.find_cold, gatherers.rank_for),
+        around.clock,
+        kernel.find("events", EventLog),
+    )
+    cold.follow(shares.find_share)
+    kernel.add("cold_shares", shares)
 
 
 def add_limits(
@@ -99,7 +114,7 @@
     limits = SharedTeamLimits(
         asks,
         bounds,
-        lambda: in_force.version,
+        in_force.find,
         around.clock,
         around.random,
         metrics,
@@ -108,6 +123,7 @@
     def take(table: RouteTable) -> None:
         in_force.take(table)
         limits.keep_only(in_force.limited)
+        shares.wake()
 
     keeper.on_change(take)
     kernel.add("quota_shares", shares)
--- a/walkcart/entry/tests/test_team_limits.py
+++ b/walkcart/entry/tests/test_team_limits.py
@@ -8,7 +8,7 @@
 from walkcart.bench.harness import run_mocked
 from walkcart.entry.tests.quotafleet import BOUNDS, REGIONS, Fleet
 from walkcart.intent.teams import RateLimit, Team
-from walkcart.routing.quotas import SHARES
+from walkcart.routing.quotas import DEPTH_PART, MOST_STARTS, SHARES, START_PART
 from walkcart.wire.verdicts import Reason
 
 LARGE = Team("large", limit=RateLimit(12.0, 6.0))
@@ -131,6 +131,39 @@
     play(act)
 
 
+def test_after_all_ended_small_teams_are_served_at_once():
+    async def act(fleet):
+        for member in fleet.members:
+            member.kill()
+        await trio.sleep(1)
+        for member in fleet.members:
+            await member.start(fleet.nursery)
+        await trio.sleep(0.1)
+        for number in range(3):
+            assert await fleet.request(fleet.members[number], "small") is None
+
+    play(act)
+
+
+def test_a_request_whose_time_is_over_between_two_asks_is_refused():
+    async def act(fleet):
+        member = next(m for m in fleet.members if not m.held())
+        fleet.cut(member)
+        refusals = []
+
+        async def ask():
+            refusals.append(await member.limits.admit(LARGE, 0.05))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            # A busy processor: the first ask's wait ends long after the deadline.
+            await trio.sleep(0.01)
+            member.clock.skipped += 1.0
+        assert [refusal.reason for refusal in refusals] == [Reason.LIMIT_UNKNOWN]
+
+    play(act)
+
+
 def test_a_planned_stop_hands_the_share_on_at_once():
     async def act(fleet):
         async with trio.open_nursery() as nursery:
@@ -177,6 +210,28 @@
     play(act)
 
 
+def test_accountants_that_the_store_turns_away_hand_their_shares_on():
+    async def act(fleet):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_usual, fleet, 20)
+            await trio.sleep(5)
+            before = [fleet.find_accountant(share) for share in range(4)]
+            fleet.store.turned_away |= {member.name for member in before}
+            # Three seconds and a look until it is offered, a look until it is tried.
+            await trio.sleep(4.5)
+            after = [fleet.find_accountant(share) for share in range(4)]
+            assert None not in after
+            assert not set(after) & set(before)
+            reads = fleet.store.reads
+            await trio.sleep(5)
+            # Those that asked and didn't get one look for it no longer.
+            assert fleet.store.reads == reads
+        check_served(fleet)
+        assert not fleet.refused["large"]
+
+    play(act, 24)
+
+
 def test_a_store_that_is_down_for_long_ends_in_refusals_that_say_so():
     async def act(fleet):
         fleet.store.silent = True
@@ -276,6 +331,24 @@
     play(act)
 
 
+def test_a_request_that_came_before_a_change_does_not_bring_the_old_limit_back():
+    low = RateLimit(2.0, 1.0)
+
+    async def act(fleet):
+        former = fleet.teams["large"]
+        fleet.change_limit("large", low)
+        member = fleet.members[0]
+        start = trio.current_time()
+        while trio.current_time() < start + 10:
+            # Admitted under the former document, asked under the one in force.
+            if await member.limits.admit(former, 1.0) is None:
+                fleet.admitted["large"].append(trio.current_time())
+            await trio.sleep(0.02)
+        fleet.check_windows("large", low, since=start + 1.0)
+
+    play(act)
+
+
 def test_a_lowered_limit_holds_within_a_second_and_a_window():
     low = RateLimit(2.0, 1.0)
 
@@ -337,6 +410,7 @@
 def test_the_bounds_are_those_of_the_plays():
     # The plays above measure what is admitted; its way to the leafs has room left.
     limit = LARGE.limit
-    used = limit.rate * BOUNDS.window + limit.burst + BOUNDS.slack * 2 / 3
+    used = limit.rate * BOUNDS.window + limit.burst
+    used += BOUNDS.slack * (DEPTH_PART + MOST_STARTS * START_PART)
     used += limit.rate * 0.75 * BOUNDS.tolerance * BOUNDS.window
-    assert used + BOUNDS.slack / 3 <= BOUNDS.most(limit)
+    assert used + BOUNDS.slack / 6 <= BOUNDS.most(limit)
--- a/walkcart/membership/quotaanswers.py
+++ b/walkcart/membership/quotaanswers.py
@@ -14,7 +14,8 @@
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.quotaholders import QuotaHolders
 from walkcart.membership.quotashares import QuotaShares
-from walkcart.routing.quotas import LONGEST_TURN, SHARES, QuotaBounds, Want
+from walkcart.routing.quotas import SHARES, QuotaBounds, Want
+from walkcart.routing.tokenbucket import LONGEST_TURN
 from walkcart.wire.messagebase import Message
 from walkcart.wire.quotas import QuotaAsk, QuotaElsewhere, QuotaGrant
 
@@ -66,7 +67,9 @@
             return QuotaElsewhere(ask.id, holder.name, holder.revision)
         reply = account.ask(self._find_newest(ask), self._clock.monotonic())
         wait = min(reply.wait, LONGEST_TURN)
-        return QuotaGrant(ask.id, reply.granted, wait, reply.turn, reply.use)
+        return QuotaGrant(
+            ask.id, reply.granted, wait, reply.turn, reply.use, reply.full
+        )
 
     def _find_newest(self, ask: QuotaAsk) -> Want:
         """Return what is asked for under the newer of two configurations."""
@@ -75,7 +78,7 @@
         own_version, own_limit = self._find_limit(ask.team)
         if own_version > version and own_limit is not None:
             version, limit = own_version, own_limit
-        return Want(ask.team, limit, version, ask.wanted)
+        return Want(ask.team, limit, version, ask.wanted, ask.full)
 
 
 def _is_sound(ask: QuotaAsk) -> bool:
--- a/walkcart/membership/quotaholders.py
+++ b/walkcart/membership/quotaholders.py
@@ -46,6 +46,9 @@
     Args:
         holder: who accounts it.
         last: who accounted it last.
+        released: revision of the key that its accountant said it uses no longer.
+        offered: revision of the key that its accountant can't renew.
+        wanted: revision of the key that this instance asked it for.
         heard_at: when it was last heard of, in seconds; None if it never was.
         tries: to take it since then.
         retry_at: when this instance may try again.
@@ -53,6 +56,9 @@
 
     holder: Holder = Holder()
     last: str = ""
+    released: int = 0
+    offered: int = 0
+    wanted: int = 0
     heard_at: float | None = None
     tries: int = 0
     retry_at: float = 0.0
@@ -113,6 +119,28 @@
         known.tries, known.retry_at = 0, 0.0
         return True
 
+    def note_released(self, share: int, revision: int) -> None:
+        """Note the accountant's own word that it uses a key no longer."""
+        self._known[share].released = revision
+
+    def is_released(self, share: int, revision: int) -> bool:
+        """Return whether the accountant said that it uses a key no longer."""
+        return self._known[share].released == revision
+
+    def note_offer(self, share: int, revision: int) -> None:
+        """Note that the accountant would give a share up; 0 when it wouldn't."""
+        self._known[share].offered = revision
+
+    def take_offer(self, share: int) -> int:
+        """Return the revision that is offered, once; 0 if none is."""
+        known = self._known[share]
+        offered, known.offered = known.offered, 0
+        return offered
+
+    def note_wanted(self, share: int, revision: int) -> None:
+        """Note that this instance asked an accountant for its share."""
+        self._known[share].wanted = revision
+
     def note_lost(self, share: int) -> None:
         """Note that this instance accounts a share no longer."""
         self.note_heard(share, Holder("", self.find(share).revision))
@@ -157,11 +185,16 @@
         """
         known = self._known[share]
         now = self._clock.monotonic()
-        if now < known.retry_at or not self._registration.is_settled:
+        if now < known.retry_at:
             return False
         if known.holder.name == self.own:
             # The key of a former life, which nobody else can take yet.
             return True
+        if known.wanted and known.holder == Holder("", known.wanted):
+            # Given up to this instance, and nobody else has it yet.
+            return True
+        if not self._registration.is_settled:
+            return False
         candidates = self.find_candidates(share)
         if self.own not in candidates:
             return False
--- a/walkcart/routing/quotas.py
+++ b/walkcart/routing/quotas.py
@@ -9,7 +9,7 @@
 
 Examples:
     >>> bounds = QuotaBounds(window=5.0, tolerance=0.1, slack=36.0)
-    >>> limit = RateLimit(rate=18.0, burst=6.0)
+    >>> limit = RateLimit(rate=18.0, burst=0.0)
     >>> size_bucket(limit, bounds, "fitters", 0)
     BucketSize(rate=3.0, depth=3.0, start=1.0)
     >>> account = ShareAccount(0, bounds, started_at=0.0, with_start=True)
@@ -26,10 +26,12 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from walkcart.intent.teams import RateLimit
+from walkcart.routing.fullshares import FullShares, Told
 from walkcart.routing.shares import rank_rendezvous
+from walkcart.routing.tokenbucket import LONGEST_TURN, BucketSize, TokenBucket
 
 #: Shares of a limit at the most: one that is lost leaves five sixths in use.
 SHARES = 6
@@ -38,8 +40,8 @@
 LEAST_DEPTH = 2.0
 #: Part of the slack that is added to the burst: short rushes of requests within the
 #: limit, which fall unevenly on the shares, aren't refused.
-DEPTH_PART = 1 / 3
-#: Part of the slack with which the buckets of all shares start anew.
+DEPTH_PART = 1 / 2
+#: Part of the slack with which the buckets of all shares start anew together.
 START_PART = 1 / 6
 #: Starts of one share within a window that get it.
 MOST_STARTS = 2
@@ -49,17 +51,8 @@
 #: Seconds for which a grant holds at the least: a round trip between regions and a
 #: busy processor at both ends.
 LEAST_HOLD = 0.1
-#: Of a bucket below this part of its depth each ask gets one at a time, so that near
-#: the limit nothing is held without being used.
-SCARCE_PART = 0.5
-#: Seconds over which the use of a team is averaged.
-USE_TIME = 2.0
-#: Longest wait that refused callers are told, in seconds: what they ask may change.
-LONGEST_TURN = 5.0
 #: Full buckets are forgotten past so many; they come back full.
 MOST_BUCKETS = 4096
-#: For comparing sums of fractions.
-_TINY = 1e-9
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,21 +80,6 @@
         return due * (1.0 + self.tolerance) + self.slack
 
 
-@dataclass(frozen=True, slots=True)
-class BucketSize:
-    """How a share of a limit is accounted.
-
-    Args:
-        rate: tokens a second.
-        depth: most tokens at once.
-        start: tokens with which a new account starts.
-    """
-
-    rate: float
-    depth: float
-    start: float
-
-
 def list_shares(limit: RateLimit, bounds: QuotaBounds, team: str) -> tuple[int, ...]:
     """Return the shares that a limit is cut into, from one that the name chooses."""
     depth = limit.burst + bounds.slack * DEPTH_PART
@@ -121,76 +99,19 @@
     return BucketSize(
         limit.rate / len(shares),
         max(1.0, depth / len(shares)),
-        bounds.slack * START_PART / len(shares),
+        _cut_start(bounds.slack * START_PART, shares.index(share), len(shares)),
     )
 
 
-class TokenBucket:
-    """Tokens of one team in one share.
+def _cut_start(tokens: float, place: int, count: int) -> float:
+    """Return the start level of one of `count` shares.
 
-    Args:
-        size: rate and depth.
-        level: tokens now.
-        now: seconds of a steady clock.
+    Where there isn't a whole token for each, the first shares get one: with parts of
+    a token nobody could run anything.
     """
-
-    __slots__ = ("_at", "_level", "_turn_at", "_use", "size")
-
-    def __init__(self, size: BucketSize, level: float, now: float) -> None:
-        self.size = size
-        self._level = min(size.depth, level)
-        self._at = now
-        self._use = 0.0
-        self._turn_at = now
-
-    def is_full(self, now: float) -> bool:
-        """Return whether a new bucket would be no different."""
-        self._fill(now)
-        return self._level >= self.size.depth
-
-    def resize(self, size: BucketSize, now: float) -> None:
-        """Take another size from now on; what is above its depth is gone."""
-        self._fill(now)
-        self.size = size
-        self._level = min(self._level, size.depth)
-        self._turn_at = now
-
-    def take(self, wanted: int, now: float) -> int:
-        """Take up to `wanted` tokens; return how many, 0 where there is none."""
-        self._fill(now)
-        if self._level < 1.0 - _TINY:
-            return 0
-        spare = self._level - 1.0 - self.size.depth * SCARCE_PART
-        taken = 1 + min(max(0, wanted - 1), max(0, math.floor(spare)))
-        self._level -= taken
-        self._use += taken / USE_TIME
-        return taken
-
-    def find_wait(self, now: float) -> float:
-        """Return the seconds until there is a token."""
-        self._fill(now)
-        return max(0.0, 1.0 - self._level) / self.size.rate
-
-    def take_turn(self, now: float) -> float:
-        """Return the seconds until one more refused caller's turn.
-
-        Each gets a later one, so that they return as fast as tokens do.
-        """
-        earliest = now + self.find_wait(now)
-        self._turn_at = max(earliest, self._turn_at + 1.0 / self.size.rate)
-        self._turn_at = min(self._turn_at, max(earliest, now + LONGEST_TURN))
-        return self._turn_at - now
-
-    def find_use(self, now: float) -> float:
-        """Return the tokens a second that were taken of late."""
-        self._fill(now)
-        return self._use
-
-    def _fill(self, now: float) -> None:
-        passed = max(0.0, now - self._at)
-        self._level = min(self.size.depth, self._level + passed * self.size.rate)
-        self._use *= math.exp(-passed / USE_TIME)
-        self._at = max(self._at, now)
+    if tokens >= count:
+        return tokens / count
+    return min(1.0, max(0.0, tokens - place))
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,12 +123,14 @@
         limit: of the team.
         version: of the configuration that says so.
         amount: requests, at least 1.
+        full: shares that had no room, as far as the asker knows.
     """
 
     team: str
     limit: RateLimit
     version: int
     amount: int
+    full: Told = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,20 +142,23 @@
         wait: seconds until there is room for one; infinite if never here.
         turn: seconds until the asker's turn, behind others that were refused.
         use: requests of the team a second that were granted of late.
+        full: other shares that had no room, as far as the accountant was told.
     """
 
     granted: int
     wait: float = 0.0
     turn: float = 0.0
     use: float = 0.0
+    full: Told = ()
 
 
 @dataclass(slots=True)
 class _Entry:
-    """A bucket and the version of the configuration that gave its size."""
+    """A bucket, the version that gave its size, and what is known of other shares."""
 
     bucket: TokenBucket
     version: int
+    full: FullShares = field(default_factory=FullShares)
 
 
 class ShareAccount:
@@ -268,11 +194,12 @@
         bucket = entry.bucket
         if bucket.size is _NOTHING:
             return Reply(0, math.inf, LONGEST_TURN)
+        entry.full.take(want.full, now)
         granted = bucket.take(want.amount, now)
         if granted:
             return Reply(granted, use=bucket.find_use(now))
         wait, turn = bucket.find_wait(now), bucket.take_turn(now)
-        return Reply(0, wait, turn, bucket.find_use(now))
+        return Reply(0, wait, turn, bucket.find_use(now), entry.full.tell(now))
 
     def _add(self, want: Want, size: BucketSize, now: float) -> _Entry:
         """Keep a team's bucket as if it were there since the start."""
