--- /dev/null
+++ b/walkcart/platform/tests/teamworld.py
@@ -0,0 +1,107 @@
+"""Leafs and instances in three regions, with teams, and what leafs were told."""
+
+import trio
+
+from walkcart.bench.harness import run_mocked
+from walkcart.membership.links import PeerLinks
+from walkcart.platform.tests.platformworld import (
+    make_route,
+    make_team,
+    open_platform,
+    show_key,
+)
+
+DATA_CENTRES = ("north-a", "south-a", "east-a")
+SHARDS = [f"shard-{number}" for number in range(6)]
+#: Shards without a leaf in the first region: others gather them for it.
+FAR = [f"far-{number}" for number in range(8)]
+#: Seconds within which a change of the configuration is in force.
+IN_FORCE = 1.0
+RIDERS, FITTERS = "riders-secret-key", "fitters-secret-key"
+TEAMS = [make_team("riders", RIDERS), make_team("fitters", FITTERS)]
+ROUTES = [
+    make_route("one", "/one/", backend="single", maxAttempts=3),
+    make_route("once", "/once/", backend="single", routeType="non_idempotent"),
+    make_route(
+        "split",
+        "/split/",
+        trafficSplit=[
+            {"backend": "single", "weight": 2},
+            {"backend": "shard-0", "weight": 1},
+        ],
+    ),
+    make_route("all", "/all/", fanoutServices=SHARDS + FAR, topK=8, minCoverage=0.5),
+    make_route("open", "/open/", backend="single", public=True),
+]
+PATHS = ("/one/x", "/once/x", "/split/x", "/all/x")
+CLAIMS = (
+    (b"X-Tenant", b"clerks"),
+    (b"x-tenant", b"clerks"),
+    (b"connection", b"X-Tenant"),
+)
+
+
+def with_teams(act, teams=TEAMS, instances=DATA_CENTRES):
+    """Run `act(world)` with leafs of each service and an instance in each region."""
+
+    async def run():
+        async with open_platform() as world:
+            for service in (*SHARDS, *FAR, "single"):
+                for data_centre in DATA_CENTRES[service in FAR :]:
+                    id = f"{service}-{data_centre}"
+                    records = id.encode()[-16:].zfill(16)
+                    await world.start_leaf(id, service, data_centre, records=records)
+            world.configure(*ROUTES, teams=teams)
+            for data_centre in instances:
+                await world.start_instance(data_centre, data_centre)
+            for data_centre in instances:
+                await world.wait_ready(data_centre)
+            await trio.sleep(10)
+            return await act(world)
+
+    return run_mocked(run)
+
+
+def list_arrived(world):
+    return [request for leaf in world.leafs.values() for request in leaf.arrived]
+
+
+def list_named(requests):
+    """Return what each request says of its team, and whether it holds a key."""
+    return {
+        (
+            tuple(value for name, value in request.headers if name == b"x-tenant"),
+            any(name == b"authorization" for name, _ in request.headers),
+        )
+        for request in requests
+    }
+
+
+def trouble_leafs(world):
+    """Have leafs fail in the ways that make for repeats, hedges and late parts."""
+    for id, leaf in world.leafs.items():
+        leaf.faults.drop = id.startswith("shard-0")
+        leaf.faults.refuse = id.startswith("shard-1") and id.endswith("south-a")
+        leaf.faults.delay = 0.4 if id.startswith(("shard-2", "single-n")) else 0.0
+        leaf.faults.status = 500 if id.startswith("shard-3-e") else 0
+
+
+def watch_messages(monkeypatch):
+    """Return a list of all messages that instances send each other."""
+    sent = []
+    send = PeerLinks.send
+
+    def note(links, name, message):
+        sent.append(message)
+        return send(links, name, message)
+
+    monkeypatch.setattr(PeerLinks, "send", note)
+    return sent
+
+
+async def ask_all(world, key, path="/one/x"):
+    """Return the statuses that a key gets at each instance."""
+    return [
+        (await world.ask(path, name, headers=show_key(key))).status
+        for name in DATA_CENTRES
+    ]
--- a/walkcart/platform/tests/test_teams.py
+++ b/walkcart/platform/tests/test_teams.py
@@ -4,109 +4,29 @@
 import pytest
 import trio
 
-from walkcart.bench.harness import run_mocked
 from walkcart.kernel.exposition import render_metrics
 from walkcart.kernel.metrics import Metrics
-from walkcart.membership.links import PeerLinks
-from walkcart.platform.tests.platformworld import (
-    REGIONS,
-    make_route,
-    make_team,
-    open_platform,
-    show_key,
+from walkcart.platform.tests.platformworld import REGIONS, make_team, show_key
+from walkcart.platform.tests.teamworld import (
+    CLAIMS,
+    DATA_CENTRES,
+    FITTERS,
+    IN_FORCE,
+    PATHS,
+    RIDERS,
+    ROUTES,
+    TEAMS,
+    list_arrived,
+    list_named,
+    trouble_leafs,
+    watch_messages,
+    with_teams,
 )
 from walkcart.wire.delegations import DelegatedQuestion
 from walkcart.wire.fingerprint import fingerprint_request
 from walkcart.wire.http import HttpRequest
 from walkcart.wire.relays import RelayChanges, RelayCopy
 
-DATA_CENTRES = ("north-a", "south-a", "east-a")
-SHARDS = [f"shard-{number}" for number in range(6)]
-#: Shards without a leaf in the first region: others gather them for it.
-FAR = [f"far-{number}" for number in range(8)]
-#: Seconds within which a change of the configuration is in force.
-IN_FORCE = 1.0
-RIDERS, FITTERS = "riders-secret-key", "fitters-secret-key"
-TEAMS = [make_team("riders", RIDERS), make_team("fitters", FITTERS)]
-ROUTES = [
-    make_route("one", "/one/", backend="single", maxAttempts=3),
-    make_route("once", "/once/", backend="single", routeType="non_idempotent"),
-    make_route(
-        "split",
-        "/split/",
-        trafficSplit=[
-            {"backend": "single", "weight": 2},
-            {"backend": "shard-0", "weight": 1},
-        ],
-    ),
-    make_route("all", "/all/", fanoutServices=SHARDS + FAR, topK=8, minCoverage=0.5),
-    make_route("open", "/open/", backend="single", public=True),
-]
-PATHS = ("/one/x", "/once/x", "/split/x", "/all/x")
-CLAIMS = (
-    (b"X-Tenant", b"clerks"),
-    (b"x-tenant", b"clerks"),
-    (b"connection", b"X-Tenant"),
-)
-
-
-def with_teams(act, teams=TEAMS, instances=DATA_CENTRES):
-    """Run `act(world)` with leafs of each service and an instance in each region."""
-
-    async def run():
-        async with open_platform() as world:
-            for service in (*SHARDS, *FAR, "single"):
-                for data_centre in DATA_CENTRES[service in FAR :]:
-                    id = f"{service}-{data_centre}"
-                    records = id.encode()[-16:].zfill(16)
-                    await world.start_leaf(id, service, data_centre, records=records)
-            world.configure(*ROUTES, teams=teams)
-            for data_centre in instances:
-                await world.start_instance(data_centre, data_centre)
-            for data_centre in instances:
-                await world.wait_ready(data_centre)
-            await trio.sleep(10)
-            return await act(world)
-
-    return run_mocked(run)
-
-
-def list_arrived(world):
-    return [request for leaf in world.leafs.values() for request in leaf.arrived]
-
-
-def list_named(requests):
-    """Return what each request says of its team, and whether it holds a key."""
-    return {
-        (
-            tuple(value for name, value in request.headers if name == b"x-tenant"),
-            any(name == b"authorization" for name, _ in request.headers),
-        )
-        for request in requests
-    }
-
-
-def trouble_leafs(world):
-    """Have leafs fail in the ways that make for repeats, hedges and late parts."""
-    for id, leaf in world.leafs.items():
-        leaf.faults.drop = id.startswith("shard-0")
-        leaf.faults.refuse = id.startswith("shard-1") and id.endswith("south-a")
-        leaf.faults.delay = 0.4 if id.startswith(("shard-2", "single-n")) else 0.0
-        leaf.faults.status = 500 if id.startswith("shard-3-e") else 0
-
-
-def watch_messages(monkeypatch):
-    """Return a list of all messages that instances send each other."""
-    sent = []
-    send = PeerLinks.send
-
-    def note(links, name, message):
-        sent.append(message)
-        return send(links, name, message)
-
-    monkeypatch.setattr(PeerLinks, "send", note)
-    return sent
-
 
 def test_every_way_of_a_request_names_its_team_and_holds_no_key(monkeypatch):
     sent = watch_messages(monkeypatch)
@@ -287,132 +207,6 @@
     assert 200 in statuses
 
 
-async def ask_all(world, key, path="/one/x"):
-    """Return the statuses that a key gets at each instance."""
-    return [
-        (await world.ask(path, name, headers=show_key(key))).status
-        for name in DATA_CENTRES
-    ]
-
-
-def test_changes_of_keys_are_in_force_within_a_second_at_every_instance():
-    steps = [
-        ([make_team("riders", RIDERS), make_team("fitters", FITTERS, "new")], "new"),
-        ([make_team("riders", RIDERS), make_team("fitters", FITTERS)], "new"),
-        ([make_team("riders"), make_team("fitters", FITTERS)], RIDERS),
-        ([make_team("fitters", FITTERS)], RIDERS),
-        ([make_team("fitters", FITTERS, RIDERS)], RIDERS),
-        (TEAMS, RIDERS),
-        (None, "anything"),
-        (TEAMS, "anything"),
-    ]
-    allowed = [True, False, False, False, True, True, True, False]
-
-    async def act(world):
-        seen = []
-        for teams, key in steps:
-            world.configure(*ROUTES, teams=teams)
-            await trio.sleep(IN_FORCE)
-            seen.append(await ask_all(world, key))
-        return seen
-
-    seen = with_teams(act)
-    assert seen == [[200 if may else 401] * 3 for may in allowed]
-
-
-def test_a_moved_key_is_of_its_new_team():
-    async def act(world):
-        world.configure(*ROUTES, teams=[make_team("fitters", RIDERS, FITTERS)])
-        await trio.sleep(IN_FORCE)
-        assert await ask_all(world, RIDERS, "/all/x") == [200] * 3
-        return list_arrived(world)
-
-    assert list_named(with_teams(act)) == {((b"fitters",), False)}
-
-
-@pytest.mark.parametrize(
-    "teams",
-    [
-        [TEAMS[1]],
-        [make_team("riders"), TEAMS[1]],
-        [make_team("riders", "other"), make_team("fitters", RIDERS)],
-    ],
-)
-@pytest.mark.parametrize("path", ["/one/x", "/all/x"])
-def test_nothing_new_starts_for_a_request_whose_key_is_gone(teams, path):
-    async def act(world):
-        for leaf in world.leafs.values():
-            leaf.faults.delay, leaf.faults.drop = 1.5, True
-        replies = []
-
-        async def ask(name):
-            headers = show_key(RIDERS)
-            reply = await world.ask(path, name, deadline_ms=6000, headers=headers)
-            replies.append((reply.status, trio.current_time()))
-
-        async with trio.open_nursery() as nursery:
-            for name in DATA_CENTRES:
-                nursery.start_soon(ask, name)
-            await trio.sleep(0.05)
-            world.configure(*ROUTES, teams=teams)
-            await trio.sleep(IN_FORCE)
-            before = len(list_arrived(world))
-            lost_at = trio.current_time() + 0.5
-        return before, len(list_arrived(world)), lost_at, replies
-
-    before, after, lost_at, replies = with_teams(act)
-    assert before == after > 0
-    assert all(status in (502, 503, 504) for status, _ in replies)
-    # Once the last attempt has failed nothing is waited for.
-    assert all(at < lost_at + 0.5 for _, at in replies)
-
-
-def test_an_instance_that_is_behind_asks_a_new_key_to_come_back():
-    async def act(world):
-        world.store.faults.refusal = 503
-        await trio.sleep(5)
-        late = [
-            await world.ask("/one/x", name, headers=show_key("new"))
-            for name in DATA_CENTRES
-        ]
-        known = await ask_all(world, RIDERS)
-        without = await world.ask("/one/x", "north-a")
-        world.store.faults.refusal = 0
-        world.configure(*ROUTES, teams=[*TEAMS, make_team("new", "new")])
-        await trio.sleep(3)
-        return late, known, without.status, await ask_all(world, "new")
-
-    late, known, without, after = with_teams(act)
-    assert {reply.status for reply in late} == {503}
-    assert all(0 < float(reply.header(b"retry-after")) <= 0.1 for reply in late)
-    assert known == [200] * 3
-    assert without == 401
-    assert after == [200] * 3
-
-
-def test_before_any_configuration_is_known_nobody_is_told_that_a_key_is_wrong():
-    async def act(world):
-        world.store.faults.refusal = 503
-        world.tenants["north-a"].scope.cancel()
-        for name in ("south-a", "east-a"):
-            world.network.cut("north-a", name)
-        await trio.sleep(0.1)
-        await world.start_instance("north-a", "north-a")
-        early = [
-            (await world.ask("/one/x", "north-a", headers=show_key(key))).status
-            for key in (RIDERS, "unknown")
-        ]
-        world.store.faults.refusal = 0
-        await world.wait_ready("north-a")
-        later = [
-            (await world.ask("/one/x", "north-a", headers=show_key(key))).status
-            for key in (RIDERS, "unknown")
-        ]
-        return early, later
-
-    assert with_teams(act) == ([503, 503], [200, 401])
-
-
 def test_a_region_that_only_a_team_names_and_nothing_is_in_is_logged_once():
     lost = [make_team("riders", RIDERS, allowedRegions=["west"]), TEAMS[1]]
 
