Load of ssl, asyncio and OpenSSL's hashes only what an instance uses

Cause: an instance on the platform holds 35.7 MB once it listens, before its first request; OpenSSL and asyncio are 5.9 of them. trio imports ssl and hmac, pynng imports asyncio, which imports ssl, and hashlib loads OpenSSL for hashes that the interpreter has itself. Connections here are plain and the event loop is trio's.

Change: lazyimport.defer_modules puts a module into sys.modules whose code runs when one of its names is missed first (PEP 562, as for our own subpackages); lazyimport.refuse_modules lets an import fail where the importer goes on without it (hashlib does without _hashlib). daemon/deferred.py names the modules, and the program on the platform asks for this before any library.

--- /dev/null
+++ b/walkcart/daemon/deferred.py
@@ -0,0 +1,22 @@
+"""What an instance on the platform doesn't load, though its libraries import it.
+
+Memory is a good part of what a small instance costs, and most of it is modules. Its
+connections are plain and its event loop is trio's.
+"""
+
+from __future__ import annotations
+
+from walkcart.lazyimport import defer_modules, refuse_modules
+
+#: Imported for uses that an instance doesn't have, each with a library: OpenSSL, event
+#: loops, names of hosts that aren't ASCII.
+DEFERRED = ("asyncio", "hmac", "idna", "ssl")
+#: Loads OpenSSL for hashes that the interpreter has of its own, which `hashlib` gives
+#: when this can't be imported.
+REFUSED = ("_hashlib",)
+
+
+def spare_modules() -> None:
+    """Keep these modules from being loaded; to be called before any library."""
+    defer_modules(DEFERRED)
+    refuse_modules(REFUSED)
--- a/walkcart/daemon/platform.py
+++ b/walkcart/daemon/platform.py
@@ -5,6 +5,11 @@
 
 from __future__ import annotations
 
+from walkcart.daemon.deferred import spare_modules
+
+if __name__ == "__main__":
+    spare_modules()
+
 import os
 import signal
 import sys
