Ask the store less while it is away, at starts and while leafs change

Change: * While the store doesn't serve an instance only its lease's renewals try it again, a tenth of a call each; its copies wait for one that succeeds, and whoever doesn't watch for others then waits another second for a feed. * A feeder that the store turns away says so (RelayUnserved), and its subscribers ask the next candidate at once. A spare one that is asked while nobody feeds it reads the store and feeds; before, all of a data centre whose two watchers were turned away did. * An instance that is no longer among the watchers, since others joined, feeds on for 20 s while it is asked: those whom it feeds read who the others are less often. * A restarted instance goes on with its lease, whose id is on its stored key (one call instead of two). A share of cold leafs on that lease is stored anew, so that a former life that goes on sees another revision and stops. * The first reading of the configuration may be old, as that of the leafs may: a started instance is fed or watches within 3 s. * Leafs' changes are taken in each second (before: half), those of the configuration each 0.25 s (0.1 s), a lease is renewed three times in its life (four).

Ruled out: to probe before each reading after a lost feed (a round trip more where the bound is 3 s: 0.8 s on a busy machine); one watch over both prefixes (it would bring the instances' own keys).

--- a/walkcart/daemon/tenantstore.py
+++ b/walkcart/daemon/tenantstore.py
@@ -60,7 +60,7 @@
 STORE_CALL_TIME = timedelta(seconds=1)
 #: Pause after leafs' entries changed: many leafs change theirs at once when they start,
 #: and a change may take three seconds to be heeded.
-LEAF_PAUSE = timedelta(seconds=0.5)
+LEAF_PAUSE = timedelta(seconds=1)
 #: A configuration that was current longer ago than this is read anew: at six changes a
 #: second of 32 KB each a watch would bring more than a small link carries in 0.15 s.
 CONFIGURATION_READ_PAST = timedelta(seconds=1)
@@ -107,7 +107,7 @@
         settings.cores,
     )
     registration = Registration(
-        store, own, around.clock, make_store_backoff(around.random), events
+        store, calls, own, around.clock, make_store_backoff(around.random), events
     )
     kernel.add("calls", calls)
     kernel.add("store", store)
@@ -149,6 +149,7 @@
         events,
         take,
         read_past=CONFIGURATION_READ_PAST,
+        first_fresh=False,
     )
     kernel.add("keeper", keeper)
     kernel.add("evacuations", evacuations)
--- a/walkcart/membership/coldshares.py
+++ b/walkcart/membership/coldshares.py
@@ -28,6 +28,7 @@
 from walkcart.routing.coldleafs import WINDOW, WINDOW_MARGIN, Share
 from walkcart.store.calls import StoreUnavailable
 from walkcart.store.items import (
+    ABSENT,
     Committed,
     Item,
     Lease,
@@ -202,21 +203,23 @@
         key = f"{SHARE_PREFIX}{data_centre}/{share.index}"
         own = self._registration.own
         value = f"{own.name} {own.started}".encode()
-        outcome = await self._store.commit(
-            Transaction(((key, 0),), (Put(key, value, lease.id),))
-        )
-        match outcome:
-            case Committed(revision):
-                self._take(data_centre, share, Item(key, value, revision), lease)
-                return True
-            case Rejected(present):
-                # An answer that was lost may have been of a call that was done.
-                own_items = [item for item in present if item.value == value]
-                for item in own_items:
+        put = Put(key, value, lease.id)
+        outcome = await self._store.commit(Transaction(((key, ABSENT),), (put,)))
+        if isinstance(outcome, Rejected):
+            for item in outcome.present:
+                if item.value == value:
+                    # An answer that was lost may have been of a call that was done.
                     self._take(data_centre, share, item, lease)
-                return bool(own_items)
-            case _:
-                return False
+                    return True
+                if item.lease == lease.id:
+                    # Of a former life; its revision tells that one, should it go on.
+                    expected = ((key, item.revision),)
+                    outcome = await self._store.commit(Transaction(expected, (put,)))
+        if isinstance(outcome, Committed):
+            item = Item(key, value, outcome.revision)
+            self._take(data_centre, share, item, lease)
+            return True
+        return False
 
     def _take(self, data_centre: str, share: Share, item: Item, lease: Lease) -> None:
         """Hold a share whose key is stored; it is used once no former holder is."""
--- a/walkcart/membership/feeding.py
+++ b/walkcart/membership/feeding.py
@@ -31,6 +31,7 @@
     RelayedItem,
     RelayedState,
     RelaySubscribe,
+    RelayUnserved,
 )
 
 #: A subscription ends this long after it was renewed last.
@@ -94,6 +95,7 @@
         links: to the other instances.
         clock: source of time.
         may_feed: whether this instance watches the store and is served by it.
+        on_asked: told who asks while it may not.
     """
 
     def __init__(
@@ -102,11 +104,13 @@
         links: PeerLinks,
         clock: Clock,
         may_feed: Callable[[], bool],
+        on_asked: Callable[[str], None] = lambda name: None,
     ) -> None:
         self._followers = followers
         self._links = links
         self._clock = clock
         self._may_feed = may_feed
+        self._on_asked = on_asked
         self._subscribers: dict[str, _Subscriber] = {}
         self._changed_at = dict.fromkeys(followers, clock.monotonic())
         self._beat_at = float("-inf")
@@ -116,6 +120,17 @@
             follower.on_change = self._on_change
         links.on(RelaySubscribe, self._on_subscribe)
 
+    def has_subscribers(self) -> bool:
+        """Return whether anybody was asking of late."""
+        self._drop_ended(self._clock.monotonic())
+        return bool(self._subscribers)
+
+    def turn_away(self) -> None:
+        """Tell all subscribers to ask others."""
+        for name in self._subscribers:
+            self._links.send(name, RelayUnserved())
+        self._subscribers.clear()
+
     def note_served(self) -> None:
         """Send signs of life, now that the store has served a call."""
         now = self._clock.monotonic()
@@ -153,6 +168,7 @@
             if prefix in self._followers:
                 subscriber.take_word(prefix, revision, now)
         if not self._may_feed():
+            self._on_asked(sender)
             return
         for follower in self._followers.values():
             self._offer(sender, subscriber, follower)
--- a/walkcart/membership/registration.py
+++ b/walkcart/membership/registration.py
@@ -30,8 +30,9 @@
     InstanceRecord,
 )
 from walkcart.store.backoff import Backoff
-from walkcart.store.calls import StoreUnavailable
+from walkcart.store.calls import StoreCalls, StoreUnavailable
 from walkcart.store.items import (
+    NO_LEASE,
     Committed,
     Item,
     Lease,
@@ -58,7 +59,10 @@
 #: these are worked out, but for the 11.5, which were counted.
 REPLACING_AGE = 140.0
 #: Leases outlast this many renewals.
-RENEWALS_PER_LEASE = 4
+RENEWALS_PER_LEASE = 3
+#: Longest pause between two tries while the store doesn't serve this instance, times
+#: that of those that watch: it is fed, and only its lease waits, for seconds yet.
+FED_PATIENCE = 2.0
 #: Between two readings of the others' keys, in renewals.
 READ_EVERY = 3
 #: Seconds from the first reading to the second: instances that start together have
@@ -81,6 +85,7 @@
 
     Args:
         store: the shared store.
+        calls: tell when the store doesn't serve this instance.
         own: what to store.
         clock: source of time.
         backoff: waits after failures.
@@ -90,6 +95,7 @@
     def __init__(
         self,
         store: SharedStore,
+        calls: StoreCalls,
         own: InstanceRecord,
         clock: Clock,
         backoff: Backoff,
@@ -106,6 +112,8 @@
         self._turn = 0
         self._began_at = clock.monotonic()
         self._left = False
+        self._prompted = trio.Event()
+        calls.on_away(self.try_soon)
         self._watches: Callable[[], bool] = lambda: True
         self._listeners: list[Callable[[], None]] = []
         self._readers: dict[str, Callable[[Item], None]] = {}
@@ -153,11 +161,29 @@
             try:
                 await self._keep()
                 self._backoff.reset()
-                early = self._turn <= 1
-                await trio.sleep(SECOND_READ if early else self._interval())
+                await self._rest()
             except StoreUnavailable:
                 # Logged by the calls, which know whether it is the first failure.
-                await trio.sleep(self._backoff.advance().total_seconds())
+                pause = self._backoff.advance().total_seconds()
+                if not self._watches():
+                    pause *= FED_PATIENCE
+                await trio.sleep(pause)
+
+    async def _rest(self) -> None:
+        """Wait until the lease is to be renewed, or the store to be tried.
+
+        Nothing else tries whether a store that failed is back: a renewal is the
+        cheapest call, and one of each instance is enough.
+        """
+        early = self._turn <= 1
+        pause = SECOND_READ if early else self._interval()
+        with trio.move_on_after(pause):
+            await self._prompted.wait()
+        self._prompted = trio.Event()
+
+    def try_soon(self) -> None:
+        """Renew the lease at once, to see whether the store serves this instance."""
+        self._prompted.set()
 
     async def leave(self) -> None:
         """End the lease, so that the others learn of a planned stop at once."""
@@ -193,28 +219,52 @@
     async def _keep(self) -> None:
         """Renew the lease or store the key anew; read the others now and then."""
         if self._registered is None:
-            self._registered = await self._register()
+            # The cheapest call goes first, since the store may be away.
+            left_over = await self._read_others()
+            lease = await self._take_over(left_over) or await self._grant()
+            self._registered = await self._register(lease)
         else:
-            renewed = await self._store.renew_lease(self._registered.lease)
-            if isinstance(renewed, LeaseOver):
-                self._lose("the lease ended")
-                return
-            if self._wants_longer_lease(self._registered.lease):
-                # The fleet grew: renewals come less often and need a longer lease.
-                await self._store.end_lease(self._registered.lease)
-                self._registered = await self._register()
-        if self._turn % READ_EVERY == 0 or self._turn == 1:
-            await self._read_others()
+            await self._renew(self._registered.lease)
+            if self._turn % READ_EVERY == 0 or self._turn == 1:
+                await self._check_key()
         self._turn += 1
 
+    async def _renew(self, lease: Lease) -> None:
+        """Renew the lease, or replace it by one that fits a fleet that grew."""
+        if isinstance(await self._store.renew_lease(lease), LeaseOver):
+            self._lose("the lease ended")
+        elif self._wants_longer_lease(lease):
+            await self._store.end_lease(lease)
+            self._registered = await self._register(await self._grant())
+
+    async def _check_key(self) -> None:
+        """Read the others, and whether this instance's own key is still there."""
+        own = await self._read_others()
+        # A fresh key may be missing from a stale reading; not from the second one.
+        if own is None and self._turn >= READ_EVERY and self._registered is not None:
+            self._lose("the key is gone")
+
     def _wants_longer_lease(self, lease: Lease) -> bool:
         """Return whether renewing seldom is worth the calls of another lease."""
         age = self._clock.monotonic() - self._began_at
         longer = self._lease_time() > lease.time_to_live * LEASE_SLACK
         return longer and age >= REPLACING_AGE
 
-    async def _register(self) -> Registered | None:
-        lease = await self._store.grant_lease(self._lease_time())
+    async def _grant(self) -> Lease:
+        return await self._store.grant_lease(self._lease_time())
+
+    async def _take_over(self, left_over: Item | None) -> Lease | None:
+        """Return the lease of this instance's former life, if it goes on.
+
+        A renewal costs a tenth of what granting another one does.
+        """
+        if left_over is None or left_over.lease == NO_LEASE:
+            return None
+        lease = Lease(left_over.lease, LEASE_TIME)
+        renewed = await self._store.renew_lease(lease)
+        return None if isinstance(renewed, LeaseOver) else renewed
+
+    async def _register(self, lease: Lease) -> Registered | None:
         key = INSTANCE_PREFIX + self.own.name
         put = Put(key, msgspec.json.encode(self.own), lease.id)
         match await self._store.commit(Transaction(puts=(put,))):
@@ -229,11 +279,15 @@
         self._registered = None
         self._events.emit(Events.REGISTRATION_LOST, reason=reason)
 
-    async def _read_others(self) -> None:
-        """Read the keys of all instances; a reading seconds old will do."""
+    async def _read_others(self) -> Item | None:
+        """Read the keys of all instances; a reading seconds old will do.
+
+        Returns:
+            This instance's own key.
+        """
         found: dict[str, InstanceRecord] = {}
         own_key = INSTANCE_PREFIX + self.own.name
-        seen_own = False
+        own = None
         after = ""
         while True:
             page = await self._store.list_items(SHARED_PREFIX, after, fresh=False)
@@ -241,7 +295,8 @@
                 if not item.key.startswith(INSTANCE_PREFIX):
                     self._give_to_reader(item)
                     continue
-                seen_own |= item.key == own_key
+                if item.key == own_key:
+                    own = item
                 record = self._read_record(item)
                 if record is not None and record.name != self.own.name:
                     found[record.name] = record
@@ -249,9 +304,7 @@
                 break
             after = page.items[-1].key
         self._take(found)
-        # A fresh key may be missing from a stale reading; not from the second one.
-        if not seen_own and self._turn >= READ_EVERY:
-            self._lose("the key is gone")
+        return own
 
     def _give_to_reader(self, item: Item) -> None:
         for prefix, reader in self._readers.items():
--- a/walkcart/membership/relaying.py
+++ b/walkcart/membership/relaying.py
@@ -42,6 +42,7 @@
     RelayCopy,
     RelayCurrent,
     RelaySubscribe,
+    RelayUnserved,
 )
 
 #: Between two looks at how old the copies are.
@@ -63,6 +64,12 @@
 #: An instance that has just started reads the store itself; only after this is it fed
 #: all of the copies. A reading takes some 50 ms.
 FIRST_READ_TIME = timedelta(seconds=0.3)
+#: An instance that the store hasn't served for this long, some tries, tells those whom
+#: it feeds to ask others.
+UNSERVED = timedelta(seconds=0.3)
+#: An instance that watches no longer, since others joined, goes on while it is asked
+#: for this long: whom it feeds reads who the others are less often.
+HANDOVER = timedelta(seconds=20)
 
 
 class Relay:
@@ -104,16 +111,28 @@
         self._complete_at = dict.fromkeys(self._followers, float("-inf"))
         self._silent: dict[str, float] = {}
         self._fed = False
-        feeds = Feeder(self._followers, links, clock, self._may_feed)
+        self._ranked_at = float("-inf")
+        feeds = Feeder(self._followers, links, clock, self._may_feed, self._on_asked)
+        self._feeds = feeds
         calls.on_success(feeds.note_served)
+        links.on(RelayUnserved, self._on_unserved)
         links.on_work(RelayChanges, self._on_changes)
         links.on_work(RelayCopy, self._on_copy)
         links.on_work(RelayCurrent, self._on_current)
 
     @property
     def watches(self) -> bool:
-        """Whether this instance is one of those that watch the store."""
-        return self._watchers.is_own()
+        """Whether this instance is one of those that watch the store for others."""
+        return self._watchers.is_own() or self._hands_over() or self._stands_in()
+
+    def _hands_over(self) -> bool:
+        """Return whether it was one until lately and is still asked."""
+        age = self._clock.monotonic() - self._ranked_at
+        return age < HANDOVER.total_seconds() and self._feeds.has_subscribers()
+
+    def _stands_in(self) -> bool:
+        """Return whether it feeds others because nobody feeds it."""
+        return not self._fed and self._feeds.has_subscribers()
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Subscribe and look at the feed, until cancelled."""
@@ -130,6 +149,12 @@
     def _may_feed(self) -> bool:
         return self._calls.reachable and self.watches
 
+    def _is_unserved(self) -> bool:
+        if self._calls.reachable:
+            return False
+        age = self._clock.monotonic() - self._calls.unreachable_since
+        return age > UNSERVED.total_seconds()
+
     def _look_at_feed(self) -> None:
         """Choose a feeder where one is wanted, and leave one that is late.
 
@@ -137,10 +162,14 @@
         """
         now = self._clock.monotonic()
         self._show_age(now)
-        if self._registration.is_settled and self.watches:
+        if self._is_unserved():
+            self._feeds.turn_away()
+        if self._registration.is_settled and self._watchers.is_own():
+            self._ranked_at = now
             for follower in self._followers.values():
                 follower.begin_watching()
-        if self.watches and self._calls.reachable:
+        ranked = self._watchers.is_own() or self._hands_over()
+        if ranked and self._calls.reachable:
             self._feeder = None
             self._set_fed(False, "watches itself")
             return
@@ -154,10 +183,49 @@
     def _choose_feeder(self, now: float) -> None:
         if self._feeder is not None:
             self._silent[self._feeder] = now
+            # Should nobody feed this instance it must know whether reading is of use.
+            self._registration.try_soon()
         self._feeder = self._watchers.choose_feeder(self._silent)
         self._chosen_at = now
         self._tell()
 
+    def _on_unserved(self, sender: str, message: Message) -> None:
+        """Ask somebody else at once, who hasn't been found silent just now."""
+        if sender != self._feeder:
+            return
+        now = self._clock.monotonic()
+        self._silent[sender] = now
+        other = self._find_other(now)
+        if other is None:
+            self._stand_in()
+            # Nobody is left: those that watch first are served again first.
+            self._feeder = self._watchers.choose_feeder({})
+        else:
+            self._feeder = other
+            self._chosen_at = now
+            self._tell()
+
+    def _find_other(self, now: float) -> str | None:
+        name = self._watchers.choose_feeder(self._silent)
+        if name is None or now - self._silent.get(name, float("-inf")) < (
+            SUSPECT.total_seconds()
+        ):
+            return None
+        return name
+
+    def _on_asked(self, sender: str) -> None:
+        """Send away who can't be fed here, or begin to watch for it."""
+        now = self._clock.monotonic()
+        if self._is_unserved():
+            self._links.send(sender, RelayUnserved())
+        elif self._find_other(now) is None:
+            self._stand_in()
+
+    def _stand_in(self) -> None:
+        """Read the store at once if others ask and nobody is left to feed this one."""
+        if self._calls.reachable and self._feeds.has_subscribers():
+            self._set_fed(False, "stands in")
+
     def _tell(self) -> None:
         """Renew the subscription; that also acknowledges what came."""
         if self._feeder is None:
@@ -178,6 +246,9 @@
         if fed == self._fed:
             return
         self._fed = fed
+        if fed:
+            # Those whom this instance has fed meanwhile.
+            self._feeds.turn_away()
         self._events.emit(
             Events.FEED,
             fed=fed,
--- a/walkcart/membership/watchers.py
+++ b/walkcart/membership/watchers.py
@@ -16,8 +16,9 @@
 #: Instances of each data centre that watch the store in a larger fleet: what they pass
 #: on stays inside.
 WATCHERS = 2
-#: Candidates besides these, for an instance whose view of the others is older.
-SPARE_WATCHERS = 1
+#: Candidates besides these: for an instance whose view of the others is older, and for
+#: when the store turns the watchers away, as it may a third of all instances at once.
+SPARE_WATCHERS = 2
 
 
 class Watchers:
@@ -48,9 +49,13 @@
                 who was so longest ago, or never, goes first.
         """
         own = self._registration.own.name
-        names = [name for name in self._ranked() if name != own]
+        names = self._ranked()
         if not self._is_few():
             names = names[: WATCHERS + SPARE_WATCHERS]
+            if own in names[WATCHERS:]:
+                # Spare ones don't wait for each other.
+                names = names[: names.index(own)]
+        names = [name for name in names if name != own]
         spare = set(names[WATCHERS:])
 
         def rank(name: str) -> tuple[float, bool, int]:
--- a/walkcart/platform/store.py
+++ b/walkcart/platform/store.py
@@ -50,6 +50,8 @@
     value: bytes = b""
     # Only in a watch: the key was removed.
     deleted: bool = False
+    # 0 for none.
+    lease: int = 0
 
 
 class _Page(msgspec.Struct, rename="camel"):
@@ -125,7 +127,7 @@
             query["serializable"] = "1"
         reply = await self._get(_RANGE, query)
         page = self._read(reply, _Page)
-        items = tuple(Item(row.tls_key, row.value, row.revision) for row in page.items)
+        items = tuple(_read_item(row) for row in page.items)
         return Page(items, page.as_of, not page.truncated)
 
     async def watch(
@@ -159,8 +161,7 @@
             return LeaseOver()
         if reply.status == _CONDITION_FAILED:
             rows = self._decode(reply, _Items).items
-            present = (Item(row.tls_key, row.value, row.revision) for row in rows)
-            return Rejected(tuple(present))
+            return Rejected(tuple(_read_item(row) for row in rows))
         return Committed(self._read(reply, _Revision).revision)
 
     async def grant_lease(self, time_to_live: timedelta) -> Lease:
@@ -217,7 +218,11 @@
 def _read_change(row: _Item) -> Change:
     if row.deleted:
         return Removal(row.tls_key, row.revision)
-    return Item(row.tls_key, row.value, row.revision)
+    return _read_item(row)
+
+
+def _read_item(row: _Item) -> Item:
+    return Item(row.tls_key, row.value, row.revision, row.lease)
 
 
 __all__ = ["PlatformStore", "StoreUnavailable"]
--- a/walkcart/store/calls.py
+++ b/walkcart/store/calls.py
@@ -87,8 +87,13 @@
         self.last_success = clock.monotonic()
         #: When calls began to succeed again after a failure, or since the start.
         self.reachable_since = self.last_success
+        #: When calls began to fail after a success.
+        self.unreachable_since = float("inf")
         self._on_back: list[Callable[[], None]] = []
         self._on_success: list[Callable[[], None]] = []
+        self._on_away: list[Callable[[], None]] = []
+        self._back = trio.Event()
+        self._back.set()
 
     @property
     def address(self) -> HostPort:
@@ -99,10 +104,18 @@
         """Call `listener` when calls succeed again after a failure."""
         self._on_back.append(listener)
 
+    def on_away(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when a call failed after others had succeeded."""
+        self._on_away.append(listener)
+
     def on_success(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each call that the service served."""
         self._on_success.append(listener)
 
+    async def wait_reachable(self) -> None:
+        """Wait until the service serves this instance, as far as it is known."""
+        await self._back.wait()
+
     def move(self, address: HostPort) -> None:
         """Call the service at another address from now on."""
         if address != self._address:
@@ -174,7 +187,11 @@
         self._metrics.count("store.failed")
         if self.reachable:
             self._events.emit(Events.STORE_FAILED, detail=detail)
-        self.reachable = False
+            self.reachable = False
+            self.unreachable_since = self._clock.monotonic()
+            self._back = trio.Event()
+            for listener in self._on_away:
+                listener()
         return StoreUnavailable(uncertain, detail)
 
     def note_success(self) -> None:
@@ -184,6 +201,7 @@
             self._events.emit(Events.STORE_BACK)
             self.reachable = True
             self.reachable_since = self.last_success
+            self._back.set()
             for listener in self._on_back:
                 listener()
         for listener in self._on_success:
--- a/walkcart/store/following.py
+++ b/walkcart/store/following.py
@@ -37,10 +37,10 @@
 #: silent is found by probes (`walkcart.store.calls.PROBE`), not by this.
 WATCH_WAIT = timedelta(seconds=20)
 #: Pause after a watch returned with changes: a burst of changes is taken at once.
-BURST_PAUSE = timedelta(milliseconds=100)
+BURST_PAUSE = timedelta(milliseconds=250)
 #: Times as long a pause after a watch that brought only changes that matter to nobody:
 #: leafs that start together change their entries each second or so.
-IDLE_PAUSES = 2
+IDLE_PAUSES = 1.5
 
 #: Longest pause between the first reading and the first watch, unless this instance is
 #: known to be one that watches: one that another one feeds is fed by then, also where
@@ -48,6 +48,13 @@
 #: the 6.6 calls of each of 84 instances that started at once, in a test's network.
 FIRST_WATCH_PAUSE = timedelta(seconds=3)
 
+#: Longest wait, after a failure, until some other call is served: the renewals of the
+#: lease try the service again at a tenth of a call. Past it the copy tries for itself.
+RETURN_PATIENCE = timedelta(seconds=15)
+#: Pause after the service came back, for whoever doesn't watch for others: those that
+#: do read at once and pass on what they read, so that not all read everything.
+FEED_PATIENCE = timedelta(seconds=1)
+
 #: Told the old and the new value of an item; whether the difference matters to anyone.
 DifferenceTest = Callable[[bytes, bytes], bool]
 
@@ -179,6 +186,7 @@
 
     async def _work(self) -> None:
         """Read everything if that is needed, then watch once."""
+        await self._wait_for_service()
         try:
             if not self.known:
                 await self._read_all(fresh=self._first_fresh)
@@ -193,6 +201,15 @@
             # Logged by the calls, which know whether it is the first failure.
             await trio.sleep(self._backoff.advance().total_seconds())
 
+    async def _wait_for_service(self) -> None:
+        """Wait until it is worth to call again."""
+        if not self.known or self._calls.reachable:
+            return
+        with trio.move_on_after(RETURN_PATIENCE.total_seconds()):
+            await self._calls.wait_reachable()
+            with trio.move_on_after(FEED_PATIENCE.total_seconds()):
+                await self._wanted.wait()
+
     def _is_behind(self) -> bool:
         """Return whether so much may have changed that a reading is shorter."""
         if self._read_past is None:
--- a/walkcart/store/items.py
+++ b/walkcart/store/items.py
@@ -27,11 +27,13 @@
         key: its name.
         value: its bytes.
         revision: of the store at its latest change.
+        lease: that it hangs on, as far as the store said; `NO_LEASE` without one.
     """
 
     key: str
     value: bytes
     revision: int
+    lease: int = NO_LEASE
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkcart/wire/messages.py
+++ b/walkcart/wire/messages.py
@@ -29,6 +29,7 @@
     RelayCopy,
     RelayCurrent,
     RelaySubscribe,
+    RelayUnserved,
 )
 
 
@@ -263,6 +264,7 @@
     | RelayChanges
     | RelayCopy
     | RelayCurrent
+    | RelayUnserved
     | QuarantineNews
 )
 
--- a/walkcart/wire/relays.py
+++ b/walkcart/wire/relays.py
@@ -37,6 +37,10 @@
     revisions: dict[str, int]
 
 
+class RelayUnserved(Message, frozen=True):
+    """Says that the sender passes nothing on now: others are to be asked."""
+
+
 class RelayAge(msgspec.Struct, frozen=True, array_like=True):
     """How old what a message says is, in seconds when it was packed.
 
