Take all changes that a watch couldn't bring at once, and vouch for none before

Both its watchers had been turned away by the store for 9 s. A watch gives some 500 changes; the log shows one of leafs each 1.2 to 1.7 s, at revisions 907, 1427, 1928, 2429 and 2930, with a pause after each, while more came. Each was taken for all that there was, so that the watchers vouched for a copy that was 5 s old.

Change: what one watch may have brought a part of (from 400 changes or 512 KB on) is followed by the next watch at once and isn't taken for current; a waiting watch vouches for calls that were served after it was sent, or half a second after it where the one before may have been cut off. The stand-in of the store gives 500 changes at a time.

The test test_all_that_changed_while_the_store_was_away_is_known_soon fails without.

--- a/walkcart/platform/tests/test_store_trouble.py
+++ b/walkcart/platform/tests/test_store_trouble.py
@@ -143,3 +143,29 @@
         return len(list(find_service(world, LeafDirectory, "directory").entries()))
 
     assert with_instance(act) == 132
+
+
+def test_all_that_changed_while_the_store_was_away_is_known_soon():
+    """The store gives 500 changes at a time.
+
+    With a pause of a second after each, an instance that the store had turned away for
+    9 s was behind for over 7 s, and said that it was current: it sent requests to leafs
+    5.02 s after they had said that they leave, of 5 s allowed.
+    """
+
+    async def act(world):
+        entry = world.entries["p-0"]
+        world.network.cut("store", "north-a")
+        for number in range(3000):
+            content = {**entry, "warmupLeftMs": number}
+            world.store.put(f"servers/x-{number % 300:03}", content)
+        world.store.put("servers/p-1", {**world.entries["p-1"], "state": "draining"})
+        await trio.sleep(3)
+        world.network.heal("store", "north-a")
+        # The renewal that is under way, the pause after it, and the watches.
+        await trio.sleep(2)
+        directory = find_service(world, LeafDirectory, "directory")
+        leafs = {leaf.id for leaf in directory.leaves_of("plain")}
+        return len(leafs), "p-1" in leafs
+
+    assert with_instance(act) == (301, False)
--- a/walkcart/store/following.py
+++ b/walkcart/store/following.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from datetime import timedelta
 
 import trio
@@ -48,6 +48,13 @@
 #: the 6.6 calls of each of 84 instances that started at once, in a test's network.
 FIRST_WATCH_PAUSE = timedelta(seconds=3)
 
+#: Changes of one watch, or bytes of their values, from which on the store may have cut
+#: them off, at some 500 and a megabyte: what is left is asked for at once.
+FULL_CHANGES = 400
+FULL_BYTES = 512 << 10
+#: Seconds that a watch waits before it shows that the one before wasn't cut off.
+CUT_OFF_TIME = 0.5
+
 #: Longest wait, after a failure, until some other call is served: the renewals of the
 #: lease try the service again at a tenth of a call. Past it the copy tries for itself.
 RETURN_PATIENCE = timedelta(seconds=15)
@@ -64,6 +71,12 @@
     return old != new
 
 
+def is_full(changes: Collection[Change]) -> bool:
+    """Return whether one watch may have brought a part of what changed."""
+    size = sum(len(item.value) for item in changes if isinstance(item, Item))
+    return len(changes) >= FULL_CHANGES or size >= FULL_BYTES
+
+
 class PrefixFollower:
     """Keeps a copy of a prefix.
 
@@ -113,6 +126,9 @@
         self._must_read = True
         self._working: trio.CancelScope | None = None
         self._waiting = False
+        self._watch_began = float("-inf")
+        #: Whether the last watch may have brought a part of the changes.
+        self._cut_off = False
         self._confirmed_at = float("-inf")
         self._fed = False
         self._feed_lost = trio.Event()
@@ -136,8 +152,10 @@
     def current_at(self) -> float:
         """Time at which the copy surely held all that was stored."""
         if self._waiting:
-            # Nothing came by the watch, and the store answered some call then.
-            return max(self._confirmed_at, self._calls.last_success)
+            # Nothing came by the watch, and the store answered some call since.
+            since = self._watch_began + (CUT_OFF_TIME if self._cut_off else 0.0)
+            if self._calls.last_success > since:
+                return max(self._confirmed_at, self._calls.last_success)
         return self._confirmed_at
 
     def note_current(self, revision: int, at: float) -> None:
@@ -219,6 +237,7 @@
 
     async def _watch(self) -> Changes | HistoryLost:
         self._waiting = True
+        self._watch_began = self._clock.monotonic()
         try:
             return await self._store.watch(self.prefix, self.revision, WATCH_WAIT)
         finally:
@@ -274,12 +293,14 @@
                 )
                 self._must_read = True
             case Changes(changes, revision):
-                self._confirmed_at = self._clock.monotonic()
+                self._cut_off = is_full(changes)
+                if not self._cut_off:
+                    self._confirmed_at = self._clock.monotonic()
                 pause = self._pause.total_seconds()
-                if self.apply(changes, revision):
+                if not self.apply(changes, revision):
+                    pause *= IDLE_PAUSES
+                if changes and not self._cut_off:
                     await trio.sleep(pause)
-                elif changes:
-                    await trio.sleep(pause * IDLE_PAUSES)
 
     def apply(
         self, changes: Iterable[Change], revision: int, origin: Origin = Origin()
