--- a/walkcart/membership/registration.py
+++ b/walkcart/membership/registration.py
@@ -24,11 +24,8 @@
 from walkcart.kernel.clock import Clock
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
-from walkcart.membership.instancerecord import (
-    INSTANCE_PREFIX,
-    SHARED_PREFIX,
-    InstanceRecord,
-)
+from walkcart.membership.instancekeys import KeyReader
+from walkcart.membership.instancerecord import INSTANCE_PREFIX, InstanceRecord
 from walkcart.store.backoff import Backoff
 from walkcart.store.calls import StoreCalls, StoreUnavailable
 from walkcart.store.items import (
@@ -116,14 +113,14 @@
         calls.on_away(self.try_soon)
         self._watches: Callable[[], bool] = lambda: True
         self._listeners: list[Callable[[], None]] = []
-        self._readers: dict[str, Callable[[Item], None]] = {}
+        self._keys = KeyReader(store, own.name, events)
 
     def read_along(self, prefix: str, reader: Callable[[Item], None]) -> None:
         """Give `reader` the items of another prefix below the shared one.
 
         They come with the keys of the instances, each time these are read.
         """
-        self._readers[prefix] = reader
+        self._keys.add(prefix, reader)
 
     @property
     def is_settled(self) -> bool:
@@ -280,45 +277,10 @@
         self._events.emit(Events.REGISTRATION_LOST, reason=reason)
 
     async def _read_others(self) -> Item | None:
-        """Read the keys of all instances; a reading seconds old will do.
-
-        Returns:
-            This instance's own key.
-        """
-        found: dict[str, InstanceRecord] = {}
-        own_key = INSTANCE_PREFIX + self.own.name
-        own = None
-        after = ""
-        while True:
-            page = await self._store.list_items(SHARED_PREFIX, after, fresh=False)
-            for item in page.items:
-                if not item.key.startswith(INSTANCE_PREFIX):
-                    self._give_to_reader(item)
-                    continue
-                if item.key == own_key:
-                    own = item
-                record = self._read_record(item)
-                if record is not None and record.name != self.own.name:
-                    found[record.name] = record
-            if page.last or not page.items:
-                break
-            after = page.items[-1].key
-        self._take(found)
-        return own
-
-    def _give_to_reader(self, item: Item) -> None:
-        for prefix, reader in self._readers.items():
-            if item.key.startswith(prefix):
-                reader(item)
-
-    def _read_record(self, item: Item) -> InstanceRecord | None:
-        try:
-            return msgspec.json.decode(item.value, type=InstanceRecord)
-        except msgspec.MsgspecError as error:
-            self._events.emit(
-                Events.PEER_BAD_MESSAGE, key=item.key, detail=str(error)[:200]
-            )
-            return None
+        """Read the keys of all instances; return this instance's own."""
+        reading = await self._keys.read()
+        self._take(reading.others)
+        return reading.own
 
     def _take(self, found: dict[str, InstanceRecord]) -> None:
         self._counts.append((self._clock.monotonic(), len(found) + 1))
--- a/walkcart/membership/relaying.py
+++ b/walkcart/membership/relaying.py
@@ -31,7 +31,7 @@
 from walkcart.membership.feeding import Feeder, unpack_changes
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.registration import Registration
-from walkcart.membership.watchers import Watchers
+from walkcart.membership.watchers import SUSPECT, FeederChoice, Watchers
 from walkcart.store.calls import StoreCalls
 from walkcart.store.following import PrefixFollower
 from walkcart.store.packing import BadValue
@@ -49,11 +49,6 @@
 LOOK = timedelta(seconds=0.35)
 #: Looks between two renewals of the subscription.
 RENEW_LOOKS = 2
-#: A receiver whose copy was surely complete longer ago turns to another feeder, which
-#: answers in milliseconds: signs of life come each second, and what is left until
-#: `LATE` covers a look and that answer. Without it the subscribers of a feeder that
-#: died made six readings and six watches of the store (14 instances).
-SUSPECT = timedelta(seconds=1.3)
 #: A receiver whose copy was surely complete longer ago reads the store itself. Signs of
 #: life come each second; with the time between two looks and a reading of some 0.3 s on
 #: a busy machine that stays within the three seconds that operators allow for a change.
@@ -103,13 +98,11 @@
         self._metrics = metrics
         self._registration = registration
         self._watchers = Watchers(registration)
-        self._feeder: str | None = None
-        self._chosen_at = float("-inf")
+        self._choice = FeederChoice(self._watchers, clock)
         self._heard_at = float("-inf")
         #: When each prefix was surely complete by the feeder's word: one may be up to
         #: date, another not.
         self._complete_at = dict.fromkeys(self._followers, float("-inf"))
-        self._silent: dict[str, float] = {}
         self._fed = False
         self._ranked_at = float("-inf")
         feeds = Feeder(self._followers, links, clock, self._may_feed, self._on_asked)
@@ -170,55 +163,37 @@
                 follower.begin_watching()
         ranked = self._watchers.is_own() or self._hands_over()
         if ranked and self._calls.reachable:
-            self._feeder = None
+            self._choice.leave()
             self._set_fed(False, "watches itself")
             return
         age = now - min(self._complete_at.values())
-        if age > SUSPECT.total_seconds() < now - self._chosen_at:
-            self._choose_feeder(now)
+        if age > SUSPECT.total_seconds() and self._choice.is_due():
+            self._choose_feeder()
         if age > LATE.total_seconds():
             heard = now - self._heard_at <= LATE.total_seconds()
             self._set_fed(False, "late" if heard else "silence", age)
 
-    def _choose_feeder(self, now: float) -> None:
-        if self._feeder is not None:
-            self._silent[self._feeder] = now
+    def _choose_feeder(self) -> None:
+        if self._choice.feeder is not None:
             # Should nobody feed this instance it must know whether reading is of use.
             self._registration.try_soon()
-        self._feeder = self._watchers.choose_feeder(self._silent)
-        self._chosen_at = now
+        self._choice.turn_to_next()
         self._tell()
 
     def _on_unserved(self, sender: str, message: Message) -> None:
         """Ask somebody else at once, who hasn't been found silent just now."""
-        if sender != self._feeder:
+        if sender != self._choice.feeder:
             return
-        now = self._clock.monotonic()
-        self._silent[sender] = now
-        other = self._find_other(now)
-        if other is None:
-            self._stand_in()
-            # Nobody is left: those that watch first are served again first.
-            self._feeder = self._watchers.choose_feeder({})
-        else:
-            self._feeder = other
-            self._chosen_at = now
+        if self._choice.turn_to_other():
             self._tell()
-
-    def _find_other(self, now: float) -> str | None:
-        name = self._watchers.choose_feeder(self._silent)
-        if name is None or now - self._silent.get(name, float("-inf")) < (
-            SUSPECT.total_seconds()
-        ):
-            return None
-        return name
+        else:
+            self._stand_in()
 
     def _on_asked(self, sender: str) -> None:
         """Send away who can't be fed here, or begin to watch for it."""
-        now = self._clock.monotonic()
         if self._is_unserved():
             self._links.send(sender, RelayUnserved())
-        elif self._find_other(now) is None:
+        elif self._choice.find_other() is None:
             self._stand_in()
 
     def _stand_in(self) -> None:
@@ -228,13 +203,14 @@
 
     def _tell(self) -> None:
         """Renew the subscription; that also acknowledges what came."""
-        if self._feeder is None:
+        feeder = self._choice.feeder
+        if feeder is None:
             return
         revisions = {
             prefix: follower.revision if follower.known else 0
             for prefix, follower in self._followers.items()
         }
-        self._links.send(self._feeder, RelaySubscribe(revisions))
+        self._links.send(feeder, RelaySubscribe(revisions))
 
     def _show_age(self, now: float) -> None:
         """Show how long ago the older of the copies was surely complete."""
@@ -252,7 +228,7 @@
         self._events.emit(
             Events.FEED,
             fed=fed,
-            feeder=self._feeder,
+            feeder=self._choice.feeder,
             reason=reason,
             age_ms=round(age * 1000) if isfinite(age) else None,
         )
@@ -302,7 +278,7 @@
                 self._note_complete(follower, state.revision, state.current_age + way)
 
     def _take_from(self, sender: str, prefix: str) -> PrefixFollower | None:
-        if sender != self._feeder:
+        if sender != self._choice.feeder:
             return None
         self._heard_at = self._clock.monotonic()
         return self._followers.get(prefix)
--- a/walkcart/membership/watchers.py
+++ b/walkcart/membership/watchers.py
@@ -1,4 +1,4 @@
-"""Which instances watch the shared store for the others of their data centre.
+"""Which instances watch the shared store for the others, and whom one asks.
 
 See Also:
     `walkcart.membership.relaying.Relay`, which feeds and is fed.
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from datetime import timedelta
 
+from walkcart.kernel.clock import Clock
 from walkcart.membership.registration import Registration
 from walkcart.routing.shares import rank_rendezvous
 
@@ -20,6 +22,12 @@
 #: when the store turns the watchers away, as it may a third of all instances at once.
 SPARE_WATCHERS = 2
 
+#: A receiver whose copy was surely complete longer ago turns to another feeder, which
+#: answers in milliseconds: signs of life come each second, and what is left until
+#: `LATE` covers a look and that answer. Without it the subscribers of a feeder that
+#: died made six readings and six watches of the store (14 instances).
+SUSPECT = timedelta(seconds=1.3)
+
 
 class Watchers:
     """Ranks the instances by their names, the same at each of them.
@@ -84,3 +92,62 @@
             names.sort(key=lambda name: rank_rendezvous(me.data_centre, name))
             self._order = names
         return self._order
+
+
+class FeederChoice:
+    """Whom this instance asks to feed it.
+
+    Args:
+        watchers: rank the instances.
+        clock: source of time.
+    """
+
+    def __init__(self, watchers: Watchers, clock: Clock) -> None:
+        self._watchers = watchers
+        self._clock = clock
+        self.feeder: str | None = None
+        self._chosen_at = float("-inf")
+        #: When each instance was found silent, late or not served last.
+        self._silent: dict[str, float] = {}
+
+    def is_due(self) -> bool:
+        """Return whether the present feeder has had its time."""
+        return self._clock.monotonic() - self._chosen_at > SUSPECT.total_seconds()
+
+    def leave(self) -> None:
+        """Ask nobody."""
+        self.feeder = None
+
+    def turn_to_next(self) -> None:
+        """Turn to who was found silent longest ago, or never."""
+        self._note_silent()
+        self._turn_to(self._watchers.choose_feeder(self._silent))
+
+    def turn_to_other(self) -> bool:
+        """Turn to one that wasn't found silent just now; return whether there is one.
+
+        Without one, go back to those that watch first: they are served again first.
+        """
+        self._note_silent()
+        other = self.find_other()
+        if other is None:
+            self.feeder = self._watchers.choose_feeder({})
+            return False
+        self._turn_to(other)
+        return True
+
+    def find_other(self) -> str | None:
+        """Return who is to be asked next, unless it was found silent just now."""
+        name = self._watchers.choose_feeder(self._silent)
+        if name is None:
+            return None
+        age = self._clock.monotonic() - self._silent.get(name, float("-inf"))
+        return name if age >= SUSPECT.total_seconds() else None
+
+    def _note_silent(self) -> None:
+        if self.feeder is not None:
+            self._silent[self.feeder] = self._clock.monotonic()
+
+    def _turn_to(self, name: str | None) -> None:
+        self.feeder = name
+        self._chosen_at = self._clock.monotonic()
--- a/walkcart/store/following.py
+++ b/walkcart/store/following.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 
 import trio
@@ -21,6 +21,7 @@
 from walkcart.kernel.events import Events
 from walkcart.store.backoff import Backoff
 from walkcart.store.calls import StoreCalls, StoreUnavailable
+from walkcart.store.currency import Currency
 from walkcart.store.history import ChangeHistory
 from walkcart.store.items import (
     Change,
@@ -48,13 +49,6 @@
 #: the 6.6 calls of each of 84 instances that started at once, in a test's network.
 FIRST_WATCH_PAUSE = timedelta(seconds=3)
 
-#: Changes of one watch, or bytes of their values, from which on the store may have cut
-#: them off, at some 500 and a megabyte: what is left is asked for at once.
-FULL_CHANGES = 400
-FULL_BYTES = 512 << 10
-#: Seconds that a watch waits before it shows that the one before wasn't cut off.
-CUT_OFF_TIME = 0.5
-
 #: Longest wait, after a failure, until some other call is served: the renewals of the
 #: lease try the service again at a tenth of a call. Past it the copy tries for itself.
 RETURN_PATIENCE = timedelta(seconds=15)
@@ -71,12 +65,6 @@
     return old != new
 
 
-def is_full(changes: Collection[Change]) -> bool:
-    """Return whether one watch may have brought a part of what changed."""
-    size = sum(len(item.value) for item in changes if isinstance(item, Item))
-    return len(changes) >= FULL_CHANGES or size >= FULL_BYTES
-
-
 class PrefixFollower:
     """Keeps a copy of a prefix.
 
@@ -125,11 +113,7 @@
         self._history = ChangeHistory()
         self._must_read = True
         self._working: trio.CancelScope | None = None
-        self._waiting = False
-        self._watch_began = float("-inf")
-        #: Whether the last watch may have brought a part of the changes.
-        self._cut_off = False
-        self._confirmed_at = float("-inf")
+        self._currency = Currency(calls, clock)
         self._fed = False
         self._feed_lost = trio.Event()
         self._wanted = trio.Event()
@@ -151,17 +135,12 @@
     @property
     def current_at(self) -> float:
         """Time at which the copy surely held all that was stored."""
-        if self._waiting:
-            # Nothing came by the watch, and the store answered some call since.
-            since = self._watch_began + (CUT_OFF_TIME if self._cut_off else 0.0)
-            if self._calls.last_success > since:
-                return max(self._confirmed_at, self._calls.last_success)
-        return self._confirmed_at
+        return self._currency.find()
 
     def note_current(self, revision: int, at: float) -> None:
         """Note that the copy held all that was stored at a time, up to a revision."""
         self.revision = max(self.revision, revision)
-        self._confirmed_at = max(self._confirmed_at, at)
+        self._currency.note(at)
 
     def changes_after(self, revision: int) -> tuple[Change, ...] | None:
         """Return the latest change of each key after a revision; None if unknown."""
@@ -172,7 +151,7 @@
 
         A reading goes on: each of its calls has a time limit.
         """
-        if self._working is not None and self._waiting:
+        if self._working is not None and self._currency.waiting:
             self._working.cancel()
 
     def begin_watching(self) -> None:
@@ -236,12 +215,8 @@
         return age > self._read_past.total_seconds()
 
     async def _watch(self) -> Changes | HistoryLost:
-        self._waiting = True
-        self._watch_began = self._clock.monotonic()
-        try:
+        with self._currency.watch():
             return await self._store.watch(self.prefix, self.revision, WATCH_WAIT)
-        finally:
-            self._waiting = False
 
     async def _read_all(self, fresh: bool) -> None:
         """Read everything and take it as the copy."""
@@ -249,7 +224,7 @@
         reading = await read_prefix(self._store, self.prefix, fresh)
         if fresh:
             # Before listeners hear of it: they pass on what is current.
-            self._confirmed_at = max(self._confirmed_at, began_at)
+            self._currency.note(began_at)
         self.replace(reading.items, reading.revision)
 
     def replace(
@@ -293,13 +268,11 @@
                 )
                 self._must_read = True
             case Changes(changes, revision):
-                self._cut_off = is_full(changes)
-                if not self._cut_off:
-                    self._confirmed_at = self._clock.monotonic()
+                whole = self._currency.take(changes)
                 pause = self._pause.total_seconds()
                 if not self.apply(changes, revision):
                     pause *= IDLE_PAUSES
-                if changes and not self._cut_off:
+                if changes and whole:
                     await trio.sleep(pause)
 
     def apply(
