--- /dev/null
+++ b/walkcart/store/tests/test_currency.py
@@ -0,0 +1,61 @@
+"""At which time a copy surely held all that was stored."""
+
+from types import SimpleNamespace
+
+from walkcart.bench.harness import ManualClock
+from walkcart.store.currency import CUT_OFF_TIME, FULL_BYTES, FULL_CHANGES, Currency
+from walkcart.store.items import Item
+
+FEW = [Item("a", b"1", 1)]
+MANY = [Item(f"a{number}", b"1", number) for number in range(FULL_CHANGES)]
+
+
+def make_currency():
+    clock = ManualClock()
+    calls = SimpleNamespace(last_success=clock.time)
+    return Currency(calls, clock), clock, calls
+
+
+def serve_later(clock, calls, seconds):
+    clock.time += seconds
+    calls.last_success = clock.time
+
+
+def test_a_call_that_was_served_before_the_watch_says_nothing():
+    currency, clock, calls = make_currency()
+    currency.note(clock.time)
+    noted = clock.time
+    serve_later(clock, calls, 9.0)
+    with currency.watch():
+        assert currency.find() == noted
+        serve_later(clock, calls, 0.1)
+        assert currency.find() == clock.time
+    assert currency.find() == noted
+
+
+def test_a_watch_that_brought_a_part_is_not_taken_for_all():
+    currency, clock, calls = make_currency()
+    currency.note(clock.time)
+    noted = clock.time
+    clock.time += 1.0
+    assert not currency.take(MANY)
+    assert currency.find() == noted
+    with currency.watch():
+        serve_later(clock, calls, CUT_OFF_TIME / 2)
+        assert currency.find() == noted
+        serve_later(clock, calls, CUT_OFF_TIME)
+        assert currency.find() == clock.time
+
+
+def test_a_watch_that_brought_few_changes_is_taken_for_all():
+    currency, clock, _ = make_currency()
+    clock.time += 1.0
+    assert currency.take(FEW)
+    assert currency.find() == clock.time
+
+
+def test_few_large_values_may_be_a_part():
+    currency, _, _ = make_currency()
+    large = Item("a", bytes(FULL_BYTES // 2), 1)
+    assert currency.take([large])
+    assert not currency.take([large, large])
