Let a feeder's signs follow its watches, so that feeds hold in changes now and then

Change: when a watch begins after its pause the lease is renewed, which shows that nothing waits, and a sign goes then; within the pause none does. A call that was served while a watch paused is vouched for again, unless the watch was interrupted.

--- a/walkcart/membership/feeding.py
+++ b/walkcart/membership/feeding.py
@@ -134,7 +134,10 @@
 
     def note_served(self) -> None:
         """Send signs of life, now that the store has served a call."""
-        if self._clock.monotonic() - self._beat_at >= BEAT.total_seconds():
+        now = self._clock.monotonic()
+        oldest = min(follower.current_at for follower in self._followers.values())
+        # While a watch pauses there is nothing new to say; once it is over there is.
+        if now - oldest <= BEAT.total_seconds() <= now - self._beat_at:
             self._beat()
 
     def _beat(self) -> None:
--- a/walkcart/membership/relaying.py
+++ b/walkcart/membership/relaying.py
@@ -108,6 +108,8 @@
         feeds = Feeder(self._followers, links, clock, self._may_feed, self._on_asked)
         self._feeds = feeds
         calls.on_success(feeds.note_served)
+        for follower in self._followers.values():
+            follower.on_resumed = self._check_soon
         links.on(RelayUnserved, self._on_unserved)
         links.on_work(RelayChanges, self._on_changes)
         links.on_work(RelayCopy, self._on_copy)
@@ -189,6 +191,14 @@
         else:
             self._stand_in()
 
+    def _check_soon(self) -> None:
+        """Have a call served now, so that those whom this instance feeds know it.
+
+        Until the next renewal their copies would age for a second, on top of the pause.
+        """
+        if self._feeds.has_subscribers():
+            self._registration.try_soon()
+
     def _on_asked(self, sender: str) -> None:
         """Send away who can't be fed here, or begin to watch for it."""
         if self._is_unserved():
--- a/walkcart/platform/tests/test_store_calls.py
+++ b/walkcart/platform/tests/test_store_calls.py
@@ -254,3 +254,16 @@
     price, ended = with_fleet(act)
     assert ended == []
     assert price <= 8.0
+
+
+def test_a_feed_holds_when_leafs_change_now_and_then():
+    async def act(world):
+        entry = world.entries["i-0"]
+        for step in range(30):
+            state = "draining" if step % 2 else "ready"
+            world.store.put("servers/x", {**entry, "state": state})
+            await trio.sleep(2.13)
+        lines = [json.loads(line) for line in world.log.getvalue().splitlines()]
+        return [line for line in lines if line["event"] == "feed" and not line["fed"]]
+
+    assert with_fleet(act) == []
--- a/walkcart/store/currency.py
+++ b/walkcart/store/currency.py
@@ -41,6 +41,7 @@
         self._noted_at = float("-inf")
         self._watch_began = float("-inf")
         self._cut_off = False
+        self._interrupted = False
         #: Whether a watch waits.
         self.waiting = False
 
@@ -48,12 +49,21 @@
         """Return the latest time at which the copy was surely complete."""
         if not self.waiting:
             return self._noted_at
-        # Nothing came by the watch, and the store answered some call since.
-        since = self._watch_began + (CUT_OFF_TIME if self._cut_off else 0.0)
-        if self._calls.last_success <= since:
+        # Nothing came by the watch, and the store answered some call.
+        if self._calls.last_success <= self._find_least():
             return self._noted_at
         return max(self._noted_at, self._calls.last_success)
 
+    def _find_least(self) -> float:
+        """Return the time after which a call must have been served to say anything.
+
+        A watch that began anew may bring all that changed since the one before, which
+        it hasn't yet when a call was served just before it.
+        """
+        if self._cut_off:
+            return self._watch_began + CUT_OFF_TIME
+        return self._watch_began if self._interrupted else float("-inf")
+
     def note(self, at: float) -> None:
         """Note that the copy was complete at a time."""
         self._noted_at = max(self._noted_at, at)
@@ -65,12 +75,16 @@
         self._watch_began = self._clock.monotonic()
         try:
             yield
+        except BaseException:
+            self._interrupted = True
+            raise
         finally:
             self.waiting = False
 
     def take(self, changes: Collection[Change]) -> bool:
         """Note what a watch has brought; return whether that was surely all."""
         self._cut_off = is_full(changes)
+        self._interrupted = False
         if not self._cut_off:
             self.note(self._clock.monotonic())
         return not self._cut_off
--- a/walkcart/store/following.py
+++ b/walkcart/store/following.py
@@ -123,6 +123,8 @@
         self.on_change: Callable[[PrefixFollower], None] = lambda follower: None
         #: Called after a watch has brought all that was stored.
         self.on_current: Callable[[], None] = lambda: None
+        #: Called when the next watch begins after a pause.
+        self.on_resumed: Callable[[], None] = lambda: None
         calls.on_back(self.watch_anew)
 
     def items(self) -> Iterable[Item]:
@@ -278,6 +280,7 @@
                     self.on_current()
                 if changes and whole:
                     await trio.sleep(pause)
+                    self.on_resumed()
 
     def apply(
         self, changes: Iterable[Change], revision: int, origin: Origin = Origin()
