--- a/walkcart/membership/relaying.py
+++ b/walkcart/membership/relaying.py
@@ -31,7 +31,7 @@
 from walkcart.membership.feeding import Feeder, unpack_changes
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.registration import Registration
-from walkcart.membership.watchers import SILENT_MEMORY, Watchers
+from walkcart.membership.watchers import SUSPECT, FeederChoice, Watchers
 from walkcart.store.calls import StoreCalls
 from walkcart.store.following import PrefixFollower
 from walkcart.store.packing import BadValue
@@ -42,17 +42,13 @@
     RelayCopy,
     RelayCurrent,
     RelaySubscribe,
+    RelayUnserved,
 )
 
 #: Between two looks at how old the copies are.
 LOOK = timedelta(seconds=0.35)
 #: Looks between two renewals of the subscription.
 RENEW_LOOKS = 2
-#: A receiver whose copy was surely complete longer ago turns to another feeder, which
-#: answers in milliseconds: signs of life come each second, and what is left until
-#: `LATE` covers a look and that answer. Without it the subscribers of a feeder that
-#: died made six readings and six watches of the store (14 instances).
-SUSPECT = timedelta(seconds=1.3)
 #: A receiver whose copy was surely complete longer ago reads the store itself. Signs of
 #: life come each second; with the time between two looks and a reading of some 0.3 s on
 #: a busy machine that stays within the three seconds that operators allow for a change.
@@ -60,14 +56,15 @@
 #: A feeder is taken for good again when the copy is this new, so that one that is just
 #: about late doesn't cost a reading of the store each second.
 GOOD = timedelta(seconds=0.9)
-#: Instances that are asked in a row while each says that it doesn't feed: those near,
-#: then some of others, of which a third may be turned away too.
-MOST_DECLINED = 6
-#: After so long a feeder of another data centre is left for one that is near.
-FAR_TIME = timedelta(seconds=10)
 #: An instance that has just started reads the store itself; only after this is it fed
 #: all of the copies. A reading takes some 50 ms.
 FIRST_READ_TIME = timedelta(seconds=0.3)
+#: An instance that the store hasn't served for this long, some tries, tells those whom
+#: it feeds to ask others.
+UNSERVED = timedelta(seconds=0.3)
+#: An instance that watches no longer, since others joined, goes on while it is asked
+#: for this long: whom it feeds reads who the others are less often.
+HANDOVER = timedelta(seconds=20)
 
 
 class Relay:
@@ -101,26 +98,36 @@
         self._metrics = metrics
         self._registration = registration
         self._watchers = Watchers(registration)
-        self._feeder: str | None = None
-        self._chosen_at = float("-inf")
+        self._choice = FeederChoice(self._watchers, clock, lambda: calls.reachable)
         self._heard_at = float("-inf")
         #: When each prefix was surely complete by the feeder's word: one may be up to
         #: date, another not.
         self._complete_at = dict.fromkeys(self._followers, float("-inf"))
-        self._silent: dict[str, float] = {}
-        #: Instances that said since the last look that they don't feed.
-        self._declined = 0
         self._fed = False
-        feeds = Feeder(self._followers, links, clock, self._may_feed)
+        self._ranked_at = float("-inf")
+        feeds = Feeder(self._followers, links, clock, self._may_feed, self._on_asked)
+        self._feeds = feeds
         calls.on_success(feeds.note_served)
+        for follower in self._followers.values():
+            follower.on_resumed = self._check_soon
+        links.on(RelayUnserved, self._on_unserved)
         links.on_work(RelayChanges, self._on_changes)
         links.on_work(RelayCopy, self._on_copy)
         links.on_work(RelayCurrent, self._on_current)
 
     @property
     def watches(self) -> bool:
-        """Whether this instance is one of those that watch the store."""
-        return self._watchers.is_own()
+        """Whether this instance is one of those that watch the store for others."""
+        return self._watchers.is_own() or self._hands_over() or self._stands_in()
+
+    def _hands_over(self) -> bool:
+        """Return whether it was one until lately and is still asked."""
+        age = self._clock.monotonic() - self._ranked_at
+        return age < HANDOVER.total_seconds() and self._feeds.has_subscribers()
+
+    def _stands_in(self) -> bool:
+        """Return whether it feeds others because nobody feeds it."""
+        return not self._fed and self._feeds.has_subscribers()
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Subscribe and look at the feed, until cancelled."""
@@ -137,51 +144,84 @@
     def _may_feed(self) -> bool:
         return self._calls.reachable and self.watches
 
+    def _is_unserved(self) -> bool:
+        if self._calls.reachable:
+            return False
+        age = self._clock.monotonic() - self._calls.unreachable_since
+        return age > UNSERVED.total_seconds()
+
     def _look_at_feed(self) -> None:
         """Choose a feeder where one is wanted, and leave one that is late.
 
         Another one is tried first; when that doesn't help in time the store is read.
         """
         now = self._clock.monotonic()
-        self._declined = 0
         self._show_age(now)
-        if self._registration.is_settled and self.watches:
+        if self._is_unserved():
+            self._feeds.turn_away()
+        if self._registration.is_settled and self._watchers.is_own():
+            self._ranked_at = now
             for follower in self._followers.values():
                 follower.begin_watching()
-        if self.watches and self._calls.reachable:
-            self._feeder = None
+        ranked = self._watchers.is_own() or self._hands_over()
+        if ranked and self._calls.reachable:
+            self._choice.leave()
             self._set_fed(False, "watches itself")
             return
         age = now - min(self._complete_at.values())
-        is_late = age > SUSPECT.total_seconds() < now - self._chosen_at
-        if is_late or self._is_far_for_long(now):
-            self._choose_feeder(now)
+        is_late = age > SUSPECT.total_seconds() and self._choice.is_due()
+        if is_late or self._choice.is_far_for_long():
+            self._choose_feeder()
         if age > LATE.total_seconds():
             heard = now - self._heard_at <= LATE.total_seconds()
             self._set_fed(False, "late" if heard else "silence", age)
 
-    def _is_far_for_long(self, now: float) -> bool:
-        if self._feeder is None or not self._watchers.is_far(self._feeder):
-            return False
-        return now - self._chosen_at > FAR_TIME.total_seconds()
-
-    def _choose_feeder(self, now: float) -> None:
-        if self._feeder is not None:
-            self._silent[self._feeder] = now
-        far_since = float("inf") if self._calls.reachable else now - SILENT_MEMORY
-        self._feeder = self._watchers.choose_feeder(self._silent, far_since)
-        self._chosen_at = now
+    def _choose_feeder(self) -> None:
+        if self._choice.feeder is not None:
+            # Should nobody feed this instance it must know whether reading is of use.
+            self._registration.try_soon()
+        self._choice.turn_to_next()
         self._tell()
 
+    def _on_unserved(self, sender: str, message: Message) -> None:
+        """Ask somebody else at once, who hasn't been found silent just now."""
+        if sender != self._choice.feeder:
+            return
+        if self._choice.turn_to_other():
+            self._tell()
+        else:
+            self._stand_in()
+
+    def _check_soon(self) -> None:
+        """Have a call served now, so that those whom this instance feeds know it.
+
+        Until the next renewal their copies would age for a second, on top of the pause.
+        """
+        if self._feeds.has_subscribers():
+            self._registration.try_soon()
+
+    def _on_asked(self, sender: str) -> None:
+        """Send away who can't be fed here, or begin to watch for it."""
+        if self._is_unserved():
+            self._links.send(sender, RelayUnserved())
+        elif self._choice.find_other() is None:
+            self._stand_in()
+
+    def _stand_in(self) -> None:
+        """Read the store at once if others ask and nobody is left to feed this one."""
+        if self._calls.reachable and self._feeds.has_subscribers():
+            self._set_fed(False, "stands in")
+
     def _tell(self) -> None:
         """Renew the subscription; that also acknowledges what came."""
-        if self._feeder is None:
+        feeder = self._choice.feeder
+        if feeder is None:
             return
         revisions = {
             prefix: follower.revision if follower.known else 0
             for prefix, follower in self._followers.items()
         }
-        self._links.send(self._feeder, RelaySubscribe(revisions))
+        self._links.send(feeder, RelaySubscribe(revisions))
 
     def _show_age(self, now: float) -> None:
         """Show how long ago the older of the copies was surely complete."""
@@ -193,10 +233,13 @@
         if fed == self._fed:
             return
         self._fed = fed
+        if fed:
+            # Those whom this instance has fed meanwhile.
+            self._feeds.turn_away()
         self._events.emit(
             Events.FEED,
             fed=fed,
-            feeder=self._feeder,
+            feeder=self._choice.feeder,
             reason=reason,
             age_ms=round(age * 1000) if isfinite(age) else None,
         )
@@ -238,8 +281,6 @@
 
     def _on_current(self, sender: str, message: Message, way: float) -> None:
         assert isinstance(message, RelayCurrent)
-        if not message.states:
-            self._note_declined(sender)
         for prefix, state in message.states.items():
             follower = self._take_from(sender, prefix)
             if follower is None or not follower.known:
@@ -247,23 +288,8 @@
             if follower.revision >= state.latest_change:
                 self._note_complete(follower, state.revision, state.current_age + way)
 
-    def _note_declined(self, sender: str) -> None:
-        """Turn to another one at once; at the next look where nobody feeds now.
-
-        An instance that the store serves reads it in time, and doesn't add to what its
-        feeders have to do while they are late.
-        """
-        if sender != self._feeder or self._calls.reachable:
-            return
-        self._declined += 1
-        if self._declined < MOST_DECLINED:
-            self._choose_feeder(self._clock.monotonic())
-        else:
-            self._silent[sender] = self._clock.monotonic()
-            self._feeder, self._chosen_at = None, float("-inf")
-
     def _take_from(self, sender: str, prefix: str) -> PrefixFollower | None:
-        if sender != self._feeder:
+        if sender != self._choice.feeder:
             return None
         self._heard_at = self._clock.monotonic()
         return self._followers.get(prefix)
--- a/walkcart/store/following.py
+++ b/walkcart/store/following.py
@@ -21,6 +21,7 @@
 from walkcart.kernel.events import Events
 from walkcart.store.backoff import Backoff
 from walkcart.store.calls import StoreCalls, StoreUnavailable
+from walkcart.store.currency import Currency
 from walkcart.store.history import ChangeHistory
 from walkcart.store.items import (
     Change,
@@ -37,10 +38,10 @@
 #: silent is found by probes (`walkcart.store.calls.PROBE`), not by this.
 WATCH_WAIT = timedelta(seconds=20)
 #: Pause after a watch returned with changes: a burst of changes is taken at once.
-BURST_PAUSE = timedelta(milliseconds=100)
+BURST_PAUSE = timedelta(milliseconds=250)
 #: Times as long a pause after a watch that brought only changes that matter to nobody:
 #: leafs that start together change their entries each second or so.
-IDLE_PAUSES = 2
+IDLE_PAUSES = 1.25
 
 #: Longest pause between the first reading and the first watch, unless this instance is
 #: known to be one that watches: one that another one feeds is fed by then, also where
@@ -48,6 +49,13 @@
 #: the 6.6 calls of each of 84 instances that started at once, in a test's network.
 FIRST_WATCH_PAUSE = timedelta(seconds=3)
 
+#: Longest wait, after a failure, until some other call is served: the renewals of the
+#: lease try the service again at a tenth of a call. Past it the copy tries for itself.
+RETURN_PATIENCE = timedelta(seconds=15)
+#: Pause after the service came back, for whoever doesn't watch for others: those that
+#: do read at once and pass on what they read, so that not all read everything.
+FEED_PATIENCE = timedelta(seconds=1)
+
 #: Told the old and the new value of an item; whether the difference matters to anyone.
 DifferenceTest = Callable[[bytes, bytes], bool]
 
@@ -105,8 +113,7 @@
         self._history = ChangeHistory()
         self._must_read = True
         self._working: trio.CancelScope | None = None
-        self._waiting = False
-        self._confirmed_at = float("-inf")
+        self._currency = Currency(calls, clock)
         self._fed = False
         self._feed_lost = trio.Event()
         self._wanted = trio.Event()
@@ -114,6 +121,10 @@
         self.revision = 0
         self.known = False
         self.on_change: Callable[[PrefixFollower], None] = lambda follower: None
+        #: Called after a watch has brought all that was stored.
+        self.on_current: Callable[[], None] = lambda: None
+        #: Called when the next watch begins after a pause.
+        self.on_resumed: Callable[[], None] = lambda: None
         calls.on_back(self.watch_anew)
 
     def items(self) -> Iterable[Item]:
@@ -128,10 +139,7 @@
     @property
     def current_at(self) -> float:
         """Time at which the copy surely held all that was stored."""
-        if self._waiting:
-            # Nothing came by the watch, and the store answered some call then.
-            return max(self._confirmed_at, self._calls.last_success)
-        return self._confirmed_at
+        return self._currency.find()
 
     def find_age(self) -> float:
         """Return the seconds since then; infinite before the first reading."""
@@ -140,7 +148,7 @@
     def note_current(self, revision: int, at: float) -> None:
         """Note that the copy held all that was stored at a time, up to a revision."""
         self.revision = max(self.revision, revision)
-        self._confirmed_at = max(self._confirmed_at, at)
+        self._currency.note(at)
 
     def changes_after(self, revision: int) -> tuple[Change, ...] | None:
         """Return the latest change of each key after a revision; None if unknown."""
@@ -151,7 +159,7 @@
 
         A reading goes on: each of its calls has a time limit.
         """
-        if self._working is not None and self._waiting:
+        if self._working is not None and self._currency.waiting:
             self._working.cancel()
 
     def begin_watching(self) -> None:
@@ -183,6 +191,7 @@
 
     async def _work(self) -> None:
         """Read everything if that is needed, then watch once."""
+        await self._wait_for_service()
         try:
             if not self.known:
                 await self._read_all(fresh=self._first_fresh)
@@ -197,6 +206,15 @@
             # Logged by the calls, which know whether it is the first failure.
             await trio.sleep(self._backoff.advance().total_seconds())
 
+    async def _wait_for_service(self) -> None:
+        """Wait until it is worth to call again."""
+        if not self.known or self._calls.reachable:
+            return
+        with trio.move_on_after(RETURN_PATIENCE.total_seconds()):
+            await self._calls.wait_reachable()
+            with trio.move_on_after(FEED_PATIENCE.total_seconds()):
+                await self._wanted.wait()
+
     def _is_behind(self) -> bool:
         """Return whether so much may have changed that a reading is shorter."""
         if self._read_past is None:
@@ -205,11 +223,8 @@
         return age > self._read_past.total_seconds()
 
     async def _watch(self) -> Changes | HistoryLost:
-        self._waiting = True
-        try:
+        with self._currency.watch():
             return await self._store.watch(self.prefix, self.revision, WATCH_WAIT)
-        finally:
-            self._waiting = False
 
     async def _read_all(self, fresh: bool) -> None:
         """Read everything and take it as the copy."""
@@ -217,7 +232,7 @@
         reading = await read_prefix(self._store, self.prefix, fresh)
         if fresh:
             # Before listeners hear of it: they pass on what is current.
-            self._confirmed_at = max(self._confirmed_at, began_at)
+            self._currency.note(began_at)
         self.replace(reading.items, reading.revision)
 
     def replace(
@@ -261,12 +276,15 @@
                 )
                 self._must_read = True
             case Changes(changes, revision):
-                self._confirmed_at = self._clock.monotonic()
+                whole = self._currency.take(changes)
                 pause = self._pause.total_seconds()
-                if self.apply(changes, revision):
+                if not self.apply(changes, revision):
+                    pause *= IDLE_PAUSES
+                if whole:
+                    self.on_current()
+                if changes and whole:
                     await trio.sleep(pause)
-                elif changes:
-                    await trio.sleep(pause * IDLE_PAUSES)
+                    self.on_resumed()
 
     def apply(
         self, changes: Iterable[Change], revision: int, origin: Origin = Origin()
--- a/walkcart/wire/messages.py
+++ b/walkcart/wire/messages.py
@@ -36,6 +36,7 @@
     RelayCopy,
     RelayCurrent,
     RelaySubscribe,
+    RelayUnserved,
 )
 
 
@@ -270,6 +271,7 @@
     | RelayChanges
     | RelayCopy
     | RelayCurrent
+    | RelayUnserved
     | QuarantineNews
     | QuotaAsk
     | QuotaGrant
