Let only a later life take a share of cold leafs over on a kept lease

Two lives on one lease, the former one suspended and awake again, took it from each other in turn (new test). Neither would have used it: who takes a share waits for the window.

--- a/walkcart/membership/coldshares.py
+++ b/walkcart/membership/coldshares.py
@@ -211,8 +211,9 @@
                     # An answer that was lost may have been of a call that was done.
                     self._take(data_centre, share, item, lease)
                     return True
-                if item.lease == lease.id:
-                    # Of a former life; its revision tells that one, should it go on.
+                if item.lease == lease.id and item.value < value:
+                    # Of a life that began earlier; the new revision tells that one,
+                    # should it go on.
                     expected = ((key, item.revision),)
                     outcome = await self._store.commit(Transaction(expected, (put,)))
         if isinstance(outcome, Committed):
