--- a/walkcart/membership/relaying.py
+++ b/walkcart/membership/relaying.py
@@ -59,8 +59,7 @@
 #: An instance that has just started reads the store itself; only after this is it fed
 #: all of the copies. A reading takes some 50 ms.
 FIRST_READ_TIME = timedelta(seconds=0.3)
-#: An instance that the store hasn't served for this long, some tries, tells those whom
-#: it feeds to ask others.
+#: Who wasn't served by the store for this long, some tries, sends its subscribers away.
 UNSERVED = timedelta(seconds=0.3)
 #: An instance that watches no longer, since others joined, goes on while it is asked
 #: for this long: whom it feeds reads who the others are less often.
@@ -144,12 +143,6 @@
     def _may_feed(self) -> bool:
         return self._calls.reachable and self.watches
 
-    def _is_unserved(self) -> bool:
-        if self._calls.reachable:
-            return False
-        age = self._clock.monotonic() - self._calls.unreachable_since
-        return age > UNSERVED.total_seconds()
-
     def _look_at_feed(self) -> None:
         """Choose a feeder where one is wanted, and leave one that is late.
 
@@ -157,7 +150,7 @@
         """
         now = self._clock.monotonic()
         self._show_age(now)
-        if self._is_unserved():
+        if self._calls.unserved_time() > UNSERVED.total_seconds():
             self._feeds.turn_away()
         if self._registration.is_settled and self._watchers.is_own():
             self._ranked_at = now
@@ -192,16 +185,13 @@
             self._stand_in()
 
     def _check_soon(self) -> None:
-        """Have a call served now, so that those whom this instance feeds know it.
-
-        Until the next renewal their copies would age for a second, on top of the pause.
-        """
+        """Have a call served now: the copies of those whom this one feeds have aged."""
         if self._feeds.has_subscribers():
             self._registration.try_soon()
 
     def _on_asked(self, sender: str) -> None:
         """Send away who can't be fed here, or begin to watch for it."""
-        if self._is_unserved():
+        if self._calls.unserved_time() > UNSERVED.total_seconds():
             self._links.send(sender, RelayUnserved())
         elif self._choice.find_other() is None:
             self._stand_in()
--- a/walkcart/store/calls.py
+++ b/walkcart/store/calls.py
@@ -87,8 +87,7 @@
         self.last_success = clock.monotonic()
         #: When calls began to succeed again after a failure, or since the start.
         self.reachable_since = self.last_success
-        #: When calls began to fail after a success.
-        self.unreachable_since = float("inf")
+        self._unreachable_since = self.last_success
         self._on_back: list[Callable[[], None]] = []
         self._on_success: list[Callable[[], None]] = []
         self._on_away: list[Callable[[], None]] = []
@@ -112,6 +111,12 @@
         """Call `listener` after each call that the service served."""
         self._on_success.append(listener)
 
+    def unserved_time(self) -> float:
+        """Return the seconds since calls began to fail; 0 while they succeed."""
+        if self.reachable:
+            return 0.0
+        return self._clock.monotonic() - self._unreachable_since
+
     async def wait_reachable(self) -> None:
         """Wait until the service serves this instance, as far as it is known."""
         await self._back.wait()
@@ -188,7 +193,7 @@
         if self.reachable:
             self._events.emit(Events.STORE_FAILED, detail=detail)
             self.reachable = False
-            self.unreachable_since = self._clock.monotonic()
+            self._unreachable_since = self._clock.monotonic()
             self._back = trio.Event()
             for listener in self._on_away:
                 listener()
