--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -230,6 +230,7 @@
                 held = item.left or not item.arrived
                 item.may_repeat = held or self._sends.take_repeat(item, now)
             item.left, item.next_at, item.given_up = False, None, True
+            item.closed = True
         tries = tuple(self._tries.values())
         self._handing.settle(
             make_answer(tries, (), self._sends.sent, self._sends.repeats)
@@ -275,21 +276,21 @@
             attempt, outcome = self._inbox.popleft()
             item = self._sends.find(attempt)
             item.under_way.pop(attempt.id, None)
-            self._take_outcome(item, outcome)
+            self._take_outcome(item, attempt.leaf_id, outcome)
         self._covered += self._elsewhere.take_in()
 
-    def _take_outcome(self, item: ServiceTry, outcome: Outcome) -> None:
+    def _take_outcome(self, item: ServiceTry, leaf_id: str, outcome: Outcome) -> None:
         now = self._tools.clock.monotonic()
         match outcome:
             case Replied(status=status) if (
                 status < SERVER_FAILURE or not self._question.idempotent
             ):
-                item.ran += 1
+                item.note_ran(leaf_id)
                 self._watch_reply(item, status)
                 self._accept(item, outcome)
                 return
             case Replied(status=status):
-                item.ran += 1
+                item.note_ran(leaf_id)
                 self._watch_reply(item, status)
                 item.failure = outcome
                 item.reason = Reason.LEAF_FAILED
@@ -304,15 +305,15 @@
                 # It reached no leaf, so it is no repeat when it is sent again.
                 item.arrived -= 1
             case Failed(MayHaveRun(reason=Reason.LEAF_ENDED)):
-                item.ran += 1
+                item.note_ran(leaf_id)
                 item.ended += 1
                 self._watch.note_ended(item.service)
             case Failed(MayHaveRun() as verdict):
                 self._watch.note_failed(item.service)
-                item.ran += 1
+                item.note_ran(leaf_id)
+                item.lost_at.add(leaf_id)
                 item.reason = verdict.reason
-        if not self._handed:
-            self._sends.plan(item, now)
+        self._sends.plan(item, now)
 
     def _watch_reply(self, item: ServiceTry, status: int) -> None:
         """Note that a leaf replied; only a success shows that it ran the question.
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -82,7 +82,7 @@
             return
         if item.arrived and not self.take_repeat(item, now):
             return
-        if item.arrived and self._is_left(leaf):
+        if item.arrived and leaf.id not in item.ran_at and self._is_left(leaf):
             item.left = not item.regrouped
             item.given_up = item.regrouped
             return
@@ -126,8 +126,8 @@
             item.given_up = True
             return
         leaves = self._tools.pool.leaves_of(item.service)
-        untried = any(leaf.id not in item.tried for leaf in leaves)
-        item.next_at = now if untried else now + RETRY_DELAY
+        ready = any(leaf.id not in item.tried for leaf in leaves) or item.lost_at
+        item.next_at = now if ready else now + RETRY_DELAY
 
     def due_at(self, item: ServiceTry) -> float:
         """Return when the next planned attempt is due; infinite when none may be."""
@@ -188,10 +188,14 @@
     def _may_try(self, item: ServiceTry, now: float) -> bool:
         if item.ran and not self._question.idempotent:
             return False
-        if item.may_run >= self._question.most_attempts:
+        if not (self._may_add_leaf(item) or item.lost_at):
             return False
         return len(item.tried) < MOST_TRIES and self._has_time(now)
 
+    def _may_add_leaf(self, item: ServiceTry) -> bool:
+        """Return whether a leaf may get the question that didn't have it."""
+        return not item.closed and item.may_run < self._question.most_attempts
+
     def _has_time(self, now: float) -> bool:
         times = self._tools.pool.times_of(
             self._question.kind, Distance.SAME_DATA_CENTRE
@@ -200,8 +204,17 @@
         return now + usual * WORTHWHILE_SHARE < self._question.deadline
 
     def _choose(self, item: ServiceTry, now: float) -> Leaf | None:
+        """Return the leaf for the next attempt, or None when none may get it.
+
+        Where no other leaf may run the question, one whose answer was lost is asked
+        once more, on another connection: it has run it already.
+        """
         pool = self._tools.pool
         kind = self._question.kind
+        if not self._may_add_leaf(item):
+            leaves = {leaf.id for leaf in pool.leaves_of(item.service)}
+            others = frozenset(leaves - item.lost_at)
+            return pool.choose(item.service, kind, others, self._objective, now)
         leaf = pool.choose(
             item.service, kind, frozenset(item.tried), self._objective, now
         )
@@ -270,7 +283,9 @@
             kind=question.kind,
             regions=question.regions,
         )
-        item.under_way[attempt.id] = Sent(leaf, now, *self._find_hedge_times(leaf, now))
+        again = leaf.id in item.ran_at
+        times = self._find_hedge_times(leaf, now)
+        item.under_way[attempt.id] = Sent(leaf, now, *times, again=again)
         item.tried.append(leaf.id)
         item.places.add(leaf.place)
         item.arrived += 1
--- a/walkcart/fanout/servicetry.py
+++ b/walkcart/fanout/servicetry.py
@@ -20,12 +20,14 @@
         at: when it was sent, in seconds.
         hedge_at: when a second one is due beside it.
         last_hedge_at: until when that one may wait for a leaf with a free slot.
+        again: whether the leaf may have run the question before.
     """
 
     leaf: Leaf
     at: float
     hedge_at: float
     last_hedge_at: float = float("-inf")
+    again: bool = False
 
 
 @dataclass(slots=True)
@@ -41,7 +43,10 @@
         under_way: attempts by id.
         tried: ids of leafs that got it, in order.
         arrived: attempts that may have reached a leaf.
-        ran: attempts that may have run.
+        ran: leafs that may have run it, whether asked from here or elsewhere.
+        ran_at: ids of those among them that were asked from here.
+        lost_at: ids of those among these that live and whose answer was lost.
+        closed: whether no leaf may get it any longer that didn't have it.
         ended: leafs that ended under it.
         next_at: when the next attempt is due; None when none is.
         given_up: whether no further attempt will be made.
@@ -66,6 +71,9 @@
     tried: list[str] = field(default_factory=list)
     arrived: int = 0
     ran: int = 0
+    ran_at: set[str] = field(default_factory=set)
+    lost_at: set[str] = field(default_factory=set)
+    closed: bool = False
     ended: int = 0
     next_at: float | None = None
     given_up: bool = False
@@ -100,8 +108,16 @@
 
     @property
     def may_run(self) -> int:
-        """Attempts that ran, may have run, or may run yet.
+        """Leafs that ran it, may have run it, or may run it yet.
 
-        One that another instance makes counts, also beside one of this instance's.
+        One that another instance asks counts, also beside one of this instance's. A
+        leaf that gets it once more counts once.
         """
-        return self.ran + len(self.under_way) + int(self.delegated)
+        first = sum(1 for sent in self.under_way.values() if not sent.again)
+        return self.ran + first + int(self.delegated)
+
+    def note_ran(self, leaf_id: str) -> None:
+        """Note that a leaf that was asked from here may have run it."""
+        if leaf_id not in self.ran_at:
+            self.ran_at.add(leaf_id)
+            self.ran += 1
--- a/walkcart/standins/memory.py
+++ b/walkcart/standins/memory.py
@@ -107,8 +107,11 @@
         """Return `address` with a free port in place of 0."""
         if address.port:
             return address
-        self._next_port += 1
-        return HostPort(address.host, self._next_port)
+        while True:
+            self._next_port += 1
+            free = HostPort(address.host, self._next_port)
+            if free not in self._listeners:
+                return free
 
     def add_listener(
         self, address: HostPort, site: str, link: MachineLink | None = None
