--- a/walkcart/bench/routed/instances.py
+++ b/walkcart/bench/routed/instances.py
@@ -119,8 +119,8 @@
         left = [item for item in leaves if item.id not in without]
         return self._random.choice(left) if left else None
 
-    def _note_failure(self, leaf: Leaf, now: float) -> None:
-        super()._note_failure(leaf, now)
+    def _note_failure(self, leaf: Leaf, now: float, lost: bool = False) -> None:
+        super()._note_failure(leaf, now, lost)
         if not self._policy.eject:
             leaf.ejection.note_success()
 
