--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 from walkcart.fanout.crashwatch import CrashWatch
+from walkcart.fanout.leafchoice import LeafChoice
 from walkcart.fanout.routedquestion import RoutedQuestion
 from walkcart.fanout.routedtools import RoutedTools
 from walkcart.fanout.servicetry import Sent, ServiceTry
@@ -23,9 +24,6 @@
 RETRY_DELAY = 0.03
 #: Tries at one service at the most, whatever came of them.
 MOST_TRIES = 6
-#: Times that one leaf gets a question whose answers it loses: of ten answers of which
-#: it loses four, less than one is lost three times.
-MOST_TIMES = 3
 #: Seconds after which a request that must not repeat, and of which nothing was sent for
 #: want of a connection, goes to another leaf: some round trips between regions.
 CONNECTION_TIME = 0.12
@@ -59,7 +57,7 @@
         self._watch = watch
         self._attempts: dict[str, ServiceTry] = {}
         time = min(question.objective_at, question.deadline) - tools.clock.monotonic()
-        self._objective = max(0.0, time)
+        self._choice = LeafChoice(tools, question, max(0.0, time))
         #: Whether attempts at leafs in other regions are left to be sent together.
         self._leaves_far = question.settle_at < float("inf")
         self._may_repeat = not question.first_only
@@ -77,7 +75,7 @@
     def try_next(self, item: ServiceTry, now: float) -> None:
         """Send the next attempt, to a leaf that wasn't tried if there is one."""
         item.next_at = None
-        leaf = self._choose(item, now)
+        leaf = self._choice.choose(item, now)
         if leaf is None:
             item.reason = Reason.NO_LEAF
             if not self._question.whole_parts:
@@ -93,12 +91,7 @@
 
     def send_elsewhere(self, item: ServiceTry, now: float) -> None:
         """Send an attempt that the budget holds, to a leaf in a place not asked yet."""
-        leaves = self._tools.pool.leaves_of(item.service)
-        asked = {leaf.id for leaf in leaves if leaf.place in item.places}
-        without = frozenset(asked.union(item.tried))
-        leaf = self._tools.pool.choose(
-            item.service, self._question.kind, without, self._objective, now
-        )
+        leaf = self._choice.choose_elsewhere(item, now)
         if leaf is None:
             item.reason = Reason.NO_LEAF
             item.given_up = True
@@ -123,14 +116,14 @@
 
     def plan(self, item: ServiceTry, now: float) -> None:
         """Decide whether and when a service is tried again after a failure."""
-        if item.covered or item.under_way:
+        if item.covered or item.under_way or item.delegated:
             return
         if not self._may_try(item, now):
             item.given_up = True
             return
         leaves = self._tools.pool.leaves_of(item.service)
         ready = any(leaf.id not in item.tried for leaf in leaves)
-        ready = ready or bool(self._find_askable(item))
+        ready = ready or bool(self._choice.find_askable(item))
         item.next_at = now if ready else now + RETRY_DELAY
 
     def due_at(self, item: ServiceTry) -> float:
@@ -161,9 +154,7 @@
         if not self._question.idempotent:
             item.given_up = True
             return
-        leaf = pool.choose(
-            item.service, kind, frozenset(item.tried), self._objective, now
-        )
+        leaf = self._choice.choose_untried(item, now)
         if leaf is not None and self._postpone(item, leaf, now):
             return
         if leaf is None or self._is_left(leaf) or not self.take_repeat(item, now):
@@ -192,18 +183,10 @@
     def _may_try(self, item: ServiceTry, now: float) -> bool:
         if item.ran and not self._question.idempotent:
             return False
-        if not (self._may_add_leaf(item) or self._find_askable(item)):
+        if not (self._choice.may_add(item) or self._choice.find_askable(item)):
             return False
         return len(item.tried) < MOST_TRIES and self._has_time(now)
 
-    def _find_askable(self, item: ServiceTry) -> set[str]:
-        """Return the leafs that lost its answer and may be asked for it once more."""
-        return {id for id in item.lost_at if item.tried.count(id) < MOST_TIMES}
-
-    def _may_add_leaf(self, item: ServiceTry) -> bool:
-        """Return whether a leaf may get the question that didn't have it."""
-        return not item.closed and item.may_run < self._question.most_attempts
-
     def _has_time(self, now: float) -> bool:
         times = self._tools.pool.times_of(
             self._question.kind, Distance.SAME_DATA_CENTRE
@@ -211,25 +194,6 @@
         usual = times.median(now)
         return now + usual * WORTHWHILE_SHARE < self._question.deadline
 
-    def _choose(self, item: ServiceTry, now: float) -> Leaf | None:
-        """Return the leaf for the next attempt, or None when none may get it.
-
-        Where no other leaf may run the question, one whose answer was lost is asked
-        once more, on another connection: it has run it already.
-        """
-        pool = self._tools.pool
-        kind = self._question.kind
-        if not self._may_add_leaf(item):
-            leaves = {leaf.id for leaf in pool.leaves_of(item.service)}
-            others = frozenset(leaves - self._find_askable(item))
-            return pool.choose(item.service, kind, others, self._objective, now)
-        leaf = pool.choose(
-            item.service, kind, frozenset(item.tried), self._objective, now
-        )
-        if leaf is None and item.tried:
-            leaf = pool.choose(item.service, kind, frozenset(), self._objective, now)
-        return leaf
-
     def _is_left(self, leaf: Leaf) -> bool:
         """Return whether attempts at a leaf are left to be sent with others."""
         far = self._tools.pool.distance_to(leaf) is Distance.OTHER_REGION
@@ -264,7 +228,10 @@
     def _take_lent(self, item: ServiceTry) -> bool:
         """Take a repeat that who asked lends; only once its word has come."""
         lent = self._question.lent
-        return self._may_repeat and lent is not None and lent.take(item.service)
+        if not self._may_repeat or lent is None or not lent.take(item.service):
+            return False
+        self._tools.metrics.count("leaf.repeat_lent")
+        return True
 
     def _find_hedge_times(self, leaf: Leaf, now: float) -> tuple[float, float]:
         """Return from when and until when a second attempt is due beside one at `leaf`.
@@ -307,6 +274,8 @@
             regions=question.regions,
         )
         again = leaf.id in item.ran_at
+        if again:
+            self._tools.metrics.count("leaf.asked_again")
         times = self._find_hedge_times(leaf, now)
         item.under_way[attempt.id] = Sent(leaf, now, *times, again=again)
         item.tried.append(leaf.id)
--- a/walkcart/kernel/metrics.py
+++ b/walkcart/kernel/metrics.py
@@ -49,6 +49,12 @@
         "counter", "requests", "Stopped just before they left: not allowed any more."
     ),
     "leaf.repeat_denied": Metric("counter", "requests", "Repeats past the budget."),
+    "leaf.repeat_lent": Metric(
+        "counter", "requests", "Repeats of the budget of who asked."
+    ),
+    "leaf.asked_again": Metric(
+        "counter", "requests", "To a leaf that lost its answer to the same question."
+    ),
     "leaf.late": Metric("counter", "replies", "Replies that nobody waited for."),
     "leaf.connections": Metric("gauge", "connections", "Open to leaves."),
     "peer.sent": Metric("counter", "messages", "Messages to peers."),
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -242,7 +242,7 @@
                 pass
             case Failed(MayHaveRun(Reason.CANCELLED)):
                 pass
-            case Failed(MayHaveRun()):
+            case Failed(MayHaveRun(Reason.LEAF_FAILED)):
                 self._note_failure(leaf, now, lost=True)
             case _:
                 self._note_failure(leaf, now)
--- a/walkcart/platform/tests/test_attempt_account.py
+++ b/walkcart/platform/tests/test_attempt_account.py
@@ -12,7 +12,7 @@
 import pytest
 import trio
 
-from walkcart.fanout.routedsends import MOST_TIMES
+from walkcart.fanout.leafchoice import MOST_TIMES
 from walkcart.membership.links import PeerLinks
 from walkcart.platform.tests.test_delegation import (
     count_arrived,
--- a/walkcart/platform/tests/test_lost_answers.py
+++ b/walkcart/platform/tests/test_lost_answers.py
@@ -12,7 +12,7 @@
 import trio
 
 from walkcart.bench.harness import run_mocked
-from walkcart.fanout.routedsends import MOST_TIMES
+from walkcart.fanout.leafchoice import MOST_TIMES
 from walkcart.platform.tests.platformworld import make_route, open_platform
 from walkcart.routing.repeats import RepeatBudget
 
