--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -361,10 +361,10 @@
             self._sends.send_left(self._tries.values(), now)
         may = may_send_second_attempts(self._tries.values())
         for item in late:
-            if may:
+            if may or (self._sends.is_long_late(now) and self._is_vital(item)):
                 self._sends.hedge(item, now)
             else:
-                item.given_up = True
+                self._sends.put_off(item, now)
 
     def _is_left_too_much(self, now: float) -> bool:
         """Return whether what was left to be handed over is asked for from here."""
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -17,6 +17,7 @@
     HEDGE_RESERVE,
     find_hedge_time,
     find_last_hedge_time,
+    find_second_look,
 )
 from walkcart.wire.verdicts import Reason
 
@@ -58,6 +59,10 @@
         self._attempts: dict[str, ServiceTry] = {}
         time = min(question.objective_at, question.deadline) - tools.clock.monotonic()
         self._choice = LeafChoice(tools, question, max(0.0, time))
+        #: When second attempts are looked at again that were put off.
+        self._second_look = find_second_look(
+            tools.clock.monotonic(), question.objective_at, question.deadline
+        )
         #: Whether attempts at leafs in other regions are left to be sent together.
         self._leaves_far = question.settle_at < float("inf")
         self._may_repeat = not question.first_only
@@ -165,6 +170,18 @@
         self._tools.metrics.count("leaf.hedged")
         self._send(item, leaf, now)
 
+    def is_long_late(self, now: float) -> bool:
+        """Return whether what hasn't replied by now is hardly late by load alone."""
+        return now >= self._second_look
+
+    def put_off(self, item: ServiceTry, now: float) -> None:
+        """Put a second attempt off until then: too much is late for it to help now."""
+        if self.is_long_late(now):
+            item.given_up = True
+            return
+        for id, sent in item.under_way.items():
+            item.under_way[id] = replace(sent, hedge_at=self._second_look)
+
     def _postpone(self, item: ServiceTry, leaf: Leaf, now: float) -> bool:
         """Put a second attempt off while its leaf is busy; return whether it was."""
         busy = leaf.outstanding + leaf.stated_load(now) >= leaf.slots
--- a/walkcart/platform/tests/test_second_attempts.py
+++ b/walkcart/platform/tests/test_second_attempts.py
@@ -48,3 +48,28 @@
     parts, elapsed = ask_with_a_paused_leaf(far_time=0.13)
     assert parts == OWN_SHARDS + FAR_SHARDS
     assert elapsed < 0.2
+
+
+def test_where_all_hang_at_once_second_attempts_go_at_half_of_the_time():
+    """Too much is late for them at first; without them there is no answer at all."""
+
+    async def run():
+        async with open_platform() as world:
+            shards = [f"own-{number}" for number in range(OWN_SHARDS)]
+            for shard in shards:
+                for data_centre in ("north-a", "south-a"):
+                    await world.start_leaf(f"{shard}-{data_centre}", shard, data_centre)
+            route = {"fanoutServices": shards, "topK": 3, "minCoverage": 0.9}
+            world.configure(make_route("all", "/all/", targetLatencyMs=200, **route))
+            await world.start_instance("asker", "north-a")
+            await world.wait_ready("asker")
+            await trio.sleep(10)
+            for shard in shards:
+                world.leafs[f"{shard}-north-a"].faults.delay = 60.0
+            start = trio.current_time()
+            reply = await world.ask("/all/x", "asker", deadline_ms=2000)
+            return reply.status, trio.current_time() - start
+
+    status, elapsed = run_mocked(run)
+    assert status == 200
+    assert 0.9 < elapsed < 1.2
--- a/walkcart/routing/kindtimes.py
+++ b/walkcart/routing/kindtimes.py
@@ -104,3 +104,25 @@
         return earliest
     latest = objective - OTHER_FACTOR * other_high - HEDGE_RESERVE
     return max(earliest, latest)
+
+
+def find_second_look(sent: float, objective: float, deadline: float) -> float:
+    """Return when second attempts are looked at again that too many late ones put off.
+
+    Where much is late at once the leafs have too much to do, and second attempts add to
+    it. What is late still when half of the time has passed is lost rather than late,
+    and without it there is no answer at all. The budget of repeats bounds these too.
+
+    Args:
+        sent: when the question was sent, in seconds.
+        objective: by when the reply is wanted; infinite when it doesn't matter.
+        deadline: when its caller leaves.
+
+    Examples:
+        >>> find_second_look(0.0, objective=0.3, deadline=4.0)
+        2.0
+        >>> find_second_look(0.0, objective=0.3, deadline=0.4)
+        0.3
+    """
+    half = (sent + deadline) / 2
+    return half if objective == float("inf") else max(half, objective)
