--- a/walkcart/fanout/peerselection.py
+++ b/walkcart/fanout/peerselection.py
@@ -46,6 +46,9 @@
     def _on_greeting(self, sender: str, message: Message) -> None:
         assert isinstance(message, Greeting)
         self._tools.accounts.note_greeting(sender)
+        if message.unheard:
+            # The connection by which this instance answers may have gone silent.
+            self._tools.links.renew(sender)
         if not message.answers:
             self._tools.links.send(sender, Greeting(answers=True))
 
@@ -87,6 +90,9 @@
         parts = len(wanted.services) * PART_TIME
         work = {name: parts / cores[name] for name in names[:CANDIDATES]}
         now = tools.clock.monotonic()
+        for name in tools.accounts.find_unheard(names[:CANDIDATES], now):
+            tools.links.renew(name)
+            tools.links.send(name, Greeting(unheard=True))
         name = tools.accounts.choose(names[:CANDIDATES], now, work)
         return tools.registration.find(name) if name else None
 
--- a/walkcart/routing/peerchoice.py
+++ b/walkcart/routing/peerchoice.py
@@ -42,6 +42,9 @@
 #: Seconds for which an instance that stayed silent gets nothing; doubles each time.
 FIRST_SILENCE = 0.5
 LONGEST_SILENCE = 4.0
+#: Seconds between two greetings of one that stayed silent: a fifth of what callers of
+#: the shortest objective wait for, so that one that is back is asked soon.
+GREETING_PAUSE = 0.2
 #: How much each question in progress adds to the expected time, as a share of it.
 PER_QUESTION = 0.1
 #: Another instance than the first of those for a group gets it only if that one is
@@ -63,6 +66,8 @@
     heard_at: float = float("-inf")
     silent_until: float = float("-inf")
     silence: float = FIRST_SILENCE
+    unheard: bool = False
+    greeted_at: float = float("-inf")
     round_trip: float = FIRST_ROUND_TRIP
 
 
@@ -82,13 +87,38 @@
             now: the present, in seconds.
             work: seconds for which the question keeps the processor of each.
         """
-        usable = [name for name in names if self._account(name).silent_until <= now]
+        usable = [
+            name
+            for name in names
+            if self._account(name).silent_until <= now
+            and not self._account(name).unheard
+        ]
         if not usable:
             return None
         times = {name: self._expect(name, now, work[name]) for name in usable}
         least = min(times.values())
         return next(name for name in usable if times[name] <= SWITCH_FACTOR * least)
 
+    def find_unheard(self, names: Sequence[str], now: float) -> list[str]:
+        """Return those to be greeted now: they stayed silent, and may be back.
+
+        A greeting that isn't answered costs no question the time to wait for a word.
+        The load it answers: a data centre that is lost, in a fleet whose instances have
+        a question each few seconds, so that each of them learned anew with each one.
+
+        Args:
+            names: of the instances that may be wanted.
+            now: the present, in seconds.
+        """
+        found = []
+        for name in names:
+            account = self._account(name)
+            due = max(account.silent_until, account.greeted_at + GREETING_PAUSE)
+            if account.unheard and due <= now:
+                account.greeted_at = now
+                found.append(name)
+        return found
+
     def note_sent(self, name: str, now: float) -> None:
         """Note that a question was sent."""
         self._account(name).in_progress += 1
@@ -101,18 +131,24 @@
         """Note the word that a question was taken, so many seconds after it went."""
         account = self._account(name)
         account.heard_at = now
+        account.unheard = False
         account.round_trip += ROUND_TRIP_GAIN * (elapsed - account.round_trip)
 
     def note_answer(self, name: str, now: float, elapsed: float) -> None:
         """Note an answer, so many seconds after the question."""
         account = self._account(name)
         account.heard_at = now
+        account.unheard = False
         account.time.observe(now, elapsed)
         account.silence = FIRST_SILENCE
 
     def note_silent(self, name: str, now: float) -> None:
-        """Note that an instance didn't answer in time."""
+        """Note that an instance didn't answer in time.
+
+        It gets nothing until it was heard of, and for some time in any case.
+        """
         account = self._account(name)
+        account.unheard = True
         limit = MOST_PATIENCE / TAKEN_ROUND_TRIPS
         account.round_trip = min(limit, account.round_trip * LOST_FACTOR)
         account.silent_until = now + account.silence
@@ -123,6 +159,7 @@
         account = self._account(name)
         account.silent_until = float("-inf")
         account.silence = FIRST_SILENCE
+        account.unheard = False
 
     def heard_at(self, name: str) -> float:
         """Return when an instance was heard of last."""
--- a/walkcart/routing/tests/test_peer_choice.py
+++ b/walkcart/routing/tests/test_peer_choice.py
@@ -50,3 +50,25 @@
     ]
     share = sum(cores[name] > 1 for name in firsts) / len(firsts)
     assert abs(share - 4.3 / 5.332) < 0.03
+
+
+def test_one_that_stayed_silent_is_greeted_and_asked_again_once_it_was_heard_of():
+    accounts = make_accounts(first=0.06, other=0.06)
+    names = ["first", "other"]
+    accounts.note_silent("first", 1.0)
+    assert choose(accounts, names) == "other"
+    assert accounts.find_unheard(names, 1.4) == []
+    assert accounts.find_unheard(names, 1.6) == ["first"]
+    assert accounts.find_unheard(names, 1.7) == []
+    assert accounts.choose(names, 60.0, dict.fromkeys(names, 0.0)) == "other"
+    accounts.note_greeting("first")
+    assert accounts.choose(names, 60.0, dict.fromkeys(names, 0.0)) == "first"
+    assert accounts.find_unheard(names, 60.0) == []
+
+
+def test_an_answer_that_comes_late_shows_that_an_instance_is_back():
+    accounts = make_accounts(first=0.06)
+    accounts.note_silent("first", 1.0)
+    accounts.note_answer("first", 1.2, 0.3)
+    assert choose(accounts, ["first"]) is None
+    assert accounts.choose(["first"], 1.6, {"first": 0.0}) == "first"
--- a/walkcart/wire/delegations.py
+++ b/walkcart/wire/delegations.py
@@ -184,6 +184,8 @@
 
     Args:
         answers: whether it answers one, and so needs no answer.
+        unheard: whether nothing was heard of the receiver since a question went there.
     """
 
     answers: bool = False
+    unheard: bool = False
