--- a/walkcart/fanout/dependence.py
+++ b/walkcart/fanout/dependence.py
@@ -11,10 +11,9 @@
 from __future__ import annotations
 
 from collections.abc import Collection
-from dataclasses import replace
 
 from walkcart.fanout.routedquestion import RoutedQuestion
-from walkcart.fanout.routedverdict import covers
+from walkcart.fanout.routedverdict import covers_share
 from walkcart.fanout.servicetry import ServiceTry
 from walkcart.routing.hedging import may_hedge
 
@@ -40,7 +39,7 @@
         if other is not item and (other.covered or (early and other.open))
     )
     least = max(question.least_coverage, question.fair_coverage)
-    return not covers(replace(question, least_coverage=least), others)
+    return not covers_share(least, len(question.services), others)
 
 
 def may_send_second_attempts(tries: Collection[ServiceTry]) -> bool:
--- a/walkcart/fanout/routedverdict.py
+++ b/walkcart/fanout/routedverdict.py
@@ -17,8 +17,12 @@
 
 def covers(question: RoutedQuestion, count: int) -> bool:
     """Return whether replies of `count` services are enough for an answer."""
-    needed = question.least_coverage * len(question.services)
-    return count > 0 and count >= needed - 1e-9
+    return covers_share(question.least_coverage, len(question.services), count)
+
+
+def covers_share(least: float, services: int, count: int) -> bool:
+    """Return whether replies of `count` among some services make up a share of them."""
+    return count > 0 and count >= least * services - 1e-9
 
 
 def judge(
