--- a/walkcart/fanout/dependence.py
+++ b/walkcart/fanout/dependence.py
@@ -13,7 +13,7 @@
 from collections.abc import Collection
 
 from walkcart.fanout.routedquestion import RoutedQuestion
-from walkcart.fanout.routedverdict import covers
+from walkcart.fanout.routedverdict import covers_share
 from walkcart.fanout.servicetry import ServiceTry
 from walkcart.routing.hedging import may_hedge
 
@@ -38,7 +38,8 @@
         for other in tries
         if other is not item and (other.covered or (early and other.open))
     )
-    return not covers(question, others)
+    least = max(question.least_coverage, question.fair_coverage)
+    return not covers_share(least, len(question.services), others)
 
 
 def may_send_second_attempts(tries: Collection[ServiceTry]) -> bool:
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -223,22 +223,30 @@
         assert self._handing is not None
         self._handed = True
         now = self._tools.clock.monotonic()
-        for item in self._tries.values():
+        tries = tuple(self._tries.values())
+        for item in tries:
             if item.covered:
                 continue
             if item.may_run < self._question.most_attempts:
                 held = item.left or not item.arrived
-                item.may_repeat = held or self._sends.take_repeat(item, now)
+                # It is asked for elsewhere now or not at all.
+                vital = is_vital(self._question, tries, item, early=False)
+                item.may_repeat = held or self._sends.take_repeat(item, now, vital)
             item.left, item.next_at, item.given_up = False, None, True
-        tries = tuple(self._tries.values())
-        self._handing.settle(
-            make_answer(tries, (), self._sends.sent, self._sends.repeats)
-        )
+            item.closed = True
+        waiting = [item.service for item in tries if not item.covered]
+        lent = self._question.lent
+        unspent = lent.release(without=waiting) if lent else ()
+        answer = make_answer(tries, (), self._sends.sent, self._sends.repeats)
+        self._handing.settle(answer, unspent)
 
     async def _wait(self) -> None:
         """Wait for an outcome or for the next time at which something is due."""
         if self._inbox or self._elsewhere.has_news:
             return
+        if not any(item.open for item in self._tries.values()):
+            # What was just done left nothing to wait for.
+            return
         self._wakeup = trio.Event()
         with trio.move_on_at(self._find_next_due()):
             await self._wakeup.wait()
@@ -275,21 +283,21 @@
             attempt, outcome = self._inbox.popleft()
             item = self._sends.find(attempt)
             item.under_way.pop(attempt.id, None)
-            self._take_outcome(item, outcome)
+            self._take_outcome(item, attempt.leaf_id, outcome)
         self._covered += self._elsewhere.take_in()
 
-    def _take_outcome(self, item: ServiceTry, outcome: Outcome) -> None:
+    def _take_outcome(self, item: ServiceTry, leaf_id: str, outcome: Outcome) -> None:
         now = self._tools.clock.monotonic()
         match outcome:
             case Replied(status=status) if (
                 status < SERVER_FAILURE or not self._question.idempotent
             ):
-                item.ran += 1
+                item.note_ran(leaf_id)
                 self._watch_reply(item, status)
                 self._accept(item, outcome)
                 return
             case Replied(status=status):
-                item.ran += 1
+                item.note_ran(leaf_id)
                 self._watch_reply(item, status)
                 item.failure = outcome
                 item.reason = Reason.LEAF_FAILED
@@ -304,15 +312,15 @@
                 # It reached no leaf, so it is no repeat when it is sent again.
                 item.arrived -= 1
             case Failed(MayHaveRun(reason=Reason.LEAF_ENDED)):
-                item.ran += 1
+                item.note_ran(leaf_id)
                 item.ended += 1
                 self._watch.note_ended(item.service)
             case Failed(MayHaveRun() as verdict):
                 self._watch.note_failed(item.service)
-                item.ran += 1
+                item.note_ran(leaf_id)
+                item.lost_at.add(leaf_id)
                 item.reason = verdict.reason
-        if not self._handed:
-            self._sends.plan(item, now)
+        self._sends.plan(item, now)
 
     def _watch_reply(self, item: ServiceTry, status: int) -> None:
         """Note that a leaf replied; only a success shows that it ran the question.
@@ -353,10 +361,10 @@
             self._sends.send_left(self._tries.values(), now)
         may = may_send_second_attempts(self._tries.values())
         for item in late:
-            if may:
+            if may or (self._sends.is_long_late(now) and self._is_vital(item)):
                 self._sends.hedge(item, now)
             else:
-                item.given_up = True
+                self._sends.put_off(item, now)
 
     def _is_left_too_much(self, now: float) -> bool:
         """Return whether what was left to be handed over is asked for from here."""
--- a/walkcart/fanout/routedquestion.py
+++ b/walkcart/fanout/routedquestion.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from walkcart.fanout.lentrepeats import LentRepeats
 from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
 from walkcart.intent.teams import Grant
 from walkcart.leaves.attempts import Replied
@@ -40,6 +41,9 @@
         team: name of the team that asks; empty where requests need no key.
         rank: 0 is the most urgent: its team's, else its route's.
         grant: by what it was let in; None where that isn't looked at.
+        fair_coverage: share of the services by which repeats are judged, where that is
+            more than an answer must cover.
+        lent: repeats that whoever asked lends.
     """
 
     id: str
@@ -62,6 +66,8 @@
     team: str = ""
     rank: int = 0
     grant: Grant | None = None
+    fair_coverage: float = 0.0
+    lent: LentRepeats | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 from walkcart.fanout.crashwatch import CrashWatch
+from walkcart.fanout.leafchoice import LeafChoice
 from walkcart.fanout.routedquestion import RoutedQuestion
 from walkcart.fanout.routedtools import RoutedTools
 from walkcart.fanout.servicetry import Sent, ServiceTry
@@ -16,6 +17,7 @@
     HEDGE_RESERVE,
     find_hedge_time,
     find_last_hedge_time,
+    find_second_look,
 )
 from walkcart.wire.verdicts import Reason
 
@@ -56,7 +58,11 @@
         self._watch = watch
         self._attempts: dict[str, ServiceTry] = {}
         time = min(question.objective_at, question.deadline) - tools.clock.monotonic()
-        self._objective = max(0.0, time)
+        self._choice = LeafChoice(tools, question, max(0.0, time))
+        #: When second attempts are looked at again that were put off.
+        self._second_look = find_second_look(
+            tools.clock.monotonic(), question.objective_at, question.deadline
+        )
         #: Whether attempts at leafs in other regions are left to be sent together.
         self._leaves_far = question.settle_at < float("inf")
         self._may_repeat = not question.first_only
@@ -74,7 +80,7 @@
     def try_next(self, item: ServiceTry, now: float) -> None:
         """Send the next attempt, to a leaf that wasn't tried if there is one."""
         item.next_at = None
-        leaf = self._choose(item, now)
+        leaf = self._choice.choose(item, now)
         if leaf is None:
             item.reason = Reason.NO_LEAF
             if not self._question.whole_parts:
@@ -82,7 +88,7 @@
             return
         if item.arrived and not self.take_repeat(item, now):
             return
-        if item.arrived and self._is_left(leaf):
+        if item.arrived and leaf.id not in item.ran_at and self._is_left(leaf):
             item.left = not item.regrouped
             item.given_up = item.regrouped
             return
@@ -90,12 +96,7 @@
 
     def send_elsewhere(self, item: ServiceTry, now: float) -> None:
         """Send an attempt that the budget holds, to a leaf in a place not asked yet."""
-        leaves = self._tools.pool.leaves_of(item.service)
-        asked = {leaf.id for leaf in leaves if leaf.place in item.places}
-        without = frozenset(asked.union(item.tried))
-        leaf = self._tools.pool.choose(
-            item.service, self._question.kind, without, self._objective, now
-        )
+        leaf = self._choice.choose_elsewhere(item, now)
         if leaf is None:
             item.reason = Reason.NO_LEAF
             item.given_up = True
@@ -120,14 +121,15 @@
 
     def plan(self, item: ServiceTry, now: float) -> None:
         """Decide whether and when a service is tried again after a failure."""
-        if item.covered or item.under_way:
+        if item.covered or item.under_way or item.delegated:
             return
         if not self._may_try(item, now):
             item.given_up = True
             return
         leaves = self._tools.pool.leaves_of(item.service)
-        untried = any(leaf.id not in item.tried for leaf in leaves)
-        item.next_at = now if untried else now + RETRY_DELAY
+        ready = any(leaf.id not in item.tried for leaf in leaves)
+        ready = ready or bool(self._choice.find_askable(item))
+        item.next_at = now if ready else now + RETRY_DELAY
 
     def due_at(self, item: ServiceTry) -> float:
         """Return when the next planned attempt is due; infinite when none may be."""
@@ -157,9 +159,7 @@
         if not self._question.idempotent:
             item.given_up = True
             return
-        leaf = pool.choose(
-            item.service, kind, frozenset(item.tried), self._objective, now
-        )
+        leaf = self._choice.choose_untried(item, now)
         if leaf is not None and self._postpone(item, leaf, now):
             return
         if leaf is None or self._is_left(leaf) or not self.take_repeat(item, now):
@@ -170,6 +170,18 @@
         self._tools.metrics.count("leaf.hedged")
         self._send(item, leaf, now)
 
+    def is_long_late(self, now: float) -> bool:
+        """Return whether what hasn't replied by now is hardly late by load alone."""
+        return now >= self._second_look
+
+    def put_off(self, item: ServiceTry, now: float) -> None:
+        """Put a second attempt off until then: too much is late for it to help now."""
+        if self.is_long_late(now):
+            item.given_up = True
+            return
+        for id, sent in item.under_way.items():
+            item.under_way[id] = replace(sent, hedge_at=self._second_look)
+
     def _postpone(self, item: ServiceTry, leaf: Leaf, now: float) -> bool:
         """Put a second attempt off while its leaf is busy; return whether it was."""
         busy = leaf.outstanding + leaf.stated_load(now) >= leaf.slots
@@ -188,7 +200,7 @@
     def _may_try(self, item: ServiceTry, now: float) -> bool:
         if item.ran and not self._question.idempotent:
             return False
-        if item.may_run >= self._question.most_attempts:
+        if not (self._choice.may_add(item) or self._choice.find_askable(item)):
             return False
         if not self._tools.pool.is_open:
             return False
@@ -201,30 +213,30 @@
         usual = times.median(now)
         return now + usual * WORTHWHILE_SHARE < self._question.deadline
 
-    def _choose(self, item: ServiceTry, now: float) -> Leaf | None:
-        pool = self._tools.pool
-        kind = self._question.kind
-        leaf = pool.choose(
-            item.service, kind, frozenset(item.tried), self._objective, now
-        )
-        if leaf is None and item.tried:
-            leaf = pool.choose(item.service, kind, frozenset(), self._objective, now)
-        return leaf
-
     def _is_left(self, leaf: Leaf) -> bool:
         """Return whether attempts at a leaf are left to be sent with others."""
         far = self._tools.pool.distance_to(leaf) is Distance.OTHER_REGION
         return self._leaves_far and far
 
-    def take_repeat(self, item: ServiceTry, now: float) -> bool:
+    def take_repeat(
+        self, item: ServiceTry, now: float, vital: bool | None = None
+    ) -> bool:
         """Take a repeat from the budget; return False when none is left.
 
         One without which there may still be an answer leaves a reserve, and is asked
         for again when the answer comes to depend on it.
+
+        Args:
+            item: the service that gets it.
+            now: the present, in seconds.
+            vital: whether there is no answer without it; found out if None.
         """
-        vital = self._is_vital(item)
+        if vital is None:
+            vital = self._is_vital(item)
         instances = self._tools.instances()
-        if self._tools.budget.take(item.service, now, instances, vital):
+        if (vital and self._take_lent(item)) or self._tools.budget.take(
+            item.service, now, instances, vital
+        ):
             self.repeats += 1
             return True
         self._tools.metrics.count("leaf.repeat_denied")
@@ -232,6 +244,14 @@
         item.held_back = not vital
         return False
 
+    def _take_lent(self, item: ServiceTry) -> bool:
+        """Take a repeat that who asked lends; only once its word has come."""
+        lent = self._question.lent
+        if not self._may_repeat or lent is None or not lent.take(item.service):
+            return False
+        self._tools.metrics.count("leaf.repeat_lent")
+        return True
+
     def _find_hedge_times(self, leaf: Leaf, now: float) -> tuple[float, float]:
         """Return from when and until when a second attempt is due beside one at `leaf`.
 
@@ -273,7 +293,11 @@
             regions=question.regions,
             grant=question.grant,
         )
-        item.under_way[attempt.id] = Sent(leaf, now, *self._find_hedge_times(leaf, now))
+        again = leaf.id in item.ran_at
+        if again:
+            self._tools.metrics.count("leaf.asked_again")
+        times = self._find_hedge_times(leaf, now)
+        item.under_way[attempt.id] = Sent(leaf, now, *times, again=again)
         item.tried.append(leaf.id)
         item.places.add(leaf.place)
         item.arrived += 1
--- /dev/null
+++ b/walkcart/platform/tests/test_lost_answers.py
@@ -0,0 +1,160 @@
+"""Half of the leafs run requests and lose part of their answers by a reset.
+
+The load: 40 shards with a leaf in each of three regions, 27 instances of which three
+gather, a question that does without two parts, and 0.4 of the answers lost at every
+second leaf. Without knowledge two leafs a shard bring 0.96 of the parts, and an equal
+part of the allowance of repeats is 3 in ten seconds for each instance.
+"""
+
+from random import Random
+
+import pytest
+import trio
+
+from walkcart.bench.harness import run_mocked
+from walkcart.fanout.leafchoice import MOST_TIMES
+from walkcart.platform.tests.platformworld import make_route, open_platform
+from walkcart.routing.repeats import RepeatBudget
+
+SHARDS = 40
+REGIONS = ("north", "south", "east")
+#: Seconds of the load, and questions in each of them.
+TIME = 4.0
+RATE = 16
+OBJECTIVE = 0.3
+MOST_ATTEMPTS = 2
+#: Repeats of all instances together beside a fifth of the requests: a third of what
+#: each question has where a fleet is larger and asked no more.
+ALLOWANCE = 108
+RATIO = 0.2
+
+
+def play_losses(share=0.4, askers=8, seed=1):
+    """Ask under load; return what came of the questions, and how leafs were asked.
+
+    Args:
+        share: of the answers that lossy leafs lose.
+        askers: instances in each data centre that has no leafs.
+        seed: of the lots.
+    """
+    random = Random(seed)
+
+    async def run():
+        async with open_platform() as world:
+            world.repeat_allowance = ALLOWANCE
+            names = [f"shard-{number}" for number in range(SHARDS)]
+            instances = []
+            for region in REGIONS:
+                instances.append(f"{region[0]}0")
+                await world.start_instance(instances[-1], f"{region}-a")
+                for number in range(1, askers + 1):
+                    instances.append(f"{region[0]}{number}")
+                    await world.start_instance(instances[-1], f"{region}-b")
+            for number, name in enumerate(names):
+                for region in REGIONS:
+                    id = f"i-{number}-{region}"
+                    await world.start_leaf(id, name, f"{region}-a", work=0.028)
+            world.configure(
+                make_route(
+                    "all",
+                    "/all/",
+                    fanoutServices=names,
+                    topK=3,
+                    minCoverage=0.95,
+                    targetLatencyMs=round(OBJECTIVE * 1000),
+                    timeoutMs=4000,
+                    maxAttempts=MOST_ATTEMPTS,
+                )
+            )
+            for name in instances:
+                await world.wait_ready(name)
+            await trio.sleep(12)
+            for name in instances:
+                await world.ask("/all/x", name)
+            for leaf in random.sample(sorted(world.leafs), len(world.leafs) // 2):
+                world.leafs[leaf].faults.drop_share = share
+            for leaf in world.leafs.values():
+                leaf.arrived.clear()
+            ends = []
+            async with trio.open_nursery() as nursery:
+                for _ in range(round(TIME * RATE)):
+                    nursery.start_soon(ask, world, random.choice(instances), ends)
+                    await trio.sleep(1 / RATE)
+            return ends, list_arrivals(world)
+
+    return run_mocked(run)
+
+
+async def ask(world, name, ends):
+    """Ask one question and note its status and its seconds."""
+    start = trio.current_time()
+    reply = await world.ask("/all/x", name, deadline_ms=4000)
+    ends.append((reply.status, trio.current_time() - start))
+
+
+def list_arrivals(world):
+    """Return for each shard which leafs were asked, in order, by question."""
+    arrivals = []
+    for number in range(SHARDS):
+        asked = {}
+        for region in REGIONS:
+            for request in world.leafs[f"i-{number}-{region}"].arrived:
+                asked.setdefault(request.header(b"x-request-id"), []).append(region)
+        arrivals.append(asked)
+    return arrivals
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_lost_answers_are_asked_for_again_within_attempts_and_allowance(seed):
+    ends, arrivals = play_losses(seed=seed)
+    good = [time for status, time in ends if status == 200 and time <= OBJECTIVE]
+    assert len(good) >= 0.9 * len(ends)
+    for asked in arrivals:
+        assert max(len(set(leafs)) for leafs in asked.values()) <= MOST_ATTEMPTS
+        most = MOST_ATTEMPTS * MOST_TIMES
+        assert max(len(leafs) for leafs in asked.values()) <= most
+        repeats = sum(len(leafs) - 1 for leafs in asked.values())
+        assert repeats <= RATIO * len(ends) + ALLOWANCE
+
+
+def test_a_question_ends_at_once_when_nothing_more_may_be_asked(monkeypatch):
+    """No repeat is left anywhere: what is lost stays away, and that is soon known."""
+
+    def deny(self, service, now, instances, vital=True):
+        return False
+
+    monkeypatch.setattr(RepeatBudget, "take", deny)
+    monkeypatch.setattr(RepeatBudget, "lend", deny)
+    ends, arrivals = play_losses(share=0.5, askers=2)
+    assert any(status != 200 for status, _ in ends)
+    assert max(time for _, time in ends) < 2 * OBJECTIVE
+    assert all(len(leafs) == 1 for asked in arrivals for leafs in asked.values())
+
+
+def with_one_leaf(**fields):
+    """Ask a service of one leaf, which loses half of its answers, 20 times."""
+
+    async def run():
+        async with open_platform() as world:
+            leaf = await world.start_leaf("i-0", "store")
+            world.configure(make_route("one", "/one/", backend="store", **fields))
+            await world.start_instance("one")
+            await world.wait_ready("one")
+            await trio.sleep(12)
+            leaf.faults.drop_share = 0.5
+            statuses = [(await world.ask("/one/x")).status for _ in range(20)]
+            return statuses, len(leaf.ran)
+
+    return run_mocked(run)
+
+
+def test_the_only_leaf_that_may_run_a_request_is_asked_again():
+    statuses, ran = with_one_leaf(maxAttempts=1)
+    assert statuses.count(200) == 20
+    assert ran > 20
+
+
+def test_what_must_not_run_twice_is_not_asked_for_again():
+    statuses, ran = with_one_leaf(maxAttempts=3, routeType="non_idempotent")
+    assert ran == 20
+    assert 5 <= statuses.count(502) <= 15
