Put what waits for a leaf in order, and send a leaf what it has room for

Cause: on the routed path nothing decided under load. An urgent request of a few ms waited in a slow leaf's queue of twelve behind long ones; questions without hope were sent and failed at their deadline. Change: attempts know rank and objective. What waits inside an instance goes by rank, then time left, each fourth by age (routing/urgency.py). A request queues at a leaf only while it comes from there within its objective, and a slow leaf keeps a slot for urgent kinds (routing/leafroom.py). What waits inside says nothing about its leaf, is no failure of it, and keeps its place where no untried leaf is left. A question whose turn surely comes too late at too many services is refused before anything is sent, "not run", with the drain as time to come back (fanout/lateturns.py). Reason.NO_ROOM names it.

--- a/walkcart/bench/routed/callers.py
+++ b/walkcart/bench/routed/callers.py
@@ -9,6 +9,7 @@
 import trio
 
 from walkcart.bench.routed.instances import TrialInstance, merge_parts
+from walkcart.entry.roomgate import RoomGate
 from walkcart.entry.routed import CallerRequest, RoutedEntryTools, RoutedHandler
 from walkcart.entry.starting import StartGate
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure
@@ -43,6 +44,7 @@
         late_value: of a later one.
         retries: times that a caller asks again.
         sharded: whether all shards are asked; else a service of its own.
+        rank: of the route; 0 is the most urgent.
     """
 
     name: str
@@ -55,6 +57,7 @@
     late_value: float = 0.1
     retries: int = 1
     sharded: bool = True
+    rank: int = 0
 
 
 @dataclass(slots=True)
@@ -216,5 +219,8 @@
             instance.tracer,
             random,
             StartGate(lambda: True),
+            RoomGate(
+                instance.gathering.clock, random, instance.events, instance.metrics
+            ),
         )
     )
--- a/walkcart/bench/routed/instances.py
+++ b/walkcart/bench/routed/instances.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from io import StringIO
 from random import Random
 
@@ -119,6 +119,10 @@
         left = [item for item in leaves if item.id not in without]
         return self._random.choice(left) if left else None
 
+    def has_room(self, leaf: Leaf, attempt: Attempt) -> bool:
+        """Return whether a leaf may be sent an attempt now."""
+        return not self._policy.room or super().has_room(leaf, attempt)
+
     def _note_failure(self, leaf: Leaf, now: float) -> None:
         super()._note_failure(leaf, now)
         if not self._policy.eject:
@@ -260,6 +264,7 @@
     async def _gather(
         self, question: RoutedQuestion, top: int, handover: Handover
     ) -> Outcome:
+        question = replace(question, rank=self.keeper.table.rank_of(question.kind))
         handing = Handing(handover, merge_parts)
         gathering = RoutedGathering(self.gathering, question, handing=handing)
         return (await gathering.run()).map(merge_parts)
--- a/walkcart/bench/routed/links.py
+++ b/walkcart/bench/routed/links.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -17,9 +16,11 @@
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused, Replied
 from walkcart.leaves.leaf import UNPINNED, Leaf
 from walkcart.leaves.link import CONNECT_TIME
+from walkcart.leaves.linkqueue import HasRoom, has_always_room
 from walkcart.leaves.pool import LeafPool
 from walkcart.leaves.pooltools import PoolTools
 from walkcart.leaves.protocol import LeafStatus
+from walkcart.routing.urgency import Urgency, UrgencyQueue
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
 SUCCESS = 200
@@ -35,6 +36,7 @@
         sent_at: when it was sent; None while it waits.
         work: at the leaf, from its arrival on.
         ended: whether `deliver` was told.
+        crowded: whether it had to wait for room at the leaf.
     """
 
     attempt: Attempt
@@ -42,6 +44,7 @@
     sent_at: float | None = None
     work: Work | None = None
     ended: bool = False
+    crowded: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +74,7 @@
         share: connections that may be open.
         emulation: shared with other links.
         note_status: told what the leaf says of itself.
+        has_room: asked before an attempt leaves the queue.
     """
 
     leaf: Leaf
@@ -80,31 +84,49 @@
     note_status: Callable[[Leaf, LeafStatus], None]
     connections: int = 0
     _idle: int = 0
-    _queue: deque[Carried] = field(default_factory=deque)
+    has_room: HasRoom = has_always_room
+    _queue: UrgencyQueue[Carried] = field(default_factory=UrgencyQueue)
     _running: dict[str, Carried] = field(default_factory=dict)
 
+    @property
+    def waiting(self) -> int:
+        """Attempts that wait for a connection or for room."""
+        return len(self._queue)
+
+    def count_ahead(self, rank: int) -> int:
+        """Return the attempts that go before one of a rank that comes now."""
+        return self._queue.count_ahead(rank)
+
     def submit(self, attempt: Attempt, deliver: Deliver) -> None:
         """Send an attempt, or let it wait for a connection."""
-        self._queue.append(Carried(attempt, deliver))
+        urgency = Urgency(attempt.rank, attempt.objective_at, trio.current_time())
+        carried = Carried(attempt, deliver)
+        self._queue.add(carried, urgency)
+        carried.crowded = not self._fits(carried)
         self._serve()
 
+    def is_waiting(self, attempt_id: str) -> bool:
+        """Return whether an attempt waits still."""
+        return any(item.attempt.id == attempt_id for item in self._queue)
+
     def withdraw(self, attempt_id: str) -> bool:
         """Take back an attempt that waits still; return whether it did."""
         return self._take_back(attempt_id, Reason.UNREACHABLE)
 
-    def cancel(self, attempt_id: str) -> None:
+    def cancel(self, attempt_id: str) -> bool:
         """Nobody waits for this attempt any longer: its connection closes."""
         if self._take_back(attempt_id, Reason.CANCELLED):
-            return
+            return False
         carried = self._running.get(attempt_id)
         if carried is None:
-            return
+            return True
         self._close_connection()
         work = carried.work
         if work is not None:
             self._after_way(lambda: self.emulated.cancel(work))
         self._end(carried, Failed(MayHaveRun(Reason.CANCELLED)))
         self._serve()
+        return True
 
     def set_share(self, share: int) -> None:
         """Change the number of connections."""
@@ -121,17 +143,26 @@
         for carried in self._queue:
             if carried.attempt.id == attempt_id:
                 self._queue.remove(carried)
+                if carried.crowded and reason is Reason.UNREACHABLE:
+                    reason = Reason.NO_ROOM
                 self._end(carried, Failed(NotRun(reason)))
                 return True
         return False
 
     def _serve(self) -> None:
-        while self._queue and self._idle:
+        while self._idle:
+            carried = self._queue.take(trio.current_time(), self._fits)
+            if carried is None:
+                return
             self._idle -= 1
-            self._send(self._queue.popleft())
-        if self._queue and self.connections < self.share:
+            self._send(carried)
+        may_connect = self.connections < self.share
+        if may_connect and any(self._fits(item) for item in self._queue):
             self._connect()
 
+    def _fits(self, carried: Carried) -> bool:
+        return self.has_room(self.leaf, carried.attempt)
+
     def _connect(self) -> None:
         self.connections += 1
         trouble = self.emulated.trouble
@@ -157,8 +188,8 @@
         self.connections -= 1
         if self.connections:
             return
-        while self._queue:
-            self._end(self._queue.popleft(), Failed(NotRun(Reason.UNREACHABLE)))
+        for carried in self._queue.clear():
+            self._end(carried, Failed(NotRun(Reason.UNREACHABLE)))
 
     def _close_connection(self) -> None:
         self.connections -= 1
@@ -246,6 +277,7 @@
                 self._share_of(leaf),
                 self._emulation,
                 self.note_status,
+                has_room=self.has_room,
             )
             self._links[leaf.id] = link
         return link
--- a/walkcart/bench/routed/policies.py
+++ b/walkcart/bench/routed/policies.py
@@ -19,6 +19,7 @@
         repeat: whether requests are sent again or beside late ones.
         delegate: whether other instances gather parts.
         good_share: whether the share of good replies counts in the choice.
+        room: whether leafs get no more than they have room for.
     """
 
     name: str
@@ -27,6 +28,7 @@
     repeat: bool = True
     delegate: bool = True
     good_share: bool = True
+    room: bool = True
 
 
 #: By name: the product as it is, each mechanism switched off, and the plainest of all.
@@ -39,6 +41,7 @@
         Policy("no-repeats", repeat=False),
         Policy("no-delegation", delegate=False),
         Policy("no-good-share", good_share=False),
+        Policy("no-room", room=False),
         Policy("random", choose=False, eject=False, repeat=False, delegate=False),
     )
 }
--- a/walkcart/bench/routed/scenarios.py
+++ b/walkcart/bench/routed/scenarios.py
@@ -25,6 +25,17 @@
 )
 
 
+#: Brings trouble about, or ends it, during a trial.
+Act = Callable[["Trial"], None]
+
+
+#: An urgent short request beside a long one, on shards with three leafs.
+URGENT_KINDS = (
+    CallerKind("sweep", 12.6, 0.0165, 0.171, 2.0, 0.95, 1.8, 0.089, rank=1),
+    CallerKind("alert", 7.3, 0.0057, 0.088, 1.2, 0.85, 1.7, 0.068, rank=0),
+)
+
+
 @dataclass(frozen=True, slots=True)
 class Shape:
     """A deployment.
@@ -52,10 +63,6 @@
     )
 
 
-#: Brings trouble about, or ends it, during a trial.
-Act = Callable[["Trial"], None]
-
-
 @dataclass(frozen=True, slots=True)
 class Scenario:
     """What happens during a trial.
@@ -83,6 +90,23 @@
             leaf.trouble.slow = 8.0
 
 
+def _slow_some(share: float, factor: float) -> Act:
+    def act(trial: Trial) -> None:
+        for leaf in trial.draw_leafs(share):
+            leaf.trouble.slow = factor
+
+    return act
+
+
+def _burst_of(number: int, factor: float) -> Act:
+    """The callers of one kind ask several times as much."""
+
+    def act(trial: Trial) -> None:
+        trial.callers[number].burst = factor
+
+    return act
+
+
 def _refuse_much(trial: Trial) -> None:
     """A third of the leafs turns 60% of its requests away."""
     for leaf in trial.draw_leafs(1 / 3):
@@ -130,6 +154,16 @@
         Scenario("dark-shard", ((3.0, _darken_shard), (9.0, _end_trouble))),
         Scenario("lost-answers", ((3.0, _lose_answers), (7.0, _end_trouble))),
         Scenario("burst", ((3.0, _burst(3.0)), (6.0, _burst(1.0)))),
+        Scenario(
+            "slow-burst",
+            (
+                (2.0, _slow_some(0.15, 11.0)),
+                (3.0, _burst_of(0, 2.6)),
+                (5.0, _slow_some(0.1, 8.0)),
+                (8.0, _burst_of(0, 1.0)),
+                (10.0, _end_trouble),
+            ),
+        ),
         Scenario("fleet-started", cold=True, seconds=6.0),
         Scenario(
             "release", tuple((3.0 + 0.5 * n, _replace_some(1 / 8)) for n in range(8))
--- a/walkcart/bench/routed/tests/test_trials.py
+++ b/walkcart/bench/routed/tests/test_trials.py
@@ -1,12 +1,13 @@
 """Decisions on routed requests, by what callers get in trials with fixed seeds."""
 
+from dataclasses import replace
 from random import Random
 
 import pytest
 
 from walkcart.bench.routed import POLICIES, SCENARIOS, Shape, run_trial
 from walkcart.bench.routed.callers import CallerKind
-from walkcart.bench.routed.scenarios import draw_shape
+from walkcart.bench.routed.scenarios import URGENT_KINDS, draw_shape
 
 #: Small enough for a few seconds a trial.
 SMALL = Shape(
@@ -57,6 +58,21 @@
     assert result.kinds["single"].failed == 0
 
 
+def test_urgent_requests_pass_a_burst_of_long_ones_beside_slow_leafs():
+    kinds = tuple(replace(kind, rate=7 * kind.rate) for kind in URGENT_KINDS)
+    shape = Shape(shards=4, leafs=3, singles=1, instances=3, kinds=kinds)
+    result, plain = (
+        play("slow-burst", policy, shape) for policy in ("walkcart", "no-room")
+    )
+    urgent, long = result.kinds["alert"], result.kinds["sweep"]
+    assert urgent.in_time > plain.kinds["alert"].in_time + 0.1
+    assert urgent.in_time > long.in_time
+    assert long.in_time > plain.kinds["sweep"].in_time - 0.05
+    # Who isn't served is told so in time to ask again, and nobody is starved.
+    assert max(urgent.failed, long.failed) < 0.01
+    assert long.in_time + long.late > (urgent.in_time + urgent.late) / 4
+
+
 def test_on_a_shape_drawn_at_random_it_is_no_worse_than_chance():
     shape = draw_shape(Random(SEED))
     known = play("fleet-started", shape=shape)
--- a/walkcart/bench/routed/trials.py
+++ b/walkcart/bench/routed/trials.py
@@ -251,6 +251,7 @@
             timeout=timedelta(seconds=kind.patience),
             objective=timedelta(seconds=kind.objective),
             most_attempts=MOST_ATTEMPTS,
+            rank=kind.rank,
         )
         for kind in shape.kinds
     ]
--- a/walkcart/cli/losscauses.py
+++ b/walkcart/cli/losscauses.py
@@ -46,6 +46,7 @@
     LEAF_REFUSED = "leafs refused: full or failing their requests"
     LEAF_FAILED = "leafs failed or broke off"
     BUDGET_SPENT = "budget of repeats spent"
+    NO_ROOM = "too much waited for the leafs or the instance"
     NO_CONNECTION = "no connection to a leaf"
     NO_LEAF = "no leaf known"
     NO_CONFIGURATION = "no configuration yet"
@@ -63,6 +64,7 @@
     Reason.DEADLINE.value: Cause.SLOW_LEAF,
     Reason.COVERAGE.value: Cause.SLOW_LEAF,
     Reason.OVERLOADED.value: Cause.LEAF_REFUSED,
+    Reason.NO_ROOM.value: Cause.NO_ROOM,
     Reason.LEAF_REFUSED.value: Cause.LEAF_REFUSED,
     Reason.LEAF_REPLACED.value: Cause.DARK_LEAF,
     Reason.LEAF_FAILED.value: Cause.LEAF_FAILED,
--- a/walkcart/fanout/elsewhere.py
+++ b/walkcart/fanout/elsewhere.py
@@ -201,6 +201,11 @@
     ) -> None:
         """Ask for what an instance didn't gather: of another one, or from here."""
         waiting = [item for item in missing if not (item.left or item.awaited)]
+        if group.reason is Reason.NO_ROOM:
+            # The leafs are those that another instance would ask.
+            for item in waiting:
+                item.given_up = True
+            return
         held = group.is_begun or self._watch.holds
         if held or not self._may_ask_another(waiting, now):
             others = waiting
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -30,6 +30,7 @@
 from walkcart.fanout.elsewhere import GatheredElsewhere
 from walkcart.fanout.handing import Handing
 from walkcart.fanout.lateparts import plan_settling
+from walkcart.fanout.lateturns import find_late_turn
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure, RoutedQuestion
 from walkcart.fanout.routedsends import RoutedSends
 from walkcart.fanout.routedtools import RoutedTools
@@ -126,10 +127,14 @@
         )
 
     def _can_cover(self) -> bool:
-        """Return whether enough services have leafs, before any is asked."""
+        """Return whether enough services have leafs in time, before any is asked."""
         served = 0
+        waits = self._tools.pool.has_waiting
         for item in self._tries.values():
-            if self._may_be_served(item):
+            if waits and (late := find_late_turn(self._tools, self._question, item)):
+                item.reason = late.reason
+                item.refusal = late
+            elif self._may_be_served(item):
                 served += 1
             else:
                 item.reason = Reason.NO_LEAF
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -151,9 +151,8 @@
         """
         pool = self._tools.pool
         kind = self._question.kind
-        for id, sent in list(item.under_way.items()):
-            if pool.withdraw(sent.leaf, id):
-                return
+        if self._withdraw(item):
+            return
         if not self._question.idempotent:
             item.given_up = True
             return
@@ -170,6 +169,23 @@
         self._tools.metrics.count("leaf.hedged")
         self._send(item, leaf, now)
 
+    def _withdraw(self, item: ServiceTry) -> bool:
+        """Take back an attempt that waits inside this instance, for another leaf.
+
+        Where all leafs had one it keeps its place in the order.
+        """
+        pool = self._tools.pool
+        leaves = pool.leaves_of(item.service)
+        untried = any(leaf.id not in item.tried for leaf in leaves)
+        for id, sent in list(item.under_way.items()):
+            if not pool.is_waiting(sent.leaf, id):
+                continue
+            if not untried:
+                item.under_way[id] = replace(sent, hedge_at=float("inf"))
+                return True
+            return pool.withdraw(sent.leaf, id)
+        return False
+
     def _postpone(self, item: ServiceTry, leaf: Leaf, now: float) -> bool:
         """Put a second attempt off while its leaf is busy; return whether it was."""
         busy = leaf.outstanding + leaf.stated_load(now) >= leaf.slots
@@ -269,6 +285,8 @@
             wary=self._watch.is_wary,
             kind=question.kind,
             regions=question.regions,
+            rank=question.rank,
+            objective_at=question.objective_at,
         )
         item.under_way[attempt.id] = Sent(leaf, now, *self._find_hedge_times(leaf, now))
         item.tried.append(leaf.id)
--- a/walkcart/fanout/routedverdict.py
+++ b/walkcart/fanout/routedverdict.py
@@ -94,11 +94,20 @@
         reason = Reason.DEADLINE if late else Reason.LEAF_FAILED
         reason = Reason.LEAF_ENDED if ends_leafs else reason
         return RoutedFailure(MayHaveRun(reason, detail), failure, sent, missing)
-    reason = missing[0].reason if missing else Reason.COVERAGE
-    verdict = NotRun(reason, detail, _find_retry_time(tries))
+    verdict = NotRun(_find_refusal(tries, missing), detail, _find_retry_time(tries))
     return RoutedFailure(verdict, failure, sent, missing)
 
 
+def _find_refusal(
+    tries: tuple[ServiceTry, ...], missing: tuple[MissingPart, ...]
+) -> Reason:
+    """Return why nothing was run: what was refused weighs more than what followed."""
+    refusals = (item.refusal.reason for item in tries if item.refusal is not None)
+    if Reason.NO_ROOM in refusals:
+        return Reason.NO_ROOM
+    return missing[0].reason if missing else Reason.COVERAGE
+
+
 def _missing(tries: tuple[ServiceTry, ...]) -> tuple[MissingPart, ...]:
     return tuple(
         MissingPart(item.service, item.why_missing, item.may_run, item.may_repeat)
--- a/walkcart/intent/routes.py
+++ b/walkcart/intent/routes.py
@@ -178,6 +178,15 @@
         route = self._by_name.get(name)
         return route.regions if route else ANYWHERE
 
+    def rank_of(self, name: str) -> int:
+        """Return how urgent a route is; the most urgent if it isn't known.
+
+        Args:
+            name: of the route.
+        """
+        route = self._by_name.get(name)
+        return route.rank if route else 0
+
     def find(self, host: str, target: str) -> Route | None:
         """Return the route with the longest prefix of a request's path, or None.
 
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -73,7 +73,17 @@
     REQUEST_UNSERVED = _info(
         206, "request_unserved", "A routed request got no leaf's answer; says why."
     )
+    ROOM_LIMITED = _warn(
+        220, "room_limited", "The event loop stays behind: a limit holds, others wait."
+    )
+    ROOM_FREE = _info(221, "room_free", "It has caught up: no limit holds any more.")
+    ROOM_REFUSED = _info(
+        222, "room_refused", "Refused, not run: its turn would come too late."
+    )
     LEAF_BAD_REPLY = _warn(301, "leaf_bad_reply", "Not HTTP, cut short or too long.")
+    LEAF_CROWDED = _info(
+        320, "leaf_crowded", "Requests wait here since a leaf has enough to do."
+    )
     LEAF_WRONG_ATTEMPT = _warn(
         302, "leaf_wrong_attempt", "The reply's attempt id or scope isn't ours."
     )
--- a/walkcart/leaves/attempts.py
+++ b/walkcart/leaves/attempts.py
@@ -39,6 +39,9 @@
             before isn't taken for one that ended under it.
         kind: name of the route that a routed request came by.
         regions: that a routed request may be served in.
+        rank: 0 is the most urgent.
+        objective_at: when an answer begins to lose value, on the clock of `deadline`;
+            infinite when it doesn't.
     """
 
     id: str
@@ -58,6 +61,8 @@
     wary: bool = False
     kind: str = ""
     regions: Regions = ANYWHERE
+    rank: int = 0
+    objective_at: float = float("inf")
 
     @property
     def repeatable(self) -> bool:
--- a/walkcart/leaves/exchange.py
+++ b/walkcart/leaves/exchange.py
@@ -42,13 +42,17 @@
 
 @dataclass(slots=True)
 class Pending:
-    """An attempt with its receiver; without one a cancel, or else a check."""
+    """An attempt with its receiver; without one a cancel, or else a check.
+
+    `crowded_at` is when it began to wait for room at the leaf, if it had to.
+    """
 
     attempt: Attempt | None
     deliver: Deliver | None
     cancel_id: str = ""
     abandoned: bool = False
     scope: trio.CancelScope | None = None
+    crowded_at: float | None = None
 
 
 #: Returns why an attempt may not be sent to a leaf now; None when it may.
--- a/walkcart/leaves/leaf.py
+++ b/walkcart/leaves/leaf.py
@@ -8,6 +8,7 @@
 from walkcart.routing.distance import Place
 from walkcart.routing.ejection import Ejection
 from walkcart.routing.latency import DecayedLatency
+from walkcart.routing.leafroom import LeafRoom
 from walkcart.routing.replyshare import ReplyShare
 
 #: Seconds after which half of a leaf's stated load is forgotten.
@@ -71,6 +72,7 @@
         self.slots = slots
         self.incarnation = 0
         self.outstanding = 0
+        self.room = LeafRoom(slots)
         self.latency = DecayedLatency()
         self.ejection = Ejection()
         self.replies = ReplyShare()
@@ -99,9 +101,16 @@
         """Where it stands."""
         return Place(self.region, self.data_centre)
 
-    def note_stated(self, now: float, outstanding: int) -> None:
-        """Take in the leaf's word on its load; this instance's part is taken off."""
-        self._stated = max(0.0, float(outstanding - self.outstanding))
+    def note_stated(self, now: float, outstanding: int, waiting: int = 0) -> None:
+        """Take in the leaf's word on its load; this instance's part is taken off.
+
+        Args:
+            now: the present, in seconds.
+            outstanding: requests that the leaf has.
+            waiting: requests that wait inside this instance for the leaf.
+        """
+        own = self.outstanding - waiting
+        self._stated = max(0.0, float(outstanding - own))
         self._stated_at = now
 
     def stated_load(self, now: float) -> float:
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -1,7 +1,8 @@
 """The connections of one instance to one leaf: one task for each.
 
-Attempts wait in one queue and each connection's task carries one at a time, so
-a waiting attempt costs the leaf nothing and can be cancelled for nothing. A
+Attempts wait in one queue, by urgency, and each connection's task carries one at a
+time as the leaf has room, so a waiting attempt costs the leaf nothing and can be
+cancelled for nothing. A
 running one that nobody waits for is cancelled: over another connection if one is
 idle, where the leaves' protocol has a request for that, and its own connection is
 drained and kept, since a new one costs time; else by closing its connection.
@@ -9,7 +10,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from datetime import timedelta
 
 import trio
@@ -20,9 +20,8 @@
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome
 from walkcart.leaves.exchange import IDLE_TIME, LeafExchanges, LinkTools, Pending
 from walkcart.leaves.leaf import Leaf
-from walkcart.leaves.protocol import (
-    REPLY_LIMIT,
-)
+from walkcart.leaves.linkqueue import HasRoom, LinkQueue, has_always_room
+from walkcart.leaves.protocol import REPLY_LIMIT
 from walkcart.wire.http import (
     ExchangeFailed,
     HttpConnection,
@@ -45,16 +44,22 @@
         share: connections that may be open.
         tools: what every link uses.
         nursery: where the connections' tasks run.
+        has_room: asked before an attempt leaves the queue.
     """
 
     def __init__(
-        self, leaf: Leaf, share: int, tools: LinkTools, nursery: trio.Nursery
+        self,
+        leaf: Leaf,
+        share: int,
+        tools: LinkTools,
+        nursery: trio.Nursery,
+        has_room: HasRoom = has_always_room,
     ) -> None:
         self.leaf = leaf
         self._share = share
         self._tools = tools
         self._nursery = nursery
-        self._queue: deque[Pending] = deque()
+        self._queue = LinkQueue(leaf, tools, has_room)
         self._running: dict[str, Pending] = {}
         self._idle = trio.lowlevel.ParkingLot()
         self._connections = 0
@@ -68,38 +73,58 @@
         """Connections that are open or being opened."""
         return self._connections
 
+    @property
+    def waiting(self) -> int:
+        """Attempts that wait inside this instance."""
+        return self._queue.waiting
+
+    def count_ahead(self, rank: int) -> int:
+        """Return the attempts that go before one of a rank that comes now."""
+        return self._queue.count_ahead(rank)
+
     def submit(self, attempt: Attempt, deliver: Deliver) -> None:
         """Queue `attempt`; `deliver` is told once how it ended."""
         if self._closed or not self._can_carry():
             detail = f"no connection to {self.leaf.address}"
             deliver(attempt, Failed(NotRun(Reason.UNREACHABLE, detail)))
             return
-        self._queue.append(Pending(attempt, deliver))
-        self._call_worker()
+        if self._queue.add(attempt, deliver):
+            self._call_worker()
+
+    def is_waiting(self, attempt_id: str) -> bool:
+        """Return whether an attempt waits still."""
+        return self._queue.find(attempt_id) is not None
 
     def withdraw(self, attempt_id: str) -> bool:
         """Take back an attempt that waits still; return whether it did.
 
-        Nothing of it was sent; its outcome tells that the leaf couldn't be reached.
+        Nothing of it was sent; its outcome tells that the leaf had no room, or else
+        couldn't be reached.
         """
-        for pending in self._queue:
-            if pending.attempt is not None and pending.attempt.id == attempt_id:
-                self._queue.remove(pending)
-                detail = f"no connection to {self.leaf.address} in time"
-                self._end(pending, Failed(NotRun(Reason.UNREACHABLE, detail)))
-                return True
-        return False
-
-    def cancel(self, attempt_id: str) -> None:
-        """Nobody waits for this attempt any longer; its outcome is still told."""
-        for pending in self._queue:
-            if pending.attempt is not None and pending.attempt.id == attempt_id:
-                self._queue.remove(pending)
-                self._end(pending, Failed(NotRun(Reason.CANCELLED)))
-                return
+        pending = self._queue.take_out(attempt_id)
+        if pending is None:
+            return False
+        detail = f"no connection to {self.leaf.address} in time"
+        verdict = NotRun(Reason.UNREACHABLE, detail)
+        if pending.crowded_at is not None:
+            detail = f"the leaf at {self.leaf.address} has enough to do"
+            verdict = NotRun(Reason.NO_ROOM, detail)
+        self._end(pending, Failed(verdict))
+        return True
+
+    def cancel(self, attempt_id: str) -> bool:
+        """Nobody waits for this attempt any longer; its outcome is still told.
+
+        Returns:
+            Whether the leaf may have it.
+        """
+        waiting = self._queue.take_out(attempt_id)
+        if waiting is not None:
+            self._end(waiting, Failed(NotRun(Reason.CANCELLED)))
+            return False
         pending = self._running.get(attempt_id)
         if pending is None or pending.abandoned:
-            return
+            return True
         pending.abandoned = True
         if self._tools.protocol.make_cancel_request(attempt_id) is None:
             if pending.scope is not None:
@@ -107,8 +132,9 @@
         else:
             # Worth a new connection: until then a slot of the leaf is lost.
             if len(self._idle) or self._connections < self._share:
-                self._queue.appendleft(Pending(None, None, cancel_id=attempt_id))
+                self._queue.add_first(Pending(None, None, cancel_id=attempt_id))
                 self._call_worker()
+        return True
 
     def set_share(self, share: int) -> None:
         """Change the number of connections; more than that close when idle."""
@@ -123,7 +149,7 @@
     def check(self) -> None:
         """Ask the leaf what it says of itself, over an idle connection or a new one."""
         if len(self._idle):
-            self._queue.appendleft(Pending(None, None))
+            self._queue.add_first(Pending(None, None))
             self._idle.unpark()
         elif self._connections == 0 and self._may_connect():
             self.warm_up()
@@ -189,10 +215,9 @@
             self._backoff = min(LONGEST_BACKOFF, self._backoff * 2)
         if not self._can_carry() or (self._closed and self._connections == 0):
             detail = f"no connection to {self.leaf.address}"
-            waiting, self._queue = self._queue, deque()
-            for pending in waiting:
+            for pending in self._queue.take_all():
                 self._end(pending, Failed(NotRun(Reason.UNREACHABLE, detail)))
-        elif self._queue:
+        elif self._queue.may_take():
             self._call_worker()
 
     async def _open(self, stream: trio.abc.Stream | None) -> HttpConnection | None:
@@ -247,8 +272,9 @@
         while True:
             if self._connections > self._share or (self._closed and not self._queue):
                 return None
-            if self._queue:
-                return self._queue.popleft()
+            pending = self._queue.take()
+            if pending is not None:
+                return pending
             await self._idle.park()
             if not self._queue and self._was_idle_too_long(since):
                 return None
@@ -293,7 +319,7 @@
             usable = can_ask and await self._is_fresh(connection)
         if not usable:
             # Nothing of the attempt was sent: it goes on over another one.
-            self._queue.appendleft(pending)
+            self._queue.add_first(pending)
             return False
         if not self._admit(pending, attempt):
             return True
@@ -336,7 +362,7 @@
         finally:
             del self._running[attempt.id]
             self._end(pending, outcome)
-        if self._queue and len(self._idle):
+        if len(self._idle) and self._queue.may_take():
             self._idle.unpark()
         return clean
 
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -17,6 +17,7 @@
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused, Replied
 from walkcart.leaves.leaf import Leaf
 from walkcart.leaves.link import LeafLink
+from walkcart.leaves.poolroom import PoolRoom
 from walkcart.leaves.pooltools import Gathering, PoolTools
 from walkcart.leaves.protocol import LeafStatus
 from walkcart.leaves.scopedpool import ScopedPool
@@ -35,6 +36,10 @@
 TIDY_INTERVAL = 1.0
 #: Such looks between two at idle connections, each of which wakes their tasks.
 IDLE_LOOKS = 4
+#: Why attempts end that say nothing about their leaf.
+NOT_TRIED = frozenset(
+    (Reason.CANCELLED, Reason.DEADLINE, Reason.NO_LEAF, Reason.NO_ROOM)
+)
 #: Seconds that a request is taken to need before any was observed, by distance.
 FIRST_TIMES = {
     Distance.SAME_DATA_CENTRE: 0.03,
@@ -55,6 +60,7 @@
         self._links: dict[str, LeafLink] = {}
         self._times: dict[tuple[str, Distance], KindTimes] = {}
         self._nursery: trio.Nursery | None = None
+        self.room = PoolRoom(self._links, self.usual_time, tools.link.clock)
 
     def times_of(self, kind: str, distance: Distance) -> KindTimes:
         """Return the learned times of one kind of request at leafs so far away."""
@@ -120,8 +126,10 @@
 
     def submit(self, leaf: Leaf, attempt: Attempt, kind: str, deliver: Deliver) -> None:
         """Send `attempt` to `leaf`; `deliver` is told once how it ended."""
+        now = self._tools.link.clock.monotonic()
         leaf.outstanding += 1
-        leaf.under_way[attempt.id] = self._tools.link.clock.monotonic()
+        leaf.under_way[attempt.id] = now
+        leaf.room.note_urgent(attempt.rank, attempt.objective_at - now, now)
 
         def account(attempt: Attempt, outcome: Outcome) -> None:
             leaf.outstanding -= 1
@@ -135,6 +143,15 @@
             return
         link.submit(attempt, account)
 
+    def has_room(self, leaf: Leaf, attempt: Attempt) -> bool:
+        """Return whether a leaf may be sent an attempt now, else it waits inside us."""
+        return self.room.has_room(leaf, attempt)
+
+    def is_waiting(self, leaf: Leaf, attempt_id: str) -> bool:
+        """Return whether an attempt waits inside this instance."""
+        link = self._links.get(leaf.id)
+        return link is not None and link.is_waiting(attempt_id)
+
     def withdraw(self, leaf: Leaf, attempt_id: str) -> bool:
         """Take back an attempt of which nothing was sent; return whether it did."""
         link = self._links.get(leaf.id)
@@ -142,10 +159,10 @@
 
     def cancel(self, leaf: Leaf, attempt_id: str, kind: str, waited: float) -> None:
         """Nobody waits for this attempt any longer; it had `waited` seconds."""
-        self.note_waiting(leaf, kind, waited)
         link = self._links.get(leaf.id)
-        if link is not None:
-            link.cancel(attempt_id)
+        if link is None or link.cancel(attempt_id):
+            # One that waited inside this instance says nothing about the leaf.
+            self.note_waiting(leaf, kind, waited)
 
     def note_waiting(self, leaf: Leaf, kind: str, waited: float) -> None:
         """Take in that a request has been waiting at a leaf for some seconds."""
@@ -157,7 +174,7 @@
         """Take in what a leaf said about itself."""
         now = self._tools.link.clock.monotonic()
         if status.load is not None:
-            leaf.note_stated(now, status.load)
+            leaf.note_stated(now, status.load, self.room.count_waiting(leaf))
         if status.cold_time:
             leaf.note_cold(now + status.cold_time.total_seconds())
 
@@ -179,7 +196,8 @@
             link = None
         if link is None and self._nursery is not None:
             share = self._share_of(leaf)
-            link = LeafLink(leaf, share, self._tools.link, self._nursery)
+            tools, nursery = self._tools.link, self._nursery
+            link = LeafLink(leaf, share, tools, nursery, self.has_room)
             self._links[leaf.id] = link
         return link
 
@@ -238,7 +256,7 @@
             case Refused():
                 leaf.replied_at = now
                 leaf.replies.note(now, good=False)
-            case Failed(NotRun(Reason.CANCELLED | Reason.DEADLINE | Reason.NO_LEAF)):
+            case Failed(NotRun(reason)) if reason in NOT_TRIED:
                 pass
             case Failed(MayHaveRun(Reason.CANCELLED)):
                 pass
--- a/walkcart/leaves/scopedpool.py
+++ b/walkcart/leaves/scopedpool.py
@@ -83,6 +83,19 @@
         """Send `attempt` to `leaf`; `deliver` is told once how it ended."""
         self._pool.submit(leaf, attempt, kind, deliver)
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any attempt waits inside this instance."""
+        return self._pool.room.has_waiting
+
+    def find_delay(self, service: str, rank: int) -> float:
+        """Return the seconds until the question likely gets its turn at a service."""
+        return self._pool.room.find_delay(self.leaves_of(service), self._kind, rank)
+
+    def is_waiting(self, leaf: Leaf, attempt_id: str) -> bool:
+        """Return whether an attempt waits inside this instance."""
+        return self._pool.is_waiting(leaf, attempt_id)
+
     def withdraw(self, leaf: Leaf, attempt_id: str) -> bool:
         """Take back an attempt of which nothing was sent; return whether it did."""
         return self._pool.withdraw(leaf, attempt_id)
--- /dev/null
+++ b/walkcart/routing/comeback.py
@@ -0,0 +1,29 @@
+"""When callers that were refused come back.
+
+The load it answers: many callers that are refused together. Told the same time they
+would all be back together.
+
+Examples:
+    >>> from random import Random
+    >>> time = find_return(2.0, Random(1))
+    >>> 2.0 <= time.total_seconds() <= 2.0 * SPREAD
+    True
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from random import Random
+
+#: Longest time to come back, as a share of the shortest.
+SPREAD = 1.5
+
+
+def find_return(drained: float, random: Random) -> timedelta:
+    """Return when one of several callers that are refused shall come back.
+
+    Args:
+        drained: seconds until there is room again.
+        random: spreads the callers.
+    """
+    return timedelta(seconds=drained * random.uniform(1.0, SPREAD))
--- a/walkcart/wire/verdicts.py
+++ b/walkcart/wire/verdicts.py
@@ -28,6 +28,7 @@
     UNKNOWN_SERVICE = "unknown_service"
     DEADLINE = "deadline"
     OVERLOADED = "overloaded"
+    NO_ROOM = "no_room"
     STOPPING = "stopping"
     NO_LEAF = "no_leaf"
     LEAF_REFUSED = "leaf_refused"
