Hold or refuse questions while an instance has fallen behind

Cause: an instance of half a core took every question; when it fell behind all of them were late. Change: while the least delay of the event loop over a quarter of a second stays above 25 ms a limit holds (routing/instanceroom.py, entry/roomgate.py): questions wait before work is spent on them, by rank and start-time fair queueing between teams by their limits, and one whose turn comes too late by the measured drain is refused at once with a spread time to come back. Without a standing delay nothing changes. Ruled out: one admission with routing/admission.py (its limit and its short patience would change the own interface; no ranks there); a rate of completions alone as drain (refused who could be served while few ends had been seen; found by the gate's test); a limit on each late look (throttled machines are late in single looks).

--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from functools import partial
 
 import trio
 
 from walkcart.daemon.surroundings import ListenerService, TenantSurroundings
 from walkcart.daemon.tenantstore import make_store_backoff
+from walkcart.entry.roomgate import RoomGate
 from walkcart.entry.routed import RoutedEntryTools, RoutedHandler
 from walkcart.entry.routedservice import RoutedService
 from walkcart.entry.starting import StartGate
@@ -139,6 +141,7 @@
         def merge(answer: RoutedAnswer) -> MergedAnswer:
             return merge_parts(answer, top)
 
+        question = replace(question, rank=keeper.table.rank_of(question.kind))
         handing = Handing(handover, merge)
         result = await RoutedGathering(gathering, question, handing=handing).run()
         return result.map(merge)
@@ -241,6 +244,14 @@
     gate = StartGate(lambda: keeper.known and directory.known)
     keeper.on_change(lambda table: gate.note_change())
     directory.on_change(gate.note_change)
+    room = RoomGate(
+        around.clock,
+        around.random,
+        events,
+        metrics,
+        lambda team: keeper.table.teams.claim_of(team),
+    )
+    kernel.add("room", room)
     protocol = PlatformCallerProtocol()
     handler = RoutedHandler(
         RoutedEntryTools(
@@ -252,6 +263,7 @@
             kernel.find("tracer", Tracer),
             around.random,
             gate,
+            room,
         )
     )
     service = RoutedService(
--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -17,6 +17,7 @@
 from returns.result import Result, Success
 
 from walkcart.entry.requestlog import RequestLog
+from walkcart.entry.roomgate import RoomGate
 from walkcart.entry.starting import StartGate
 from walkcart.fanout.crashwatch import CrashWatch
 from walkcart.fanout.routed import RoutedGathering
@@ -131,6 +132,7 @@
         tracer: makes a span for each request.
         random: shifts where splits begin.
         gate: holds requests while the instance starts.
+        room: holds or refuses them while it has more to do than it can.
         limits: of the teams' requests; None where nobody keeps them.
     """
 
@@ -142,6 +144,7 @@
     tracer: Tracer
     random: Random
     gate: StartGate
+    room: RoomGate
     limits: TeamLimits | None = None
 
 
@@ -176,6 +179,22 @@
         if route is None:
             return self._refuse(caller, NotRun(Reason.NO_ROUTE, "no such route"))
         question = self._make_question(caller, route, start)
+        async with tools.room.hold(question) as refusal:
+            if refusal is not None:
+                return self._refuse(caller, refusal)
+            version = table.document.version
+            return await self._serve(caller, route, question, version, start)
+
+    async def _serve(
+        self,
+        caller: CallerRequest,
+        route: Route,
+        question: RoutedQuestion,
+        version: int,
+        start: float,
+    ) -> HttpReply:
+        """Ask the leafs for an admitted question and make its answer."""
+        tools = self._tools
         admitted = await tools.gathering.quarantines.admit(question.fingerprint)
         if isinstance(admitted, NotRun):
             return self._refuse(caller, admitted)
@@ -184,7 +203,7 @@
         result = await self._gather(question, top)
         self._log.note_end(
             question,
-            table.document.version,
+            version,
             _describe_objective(route),
             tools.gathering.clock.monotonic() - start,
             result,
@@ -247,6 +266,7 @@
             traceparent=caller.traceparent,
             fingerprint=fingerprint_request(caller.forwarded),
             regions=route.regions,
+            rank=route.rank,
         )
 
     def _choose_services(self, route: Route) -> tuple[str, ...]:
--- /dev/null
+++ b/walkcart/entry/tests/test_room_gate.py
@@ -0,0 +1,146 @@
+"""Questions at the gate of an instance that has fallen behind."""
+
+from dataclasses import replace
+from datetime import timedelta
+from io import StringIO
+from random import Random
+
+import trio
+
+from walkcart.bench.harness import run_mocked
+from walkcart.entry.roomgate import RoomGate
+from walkcart.fanout.routedquestion import RoutedQuestion
+from walkcart.kernel.clock import TrioClock
+from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.metrics import Metrics
+from walkcart.routing.comeback import SPREAD
+from walkcart.wire.http import HttpRequest
+from walkcart.wire.verdicts import NotRun, Reason
+
+TIME = 0.1
+
+
+def make_gate(log=None):
+    clock = TrioClock()
+    events = EventLog("one", clock, log or StringIO())
+    return RoomGate(clock, Random(1), events, Metrics(None, "one"))
+
+
+def make_question(patience=5.0, rank=0):
+    now = trio.current_time()
+    request = HttpRequest("GET", "/x")
+    return RoutedQuestion(
+        "q", "kind", request, ("s",), now + patience, now + 0.2, rank=rank
+    )
+
+
+async def work(gate, question, found, name, time=TIME):
+    """Work on a question as soon as it may be; note when that ended, or why not."""
+    start = trio.current_time()
+    async with gate.hold(question) as refusal:
+        if refusal is None:
+            await trio.sleep(time)
+    found[name] = (trio.current_time() - start, refusal)
+
+
+def limit_to(gate, limit):
+    """Have a limit hold, as after a standing delay of the event loop."""
+    gate.room.limit = float(limit)
+
+
+def test_without_a_limit_all_questions_begin_at_once():
+    async def run():
+        gate, found = make_gate(), {}
+        async with trio.open_nursery() as nursery:
+            for name in range(50):
+                nursery.start_soon(work, gate, make_question(), found, name)
+        return found
+
+    found = run_mocked(run)
+    assert len(found) == 50
+    assert all(abs(time - TIME) < 0.001 for time, _ in found.values())
+
+
+def test_under_a_limit_the_urgent_begin_first_and_all_are_served():
+    async def run():
+        gate, found = make_gate(), {}
+        limit_to(gate, 2)
+        async with trio.open_nursery() as nursery:
+            for name in range(6):
+                nursery.start_soon(work, gate, make_question(rank=1), found, name)
+            await trio.sleep(0.01)
+            nursery.start_soon(work, gate, make_question(rank=0), found, "urgent")
+        return found
+
+    found = run_mocked(run)
+    assert all(refusal is None for _, refusal in found.values())
+    assert found["urgent"][0] < 2 * TIME + 0.001
+    assert max(time for time, _ in found.values()) >= 4 * TIME - 0.02
+
+
+def test_what_would_come_too_late_is_refused_at_once_with_a_time_that_holds():
+    async def run():
+        log = StringIO()
+        gate, found = make_gate(log), {}
+        limit_to(gate, 2)
+        async with trio.open_nursery() as nursery:
+            for name in range(20):
+                nursery.start_soon(work, gate, make_question(), found, name)
+            await trio.sleep(0.55)
+            question = make_question(patience=0.3)
+            await work(gate, question, found, "hasty")
+            waiting = gate.room.waiting
+        return found, waiting, log.getvalue()
+
+    found, waiting, log = run_mocked(run)
+    time, refusal = found.pop("hasty")
+    assert time == 0
+    assert isinstance(refusal, NotRun)
+    assert refusal.reason is Reason.NO_ROOM
+    # Two of 100 ms at a time: what waits is gone after so long.
+    drained = timedelta(seconds=waiting * TIME / 2)
+    assert 0.8 * drained <= refusal.retry_after <= 2 * SPREAD * drained
+    assert "room_refused" in log
+    assert all(refusal is None for _, refusal in found.values())
+
+
+def test_a_caller_that_leaves_while_it_waits_takes_no_room():
+    async def run():
+        gate, found = make_gate(), {}
+        limit_to(gate, 1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(work, gate, make_question(), found, "first")
+            await trio.sleep(0.01)
+            with trio.move_on_after(0.02):
+                await work(gate, make_question(), found, "gone")
+            nursery.start_soon(work, gate, make_question(), found, "next")
+        return found, gate.room.in_progress, gate.room.waiting
+
+    found, in_progress, waiting = run_mocked(run)
+    assert set(found) == {"first", "next"}
+    assert in_progress == waiting == 0
+
+
+def test_a_busy_loop_brings_a_limit_about_and_a_free_one_ends_it():
+    async def run():
+        log = StringIO()
+        gate, found, limits = make_gate(log), {}, []
+        async with trio.open_nursery() as nursery:
+            for name in range(20):
+                question = replace(make_question(), id=f"q-{name}")
+                nursery.start_soon(work, gate, question, found, name, 6.0)
+            for _ in range(12):
+                await trio.sleep(0.05)
+                gate.look(0.2, trio.current_time())
+                limits.append(gate.room.limit)
+            await nursery.start(gate.run)
+            await trio.sleep(5)
+            limits.append(gate.room.limit)
+            nursery.cancel_scope.cancel()
+        return limits, log.getvalue()
+
+    limits, log = run_mocked(run)
+    assert min(limits) < 20
+    assert limits[-1] == float("inf")
+    assert "room_limited" in log
+    assert "room_free" in log
--- a/walkcart/intent/teams.py
+++ b/walkcart/intent/teams.py
@@ -70,10 +70,23 @@
 
     def __init__(self, teams: Iterable[Team] = ()) -> None:
         self._by_name = {team.name: team for team in teams}
+        rates = [team.limit.rate for team in self._by_name.values() if team.limit]
+        self._usual_claim = sum(rates) / len(rates) if any(rates) else 1.0
         self._by_key = {
             key: team for team in self._by_name.values() for key in team.keys
         }
 
+    def claim_of(self, name: str) -> float:
+        """Return a team's claim to what is short, relative to those of others.
+
+        It follows the team's limit; a team without one claims what the others do on
+        average, and without limits all claim alike.
+        """
+        team = self._by_name.get(name)
+        if team is None or team.limit is None:
+            return self._usual_claim
+        return team.limit.rate or self._usual_claim
+
     def find(self, digest: bytes) -> Team | None:
         """Return the team that has a key, by the key's digest."""
         return self._by_key.get(digest)
