Join room with teams, limits and uneven leafs; the first reading of the configuration is fresh again

Cause: the parts meet in the entry, the questions and the attempts. An instance that had just started read a configuration that may be old, to save 0.9 of a call; it then couldn't tell an added key from a wrong one for up to 3 s (test_team_changes failed: 503 in place of 401 right after a start) and let in a key that was taken away.

--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -13,6 +13,7 @@
 from walkcart.daemon.surroundings import ListenerService, TenantSurroundings
 from walkcart.daemon.tenantlimits import add_cold_shares
 from walkcart.daemon.tenantstore import make_store_backoff
+from walkcart.entry.roomgate import RoomGate
 from walkcart.entry.routed import RoutedEntryTools, RoutedHandler
 from walkcart.entry.routedservice import RoutedService
 from walkcart.entry.starting import StartGate
@@ -234,6 +235,14 @@
     gate = StartGate(lambda: keeper.known and directory.known)
     keeper.on_change(lambda table: gate.note_change())
     directory.on_change(gate.note_change)
+    room = RoomGate(
+        around.clock,
+        around.random,
+        events,
+        metrics,
+        lambda team: keeper.table.teams.claim_of(team),
+    )
+    kernel.add("room", room)
     protocol = PlatformCallerProtocol()
     handler = RoutedHandler(
         RoutedEntryTools(
@@ -247,6 +256,7 @@
             gate,
             kernel.find("origins", RequestOrigins),
             kernel.find("configuration", PrefixFollower).find_age,
+            room,
             kernel.find("limits", SharedTeamLimits),
         )
     )
--- a/walkcart/daemon/tenantstore.py
+++ b/walkcart/daemon/tenantstore.py
@@ -152,7 +152,6 @@
         events,
         take,
         read_past=CONFIGURATION_READ_PAST,
-        first_fresh=False,
     )
     kernel.add("keeper", keeper)
     kernel.add("origins", RequestOrigins(keeper, TEAM))
--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -18,6 +18,7 @@
 
 from walkcart.entry.callerports import CallerProtocol, CallerRequest, TeamLimits
 from walkcart.entry.requestlog import RequestLog
+from walkcart.entry.roomgate import RoomGate
 from walkcart.entry.starting import StartGate
 from walkcart.entry.teamaccess import Access, find_access
 from walkcart.fanout.crashwatch import CrashWatch
@@ -70,6 +71,7 @@
         gate: holds requests while the instance starts.
         origins: tells whose requests are.
         find_age: returns the seconds since the configuration surely was the newest.
+        room: holds or refuses them while it has more to do than it can.
         limits: of the teams' requests; None where nobody keeps them.
     """
 
@@ -83,6 +85,7 @@
     gate: StartGate
     origins: RequestOrigins
     find_age: Callable[[], float]
+    room: RoomGate
     limits: TeamLimits | None = None
 
 
@@ -120,15 +123,30 @@
         if isinstance(access, NotRun):
             return self._refuse(caller, access)
         question = self._make_question(caller, table, route, access, start)
-        refusal = await self._take_from_limit(access.team, question.deadline)
-        if refusal is not None:
-            return self._refuse(caller, refusal, question.team)
+        async with tools.room.hold(question) as refusal:
+            if refusal is None:
+                refusal = await self._take_from_limit(access.team, question.deadline)
+            if refusal is not None:
+                return self._refuse(caller, refusal, question.team)
+            return await self._serve(caller, table, route, question, access.team, start)
+
+    async def _serve(
+        self,
+        caller: CallerRequest,
+        table: RouteTable,
+        route: Route,
+        question: RoutedQuestion,
+        team: Team | None,
+        start: float,
+    ) -> HttpReply:
+        """Serve a question that was let in, unless leafs end under it."""
+        tools = self._tools
         admitted = await tools.gathering.quarantines.admit(question.fingerprint)
         if isinstance(admitted, NotRun):
-            self._give_back(access.team, start)
+            self._give_back(team, start)
             return self._refuse(caller, admitted, question.team)
         question = replace(question, careful=admitted is Standing.CAREFUL)
-        return await self._answer(question, table, route, access.team, start)
+        return await self._answer(question, table, route, team, start)
 
     async def _take_from_limit(
         self, team: Team | None, deadline: float
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -153,9 +153,8 @@
         """
         pool = self._tools.pool
         kind = self._question.kind
-        for id, sent in list(item.under_way.items()):
-            if pool.withdraw(sent.leaf, id):
-                return
+        if self._withdraw(item):
+            return
         if not self._question.idempotent:
             item.given_up = True
             return
@@ -182,6 +181,23 @@
         for id, sent in item.under_way.items():
             item.under_way[id] = replace(sent, hedge_at=self._second_look)
 
+    def _withdraw(self, item: ServiceTry) -> bool:
+        """Take back an attempt that waits inside this instance, for another leaf.
+
+        Where all leafs had one it keeps its place in the order.
+        """
+        pool = self._tools.pool
+        leaves = pool.leaves_of(item.service)
+        untried = any(leaf.id not in item.tried for leaf in leaves)
+        for id, sent in list(item.under_way.items()):
+            if not pool.is_waiting(sent.leaf, id):
+                continue
+            if not untried:
+                item.under_way[id] = replace(sent, hedge_at=float("inf"))
+                return True
+            return pool.withdraw(sent.leaf, id)
+        return False
+
     def _postpone(self, item: ServiceTry, leaf: Leaf, now: float) -> bool:
         """Put a second attempt off while its leaf is busy; return whether it was."""
         busy = leaf.outstanding + leaf.stated_load(now) >= leaf.slots
@@ -292,6 +308,8 @@
             kind=question.kind,
             regions=question.regions,
             grant=question.grant,
+            rank=question.rank,
+            objective_at=question.objective_at,
         )
         again = leaf.id in item.ran_at
         if again:
--- a/walkcart/kernel/metrics.py
+++ b/walkcart/kernel/metrics.py
@@ -73,6 +73,11 @@
         "counter", "requests", "To a leaf that lost its answer to the same question."
     ),
     "leaf.late": Metric("counter", "replies", "Replies that nobody waited for."),
+    "leaf.crowded": Metric("counter", "requests", "Waited here for room at a leaf."),
+    "leaf.wait": Metric("timer", "ms", "What those waited until they were sent."),
+    "room.limit": Metric("gauge", "requests", "Worked on at once; 0 without a limit."),
+    "room.refused": Metric("counter", "requests", "Refused: no room here in time."),
+    "room.wait": Metric("timer", "ms", "Of requests that waited for room here."),
     "leaf.connections": Metric("gauge", "connections", "Open to leaves."),
     "peer.sent": Metric("counter", "messages", "Messages to peers."),
     "peer.received": Metric("counter", "messages", "Messages from peers."),
--- a/walkcart/leaves/attempts.py
+++ b/walkcart/leaves/attempts.py
@@ -41,6 +41,9 @@
         kind: name of the route that a routed request came by.
         regions: that a routed request may be served in.
         grant: by what it was let in; None where that isn't looked at.
+        rank: 0 is the most urgent.
+        objective_at: when an answer begins to lose value, on the clock of `deadline`;
+            infinite when it doesn't.
     """
 
     id: str
@@ -61,6 +64,8 @@
     kind: str = ""
     regions: Regions = ANYWHERE
     grant: Grant | None = None
+    rank: int = 0
+    objective_at: float = float("inf")
 
     @property
     def repeatable(self) -> bool:
