--- a/walkcart/daemon/deferred.py
+++ b/walkcart/daemon/deferred.py
@@ -1,7 +1,7 @@
 """What an instance on the platform doesn't load, though its libraries import it.
 
-Memory is a good part of what a small instance costs, and most of it is modules. Its
-connections are plain and its event loop is trio's.
+Modules take most of a small instance's memory. Its connections aren't encrypted and
+its event loop is trio's, so some of them are never used.
 """
 
 from __future__ import annotations
--- a/walkcart/entry/callerports.py
+++ b/walkcart/entry/callerports.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Protocol
 
@@ -36,7 +36,7 @@
     patience: timedelta | None
     forwarded: HttpRequest
     traceparent: str | None = None
-    credential: bytes | None = None
+    credential: bytes | None = field(default=None, repr=False)
 
 
 class TeamLimits(Protocol):
--- a/walkcart/entry/roomgate.py
+++ b/walkcart/entry/roomgate.py
@@ -29,8 +29,8 @@
 from walkcart.routing.latency import DecayedLatency
 from walkcart.wire.verdicts import NotRun, Reason
 
-#: Seconds between two looks at the event loop while questions are in progress: five
-#: looks make a standing delay.
+#: Seconds between two looks at the event loop while questions are in progress: several
+#: fall into the time for which a delay must stand.
 LOOK_INTERVAL = 0.05
 
 
--- a/walkcart/entry/teamlimits.py
+++ b/walkcart/entry/teamlimits.py
@@ -17,15 +17,13 @@
 from walkcart.membership.quotaanswers import FindLimit
 from walkcart.membership.quotaasks import QuotaAsks
 from walkcart.routing.allowances import Allowance
+from walkcart.routing.comeback import find_return
 from walkcart.routing.quotas import QuotaBounds, Want, list_shares
 from walkcart.wire.verdicts import NotRun, Reason
 
-#: Refused callers are told a wait of up to so many times what is left, by chance, so
-#: that they don't return together.
-SPREAD = 1.5
-#: Queue of refused callers at an accountant, in seconds, from which on the team is far
-#: above its limit; and the part of the shares that are then not asked any more: they
-#: have a request now and then, which others get. Callers hear at once.
+#: Turn that an accountant tells, in seconds, from which on a team is far above its
+#: limit. Then the last shares that may have room aren't asked if they are at most this
+#: part of all: the few requests that they grant go to others, and callers hear at once.
 BUSY_TURN = 2.0
 LEFT_PART = 0.4
 #: Longest time for which a request waits for the accountants, in seconds: all have been
@@ -34,8 +32,8 @@
 #: Seconds after which a caller may try another instance when no accountant is reached
 #: from this one.
 UNKNOWN_WAIT = 0.3
-#: Shortest wait that a refused caller is told, in seconds: its way back and forth.
-SHORTEST_WAIT = 0.02
+#: Shortest wait that a refused caller is told: its way back and forth.
+SHORTEST_WAIT = timedelta(seconds=0.02)
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +72,7 @@
     turns: list[float] = field(default_factory=list)
 
     def is_far_above(self, now: float) -> bool:
-        """Return whether the rest isn't worth asking."""
+        """Return whether the team is so far above its limit that asking can stop."""
         if not self.turns or self.turns[-1] < BUSY_TURN:
             return False
         left = self.allowance.full.find_open(self.shares, now)
@@ -208,17 +206,17 @@
     def _refuse(self, search: _Search, wait: float) -> NotRun:
         """Refuse a request above the limit, with when there will be room."""
         limit = search.limit
-        told = max(SHORTEST_WAIT, wait * self._random.uniform(1.0, SPREAD))
+        told = max(SHORTEST_WAIT, find_return(wait, self._random))
         detail = f"the limit of {limit.rate:g} a second and {limit.burst:g} is used"
         denial = self._denials.get(search.team)
         if denial is not None:
             age = self._clock.monotonic() - denial.at
             detail += f": {denial.accountant} saw {denial.use:.2f} a second of its"
             detail += f" share {age * 1000:.0f} ms ago"
-        return NotRun(Reason.RATE_LIMITED, detail, timedelta(seconds=told))
+        return NotRun(Reason.RATE_LIMITED, detail, told)
 
     def _refuse_unknown(self, asked: int) -> NotRun:
         """Refuse a request since nobody can tell whether it is above the limit."""
-        told = UNKNOWN_WAIT * self._random.uniform(1.0, SPREAD)
+        told = find_return(UNKNOWN_WAIT, self._random)
         detail = f"no accountant of {asked} shares was reached"
-        return NotRun(Reason.LIMIT_UNKNOWN, detail, timedelta(seconds=told))
+        return NotRun(Reason.LIMIT_UNKNOWN, detail, told)
--- a/walkcart/fanout/delegatedgroup.py
+++ b/walkcart/fanout/delegatedgroup.py
@@ -169,7 +169,8 @@
         self.outcome = outcome
         self.ended = True
         if self._loan is not None:
-            # Without this instance's word that it knows, none of them is sent.
+            # The other instance sends lent repeats only once this one has confirmed
+            # that the question was taken.
             if not self.taken and self.most_attempts > 1:
                 self._loan.return_unspent(self.services)
             self._loan.end()
--- a/walkcart/fanout/lateturns.py
+++ b/walkcart/fanout/lateturns.py
@@ -17,7 +17,7 @@
 def find_late_turn(
     tools: RoutedTools, question: RoutedQuestion, item: ServiceTry
 ) -> NotRun | None:
-    """Return why a service's part can't come before the caller leaves, or None.
+    """Return why a service's part can't come before the caller leaves; None if it can.
 
     Args:
         tools: what routed questions use.
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -59,7 +59,7 @@
         self._attempts: dict[str, ServiceTry] = {}
         time = min(question.objective_at, question.deadline) - tools.clock.monotonic()
         self._choice = LeafChoice(tools, question, max(0.0, time))
-        #: When second attempts are looked at again that were put off.
+        #: When second attempts that were put off are considered again, in seconds.
         self._second_look = find_second_look(
             tools.clock.monotonic(), question.objective_at, question.deadline
         )
@@ -170,11 +170,11 @@
         self._send(item, leaf, now)
 
     def is_long_late(self, now: float) -> bool:
-        """Return whether what hasn't replied by now is hardly late by load alone."""
+        """Return whether a reply that is missing now is likely lost, not just late."""
         return now >= self._second_look
 
     def put_off(self, item: ServiceTry, now: float) -> None:
-        """Put a second attempt off until then: too much is late for it to help now."""
+        """Put a second attempt off to the second look: too many are late for it now."""
         if self.is_long_late(now):
             item.given_up = True
             return
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -146,7 +146,7 @@
         link.submit(attempt, account)
 
     def has_room(self, leaf: Leaf, attempt: Attempt) -> bool:
-        """Return whether a leaf may be sent an attempt now, else it waits inside us."""
+        """Return whether a leaf may be sent an attempt now, or else it waits here."""
         return self.room.has_room(leaf, attempt)
 
     def is_waiting(self, leaf: Leaf, attempt_id: str) -> bool:
--- a/walkcart/leaves/poolroom.py
+++ b/walkcart/leaves/poolroom.py
@@ -45,7 +45,7 @@
         return link.waiting if link is not None else 0
 
     def has_room(self, leaf: Leaf, attempt: Attempt) -> bool:
-        """Return whether a leaf may be sent an attempt now, else it waits inside us."""
+        """Return whether a leaf may be sent an attempt now, or else it waits here."""
         sent = leaf.outstanding - self.count_waiting(leaf)
         if sent <= 0:
             # Its reply is what tells that there is room again.
--- a/walkcart/membership/quotaanswers.py
+++ b/walkcart/membership/quotaanswers.py
@@ -55,7 +55,7 @@
     def _on_ask(self, sender: str, message: Message, age: float) -> None:
         assert isinstance(message, QuotaAsk)
         if math.isfinite(age) and age > self._bounds.hold:
-            # What it were granted would hold no longer when it arrives.
+            # A grant would have ended when it arrives.
             return
         if _is_sound(message):
             self._links.send(sender, self._answer(message))
@@ -82,7 +82,7 @@
 
 
 def _is_sound(ask: QuotaAsk) -> bool:
-    """Return whether an ask can be meant."""
+    """Return whether the numbers of an ask are usable."""
     numbers = (ask.rate, ask.burst)
     finite = all(math.isfinite(number) and number >= 0.0 for number in numbers)
     return finite and ask.rate > 0.0 and ask.wanted > 0 and 0 <= ask.share < SHARES
--- a/walkcart/membership/quotaasks.py
+++ b/walkcart/membership/quotaasks.py
@@ -232,7 +232,7 @@
         self._silent_until[name] = self._clock.monotonic() + SILENCE_TIME
 
     def _forget_old(self, now: float) -> None:
-        """Forget asks whose grants would hold no longer."""
+        """Forget asks whose grants would have ended."""
         while self._pending:
             number = next(iter(self._pending))
             pending = self._pending[number]
--- a/walkcart/membership/quotashares.py
+++ b/walkcart/membership/quotashares.py
@@ -215,7 +215,8 @@
         try:
             stored = await self._keys.read(share)
         except (StoreUnavailable, msgspec.MsgspecError):
-            # Not reached from here either, or not to be had: the accountant keeps it.
+            # The store isn't reached from here either, or the key can't be read: the
+            # accountant keeps it.
             return
         if stored is not None and stored.revision == revision and not self._left:
             takeover = QuotaTakeover(share, revision)
--- a/walkcart/membership/watchers.py
+++ b/walkcart/membership/watchers.py
@@ -21,16 +21,16 @@
 #: Candidates besides these: for an instance whose view of the others is older, and for
 #: when the store turns the watchers away, as it may a third of all instances at once.
 SPARE_WATCHERS = 2
-#: Seconds for which one that didn't feed isn't hoped for: some renewals of its lease,
-#: by which it notices that the store serves it again.
+#: Seconds for which a feeder that was silent isn't asked again where others are left:
+#: some renewals of its lease, by which it notices that the store serves it again.
 SILENT_MEMORY = 5.0
 #: Seconds after which a feeder of another data centre is left for one that is near.
 FAR_TIME = 10.0
 
 #: A receiver whose copy was surely complete longer ago turns to another feeder, which
 #: answers in milliseconds: signs of life come each second, and what is left until
-#: `LATE` covers a look and that answer. Without it the subscribers of a feeder that
-#: died made six readings and six watches of the store (14 instances).
+#: `walkcart.membership.relaying.LATE` covers a look and that answer. So the subscribers
+#: of a feeder that died don't all read the store.
 SUSPECT = timedelta(seconds=1.3)
 
 
--- a/walkcart/routing/allowances.py
+++ b/walkcart/routing/allowances.py
@@ -28,11 +28,11 @@
 #: Part of the hold within which a request that didn't run gives back what it took.
 GIVE_BACK_PART = 0.5
 #: Least and most seconds that an accountant may take before the next one is asked.
-#: The least is above the pauses of a busy processor; with the most, all three shares
-#: are asked well within the objectives of most routes.
+#: The least is above the pauses of a busy processor; with the most, a request still
+#: reaches several silent accountants before it is refused.
 LEAST_PATIENCE = 0.04
 MOST_PATIENCE = 0.12
-#: Patience in usual times of an answer.
+#: Seconds to wait for an answer, as a multiple of the usual time of one.
 PATIENCE_FACTOR = 3.0
 #: Weight of the newest answer in the usual time.
 NEWEST_WEIGHT = 0.1
--- a/walkcart/routing/comeback.py
+++ b/walkcart/routing/comeback.py
@@ -20,7 +20,7 @@
 
 
 def find_return(drained: float, random: Random) -> timedelta:
-    """Return when one of several callers that are refused shall come back.
+    """Return after which time one of several refused callers is to come back.
 
     Args:
         drained: seconds until there is room again.
--- a/walkcart/routing/instanceroom.py
+++ b/walkcart/routing/instanceroom.py
@@ -34,20 +34,23 @@
 DECREASE = 0.7
 #: Growth of the limit in each `STANDING_TIME` without delay.
 INCREASE = 1.25
+#: Questions that are worked on at once whatever the delay: their ends tell the drain.
 LEAST_LIMIT = 2.0
 #: Seconds without a delay and without anybody who waits after which no limit holds.
 CALM_TIME = 2.0
-#: Seconds over which the rate of completions is measured.
+#: Seconds after which a completion counts half in the rate of completions.
 RATE_TIME = 2.0
 #: Weight of a new time in the mean of those for which questions are in progress.
 TIME_GAIN = 0.2
-#: Factor on the expected wait: rather one refused at once than one that waits in vain.
+#: Factor on the expected wait of a question that comes in: one that can't be answered
+#: in time is better refused at once than after a wait.
 CAUTION = 1.25
 #: Shortest and longest time to come back, in seconds.
 LEAST_RETRY = 0.05
 LONGEST_RETRY = 30.0
 #: Seconds to come back while no completion was seen of late.
 BLIND_RETRY = 1.0
+#: By it the decayed sum of completions is their rate a second.
 _LN_2 = 0.693
 
 T = TypeVar("T")
--- a/walkcart/routing/kindtimes.py
+++ b/walkcart/routing/kindtimes.py
@@ -107,11 +107,12 @@
 
 
 def find_second_look(sent: float, objective: float, deadline: float) -> float:
-    """Return when second attempts are looked at again that too many late ones put off.
+    """Return when second attempts that were put off are considered again.
 
-    Where much is late at once the leafs have too much to do, and second attempts add to
-    it. What is late still when half of the time has passed is lost rather than late,
-    and without it there is no answer at all. The budget of repeats bounds these too.
+    They are put off where many replies are late at once: the leafs are overloaded, and
+    second attempts add to it. A reply that is still missing when half of the time has
+    passed is likely lost, and the answer may depend on it. The budget of repeats bounds
+    these attempts too.
 
     Args:
         sent: when the question was sent, in seconds.
--- a/walkcart/routing/leafroom.py
+++ b/walkcart/routing/leafroom.py
@@ -31,8 +31,6 @@
 #: Seconds after which an urgent kind that wasn't asked for is no longer expected: the
 #: reserve would cost the others a slot for nothing.
 EXPECTED_TIME = 2.0
-
-
 #: Factor by which an expected delay may be too long: a request is refused for want of
 #: room only when it surely comes too late.
 DELAY_MARGIN = 1.5
@@ -102,7 +100,7 @@
         self._expected[rank] = _Expected(objective, now)
 
     def allows(self, demand: Demand, sent: int, others: float, now: float) -> bool:
-        """Return whether a request may be sent now, else it waits inside us.
+        """Return whether a request may be sent now, or else waits here.
 
         Args:
             demand: the request.
--- a/walkcart/routing/peerchoice.py
+++ b/walkcart/routing/peerchoice.py
@@ -102,9 +102,9 @@
     def find_unheard(self, names: Sequence[str], now: float) -> list[str]:
         """Return those to be greeted now: they stayed silent, and may be back.
 
-        A greeting that isn't answered costs no question the time to wait for a word.
-        The load it answers: a data centre that is lost, in a fleet whose instances have
-        a question each few seconds, so that each of them learned anew with each one.
+        No question waits for the answer to a greeting. The load it answers: a lost data
+        centre, and instances that have a question only each few seconds, longer than a
+        silent instance is left out; each question would wait for one of them in vain.
 
         Args:
             names: of the instances that may be wanted.
--- a/walkcart/routing/quotas.py
+++ b/walkcart/routing/quotas.py
@@ -51,7 +51,7 @@
 #: Seconds for which a grant holds at the least: a round trip between regions and a
 #: busy processor at both ends.
 LEAST_HOLD = 0.1
-#: Full buckets are forgotten past so many; they come back full.
+#: Buckets kept at the most before full ones are forgotten; those come back full.
 MOST_BUCKETS = 4096
 
 
@@ -141,7 +141,7 @@
         granted: requests that may run; 0 when there is no room.
         wait: seconds until there is room for one; infinite if never here.
         turn: seconds until the asker's turn, behind others that were refused.
-        use: requests of the team a second that were granted of late.
+        use: requests of the team that this accountant granted a second of late.
         full: other shares that had no room, as far as the accountant was told.
     """
 
--- a/walkcart/routing/repeats.py
+++ b/walkcart/routing/repeats.py
@@ -60,7 +60,7 @@
         self._parts: deque[list[float]] = deque()
         self.requests = 0.0
         self.repeats = 0.0
-        #: Repeats that another instance may send, of which the end isn't known.
+        #: Repeats that are lent to other instances and not settled yet.
         self.lent = 0
 
     def advance(self, part: int) -> None:
--- a/walkcart/routing/urgency.py
+++ b/walkcart/routing/urgency.py
@@ -49,7 +49,10 @@
 
 
 class UrgencyQueue(Generic[T]):
-    """Requests that wait, a few dozen at the most."""
+    """Requests that wait, taken out by urgency.
+
+    Each call looks at all of them, which suits some dozens.
+    """
 
     def __init__(self) -> None:
         self._waiting: list[tuple[Urgency, T]] = []
--- a/walkcart/store/currency.py
+++ b/walkcart/store/currency.py
@@ -14,7 +14,7 @@
 from walkcart.store.items import Change, Item
 
 #: Changes of one watch, or bytes of their values, from which on the store may have cut
-#: them off, at some 500 and a megabyte: what is left is asked for at once.
+#: them off: what is left is asked for at once. Both are below the store's own bounds.
 FULL_CHANGES = 400
 FULL_BYTES = 512 << 10
 #: Seconds that a watch waits before it shows that the one before wasn't cut off.
