--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -159,6 +159,16 @@
         quarantines,
         kernel.find("origins", RequestOrigins),
     )
+    kernel.add("links", links)
+    add_relay(kernel, around, links)
+    kernel.add("delegates", delegates)
+    kernel.add("carrier", carrier)
+    kernel.add("gathering", gathering)
+
+
+def add_relay(kernel: Kernel, around: TenantSurroundings, links: PeerLinks) -> None:
+    """Add what passes stored changes on between instances."""
+    registration = kernel.find("registration", Registration)
     relay = Relay(
         [
             kernel.find("configuration", PrefixFollower),
@@ -168,15 +178,11 @@
         links,
         registration,
         around.clock,
-        events,
-        metrics,
+        kernel.find("events", EventLog),
+        kernel.find("metrics", Metrics),
     )
     registration.follow_watching(lambda: relay.watches)
-    kernel.add("links", links)
     kernel.add("relay", relay)
-    kernel.add("delegates", delegates)
-    kernel.add("carrier", carrier)
-    kernel.add("gathering", gathering)
 
 
 def add_quarantines(
--- a/walkcart/fanout/leafchoice.py
+++ b/walkcart/fanout/leafchoice.py
@@ -1,8 +1,9 @@
 """Which leaf may get the next attempt of a routed question at one service.
 
-A route bounds the leafs that may run a request. One whose answer was lost has run it,
-so asked once more, on another connection, it is no further leaf. The load it answers:
-many leafs that run requests and lose part of their answers by a reset.
+A route bounds the number of leafs that may run a request. A leaf whose answer was lost
+has likely run it, so asking that leaf once more, on another connection, adds none to
+the number. The load it answers: many leafs that run requests and lose part of their
+answers by a reset.
 
 See Also:
     `walkcart.routing.placement`, which chooses among those that may.
@@ -15,8 +16,8 @@
 from walkcart.fanout.servicetry import ServiceTry
 from walkcart.leaves.leaf import Leaf
 
-#: Times that one leaf gets a question whose answers it loses: of ten answers of which
-#: it loses four, less than one is lost three times.
+#: Times that one leaf gets a question whose answers it loses: with three, a leaf that
+#: loses two of five answers brings nine parts of ten.
 MOST_TIMES = 3
 
 
@@ -37,7 +38,7 @@
         self._objective = objective
 
     def may_add(self, item: ServiceTry) -> bool:
-        """Return whether a leaf may get the question that didn't have it."""
+        """Return whether a further leaf may get the question."""
         return not item.closed and item.may_run < self._question.most_attempts
 
     def find_askable(self, item: ServiceTry) -> set[str]:
--- a/walkcart/fanout/repeatloans.py
+++ b/walkcart/fanout/repeatloans.py
@@ -1,10 +1,10 @@
-"""Repeats that who asks lends to the instance that gathers for it.
+"""Repeats that an instance which asks lends to the one that gathers for it.
 
 The allowance of repeats is divided among all instances, and most requests to leafs go
-through the few that gather. So who asks sets repeats of its own part aside, at most one
-for each service, and the other instance may send these beside its own. A loan counts
-here from when it is made until it is known how it ended, and from then on for a window
-if it was spent or may have been, so the sum over all instances stays as it was.
+through the few that gather. So the asker sets repeats of its own part aside, at most
+one for each service, and the other instance may send these beside its own. A loan
+counts here from when it is made until it is known how it ended, and from then on for a
+window if it was spent or may have been, so the sum over all instances stays as it was.
 
 See Also:
     `walkcart.routing.repeats.RepeatBudget`, which holds them.
--- a/walkcart/membership/relaying.py
+++ b/walkcart/membership/relaying.py
@@ -59,10 +59,11 @@
 #: An instance that has just started reads the store itself; only after this is it fed
 #: all of the copies. A reading takes some 50 ms.
 FIRST_READ_TIME = timedelta(seconds=0.3)
-#: Who wasn't served by the store for this long, some tries, sends its subscribers away.
+#: An instance that the store didn't serve for this long sends its subscribers away: a
+#: single failed call isn't enough.
 UNSERVED = timedelta(seconds=0.3)
-#: An instance that watches no longer, since others joined, goes on while it is asked
-#: for this long: whom it feeds reads who the others are less often.
+#: An instance that need not watch any more, since others joined, feeds on for this long
+#: while it is asked: its subscribers read more seldom which instances there are.
 HANDOVER = timedelta(seconds=20)
 
 
--- a/walkcart/routing/replyshare.py
+++ b/walkcart/routing/replyshare.py
@@ -27,8 +27,9 @@
 HALF_LIFE = 2.0
 #: Good replies that a leaf nothing is known of is credited with.
 PRIOR = 2.0
-#: What an answer counts that was lost after the leaf ran the request, in refusals: it
-#: comes as late as the answer would have, and takes one of the leafs that may run it.
+#: Weight of an answer that was lost after the leaf may have run the request; a refusal
+#: weighs 1. A loss is seen only when the answer was due, and uses up one of the leafs
+#: that may run the request.
 LOSS_WEIGHT = 2.0
 
 
