--- a/walkcart/entry/tests/quotafleet.py
+++ b/walkcart/entry/tests/quotafleet.py
@@ -12,6 +12,7 @@
 from walkcart.entry.tests.leasedstore import LeasedStore
 from walkcart.fanout.peerselection import MOST_GREETED
 from walkcart.intent.teams import Team
+from walkcart.kernel.clock import TrioClock
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.settings import HostPort
@@ -93,7 +94,7 @@
         host, _, port = self.address.partition(":")
         listener = await transport.listen(HostPort(host, int(port)))
         self.log = StringIO()
-        events = EventLog(self.name, trio_clock(), self.log)
+        events = EventLog(self.name, TrioClock(), self.log)
         self.metrics = Metrics(None, self.name)
         self.links = PeerLinks(listener, transport, self, events, self.metrics)
         keys = QuotaKeys(self.fleet.store.at(self.name), self.own, clock, BOUNDS.window)
@@ -168,12 +169,6 @@
         return [n for n in range(SHARES) if self.shares.find_account(n)]
 
 
-def trio_clock():
-    from walkcart.kernel.clock import TrioClock
-
-    return TrioClock()
-
-
 class Fleet:
     """All instances, the store, the teams in force and what was admitted."""
 
--- a/walkcart/platform/tests/test_store_calls.py
+++ b/walkcart/platform/tests/test_store_calls.py
@@ -1,10 +1,7 @@
 """What a fleet asks of the store while the store, leafs or instances have trouble.
 
-A day of 142 instances cost 3,160 calls, renewals and readings that may be old counted
-as a tenth. 330 of them were tries of instances that the store turned away, each
-prefix's by itself; 450 readings of the configuration at starts and when the store was
-back; 850 watches that returned with leafs' changes; 284 leases that were granted,
-half of them to instances whose former lease went on.
+Renewals and readings that may be old count a tenth of a call. See
+``docs/design/costs.md`` for what causes calls.
 """
 
 import json
