Limits at leafs and instances hold where teams compete; repeats are lent where one's own part is small

Change: a limit at leafs or at an instance holds where the configuration names teams; an instance whose own part of the allowance is four or more lends none, and a group without loans judges repeats as before.

--- a/walkcart/bench/routed/instances.py
+++ b/walkcart/bench/routed/instances.py
@@ -123,7 +123,7 @@
 
     def has_room(self, leaf: Leaf, attempt: Attempt) -> bool:
         """Return whether a leaf may be sent an attempt now."""
-        return not self._policy.room or super().has_room(leaf, attempt)
+        return not self._policy.room or self.room.has_room(leaf, attempt)
 
     def _note_failure(self, leaf: Leaf, now: float, lost: bool = False) -> None:
         super()._note_failure(leaf, now, lost)
--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -248,6 +248,7 @@
         events,
         metrics,
         lambda team: keeper.table.teams.claim_of(team),
+        lambda: keeper.table.document.teams is not None,
     )
     kernel.add("room", room)
     protocol = PlatformCallerProtocol()
--- a/walkcart/entry/roomgate.py
+++ b/walkcart/entry/roomgate.py
@@ -52,6 +52,7 @@
         events: where changes of the limit and refusals are logged.
         metrics: where refusals and waits are counted.
         find_weight: returns a team's claim, relative to others.
+        is_wanted: returns whether questions are held or refused at all.
     """
 
     def __init__(
@@ -61,12 +62,14 @@
         events: EventLog,
         metrics: Metrics,
         find_weight: Callable[[str], float] = lambda team: 1.0,
+        is_wanted: Callable[[], bool] = lambda: True,
     ) -> None:
         self._clock = clock
         self._random = random
         self._events = events
         self._metrics = metrics
         self._find_weight = find_weight
+        self._is_wanted = is_wanted
         self.room: InstanceRoom[_Waiter] = InstanceRoom()
         self._times: dict[str, DecayedLatency] = {}
         self._busy = trio.Event()
@@ -78,6 +81,9 @@
         Args:
             question: that came in; nothing was sent for it yet.
         """
+        if not self._is_wanted():
+            yield None
+            return
         refusal = await self._enter(question)
         if refusal is not None:
             yield refusal
--- a/walkcart/fanout/delegationcodec.py
+++ b/walkcart/fanout/delegationcodec.py
@@ -73,11 +73,21 @@
         granted=question.granted,
         traceparent=question.traceparent,
         regions=_encode_regions(question.regions),
-        fair_coverage=max(question.fair_coverage, question.least_coverage),
+        fair_coverage=_find_fair_coverage(question, delegation),
         lent=encode_services(services, delegation.lent),
     )
 
 
+def _find_fair_coverage(question: RoutedQuestion, delegation: Delegation) -> float:
+    """Return the share by which the other one judges repeats, with those it is lent.
+
+    Without them it has only its own, which are for what an answer can't do without.
+    """
+    if not delegation.lent:
+        return 0.0
+    return max(question.fair_coverage, question.least_coverage)
+
+
 def _encode_regions(regions: Regions) -> tuple[str, ...] | None:
     return None if regions.names is None else tuple(sorted(regions.names))
 
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -147,6 +147,9 @@
 
     def has_room(self, leaf: Leaf, attempt: Attempt) -> bool:
         """Return whether a leaf may be sent an attempt now, or else it waits here."""
+        if self._tools.keeper.table.document.teams is None:
+            # Nobody's claim is weighed against another's.
+            return True
         return self.room.has_room(leaf, attempt)
 
     def is_waiting(self, leaf: Leaf, attempt_id: str) -> bool:
--- a/walkcart/platform/tests/test_crowded_leafs.py
+++ b/walkcart/platform/tests/test_crowded_leafs.py
@@ -3,9 +3,16 @@
 import trio
 
 from walkcart.bench.harness import run_mocked
-from walkcart.platform.tests.platformworld import make_route, open_platform
+from walkcart.platform.tests.platformworld import (
+    make_route,
+    make_team,
+    open_platform,
+    show_key,
+)
 
 SLOW = 0.3
+#: Limits at leafs hold where teams compete.
+KEY = show_key("key")
 LONG = 10
 
 
@@ -24,13 +31,14 @@
                 timeoutMs=9000,
             )
             for name, rank, objective in routes
-        )
+        ),
+        teams=[make_team("fitters", "key")],
     )
     await world.start_instance()
     await world.wait_ready()
     for _ in range(20):
-        await world.ask("/long/x")
-        await world.ask("/urgent/x")
+        await world.ask("/long/x", headers=KEY)
+        await world.ask("/urgent/x", headers=KEY)
     return leaf
 
 
@@ -40,7 +48,7 @@
     before = len(leaf.arrived)
 
     async def ask(path):
-        statuses.append((await world.ask(path, deadline_ms=9000)).status)
+        statuses.append((await world.ask(path, deadline_ms=9000, headers=KEY)).status)
 
     async with trio.open_nursery() as nursery:
         for _ in range(LONG):
@@ -59,7 +67,7 @@
             if slow:
                 leaf.faults.delay = SLOW
                 for _ in range(10):
-                    await world.ask("/long/x", deadline_ms=9000)
+                    await world.ask("/long/x", deadline_ms=9000, headers=KEY)
             return await ask_at_once(world, leaf)
 
     return run_mocked(run)
@@ -84,11 +92,13 @@
             leaf = await start_world(world)
             leaf.faults.delay = SLOW
             for _ in range(10):
-                await world.ask("/long/x", deadline_ms=9000)
+                await world.ask("/long/x", deadline_ms=9000, headers=KEY)
             served = []
 
             async def ask():
-                served.append((await world.ask("/long/x", deadline_ms=9000)).status)
+                served.append(
+                    (await world.ask("/long/x", deadline_ms=9000, headers=KEY)).status
+                )
 
             async with trio.open_nursery() as nursery:
                 for _ in range(4 * LONG):
@@ -96,9 +106,9 @@
                 await trio.sleep(0.05)
                 before = len(leaf.arrived)
                 start = trio.current_time()
-                hasty = await world.ask("/long/hasty", deadline_ms=1000)
+                hasty = await world.ask("/long/hasty", deadline_ms=1000, headers=KEY)
                 elapsed = trio.current_time() - start
-                urgent = await world.ask("/urgent/x", deadline_ms=2000)
+                urgent = await world.ask("/urgent/x", deadline_ms=2000, headers=KEY)
             targets = [request.target for request in leaf.arrived[before:]]
             return served, hasty, elapsed, urgent, targets
 
--- a/walkcart/routing/repeats.py
+++ b/walkcart/routing/repeats.py
@@ -32,6 +32,10 @@
 #: when much fails: then a repeat that adds a part to an answer that does without is
 #: worth a tenth of one that saves the answer.
 VITAL_SHARE = 0.5
+#: Repeats of the allowance that an instance keeps for itself if it has as many: where
+#: instances are few, those that gather have enough of their own, and what is lent is
+#: missing here.
+PLENTY = 4.0
 #: Parts into which a window is divided.
 PARTS = 20
 
@@ -120,7 +124,7 @@
         return True
 
     def lend(self, service: str, now: float, instances: int) -> bool:
-        """Set a repeat aside for another instance; return False when none is left.
+        """Set a repeat aside for another instance; return False when none is lent.
 
         It counts until it is settled, however long that takes.
 
@@ -129,6 +133,8 @@
             now: the present, in seconds.
             instances: that divide the allowance.
         """
+        if self.limits.allowance / max(1, instances) >= PLENTY:
+            return False
         window = self._window(service)
         window.advance(self._part(now))
         allowed = self._allowed(window, now, instances)
