--- a/walkcart/fanout/carrying.py
+++ b/walkcart/fanout/carrying.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass
 from functools import partial
 
@@ -23,6 +23,7 @@
     encode_answer,
     encode_outcome,
 )
+from walkcart.fanout.lentrepeats import encode_services
 from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
 from walkcart.fanout.quarantines import Quarantines
 from walkcart.fanout.routedquestion import RoutedFailure, RoutedQuestion
@@ -62,11 +63,15 @@
 
     Args:
         id: of the question.
+        services: that it goes to.
         send: sends a message to who asked it.
     """
 
-    def __init__(self, id: str, send: Callable[[Message], object]) -> None:
+    def __init__(
+        self, id: str, services: tuple[str, ...], send: Callable[[Message], object]
+    ) -> None:
         self._id = id
+        self._services = services
         self._send = send
         self._confirmed = False
         self._listener: Callable[[], object] = lambda: None
@@ -84,10 +89,16 @@
         if self._confirmed:
             listener()
 
-    def settle(self, answer: MergedAnswer) -> None:
-        """Hand over what is in; `answer` says what is left to who asked."""
+    def settle(self, answer: MergedAnswer, unspent: Collection[str] = ()) -> None:
+        """Hand over what is in.
+
+        Args:
+            answer: says what is left to who asked.
+            unspent: services whose lent repeats are returned.
+        """
         self.done = True
-        self._send(encode_answer(self._id, answer, more=True))
+        bits = encode_services(self._services, unspent)
+        self._send(encode_answer(self._id, answer, more=True, unspent=bits))
 
     def add(self, service: str, part: MergedAnswer) -> None:
         """Hand over a late part."""
@@ -194,7 +205,8 @@
         high = self._usual_high(message.kind)
         self._links.send(sender, DelegatedTaken(message.id, high))
         scope = trio.CancelScope(deadline=trio.current_time() + HOLD_TIME)
-        handover = Handover(message.id, partial(self._links.send, sender))
+        send = partial(self._links.send, sender)
+        handover = Handover(message.id, message.services, send)
         self._carried[key] = carried = _Carried(scope, handover)
         _remember(self._begun, copy, self._clock.monotonic())
         late = max(0.0, age - USUAL_AGE)
@@ -268,7 +280,10 @@
                 if handover.done:
                     handover.end()
                 else:
-                    self._links.send(sender, encode_outcome(message.id, outcome))
+                    unspent = question.lent.release() if question.lent else ()
+                    bits = encode_services(message.services, unspent)
+                    answer = encode_outcome(message.id, outcome, bits)
+                    self._links.send(sender, answer)
         except Exception as error:
             self._note_fault(sender, message, error)
         finally:
--- a/walkcart/fanout/delegatedgroup.py
+++ b/walkcart/fanout/delegatedgroup.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
+from typing import Protocol
 
 import trio
 from returns.result import Failure, Result, Success
 
+from walkcart.fanout.lentrepeats import decode_services
 from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
 from walkcart.fanout.routedquestion import RoutedFailure
 from walkcart.routing.distance import Place
@@ -16,6 +18,23 @@
 Outcome = Result[MergedAnswer, RoutedFailure]
 
 
+class Loan(Protocol):
+    """Repeats that another instance is lent."""
+
+    @property
+    def services(self) -> frozenset[str]:
+        """The services for which a repeat is lent still."""
+        ...
+
+    def return_unspent(self, services: Collection[str]) -> None:
+        """Take back what surely wasn't spent and never will be."""
+        ...
+
+    def end(self) -> None:
+        """Count what is left as spent: nothing more will be heard of it."""
+        ...
+
+
 class DelegatedGroup:
     """Services that another instance gathers, and how that ended.
 
@@ -27,6 +46,7 @@
         peer: the other instance.
         at: when it was asked, in seconds.
         on_end: told when it ended, and when there is something to take.
+        loan: repeats that the other instance is lent; None without any.
     """
 
     def __init__(
@@ -38,6 +58,7 @@
         peer: str,
         at: float,
         on_end: Callable[[], None],
+        loan: Loan | None = None,
     ) -> None:
         self.services = services
         self.place = place
@@ -58,6 +79,7 @@
         self.is_handed_taken = False
         self.most_attempts = most_attempts
         self._on_end = on_end
+        self._loan = loan
 
     @property
     def has_news(self) -> bool:
@@ -137,8 +159,18 @@
         self.parts.append((service, part))
         self._on_end()
 
+    def return_unspent(self, bits: int) -> None:
+        """Take back the repeats that the other instance says it won't send."""
+        if self._loan is not None:
+            self._loan.return_unspent(decode_services(self.services, bits))
+
     def end(self, outcome: Outcome | None) -> None:
         """Note how it ended; None when it must be done from here."""
         self.outcome = outcome
         self.ended = True
+        if self._loan is not None:
+            # Without this instance's word that it knows, none of them is sent.
+            if not self.taken and self.most_attempts > 1:
+                self._loan.return_unspent(self.services)
+            self._loan.end()
         self._on_end()
--- a/walkcart/fanout/delegates.py
+++ b/walkcart/fanout/delegates.py
@@ -16,7 +16,7 @@
 import trio
 from returns.result import Failure, Success
 
-from walkcart.fanout.delegatedgroup import DelegatedGroup, Outcome
+from walkcart.fanout.delegatedgroup import DelegatedGroup, Loan, Outcome
 from walkcart.fanout.delegatetools import DelegateTools, take_in_messages
 from walkcart.fanout.delegationcodec import (
     Delegation,
@@ -103,6 +103,7 @@
         top: int,
         on_end: Callable[[], None],
         without: frozenset[str] = frozenset(),
+        loan: Loan | None = None,
     ) -> DelegatedGroup | None:
         """Have another instance gather some services; None when none can.
 
@@ -112,6 +113,7 @@
             top: records of the merged reply at the most.
             on_end: told when the group ended.
             without: names of instances that aren't asked.
+            loan: repeats that it may send of this instance's budget.
         """
         peer = self._selection.choose(wanted, without)
         if peer is None or self._nursery is None:
@@ -127,10 +129,12 @@
             peer.name,
             now,
             on_end,
+            loan,
         )
         id = self._tools.ids.take()
         way = self._tools.accounts.round_trip(peer.name)
-        delegation = Delegation(id, wanted.services, top, way)
+        lent = loan.services if loan else frozenset()
+        delegation = Delegation(id, wanted.services, top, way, lent)
         message = encode_question(question, delegation, now)
         if not self._tools.links.send(peer.name, message):
             return None
@@ -260,11 +264,17 @@
         answer = MergedAnswer(
             message.body, message.proofs, missing, message.sent, message.repeats
         )
+        self._return_unspent(sender, message.id, message.unspent)
         if message.more:
             self._hand_over(sender, message.id, answer)
         else:
             self._end(sender, message.id, Success(answer))
 
+    def _return_unspent(self, sender: str, id: str, bits: int) -> None:
+        group = self._asked.get(id)
+        if group is not None and group.peer == sender:
+            group.return_unspent(bits)
+
     def _hand_over(self, sender: str, id: str, answer: MergedAnswer) -> None:
         group = self._asked.get(id)
         if group is None or group.peer != sender:
@@ -294,6 +304,7 @@
         verdict: NotRun | MayHaveRun = MayHaveRun(reason, message.detail)
         if not message.may_have_run:
             verdict = NotRun(reason, message.detail)
+        self._return_unspent(sender, message.id, message.unspent)
         missing = decode_missing(message.missing)
         failure = RoutedFailure(verdict, sent=message.sent, missing=missing)
         self._end(sender, message.id, Failure(failure))
--- a/walkcart/fanout/delegationcodec.py
+++ b/walkcart/fanout/delegationcodec.py
@@ -13,6 +13,7 @@
 from returns.result import Success
 
 from walkcart.fanout.delegatedgroup import Outcome
+from walkcart.fanout.lentrepeats import LentRepeats, decode_services, encode_services
 from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
 from walkcart.fanout.routedquestion import RoutedQuestion
 from walkcart.routing.eligibility import ANYWHERE, Regions
@@ -38,12 +39,14 @@
         services: that the other one gathers.
         top: records of the merged reply at the most.
         way: seconds to the other one and back.
+        lent: services for which a repeat is lent.
     """
 
     id: str
     services: tuple[str, ...]
     top: int
     way: float
+    lent: frozenset[str] = frozenset()
 
 
 def encode_question(
@@ -70,6 +73,8 @@
         granted=question.granted,
         traceparent=question.traceparent,
         regions=_encode_regions(question.regions),
+        fair_coverage=max(question.fair_coverage, question.least_coverage),
+        lent=encode_services(services, delegation.lent),
     )
 
 
@@ -100,14 +105,22 @@
         traceparent=message.traceparent,
         fingerprint=fingerprint_request(request),
         regions=_decode_regions(message.regions),
+        fair_coverage=message.fair_coverage,
+        lent=LentRepeats(decode_services(message.services, message.lent)),
     )
 
 
-def encode_outcome(id: str, outcome: Outcome) -> Message:
-    """Return the message that tells how a question ended."""
+def encode_outcome(id: str, outcome: Outcome, unspent: int = 0) -> Message:
+    """Return the message that tells how a question ended.
+
+    Args:
+        id: of the question.
+        outcome: how it ended.
+        unspent: lent repeats that are returned, a bit for each service.
+    """
     match outcome:
         case Success(answer):
-            return encode_answer(id, answer)
+            return encode_answer(id, answer, unspent=unspent)
         case _:
             failure = outcome.failure()
             verdict = failure.verdict
@@ -118,11 +131,21 @@
                 verdict.detail,
                 failure.sent,
                 _encode_missing(failure.missing),
+                unspent,
             )
 
 
-def encode_answer(id: str, answer: MergedAnswer, more: bool = False) -> DelegatedAnswer:
-    """Return the message that holds merged parts; `more` when late ones may follow."""
+def encode_answer(
+    id: str, answer: MergedAnswer, more: bool = False, unspent: int = 0
+) -> DelegatedAnswer:
+    """Return the message that holds merged parts.
+
+    Args:
+        id: of the question.
+        answer: the parts.
+        more: whether late ones may follow.
+        unspent: lent repeats that are returned, a bit for each service.
+    """
     return DelegatedAnswer(
         id,
         answer.body,
@@ -131,6 +154,7 @@
         answer.sent,
         answer.repeats,
         more,
+        unspent,
     )
 
 
--- a/walkcart/fanout/dependence.py
+++ b/walkcart/fanout/dependence.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from dataclasses import replace
 
 from walkcart.fanout.routedquestion import RoutedQuestion
 from walkcart.fanout.routedverdict import covers
@@ -38,7 +39,8 @@
         for other in tries
         if other is not item and (other.covered or (early and other.open))
     )
-    return not covers(question, others)
+    least = max(question.least_coverage, question.fair_coverage)
+    return not covers(replace(question, least_coverage=least), others)
 
 
 def may_send_second_attempts(tries: Collection[ServiceTry]) -> bool:
--- a/walkcart/fanout/elsewhere.py
+++ b/walkcart/fanout/elsewhere.py
@@ -17,6 +17,7 @@
 from walkcart.fanout.groups import LEAST_GROUP, Group, divide_services
 from walkcart.fanout.lateparts import LateParts
 from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
+from walkcart.fanout.repeatloans import submit_with_loan
 from walkcart.fanout.routedquestion import RoutedQuestion
 from walkcart.fanout.routedsends import RoutedSends
 from walkcart.fanout.routedtools import RoutedTools
@@ -92,7 +93,9 @@
             self._tools.random,
             delegates.gatherers.is_own(),
         ):
-            asked = delegates.submit(self._question, group, self._top, self._wake)
+            asked = submit_with_loan(
+                self._tools, self._question, group, self._top, self._wake
+            )
             if asked is not None:
                 self._note_asked(asked)
                 far.update(asked.services)
@@ -150,7 +153,16 @@
         if group.handed is None:
             self._take_group(group)
         for name in group.services:
-            self._tries[name].awaited = False
+            self._end_waiting(self._tries[name])
+
+    def _end_waiting(self, item: ServiceTry) -> None:
+        """Ask once more for a part that another instance waited for in vain."""
+        was_awaited, item.awaited = item.awaited, False
+        if not was_awaited or item.open or item.covered or self._late is None:
+            return
+        if item.regrouped or item.may_run >= self._question.most_attempts:
+            return
+        item.left = self._sends.take_repeat(item, self._tools.clock.monotonic())
 
     def _take_part(self, item: ServiceTry, part: MergedAnswer) -> None:
         """Take a part that came after the other instance had handed over."""
@@ -278,7 +290,9 @@
         if not items:
             return {}
         wanted = Group(tuple(item.service for item in items), other.place)
-        asked = delegates.submit(question, wanted, self._top, self._wake, lost)
+        asked = submit_with_loan(
+            self._tools, question, wanted, self._top, self._wake, lost
+        )
         if asked is None:
             # The links have just ended; the budget holds these already.
             for item in items:
--- a/walkcart/fanout/handing.py
+++ b/walkcart/fanout/handing.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from walkcart.fanout.carrying import Handover
@@ -28,9 +28,9 @@
     handover: Handover
     merge: Callable[[RoutedAnswer], MergedAnswer]
 
-    def settle(self, answer: RoutedAnswer) -> None:
-        """Hand over what is in."""
-        self.handover.settle(self.merge(answer))
+    def settle(self, answer: RoutedAnswer, unspent: Collection[str] = ()) -> None:
+        """Hand over what is in, and the lent repeats of some services."""
+        self.handover.settle(self.merge(answer), unspent)
 
     def add(self, service: str, reply: Replied) -> None:
         """Hand over a late part."""
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -223,23 +223,30 @@
         assert self._handing is not None
         self._handed = True
         now = self._tools.clock.monotonic()
-        for item in self._tries.values():
+        tries = tuple(self._tries.values())
+        for item in tries:
             if item.covered:
                 continue
             if item.may_run < self._question.most_attempts:
                 held = item.left or not item.arrived
-                item.may_repeat = held or self._sends.take_repeat(item, now)
+                # It is asked for elsewhere now or not at all.
+                vital = is_vital(self._question, tries, item, early=False)
+                item.may_repeat = held or self._sends.take_repeat(item, now, vital)
             item.left, item.next_at, item.given_up = False, None, True
             item.closed = True
-        tries = tuple(self._tries.values())
-        self._handing.settle(
-            make_answer(tries, (), self._sends.sent, self._sends.repeats)
-        )
+        waiting = [item.service for item in tries if not item.covered]
+        lent = self._question.lent
+        unspent = lent.release(without=waiting) if lent else ()
+        answer = make_answer(tries, (), self._sends.sent, self._sends.repeats)
+        self._handing.settle(answer, unspent)
 
     async def _wait(self) -> None:
         """Wait for an outcome or for the next time at which something is due."""
         if self._inbox or self._elsewhere.has_news:
             return
+        if not any(item.open for item in self._tries.values()):
+            # What was just done left nothing to wait for.
+            return
         self._wakeup = trio.Event()
         with trio.move_on_at(self._find_next_due()):
             await self._wakeup.wait()
--- a/walkcart/fanout/routedquestion.py
+++ b/walkcart/fanout/routedquestion.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from walkcart.fanout.lentrepeats import LentRepeats
 from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
 from walkcart.leaves.attempts import Replied
 from walkcart.routing.eligibility import ANYWHERE, Regions
@@ -38,6 +39,9 @@
         regions: that it may be served in, by the configuration of who admitted it.
         team: name of the team that asks; empty where requests need no key.
         rank: 0 is the most urgent: its team's, else its route's.
+        fair_coverage: share of the services by which repeats are judged, where that is
+            more than an answer must cover.
+        lent: repeats that whoever asked lends.
     """
 
     id: str
@@ -59,6 +63,8 @@
     regions: Regions = ANYWHERE
     team: str = ""
     rank: int = 0
+    fair_coverage: float = 0.0
+    lent: LentRepeats | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -227,15 +227,25 @@
         far = self._tools.pool.distance_to(leaf) is Distance.OTHER_REGION
         return self._leaves_far and far
 
-    def take_repeat(self, item: ServiceTry, now: float) -> bool:
+    def take_repeat(
+        self, item: ServiceTry, now: float, vital: bool | None = None
+    ) -> bool:
         """Take a repeat from the budget; return False when none is left.
 
         One without which there may still be an answer leaves a reserve, and is asked
         for again when the answer comes to depend on it.
+
+        Args:
+            item: the service that gets it.
+            now: the present, in seconds.
+            vital: whether there is no answer without it; found out if None.
         """
-        vital = self._is_vital(item)
+        if vital is None:
+            vital = self._is_vital(item)
         instances = self._tools.instances()
-        if self._tools.budget.take(item.service, now, instances, vital):
+        if (vital and self._take_lent(item)) or self._tools.budget.take(
+            item.service, now, instances, vital
+        ):
             self.repeats += 1
             return True
         self._tools.metrics.count("leaf.repeat_denied")
@@ -243,6 +253,11 @@
         item.held_back = not vital
         return False
 
+    def _take_lent(self, item: ServiceTry) -> bool:
+        """Take a repeat that who asked lends; only once its word has come."""
+        lent = self._question.lent
+        return self._may_repeat and lent is not None and lent.take(item.service)
+
     def _find_hedge_times(self, leaf: Leaf, now: float) -> tuple[float, float]:
         """Return from when and until when a second attempt is due beside one at `leaf`.
 
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -242,6 +242,8 @@
                 pass
             case Failed(MayHaveRun(Reason.CANCELLED)):
                 pass
+            case Failed(MayHaveRun()):
+                self._note_failure(leaf, now, lost=True)
             case _:
                 self._note_failure(leaf, now)
 
@@ -255,9 +257,9 @@
         if leaf.ejection.note_success():
             self._tools.link.events.emit(Events.LEAF_RETURNED, leaf=leaf.id)
 
-    def _note_failure(self, leaf: Leaf, now: float) -> None:
+    def _note_failure(self, leaf: Leaf, now: float, lost: bool = False) -> None:
         self._tools.link.metrics.count("leaf.failed")
-        leaf.replies.note(now, good=False)
+        leaf.replies.note(now, good=False, lost=lost)
         leaves = self.leaves_of(leaf.labels["service"])
         ejected = sum(1 for item in leaves if item.ejection.is_ejected(now))
         if leaf.ejection.note_failure(now, may_eject(len(leaves), ejected)):
--- a/walkcart/routing/repeats.py
+++ b/walkcart/routing/repeats.py
@@ -54,12 +54,14 @@
 class _Window:
     """Sums over the last parts of a window."""
 
-    __slots__ = ("_parts", "repeats", "requests")
+    __slots__ = ("_parts", "lent", "repeats", "requests")
 
     def __init__(self) -> None:
         self._parts: deque[list[float]] = deque()
         self.requests = 0.0
         self.repeats = 0.0
+        #: Repeats that another instance may send, of which the end isn't known.
+        self.lent = 0
 
     def advance(self, part: int) -> None:
         """Forget the parts that left the window, which one more than fills."""
@@ -112,16 +114,48 @@
         allowed = self._allowed(window, now, instances)
         if not vital:
             allowed *= 1.0 - VITAL_SHARE
-        if window.repeats + 1 > allowed + 1e-9:
+        if window.repeats + window.lent + 1 > allowed + 1e-9:
             return False
         window.add(self._part(now), 0, 1)
         return True
 
+    def lend(self, service: str, now: float, instances: int) -> bool:
+        """Set a repeat aside for another instance; return False when none is left.
+
+        It counts until it is settled, however long that takes.
+
+        Args:
+            service: that may get the repeat.
+            now: the present, in seconds.
+            instances: that divide the allowance.
+        """
+        window = self._window(service)
+        window.advance(self._part(now))
+        allowed = self._allowed(window, now, instances)
+        if window.repeats + window.lent + 1 > allowed + 1e-9:
+            return False
+        window.lent += 1
+        return True
+
+    def settle(self, service: str, now: float, spent: bool) -> None:
+        """Note how a loan ended; one that was spent counts as a repeat of now.
+
+        Args:
+            service: that it was for.
+            now: the present, in seconds.
+            spent: whether the other instance sent it, or may have.
+        """
+        window = self._window(service)
+        window.lent -= 1
+        if spent:
+            window.add(self._part(now), 0, 1)
+
     def left(self, service: str, now: float, instances: int) -> float:
         """Return how many repeats are left now."""
         window = self._window(service)
         window.advance(self._part(now))
-        return self._allowed(window, now, instances) - window.repeats
+        allowed = self._allowed(window, now, instances)
+        return allowed - window.repeats - window.lent
 
     def _allowed(self, window: _Window, now: float, instances: int) -> float:
         limits = self.limits
--- a/walkcart/routing/replyshare.py
+++ b/walkcart/routing/replyshare.py
@@ -27,6 +27,9 @@
 HALF_LIFE = 2.0
 #: Good replies that a leaf nothing is known of is credited with.
 PRIOR = 2.0
+#: What an answer counts that was lost after the leaf ran the request, in refusals: it
+#: comes as late as the answer would have, and takes one of the few leafs that may run it.
+LOSS_WEIGHT = 2.0
 
 
 class ReplyShare:
@@ -39,16 +42,18 @@
         self._bad = 0.0
         self._then = 0.0
 
-    def note(self, now: float, good: bool) -> None:
+    def note(self, now: float, good: bool, lost: bool = False) -> None:
         """Take in how one request ended.
 
         Args:
             now: the present, in seconds.
             good: whether it brought a good reply.
+            lost: whether it may have run, and its answer was lost.
         """
         kept = self._keep(now)
+        bad = LOSS_WEIGHT if lost else 1.0
         self._good = self._good * kept + (1.0 if good else 0.0)
-        self._bad = self._bad * kept + (0.0 if good else 1.0)
+        self._bad = self._bad * kept + (0.0 if good else bad)
         self._then = now
 
     def estimate(self, now: float) -> float:
--- a/walkcart/wire/delegations.py
+++ b/walkcart/wire/delegations.py
@@ -35,6 +35,9 @@
         granted: whether the budgets of repeats already hold the first attempts.
         traceparent: of the trace.
         regions: that the question may be served in; None where any will do.
+        fair_coverage: share of the services that suffices if other groups' are alike.
+        lent: services for which the receiver may send a repeat of the sender's budget,
+            once it has its word; a bit for each, the first one the lowest.
     """
 
     id: str
@@ -54,6 +57,8 @@
     granted: bool = False
     traceparent: str | None = None
     regions: tuple[str, ...] | None = None
+    fair_coverage: float = 0.0
+    lent: int = 0
 
 
 class DelegatedTaken(Message, frozen=True):
@@ -96,6 +101,7 @@
         sent: requests that went to leafs.
         repeats: those that were not the first to their service.
         more: whether late parts may follow; the sender leaves them to the receiver.
+        unspent: services for which a lent repeat is returned, as `lent` states them.
     """
 
     id: str
@@ -105,6 +111,7 @@
     sent: int
     repeats: int
     more: bool = False
+    unspent: int = 0
 
 
 class DelegatedPart(Message, frozen=True):
@@ -135,6 +142,7 @@
         detail: one sentence for a person.
         sent: requests that went to leafs.
         missing: services without a part.
+        unspent: services for which a lent repeat is returned.
     """
 
     id: str
@@ -143,6 +151,7 @@
     detail: str
     sent: int
     missing: tuple[DelegatedMissing, ...] = ()
+    unspent: int = 0
 
 
 class DelegatedCancel(Message, frozen=True):
