--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -23,6 +23,9 @@
 RETRY_DELAY = 0.03
 #: Tries at one service at the most, whatever came of them.
 MOST_TRIES = 6
+#: Times that one leaf gets a question whose answers it loses: of ten answers of which
+#: it loses four, less than one is lost three times.
+MOST_TIMES = 3
 #: Seconds after which a request that must not repeat, and of which nothing was sent for
 #: want of a connection, goes to another leaf: some round trips between regions.
 CONNECTION_TIME = 0.12
@@ -126,7 +129,8 @@
             item.given_up = True
             return
         leaves = self._tools.pool.leaves_of(item.service)
-        ready = any(leaf.id not in item.tried for leaf in leaves) or item.lost_at
+        ready = any(leaf.id not in item.tried for leaf in leaves)
+        ready = ready or bool(self._find_askable(item))
         item.next_at = now if ready else now + RETRY_DELAY
 
     def due_at(self, item: ServiceTry) -> float:
@@ -188,10 +192,14 @@
     def _may_try(self, item: ServiceTry, now: float) -> bool:
         if item.ran and not self._question.idempotent:
             return False
-        if not (self._may_add_leaf(item) or item.lost_at):
+        if not (self._may_add_leaf(item) or self._find_askable(item)):
             return False
         return len(item.tried) < MOST_TRIES and self._has_time(now)
 
+    def _find_askable(self, item: ServiceTry) -> set[str]:
+        """Return the leafs that lost its answer and may be asked for it once more."""
+        return {id for id in item.lost_at if item.tried.count(id) < MOST_TIMES}
+
     def _may_add_leaf(self, item: ServiceTry) -> bool:
         """Return whether a leaf may get the question that didn't have it."""
         return not item.closed and item.may_run < self._question.most_attempts
@@ -213,7 +221,7 @@
         kind = self._question.kind
         if not self._may_add_leaf(item):
             leaves = {leaf.id for leaf in pool.leaves_of(item.service)}
-            others = frozenset(leaves - item.lost_at)
+            others = frozenset(leaves - self._find_askable(item))
             return pool.choose(item.service, kind, others, self._objective, now)
         leaf = pool.choose(
             item.service, kind, frozenset(item.tried), self._objective, now
--- a/walkcart/fanout/tests/test_service_try.py
+++ b/walkcart/fanout/tests/test_service_try.py
@@ -30,6 +30,18 @@
     assert item.may_run == 2
 
 
+def test_a_leaf_that_gets_a_question_once_more_counts_once():
+    item = ServiceTry("s")
+    item.note_ran("leaf-1")
+    item.under_way["a"] = Sent(None, 0.0, 1.0, again=True)
+    assert item.may_run == 1
+    item.under_way.clear()
+    item.note_ran("leaf-1")
+    assert item.may_run == 1
+    item.note_ran("leaf-2")
+    assert item.may_run == 2
+
+
 def test_a_late_part_of_another_instance_covers_its_service():
     item = ServiceTry("s", awaited=True)
     assert item.open
--- a/walkcart/routing/replyshare.py
+++ b/walkcart/routing/replyshare.py
@@ -28,7 +28,7 @@
 #: Good replies that a leaf nothing is known of is credited with.
 PRIOR = 2.0
 #: What an answer counts that was lost after the leaf ran the request, in refusals: it
-#: comes as late as the answer would have, and takes one of the few leafs that may run it.
+#: comes as late as the answer would have, and takes one of the leafs that may run it.
 LOSS_WEIGHT = 2.0
 
 
--- a/walkcart/routing/tests/test_repeats.py
+++ b/walkcart/routing/tests/test_repeats.py
@@ -47,3 +47,55 @@
     budget = RepeatBudget(LIMITS, 0.0)
     taken = sum(budget.take("s", 50.0, 6) for _ in range(100))
     assert taken == int(54 / 6 * 0.8)
+
+
+LOANS = st.lists(
+    st.tuples(
+        st.floats(0, 0.5),
+        st.integers(0, 2),
+        st.sampled_from(["request", "repeat", "lend", "lend", "spend", "return"]),
+    ),
+    max_size=400,
+)
+
+
+@given(LOANS)
+def test_loans_keep_every_window_within_what_is_allowed(events):
+    """Who borrows may send a repeat at any time until the lender knows the end."""
+    now = 100.0
+    budgets = [RepeatBudget(LIMITS, now - 50) for _ in range(3)]
+    requests, repeats = [], []
+    loans = [[], [], []]
+    for gap, number, what in events:
+        now += gap
+        budget = budgets[number]
+        if what == "request":
+            budget.note_request("s", now)
+            requests.append(now)
+        elif what == "repeat" and budget.take("s", now, 3):
+            repeats.append(now)
+        elif what == "lend" and budget.lend("s", now, 3):
+            loans[number].append(now)
+        elif what in ("spend", "return") and loans[number]:
+            lent_at = loans[number].pop(0)
+            budget.settle("s", now, spent=what == "spend")
+            if what == "spend":
+                # The earliest and the latest that it can have been sent.
+                repeats.append(lent_at if number else now)
+    for start in repeats:
+        spent = sum(1 for at in repeats if start <= at < start + LIMITS.window)
+        asked = sum(1 for at in requests if start - 1 <= at < start + LIMITS.window)
+        assert spent <= LIMITS.allowance + LIMITS.ratio * asked + 1e-9
+
+
+def test_a_loan_counts_until_it_is_settled_and_for_a_window_if_it_was_spent():
+    budget = RepeatBudget(LIMITS, 0.0)
+    part = int(54 / 6 * 0.8)
+    assert sum(budget.lend("s", 50.0, 6) for _ in range(100)) == part
+    assert not budget.take("s", 90.0, 6)
+    budget.settle("s", 90.0, spent=True)
+    budget.settle("s", 90.0, spent=False)
+    assert budget.take("s", 90.0, 6)
+    assert not budget.take("s", 99.9, 6)
+    # What was spent and what was taken have left the window.
+    assert [budget.take("s", 101.0, 6) for _ in range(3)] == [True, True, False]
