Keep the parts of a group that lacks some

What callers saw: 502 within 0.06 s of 4 s, with most parts gathered.

Cause: an instance that gathers for another reported a failure when its group covered less than the answer would need of it. The parts that had come were dropped, and the asking instance took every allowed attempt of the whole group as made.

Fix: who gathers for another reports what it has, and hands over at once when its share is out of reach; the asking instance, which has repeats of its own, asks for the rest and decides. It stays a failure where nothing came or leafs end under the question. A part awaited from the other instance that didn't come is asked for at a leaf that lost its answer, where no other may be asked.

--- a/walkcart/fanout/remoteparts.py
+++ b/walkcart/fanout/remoteparts.py
@@ -162,11 +162,12 @@
         was_awaited, item.awaited = item.awaited, False
         if not was_awaited or item.open or item.covered or self._late is None:
             return
+        now = self._tools.clock.monotonic()
         if item.regrouped or item.may_run >= self._question.most_attempts:
+            # Only a leaf whose answer was lost may be asked now.
+            self._sends.plan_retry(item, now)
             return
-        item.deferred = self._sends.try_spend_repeat(
-            item, self._tools.clock.monotonic()
-        )
+        item.deferred = self._sends.try_spend_repeat(item, now)
 
     def _process_late_part(self, item: ServiceProgress, part: MergedAnswer) -> None:
         """Accept a part that arrived after the other instance's hand-over."""
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -125,6 +125,7 @@
             self._sends.sent,
             self._sends.repeats,
             self._watch.is_stopped,
+            partial=self._handover is not None,
         )
 
     def _can_cover(self) -> bool:
@@ -192,7 +193,7 @@
         if self._handed_over:
             return False
         if not covers(self._question, self._covered_count + still_open):
-            return True
+            return not self._can_hand_over
         objective = self._question.objective_at
         return now >= objective and covers(self._question, self._covered_count)
 
@@ -212,20 +213,24 @@
             item.held_back = item.given_up = False
             self._sends.plan_retry(item, now)
 
+    @property
+    def _can_hand_over(self) -> bool:
+        """Whether parts may be handed over to the asking instance before the end."""
+        if self._handover is None or self._watch.is_sequential:
+            return False
+        return self._question.settle_at < float("inf")
+
     def _should_hand_over(self) -> bool:
         """Return whether to leave the missing parts to the asking instance."""
         question = self._question
-        if (
-            self._handover is None
-            or self._handed_over
-            or question.settle_at == float("inf")
-        ):
-            return False
-        if self._watch.is_sequential:
+        if self._handed_over or not self._can_hand_over:
             return False
         waiting = [item for item in self._progress.values() if not item.covered]
         if not any(item.open and not item.deferred for item in waiting):
             return True
+        still_open = sum(1 for item in waiting if item.open)
+        if not covers(question, self._covered_count + still_open):
+            return True
         if self._tools.clock.monotonic() < question.settle_at:
             return False
         late = sum(1 for item in waiting if not item.deferred)
--- a/walkcart/fanout/routedverdict.py
+++ b/walkcart/fanout/routedverdict.py
@@ -39,6 +39,7 @@
     sent: int,
     repeats: int,
     ends_leaves: bool = False,
+    partial: bool = False,
 ) -> Result[RoutedAnswer, RoutedFailure]:
     """Return the answer if it covers enough, else the failure.
 
@@ -50,10 +51,15 @@
         sent: number of requests that this instance sent to leaves.
         repeats: number of those that were not the first to their service.
         ends_leaves: whether leaves crash when they run it.
+        partial: whether an answer may cover less, since another instance asked: that
+            one may get the missing parts elsewhere.
     """
     covered = sum(1 for item in progress if item.covered)
     answer = make_answer(progress, merged, sent, repeats)
-    if not covers(question, covered):
+    is_answer = covers(question, covered)
+    if partial and covered and not ends_leaves:
+        is_answer = True
+    if not is_answer:
         late = now >= question.deadline
         return Failure(make_failure(progress, late, answer.sent, ends_leaves))
     return Success(answer)
