Send no hedge for a part that was asked for elsewhere in the same pass

Leafs worked for nothing.

Cause: in one pass an instance listed the attempts due for a hedge, asked for late parts together, and then sent the hedges of the list. On time the two aren't due at once; where a busy processor makes the event loop late they are. The late request used the last allowed attempt, and the hedge made one more.

Fix: hedges are listed after the request for late parts, and each way of choosing a new leaf checks the bound.

--- a/walkcart/fanout/leafchoice.py
+++ b/walkcart/fanout/leafchoice.py
@@ -68,10 +68,14 @@
 
     def choose_untried(self, item: ServiceProgress, now: float) -> Leaf | None:
         """Return the leaf for a hedge: one that wasn't tried; None without any."""
+        if not self.may_use_new_leaf(item):
+            return None
         return self._choose(item, set(item.known_sends), now)
 
     def choose_elsewhere(self, item: ServiceProgress, now: float) -> Leaf | None:
         """Return a leaf in a place that wasn't asked yet; None without any."""
+        if not self.may_use_new_leaf(item):
+            return None
         leaves = self._tools.pool.leaves_of(item.service)
         asked = {leaf.id for leaf in leaves if leaf.place in item.places}
         return self._choose(item, asked.union(item.known_sends), now)
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -380,16 +380,17 @@
         for item in self._progress.values():
             if not item.covered and self._due.attempt_at(item) <= now:
                 self._try_next(item, now)
-        late = [
-            item
-            for item in self._progress.values()
-            if not item.covered and self._due.hedge_at(item) <= now
-        ]
         if now >= self._find_late_parts_time():
             self._remote.request_late_parts(now)
         elif self._must_send_deferred(now):
             # Too many parts are late for a request of them all together.
             self._sends.send_deferred(self._progress.values(), now)
+        # Only now, as the request for late parts may have used up their attempts.
+        late = [
+            item
+            for item in self._progress.values()
+            if not item.covered and self._due.hedge_at(item) <= now
+        ]
         few_late = may_send_second_attempts(self._progress.values())
         for item in late:
             if few_late or (self._sends.is_likely_lost(now) and self._is_vital(item)):
--- a/walkcart/fanout/tests/test_lost_elsewhere.py
+++ b/walkcart/fanout/tests/test_lost_elsewhere.py
@@ -61,6 +61,15 @@
     assert choice.choose(item, 0.0).id == "leaf-1"
 
 
+def test_no_way_of_choosing_passes_the_most_attempts():
+    """A hedge chose a new leaf although a request for late parts had used the last."""
+    choice, item = make_choice(), ServiceProgress("s")
+    assert choice.choose_untried(item, 0.0) is not None
+    item.record_missing(report((), ran=MAX_ATTEMPTS))
+    assert choice.choose_untried(item, 0.0) is None
+    assert choice.choose_elsewhere(item, 0.0) is None
+
+
 def test_unknown_leaves_are_not_asked_again():
     choice, item = make_choice(), ServiceProgress("s")
     item.record_missing(report((), ran=MAX_ATTEMPTS))
