Draw among equally good leafs in the order of their ids

Cause: entries of leafs were kept in the order of a set of keys, a changed one at the end, and draws went by place in that list. On the own interface the order of the instance list did the same.

Ruled out by reading: the sets of fanout/, which are used for membership or sorted before a choice.

Fix: leafs of a service are sorted by id, and both choosers sort what they draw from.

--- a/walkcart/leaves/directory.py
+++ b/walkcart/leaves/directory.py
@@ -100,7 +100,7 @@
         self._listeners.append(listener)
 
     def leaves_of(self, service: str) -> tuple[Leaf, ...]:
-        """Return the leaves of a service that may get new work."""
+        """Return the leaves of a service that may get new work, sorted by id."""
         return self._by_service.get(service, ())
 
     def places_of(self, service: str) -> frozenset[Location]:
@@ -219,7 +219,8 @@
         by_service: dict[str, list[Leaf]] = {}
         leaves: dict[str, Leaf] = {}
         now = self._clock.monotonic()
-        for id, entry in self._entries.items():
+        # Entries come in the order of a set of keys; choices must not depend on it.
+        for id, entry in sorted(self._entries.items()):
             leaf = self._leaves.get(id)
             if leaf is None or not _is_same_process(leaf, entry):
                 leaf = self._make_leaf(entry, now)
--- a/walkcart/routing/placement.py
+++ b/walkcart/routing/placement.py
@@ -23,6 +23,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from operator import attrgetter
 from random import Random
 
 from walkcart.routing.distance import Distance
@@ -104,7 +105,8 @@
 ) -> LeafCandidate | None:
     """Return the leaf for the next request, or None without leaves.
 
-    Ejected leaves are used only when no others are left.
+    Ejected leaves are used only when no others are left. The order of the candidates
+    doesn't matter.
 
     Args:
         candidates: the leaves to choose from.
@@ -117,4 +119,6 @@
     timed = [(estimate_time(item, objective), item) for item in usable]
     shortest = min(time for time, _ in timed)
     best = [item for time, item in timed if time <= shortest * (1.0 + NEAR_TIE)]
-    return best[0] if len(best) == 1 else random.choice(best)
+    if len(best) == 1:
+        return best[0]
+    return random.choice(sorted(best, key=attrgetter("key")))
--- a/walkcart/routing/replicas.py
+++ b/walkcart/routing/replicas.py
@@ -17,6 +17,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from operator import attrgetter
 from random import Random
 
 #: Upper bound of the load that a leaf reports, in requests.
@@ -69,7 +70,8 @@
         """Return the leaf for the next request, or None without candidates.
 
         Ejected leaves are used only when no others are left: an attempt that will
-        likely fail is still better than a missing part of the answer.
+        likely fail is still better than a missing part of the answer. The order of the
+        candidates doesn't matter.
 
         Args:
             policy: one of `walkcart.intent.policy.REPLICA_POLICIES`.
@@ -79,6 +81,7 @@
         usable = [item for item in candidates if not item.ejected] or candidates
         if not usable:
             return None
+        usable = sorted(usable, key=attrgetter("key"))
         if len(usable) == 1:
             return usable[0]
         match policy:
