Send no request for a question that isn't renewed

Leafs worked for nobody.

Cause: a question of another instance that isn't renewed for 0.4 s was ended, but the requests that it had handed to the connections of leafs could go out first: a busy event loop runs the tasks that send before it looks at deadlines. The 0.4 s ran from when a renewal was read, not from when it was sent.

Fix: just before the first byte the connection's task checks that the question, or a renewal, was sent within 0.4 s; if not, it reads the messages that wait and looks again. Otherwise the request is "not run".

--- a/walkcart/fanout/delegationclient.py
+++ b/walkcart/fanout/delegationclient.py
@@ -51,7 +51,7 @@
 OVERDUE_GRACE = 0.05
 
 #: Seconds between two renewals of a question in progress: three fit into
-#: `walkcart.fanout.delegationserver.RENEWAL_TIMEOUT`, so that a lost or late one does
+#: `walkcart.fanout.activequestion.RENEWAL_TIMEOUT`, so that a lost or late one does
 #: no harm.
 RENEWAL_INTERVAL = 0.12
 
--- a/walkcart/fanout/delegationserver.py
+++ b/walkcart/fanout/delegationserver.py
@@ -11,12 +11,13 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import replace
 from functools import partial
 
 import trio
 from returns.result import Failure
 
+from walkcart.fanout.activequestion import RENEWAL_TIMEOUT, ActiveQuestion
 from walkcart.fanout.delegatedgroup import Outcome
 from walkcart.fanout.delegationcodec import (
     decode_question,
@@ -49,25 +50,12 @@
 #: Seconds in transit that a question's times allow for: a round trip to another region,
 #: since the age of a message is known to within the time of one direction.
 USUAL_TRANSIT_TIME = 0.03
-#: Seconds without a renewal after which a question is abandoned: more than three
-#: renewal intervals, and less than the half second for which leaves may go on working
-#: for a caller that has left.
-RENEWAL_TIMEOUT = 0.4
 #: Seconds for which the arrival, cancellation or end of a question is remembered, to
 #: recognize a copy that arrives later. Past `MAX_AGE` a copy would be rejected as "not
 #: run", which its sender may rely on for as long as it waits.
 HISTORY_TTL = 5.0
 
 
-@dataclass(slots=True)
-class _ActiveQuestion:
-    """A question in progress, its cancel scope and its hand-over."""
-
-    scope: trio.CancelScope
-    handover: Handover
-    cancelled: bool = False
-
-
 #: Key of a question: its sender, and the id that the sender gave it. Two senders may
 #: use the same id, and a sender can't cancel or renew a question of another.
 QuestionKey = tuple[str, str]
@@ -107,7 +95,7 @@
         self._gather = gather
         self._usual_high = usual_high
         self._events = events
-        self._active: dict[QuestionKey, _ActiveQuestion] = {}
+        self._active: dict[QuestionKey, ActiveQuestion] = {}
         #: When questions were cancelled or ended, for copies that may arrive later.
         self._closed_at: dict[QuestionKey, float] = {}
         #: When questions arrived, by id and request id, whoever sent them.
@@ -116,7 +104,7 @@
         self._stopping = False
         links.on_with_age(DelegatedQuestion, self._on_question)
         links.on(DelegatedCancel, self._on_cancel)
-        links.on(DelegatedRenewal, self._on_renewal)
+        links.on_with_age(DelegatedRenewal, self._on_renewal)
 
     def stop_accepting(self) -> None:
         """Reject new questions, because this instance stops.
@@ -166,7 +154,8 @@
         scope = trio.CancelScope(deadline=trio.current_time() + RENEWAL_TIMEOUT)
         send = partial(self._links.send, sender)
         handover = Handover(message.id, message.services, send)
-        self._active[key] = active = _ActiveQuestion(scope, handover)
+        until = self._clock.monotonic() - age + RENEWAL_TIMEOUT
+        self._active[key] = active = ActiveQuestion(scope, handover, self._clock, until)
         _record_time(self._begun_at, copy_key, self._clock.monotonic())
         late = max(0.0, age - USUAL_TRANSIT_TIME)
         self._nursery.start_soon(self._gather_question, sender, message, late, active)
@@ -212,19 +201,18 @@
     def _remember_closed(self, key: QuestionKey) -> None:
         _record_time(self._closed_at, key, self._clock.monotonic())
 
-    def _on_renewal(self, sender: str, message: Message) -> None:
+    def _on_renewal(self, sender: str, message: Message, age: float) -> None:
         assert isinstance(message, DelegatedRenewal)
         active = self._active.get((sender, message.id))
         if active is not None:
-            active.scope.deadline = trio.current_time() + RENEWAL_TIMEOUT
-            active.handover.confirm()
+            active.renew(age)
 
     async def _gather_question(
         self,
         sender: str,
         message: DelegatedQuestion,
         late: float,
-        active: _ActiveQuestion,
+        active: ActiveQuestion,
     ) -> None:
         """Gather one question of another instance and send its outcome."""
         handover = active.handover
@@ -236,6 +224,7 @@
                 await trio.lowlevel.checkpoint()
                 now = self._clock.monotonic() - late
                 question = decode_question(message, now, self._origins)
+                question = replace(question, is_wanted=active.is_wanted)
                 outcome = await self._gather(question, message.top, handover)
                 if handover.is_settled:
                     handover.end()
--- a/walkcart/fanout/routedquestion.py
+++ b/walkcart/fanout/routedquestion.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from walkcart.fanout.lentrepeats import LentRepeats
@@ -48,6 +49,8 @@
         fair_coverage: share of the services that decides which repeats are vital,
             where it is more than `least_coverage`.
         lent: repeats that the asking instance lends.
+        is_wanted: returns whether the asking instance still wants the answer; None
+            where a caller asks.
     """
 
     id: str
@@ -72,6 +75,7 @@
     grant: Grant | None = None
     fair_coverage: float = 0.0
     lent: LentRepeats | None = None
+    is_wanted: Callable[[], Awaitable[bool]] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -331,6 +331,7 @@
             grant=question.grant,
             rank=question.rank,
             objective_at=question.objective_at,
+            is_wanted=question.is_wanted,
         )
         again = leaf.id in item.ran_leaf_ids
         if again:
--- a/walkcart/leaves/attempts.py
+++ b/walkcart/leaves/attempts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -47,6 +47,8 @@
         rank: priority; 0 is the most urgent.
         objective_at: when an answer begins to lose value, on the clock of `deadline`;
             infinite when it doesn't.
+        is_wanted: returns whether the instance that asked this one still wants the
+            request; None where no other instance asked.
     """
 
     id: str
@@ -69,6 +71,7 @@
     grant: Grant | None = None
     rank: int = 0
     objective_at: float = float("inf")
+    is_wanted: Callable[[], Awaitable[bool]] | None = None
 
     @property
     def repeatable(self) -> bool:
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -327,6 +327,10 @@
             # run.
             can_ask = self._tools.protocol.make_status_request() is not None
             usable = can_ask and await self._still_serves(connection)
+        if attempt.is_wanted is not None and not await attempt.is_wanted():
+            detail = "the instance that asked hasn't renewed the question"
+            self._finish(pending, Failed(NotRun(Reason.CANCELLED, detail)))
+            return usable
         if not usable:
             # Nothing of the attempt was sent, so another connection may send it.
             self._queue.add_front(pending)
