Count no completion for a request that a team's limit refuses

What callers see: beside a team far above its limit an overloaded instance tells others to come back too soon; they are refused again.

Cause: the limit refuses inside the gate, and a refused question left it like an answered one. Times to come back are reckoned from recent completions, and refusals end within milliseconds.

Fix: the gate is given the check of the limit. It lets the next question start in place of a refused one and records no completion.

--- a/walkcart/entry/overloadgate.py
+++ b/walkcart/entry/overloadgate.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from random import Random
@@ -33,6 +33,14 @@
 #: progress. Several samples fall into the time for which a delay must persist.
 SAMPLE_INTERVAL = 0.05
 
+#: Returns why a question whose turn has come is refused, or None if it isn't.
+Check = Callable[[], Awaitable[NotRun | None]]
+
+
+async def allow_all() -> NotRun | None:
+    """Return None: nothing is refused."""
+    return None
+
 
 @dataclass(slots=True, eq=False)
 class _Waiter:
@@ -75,22 +83,36 @@
         self._busy = trio.Event()
 
     @asynccontextmanager
-    async def admit(self, question: RoutedQuestion) -> AsyncIterator[NotRun | None]:
+    async def admit(
+        self, question: RoutedQuestion, check: Check = allow_all
+    ) -> AsyncIterator[NotRun | None]:
         """Wait until a question may start; yield None, or the reason of its refusal.
 
-        The question counts as in progress until the context ends.
+        The question counts as in progress until the context ends. One that `check`
+        refuses doesn't count as completed: many of them would make it seem that this
+        instance serves fast, and others would be told to come back too soon.
 
         Args:
             question: a question for which nothing has been sent yet.
+            check: called when its turn has come; returns the reason of a refusal.
         """
         if not self._is_enabled():
-            yield None
+            yield await check()
             return
         refusal = await self._enter(question)
         if refusal is not None:
             yield refusal
             return
         start = self._clock.monotonic()
+        try:
+            refusal = await check()
+        except BaseException:
+            self._leave_unserved()
+            raise
+        if refusal is not None:
+            self._leave_unserved()
+            yield refusal
+            return
         try:
             yield None
         finally:
@@ -100,6 +122,11 @@
             self.room.finish(now, now - start)
             self._start_waiting(now)
 
+    def _leave_unserved(self) -> None:
+        """Let the next question start in place of one that wasn't worked on."""
+        self.room.cancel_started()
+        self._start_waiting(self._clock.monotonic())
+
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Sample the event loop's delay until cancelled."""
         task_status.started()
@@ -153,8 +180,7 @@
                 await waiter.turn.wait()
         except BaseException:
             if waiter.started:
-                self.room.cancel_started()
-                self._start_waiting(self._clock.monotonic())
+                self._leave_unserved()
             raise
         finally:
             if not waiter.turn.is_set():
--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from datetime import timedelta
+from functools import partial
 from random import Random
 
 from returns.result import Result, Success
@@ -132,9 +133,8 @@
         if isinstance(access, NotRun):
             return self._refuse(caller, access)
         question = self._make_question(caller, table, route, access, start)
-        async with tools.room.admit(question) as refusal:
-            if refusal is None:
-                refusal = await self._charge_limit(access.team, question.deadline)
+        charge = partial(self._charge_limit, access.team, question.deadline)
+        async with tools.room.admit(question, charge) as refusal:
             if refusal is not None:
                 return self._refuse(caller, refusal, question.team)
             return await self._serve(caller, table, route, question, access.team, start)
--- a/walkcart/entry/tests/test_overload_gate.py
+++ b/walkcart/entry/tests/test_overload_gate.py
@@ -145,3 +145,55 @@
     assert limits[-1] == float("inf")
     assert "room_limited" in log
     assert "room_free" in log
+
+
+def find_retry_after(refused):
+    """Return the retry time of an overloaded gate, in seconds.
+
+    Args:
+        refused: number of questions that were refused lately when their turn had come,
+            as those of a team above its limit are.
+    """
+
+    async def refuse():
+        return NotRun(Reason.RATE_LIMITED)
+
+    async def run():
+        gate, found = make_gate(), {}
+        for name in range(4):
+            await serve(gate, make_question(), found, name, time=1.0)
+        for _ in range(refused):
+            async with gate.admit(make_question(), refuse) as refusal:
+                assert refusal.reason is Reason.RATE_LIMITED
+        limit_to(gate, 1)
+        async with trio.open_nursery() as nursery:
+            for name in ("first", "second", "late"):
+                question = make_question(timeout=1.5 if name == "late" else 9.0)
+                nursery.start_soon(serve, gate, question, found, name, 1.0)
+                await trio.sleep(0)
+        return found["late"][1].retry_after.total_seconds()
+
+    return run_mocked(run)
+
+
+def test_refused_questions_do_not_shorten_the_time_to_come_back():
+    """Refusals for a team's limit counted as completions, so the drain looked fast."""
+    assert find_retry_after(refused=200) == find_retry_after(refused=0)
+
+
+def test_refused_question_makes_room_for_the_next():
+    async def refuse():
+        return NotRun(Reason.RATE_LIMITED)
+
+    async def run():
+        gate, found = make_gate(), {}
+        limit_to(gate, 1)
+        async with gate.admit(make_question(), refuse):
+            assert gate.room.in_progress == 0
+            await serve(gate, make_question(), found, "next")
+        return found["next"], gate.room.in_progress
+
+    (waited, refusal), in_progress = run_mocked(run)
+    assert refusal is None
+    assert waited == TIME
+    assert in_progress == 0
