Call a request above its limit only if enough accountants say so

What callers see: 429 for a team within its limit while most accountants are silent.

Cause: "unknown" was said only if no share was known to be exhausted and no accountant had answered; one exhausted share of six made it "above the limit", with that share's time to come back after.

Fix: it is unknown (503, a short time to come back) if nothing is known of half of the shares or more. A share that others call exhausted is known; one that wasn't asked before the deadline isn't.

--- a/walkcart/entry/teamlimits.py
+++ b/walkcart/entry/teamlimits.py
@@ -27,6 +27,9 @@
 #: requests that they grant go to other callers, and this caller is refused at once.
 FAR_ABOVE_LIMIT_WAIT = 2.0
 MAX_UNASKED_FRACTION = 0.4
+#: Share of the accountants from whose silence on it isn't known whether a team is above
+#: its limit.
+MAX_SILENT_SHARE = 0.5
 #: Longest time for which a request waits for the accountants, in seconds. By then all
 #: of them have been asked, unless most don't answer.
 MAX_ASKING_TIME = 0.5
@@ -64,6 +67,8 @@
         deadline: when asking ends, in seconds of the monotonic clock.
         turns: seconds until the request's turn, as stated by each accountant that
             refused it.
+        silent: shares of which nothing is known, as their accountants didn't answer or
+            weren't asked in time.
     """
 
     team: str
@@ -72,6 +77,15 @@
     allowance: Allowance
     deadline: float
     turns: list[float] = field(default_factory=list)
+    silent: list[int] = field(default_factory=list)
+
+    def is_limit_known(self, now: float) -> bool:
+        """Return whether enough is known to call the request above the limit.
+
+        Others may have passed on that a silent accountant's share is exhausted.
+        """
+        unknown = self.allowance.full.find_available(self.silent, now)
+        return len(unknown) < max(1.0, MAX_SILENT_SHARE * len(self.shares))
 
     def is_far_above(self, now: float) -> bool:
         """Return whether the team is so far above its limit that asking ends now."""
@@ -153,16 +167,20 @@
         order = full.find_available(search.shares, self._clock.monotonic())
         for share in self._client.sort_by_distance(order):
             now = self._clock.monotonic()
-            if now >= search.deadline or search.is_far_above(now):
+            if search.is_far_above(now):
                 break
+            if now >= search.deadline:
+                search.silent.append(share)
+                continue
             if not full.find_available([share], now):
                 # Meanwhile another accountant has reported that it is exhausted.
                 continue
             if await self._ask_share(share, search):
                 return None
-        if not search.turns and len(order) == len(search.shares):
-            return self._refuse_unknown(len(order))
-        wait = min(search.turns, default=full.find_min_wait(self._clock.monotonic()))
+        now = self._clock.monotonic()
+        if not search.is_limit_known(now):
+            return self._refuse_unknown(search)
+        wait = min(search.turns, default=full.find_min_wait(now))
         return self._refuse(search, wait)
 
     async def _ask_share(self, share: int, search: _Search) -> bool:
@@ -174,6 +192,8 @@
         # A grant for another request, or a late one, may have arrived meanwhile.
         taken = allowance.try_consume(now)
         if answer is None:
+            if not taken:
+                search.silent.append(share)
             return taken
         if answer.reply.granted:
             allowance.full.forget(share)
@@ -217,8 +237,9 @@
             detail += f" share {age * 1000:.0f} ms ago"
         return NotRun(Reason.RATE_LIMITED, detail, told)
 
-    def _refuse_unknown(self, asked: int) -> NotRun:
-        """Refuse a request since no accountant can tell if it is above the limit."""
+    def _refuse_unknown(self, search: _Search) -> NotRun:
+        """Refuse a request since too few accountants say if it is above the limit."""
         told = draw_retry_after(UNKNOWN_RETRY_DELAY, self._random)
-        detail = f"no accountant of {asked} shares was reached"
+        silent, shares = len(search.silent), len(search.shares)
+        detail = f"the accountants of {silent} of {shares} shares were not reached"
         return NotRun(Reason.LIMIT_UNKNOWN, detail, told)
