Check that a question is wanted before its connection is checked

Cause: the check may read messages for a few turns of the event loop, in which the leaf may close the connection; it came after the look at the connection. Found by reading the diff; a request sent then would have counted as run.

Fix: the connection is looked at last before the send. test_unrenewed_questions.py and test_link.py pass.

--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -317,6 +317,10 @@
             detail = f"the leaf at {self.leaf.address} had ended"
             self._finish(pending, Failed(NotRun(Reason.UNREACHABLE, detail)))
             return False
+        if attempt.is_wanted is not None and not await attempt.is_wanted():
+            detail = "the instance that asked hasn't renewed the question"
+            self._finish(pending, Failed(NotRun(Reason.CANCELLED, detail)))
+            return True
         stale = now - last_used > MAX_UNCHECKED_IDLE.total_seconds()
         usable = (
             connection.is_quiet() and now - last_used < self._exchanges.idle_timeout
@@ -327,10 +331,6 @@
             # run.
             can_ask = self._tools.protocol.make_status_request() is not None
             usable = can_ask and await self._still_serves(connection)
-        if attempt.is_wanted is not None and not await attempt.is_wanted():
-            detail = "the instance that asked hasn't renewed the question"
-            self._finish(pending, Failed(NotRun(Reason.CANCELLED, detail)))
-            return usable
         if not usable:
             # Nothing of the attempt was sent, so another connection may send it.
             self._queue.add_front(pending)
