Send no request for a caller that left while the processor was busy

Cause: as for unrenewed questions: the tasks that send run before the event loop notices that the caller is gone.

Evidence: a test in which the caller leaves while the processor is busy for 0.6 s: three of four requests go out after it.

--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -24,6 +24,7 @@
 import trio
 from returns.result import Failure, Result
 
+from walkcart.fanout.callerpresence import CallerPresence
 from walkcart.fanout.crashwatch import CrashWatch
 from walkcart.fanout.dependence import is_vital, may_send_second_attempts
 from walkcart.fanout.duetimes import DueTimes
@@ -70,6 +71,9 @@
         pool = tools.pool.limit_to(question.kind, question.regions, question.grant)
         tools = replace(tools, pool=pool)
         question = plan_late_request(tools, question, top)
+        self._presence = CallerPresence(tools.clock)
+        if question.is_wanted is None:
+            question = replace(question, is_wanted=self._presence.is_wanted)
         self._tools = tools
         self._question = question
         self._top = top
@@ -114,6 +118,7 @@
                 self._send_due()
                 await self._wait()
         finally:
+            self._presence.end()
             self._cancel_rest()
             self._process_inbox()
             self._closed = True
--- a/walkcart/fanout/routedquestion.py
+++ b/walkcart/fanout/routedquestion.py
@@ -50,7 +50,7 @@
             where it is more than `least_coverage`.
         lent: repeats that the asking instance lends.
         is_wanted: returns whether the asking instance still wants the answer; None
-            where a caller asks.
+            where a caller asks, whose presence `RoutedGathering` checks.
     """
 
     id: str
--- a/walkcart/leaves/attempts.py
+++ b/walkcart/leaves/attempts.py
@@ -47,8 +47,8 @@
         rank: priority; 0 is the most urgent.
         objective_at: when an answer begins to lose value, on the clock of `deadline`;
             infinite when it doesn't.
-        is_wanted: returns whether the instance that asked this one still wants the
-            request; None where no other instance asked.
+        is_wanted: returns whether the caller, or the instance that asked this one,
+            still wants the request; None where this isn't checked.
     """
 
     id: str
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -318,7 +318,7 @@
             self._finish(pending, Failed(NotRun(Reason.UNREACHABLE, detail)))
             return False
         if attempt.is_wanted is not None and not await attempt.is_wanted():
-            detail = "the instance that asked hasn't renewed the question"
+            detail = "its caller, or the instance that asked, no longer waits for it"
             self._finish(pending, Failed(NotRun(Reason.CANCELLED, detail)))
             return True
         stale = now - last_used > MAX_UNCHECKED_IDLE.total_seconds()
