--- a/walkcart/fanout/callerpresence.py
+++ b/walkcart/fanout/callerpresence.py
@@ -9,8 +9,8 @@
 from walkcart.fanout.delegationtools import receive_pending_messages
 from walkcart.kernel.clock import Clock
 
-#: Seconds after which the event loop gets a few turns before a request is sent: a fifth
-#: of the half second within which nothing more may be sent for a caller that has left.
+#: Seconds since the last look after which the event loop gets a few turns before a
+#: request is sent.
 MAX_UNCHECKED_TIME = 0.1
 
 
