Stop: the log says when the requests that a stop cuts off were read

The log had only the number of requests in progress when a stop's time was up, which fits three causes: requests of before the SIGTERM that took too long, requests read after it, and connections lost while the process ends.

Event 104 (stop_bound_reached) now gives how many of them were read after the stop began, when the first and the last of those were, and how many questions of other instances were in progress. HttpServer keeps the time at which each request was read.

--- a/walkcart/entry/routedstop.py
+++ b/walkcart/entry/routedstop.py
@@ -75,10 +75,30 @@
         with trio.move_on_at(drain_deadline):
             await self._drain()
         ended = not self._service.server.in_progress
-        event = Events.STOPPED if ended else Events.STOP_BOUND
-        self._events.emit(event, in_progress=self._service.server.in_progress)
+        if ended:
+            self._events.emit(Events.STOPPED, in_progress=0)
+        else:
+            self._report_unfinished(start)
         return ended
 
+    def _report_unfinished(self, start: float) -> None:
+        """Log the requests that the end of the process closes without an answer.
+
+        Whether they were read before or after the stop began tells whether the instance
+        had too little time for old requests or went on taking new ones.
+        """
+        server = self._service.server
+        read_times = server.list_read_times()
+        after = [time - start for time in read_times if time >= start]
+        self._events.emit(
+            Events.STOP_BOUND,
+            in_progress=server.in_progress,
+            read_after_stop=len(after),
+            first_read_ms=round(min(after) * 1000) if after else None,
+            last_read_ms=round(max(after) * 1000) if after else None,
+            delegated=self._delegation_server.active_count,
+        )
+
     async def _drain(self) -> None:
         server = self._service.server
         while server.connections or self._delegation_server.active_count:
--- a/walkcart/wire/server.py
+++ b/walkcart/wire/server.py
@@ -68,6 +68,8 @@
     idle_scope: trio.CancelScope | None = None
     idle_since: float = 0.0
     requests: int = field(default=0)
+    #: When the request in progress was read in full; None before that.
+    read_at: float | None = None
     #: Whether the client disconnected while its request was handled.
     gone: bool = False
 
@@ -110,6 +112,11 @@
         """Number of open connections."""
         return len(self._connections)
 
+    def list_read_times(self) -> list[float]:
+        """Return when the requests in progress were read in full, in trio's time."""
+        times = (connection.read_at for connection in self._connections)
+        return [time for time in times if time is not None]
+
     def announce_stop(self) -> None:
         """Ask clients to close their connections, by a header on each later reply."""
         self._closing = True
@@ -157,12 +164,14 @@
             if request is None:
                 self._on_disconnect()
                 return False
+            connection.read_at = trio.current_time()
             reply = await self._run_handler(connection, request)
             if reply is None:
                 self._on_disconnect()
                 return False
             await self._send(connection, reply, close=self._closing)
         finally:
+            connection.read_at = None
             self.in_progress -= 1
         return self._prepare_next(connection)
 
