Stop: a request is accepted only if it can end in time, and all accepted ones are answered

Cause: a stop waits until no connection is left, the balancer goes on sending new ones while fewer than half of the instances are ready, and nothing tied what was accepted to the time that was left.

Fix: routing/shutdown.py holds the time by which a stopping instance has answered. entry/shutdowngate.py accepts a request if its deadline, or the recent times of its kind, end by then, and rejects the others at once with nothing sent: 503, and callers return at once where other instances serve. Accepted requests end by that time with their answer, the parts that are there, 504, or 503 if nothing was sent of them. The listener closes then, shortly before the exit.

Why it works: what is in progress at the exit is now bounded by a deadline that each request has, whatever it waits for, and not by the hope that requests cease.

The product's own entry closes its listener first, so it can't take requests for ever; what outlasts its bound is still cut off.

--- a/walkcart/bench/routed/callers.py
+++ b/walkcart/bench/routed/callers.py
@@ -11,6 +11,7 @@
 from walkcart.bench.routed.instances import TrialInstance, merge_parts
 from walkcart.entry.overloadgate import OverloadGate
 from walkcart.entry.routed import CallerRequest, RoutedEntryTools, RoutedHandler
+from walkcart.entry.shutdowngate import ShutdownGate
 from walkcart.entry.startup import StartupGate
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedFailure
 from walkcart.wire.http import HttpReply, HttpRequest
@@ -228,5 +229,12 @@
             room=OverloadGate(
                 instance.gathering.clock, random, instance.events, instance.metrics
             ),
+            shutdown=ShutdownGate(
+                instance.gathering.shutdown,
+                instance.gathering.clock,
+                random,
+                instance.metrics,
+                has_others=lambda: True,
+            ),
         )
     )
--- a/walkcart/daemon/tenant.py
+++ b/walkcart/daemon/tenant.py
@@ -28,6 +28,7 @@
 from walkcart.membership.registration import Registration
 from walkcart.platform.callerprotocol import PlatformCallerProtocol
 from walkcart.platform.settings import PlatformSettings
+from walkcart.routing.shutdown import ShutdownDeadline
 from walkcart.wire.server import HttpServer, ServerLimits
 
 
@@ -81,5 +82,6 @@
         events,
         settings.grace,
         kernel.find("quota_shares", QuotaShares),
+        kernel.find("shutdown", ShutdownDeadline),
     )
     return Tenant(kernel, stop)
--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -16,6 +16,7 @@
 from walkcart.entry.overloadgate import OverloadGate
 from walkcart.entry.routed import RoutedEntryTools, RoutedHandler
 from walkcart.entry.routedservice import RoutedService
+from walkcart.entry.shutdowngate import ShutdownGate
 from walkcart.entry.startup import StartupGate
 from walkcart.entry.teamlimits import DistributedRateLimiter
 from walkcart.fanout.delegatedgroup import Outcome
@@ -54,6 +55,7 @@
 from walkcart.routing.peerchoice import PeerStats
 from walkcart.routing.quarantine import Quarantine
 from walkcart.routing.repeats import RepeatBudget, RepeatLimits
+from walkcart.routing.shutdown import ShutdownDeadline
 from walkcart.store.calls import StoreCalls
 from walkcart.store.follower import PrefixFollower
 from walkcart.wire.http import HttpReply, HttpRequest
@@ -120,6 +122,7 @@
     )
     add_cold_shares(kernel, environment, gatherers)
     quarantines = add_quarantines(kernel, environment, links, gatherers)
+    shutdown = ShutdownDeadline()
     limits = RepeatLimits(
         settings.repeat_ratio,
         settings.repeat_window.total_seconds(),
@@ -137,6 +140,7 @@
         environment.random,
         quarantines,
         delegates,
+        shutdown=shutdown,
     )
 
     async def gather(question: RoutedQuestion, top: int, handover: Handover) -> Outcome:
@@ -166,6 +170,7 @@
     add_relay(kernel, environment, links)
     kernel.add("delegates", delegates)
     kernel.add("carrier", carrier)
+    kernel.add("shutdown", shutdown)
     kernel.add("gathering", gathering)
 
 
@@ -254,6 +259,19 @@
         lambda: keeper.table.document.teams is not None,
     )
     kernel.add("room", room)
+    registration = kernel.find("registration", Registration)
+    shutdown = ShutdownGate(
+        kernel.find("shutdown", ShutdownDeadline),
+        environment.clock,
+        environment.random,
+        metrics,
+        lambda: bool(registration.others()),
+    )
+    keeper.on_change(
+        lambda table: shutdown.times.retain(
+            frozenset(route.name for route in table.document.routes)
+        )
+    )
     protocol = PlatformCallerProtocol()
     handler = RoutedHandler(
         RoutedEntryTools(
@@ -268,6 +286,7 @@
             kernel.find("origins", RequestOrigins),
             kernel.find("configuration", PrefixFollower).find_age,
             room,
+            shutdown,
             kernel.find("limits", DistributedRateLimiter),
         )
     )
--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -20,6 +20,7 @@
 from walkcart.entry.callerports import CallerProtocol, CallerRequest, TeamRateLimiter
 from walkcart.entry.overloadgate import OverloadGate
 from walkcart.entry.requestlog import RequestLog
+from walkcart.entry.shutdowngate import ShutdownGate
 from walkcart.entry.startup import StartupGate
 from walkcart.entry.teamaccess import Access, find_access
 from walkcart.fanout.crashwatch import CrashWatch
@@ -74,6 +75,7 @@
         find_configuration_age: returns the seconds since the configuration was last
             confirmed to be the newest.
         room: delays or refuses requests while the instance is overloaded.
+        shutdown: refuses requests that can't end before a stopping instance does.
         limits: rate limits of the teams; None if they aren't enforced.
     """
 
@@ -88,9 +90,21 @@
     origins: RequestOrigins
     find_configuration_age: Callable[[], float]
     room: OverloadGate
+    shutdown: ShutdownGate
     limits: TeamRateLimiter | None = None
 
 
+@dataclass(slots=True)
+class _Stage:
+    """How far a request has come.
+
+    Args:
+        may_have_sent: whether it may have been sent to a leaf or to another instance.
+    """
+
+    may_have_sent: bool = False
+
+
 class RoutedHandler:
     """Answers routed requests.
 
@@ -110,13 +124,28 @@
         start = tools.gathering.clock.monotonic()
         try:
             caller = tools.protocol.read_request(request)
-            return await self._route(caller, start)
+            return await self._answer_before_shutdown(caller, start)
         except Exception as error:  # answer every request, whatever fails
             tools.events.emit(Events.REQUEST_FAILED, detail=repr(error)[:500])
             verdict = MayHaveRun(Reason.INTERNAL, "a fault of walkcart")
             return tools.protocol.render_failure(RoutedFailure(verdict))
 
-    async def _route(self, caller: CallerRequest, start: float) -> HttpReply:
+    async def _answer_before_shutdown(
+        self, caller: CallerRequest, start: float
+    ) -> HttpReply:
+        """Answer a request, also if it still waits when the instance has to end."""
+        shutdown = self._tools.shutdown
+        stage = _Stage()
+        with shutdown.limit_wait():
+            return await self._route(caller, start, stage)
+        if stage.may_have_sent:
+            verdict = MayHaveRun(Reason.STOPPING, "the instance stopped while it ran")
+            return self._tools.protocol.render_failure(RoutedFailure(verdict))
+        return self._refuse(caller, shutdown.reject("it waited until the stop ended"))
+
+    async def _route(
+        self, caller: CallerRequest, start: float, stage: _Stage
+    ) -> HttpReply:
         tools = self._tools
         if not await tools.startup_gate.wait():
             verdict = NotRun(
@@ -133,11 +162,17 @@
         if isinstance(access, NotRun):
             return self._refuse(caller, access)
         question = self._make_question(caller, table, route, access, start)
+        rejection = tools.shutdown.check(question)
+        if rejection is not None:
+            return self._refuse(caller, rejection, question.team)
+        question = tools.shutdown.limit_deadline(question)
         charge = partial(self._charge_limit, access.team, question.deadline)
         async with tools.room.admit(question, charge) as refusal:
             if refusal is not None:
                 return self._refuse(caller, refusal, question.team)
-            return await self._serve(caller, table, route, question, access.team, start)
+            return await self._serve(
+                caller, table, route, question, access.team, start, stage
+            )
 
     async def _serve(
         self,
@@ -147,6 +182,7 @@
         question: RoutedQuestion,
         team: Team | None,
         start: float,
+        stage: _Stage,
     ) -> HttpReply:
         """Serve an admitted question, unless it is quarantined for crashing leaves."""
         tools = self._tools
@@ -155,6 +191,7 @@
             self._refund_limit(team, start)
             return self._refuse(caller, admitted, question.team)
         question = replace(question, careful=admitted is QuarantineLevel.CAREFUL)
+        stage.may_have_sent = True
         return await self._answer(question, table, route, team, start)
 
     async def _charge_limit(self, team: Team | None, deadline: float) -> NotRun | None:
@@ -183,13 +220,11 @@
         tools = self._tools
         top = route.target.top if isinstance(route.target, ToShards) else 0
         result = await self._gather(question, top)
-        self._log.log_end(
-            question,
-            table.document.version,
-            _describe_objective(route),
-            tools.gathering.clock.monotonic() - start,
-            result,
-        )
+        elapsed = tools.gathering.clock.monotonic() - start
+        version, objective = table.document.version, _describe_objective(route)
+        self._log.log_end(question, version, objective, elapsed, result)
+        if isinstance(result, Success):
+            tools.shutdown.times.observe(question.kind, elapsed)
         match result:
             case Success(answer) if question.success_only:
                 reply = tools.protocol.render_merged(answer, top)
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -106,6 +106,10 @@
         """Ask the services until no more parts are needed or can be expected."""
         if not self._can_cover():
             return Failure(make_failure(tuple(self._progress.values()), late=False))
+        with self._tools.shutdown.notify(self._shorten):
+            return await self._run_to_end()
+
+    async def _run_to_end(self) -> Result[RoutedAnswer, RoutedFailure]:
         self._start(self._tools.clock.monotonic())
         try:
             while True:
@@ -133,6 +137,12 @@
             partial=self._handover is not None,
         )
 
+    def _shorten(self) -> None:
+        """Take over the deadline of this instance, which stops."""
+        deadline = self._tools.shutdown.limit(self._question.deadline)
+        self._question = replace(self._question, deadline=deadline)
+        self._wakeup.set()
+
     def _can_cover(self) -> bool:
         """Return whether enough services have leaves that can reply in time.
 
@@ -284,12 +294,13 @@
         answerable = not self._handed_over and covers(
             self._question, self._covered_count
         )
-        return self._due.find_next(
+        due = self._due.find_next(
             self._progress.values(),
             answerable,
             self._last_repeat_at,
             self._find_late_parts_time(),
         )
+        return min(due, self._question.deadline)
 
     def _find_late_parts_time(self) -> float:
         """Return when late parts are requested together; infinite when they aren't."""
--- a/walkcart/fanout/routedsends.py
+++ b/walkcart/fanout/routedsends.py
@@ -248,7 +248,8 @@
             self._question.kind, Distance.SAME_DATA_CENTRE
         )
         usual = times.median(now)
-        return now + usual * MIN_TIME_SHARE < self._question.deadline
+        deadline = self._tools.shutdown.limit(self._question.deadline)
+        return now + usual * MIN_TIME_SHARE < deadline
 
     def _is_deferred(self, leaf: Leaf) -> bool:
         """Return whether repeats at a leaf are deferred, to be sent with others."""
@@ -318,7 +319,7 @@
         attempt = Attempt(
             id=self._tools.ids.next_id(),
             shard=0,
-            deadline=question.deadline,
+            deadline=self._tools.shutdown.limit(question.deadline),
             caller_request=question.request,
             leaf_id=leaf.id,
             idempotent=question.idempotent,
--- a/walkcart/fanout/routedtools.py
+++ b/walkcart/fanout/routedtools.py
@@ -17,6 +17,7 @@
 from walkcart.routing.distance import Location
 from walkcart.routing.instancedelay import InstanceDelay
 from walkcart.routing.repeats import RepeatBudget
+from walkcart.routing.shutdown import ShutdownDeadline
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +39,7 @@
         delegates: delegates to other instances; None where there are none.
         send_time: processor time that sending a question's requests takes. Reading the
             question and writing its answer take about as long.
+        shutdown: until when this instance can answer.
     """
 
     pool: LeafPool | ScopedPool
@@ -52,3 +54,4 @@
     quarantines: Quarantines
     delegates: DelegationClient | None = None
     send_time: InstanceDelay = field(default_factory=InstanceDelay)
+    shutdown: ShutdownDeadline = field(default_factory=ShutdownDeadline)
--- a/walkcart/kernel/metrics.py
+++ b/walkcart/kernel/metrics.py
@@ -83,6 +83,9 @@
     "leaf.wait": Metric("timer", "ms", "What those waited until they were sent."),
     "room.limit": Metric("gauge", "requests", "Worked on at once; 0 without a limit."),
     "room.refused": Metric("counter", "requests", "Refused: no room here in time."),
+    "stop.refused": Metric(
+        "counter", "requests", "Refused: they can't end before this instance does."
+    ),
     "room.wait": Metric("timer", "ms", "Of requests that waited for room here."),
     "leaf.connections": Metric("gauge", "connections", "Open to leaves."),
     "peer.sent": Metric("counter", "messages", "Messages to peers."),
