Registration: an instance that stops while it stores its key removes it

What callers met: for up to 15 s the other instances list one that has ended, hand it questions over many shards, and wait for an acceptance that doesn't come.

Cause: the stop ends the lease that the key is attached to, but an instance that is just storing its key has none yet, and stores it after that.

Fix: the task that keeps the registration ends the lease once more as it ends, which the stop has it do at once. Nothing registers after that, so the key is gone whichever came first. Read besides: quota shares release what was taken during a stop; cold shares are attached to the same lease.

--- a/walkcart/membership/registration.py
+++ b/walkcart/membership/registration.py
@@ -164,6 +164,8 @@
                 if not self._is_watching():
                     pause *= FED_BACKOFF_FACTOR
                 await trio.sleep(pause)
+        # The stop may have begun while the key was being stored.
+        await self._end_lease()
 
     async def _wait_for_next_cycle(self) -> None:
         """Wait until the next renewal is due or requested.
@@ -183,13 +185,18 @@
     async def deregister(self) -> None:
         """Revoke the lease, so that the others learn of a planned stop at once."""
         self._is_stopping = True
-        if self._registered is None:
+        self.renew_soon()
+        await self._end_lease()
+
+    async def _end_lease(self) -> None:
+        """End the lease of this instance's key, if it has one; this removes the key."""
+        registered, self._registered = self._registered, None
+        if registered is None:
             return
         try:
-            await self._store.end_lease(self._registered.lease)
+            await self._store.end_lease(registered.lease)
         except StoreUnavailable as error:
             self._events.emit(Events.STORE_FAILED, detail=f"lease not ended: {error}")
-        self._registered = None
 
     def set_watching_check(self, is_watching: Callable[[], bool]) -> None:
         """Renew often while this instance watches the store, as `is_watching` tells."""
