Store: a full read logs the revision of each page and where the watch begins

The log told of leaves that were added and removed, but not what the copy of the entries came from, so a gap in the first read, a feed that is behind and an entry that is kept after its removal looked alike: a leaf that isn't removed.

Event 526 (store_read) is written once for each full read: the prefix, whether it was fresh, the number of items, a revision that each page surely reflects, and the revision from which the watch begins.

--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -202,6 +202,11 @@
         "The store no longer has the changes since a revision; everything is read "
         "again.",
     )
+    STORE_READ = _info(
+        526,
+        "store_read",
+        "All items of a prefix were read; changes after a revision are watched next.",
+    )
     ROUTES_IN_FORCE = _info(509, "routes_in_force", "A routing document is applied.")
     ROUTES_IGNORED = _info(
         510,
--- a/walkcart/store/follower.py
+++ b/walkcart/store/follower.py
@@ -60,6 +60,9 @@
 #: everything.
 FEED_WAIT = timedelta(seconds=1)
 
+#: Maximum number of pages whose revisions are logged.
+MAX_LOGGED_PAGES = 20
+
 #: Given the old and the new value of an item, returns whether the change is
 #: significant.
 DifferenceTest = Callable[[bytes, bytes], bool]
@@ -242,6 +245,14 @@
         """Read everything and replace the copy with it."""
         started_at = self._clock.monotonic()
         reading = await read_prefix(self._store, self.prefix, fresh)
+        self._events.emit(
+            Events.STORE_READ,
+            prefix=self.prefix,
+            fresh=fresh,
+            items=len(reading.items),
+            pages=reading.pages[:MAX_LOGGED_PAGES],
+            revision=reading.revision,
+        )
         if fresh:
             # Recorded before the listener is called, which passes on until when the
             # copy is complete.
--- a/walkcart/store/reading.py
+++ b/walkcart/store/reading.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from walkcart.store.items import Item, SharedStore
+from walkcart.store.items import Item, Page, SharedStore
 
 
 @dataclass(frozen=True, slots=True)
@@ -14,10 +14,12 @@
     Args:
         items: the items by key.
         revision: a watch from this revision brings every change that the items lack.
+        pages: for each page, a revision whose changes it surely reflects.
     """
 
     items: dict[str, Item]
     revision: int
+    pages: tuple[int, ...]
 
 
 async def read_prefix(store: SharedStore, prefix: str, fresh: bool) -> Reading:
@@ -35,17 +37,21 @@
         StoreUnavailable: a page couldn't be read.
     """
     found: dict[str, Item] = {}
-    watch_from = 0
+    revisions: list[int] = []
     after = ""
     while True:
         page = await store.list_items(prefix, after, fresh)
-        watch_from = watch_from or page.revision
+        revisions.append(page.revision if fresh else _find_latest(page))
         found.update((item.key, item) for item in page.items)
         if page.last or not page.items:
             break
         after = page.items[-1].key
-    if not fresh:
-        # The revision in the reply may be newer than the items, so the watch has to
-        # bring all changes after the latest item.
-        watch_from = max((item.revision for item in found.values()), default=0)
-    return Reading(found, watch_from)
+    # The revision in the reply to an old read may be newer than the items, so the watch
+    # has to bring all changes after the latest item.
+    watch_from = revisions[0] if fresh else max(revisions)
+    return Reading(found, watch_from, tuple(revisions))
+
+
+def _find_latest(page: Page) -> int:
+    """Return the revision of a page's latest item; 0 without items."""
+    return max((item.revision for item in page.items), default=0)
