Store: the watch after an old read of several pages begins at the oldest page

Cause: the pages of a read that may be seconds old are each of another age, and the watch began after the latest item of all of them. A change between the ages of two pages was neither read nor watched, and a feed goes on from the same revision. Evidence, by event 526: pages at 6058, 6094 and 6172, the removal at about 6146, the watch from 6172.

Fix: a reading reflects its oldest page, and the watch or the feed goes on from there. Of an old page only the revision of its latest item is sure to be no later than the page; the leaves' heartbeats keep it close. The read stays the cheap one: no fresh read is added at any start, a watch brings the changes of some seconds more, and a feed only those of them that matter.

--- a/walkcart/platform/tests/storestandin.py
+++ b/walkcart/platform/tests/storestandin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from base64 import b64decode, b64encode
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -32,12 +33,15 @@
         refusal: status of the reply to every call, if not 0.
         lose_writes: let transactions take effect, but never reply to them.
         stale_by: number of revisions by which reads that may be stale lag behind.
+        draw_lag: returns by how many revisions the next page that may be stale lags
+            behind; such a page also shows what was removed since.
     """
 
     silent: bool = False
     refusal: int = 0
     lose_writes: bool = False
     stale_by: int = 0
+    draw_lag: Callable[[], int] | None = None
 
 
 @dataclass(slots=True)
@@ -134,6 +138,8 @@
         stale = "serializable" in query
         limit = self.revision - (self.faults.stale_by if stale else 0)
         prefix, after = query["pathPrefix"], query.get("after", "")
+        if stale and self.faults.draw_lag is not None:
+            return self._range_at(self.revision - self.faults.draw_lag(), prefix, after)
         keys = sorted(
             key
             for key, row in self.rows.items()
@@ -144,6 +150,25 @@
             {"items": items, "truncated": len(keys) > PAGE_SIZE, "asOf": self.revision}
         )
 
+    def _range_at(self, revision: int, prefix: str, after: str) -> HttpReply:
+        """Return a page as it was at a revision, from the history."""
+        rows = {key: self._describe(key) for key in self.rows}
+        for event in reversed(self._history):
+            if event["revision"] > revision:
+                rows.pop(event["tlsKey"], None)
+        for event in self._history:
+            if event["revision"] > revision:
+                break
+            if "deleted" in event:
+                rows.pop(event["tlsKey"], None)
+            else:
+                rows[event["tlsKey"]] = event
+        keys = sorted(key for key in rows if key.startswith(prefix) and key > after)
+        items = [rows[key] for key in keys[:PAGE_SIZE]]
+        return reply_json(
+            {"items": items, "truncated": len(keys) > PAGE_SIZE, "asOf": self.revision}
+        )
+
     async def _watch(self, query: dict[str, str]) -> HttpReply:
         prefix, after = query["pathPrefix"], int(query["after"])
         with trio.move_on_after(int(query["waitMs"]) / 1000):
--- a/walkcart/store/reading.py
+++ b/walkcart/store/reading.py
@@ -25,8 +25,10 @@
 async def read_prefix(store: SharedStore, prefix: str, fresh: bool) -> Reading:
     """Read every page of a prefix.
 
-    Pages are read at different revisions, so a watch has to start from the revision of
-    the first page.
+    The pages are no snapshot: each shows its part of the keys at another revision, so a
+    watch has to start from the oldest of these. Fresh pages get newer from one to the
+    next, and each states its revision. Of a page that may be old, only the revision of
+    its latest item is sure to be no later than the page itself.
 
     Args:
         store: the store to read from.
@@ -44,12 +46,8 @@
         revisions.append(page.revision if fresh else _find_latest(page))
         found.update((item.key, item) for item in page.items)
         if page.last or not page.items:
-            break
+            return Reading(found, min(revisions), tuple(revisions))
         after = page.items[-1].key
-    # The revision in the reply to an old read may be newer than the items, so the watch
-    # has to bring all changes after the latest item.
-    watch_from = revisions[0] if fresh else max(revisions)
-    return Reading(found, watch_from, tuple(revisions))
 
 
 def _find_latest(page: Page) -> int:
