Store: a read that ends after a feeder's copy restores no removed items

What callers met: requests may go to a leaf that has left until it ends.

Cause: a first read may be seconds old. The copy keeps the feeder's revision, so nothing brings the removal again. Evidence: by reading, and a test with drawn histories, ages and feeds that finds it; it wasn't seen in a run of processes.

Fix: a copy that lacks an item from before its own revision has seen the removal, so a full copy or a read doesn't add it. Changes of a feeder were already checked so.

test_old_pages_never_restore_what_a_feed_has_removed failed before the fix.

--- a/walkcart/store/follower.py
+++ b/walkcart/store/follower.py
@@ -292,8 +292,14 @@
             self._history.add_gap(self.revision, revision)
 
     def _is_newer(self, item: Item) -> bool:
+        """Return whether an item is later than what the copy has at its key.
+
+        A copy that lacks an item from before its own revision has seen the removal.
+        """
         held = self._items.get(item.key)
-        return held is None or held.revision < item.revision
+        if held is None:
+            return not self.known or item.revision > self.revision
+        return held.revision < item.revision
 
     async def _process_result(self, result: Changes | HistoryLost) -> None:
         match result:
--- a/walkcart/store/tests/test_reading.py
+++ b/walkcart/store/tests/test_reading.py
@@ -122,5 +122,19 @@
     assert find_revisions(receiver) == find_revisions_of(find_items(history, None))
 
 
+@settings(max_examples=400)
+@given(DRAWS, LAGS, st.integers(0, 40))
+def test_old_pages_never_restore_what_a_feed_has_removed(draws, lags, fed_to):
+    """Guards against a first read that ends after a feeder's copy arrived."""
+    history = make_history(draws)
+    reading, _ = read(history, lags)
+    fed_to = min(fed_to, len(history))
+    follower = make_follower()
+    follower.replace(find_items(history, fed_to), fed_to, Origin("feeder", 0.0))
+    follower.replace(reading.items, reading.revision)
+    watch(follower, history)
+    assert find_revisions(follower) == find_revisions_of(find_items(history, None))
+
+
 def find_revisions_of(items):
     return {key: item.revision for key, item in items.items()}
