Leaf links: the log tells of a request refused twice over one connection

The log told of neither attempt, so a late copy of a refusal, a leaf that runs what it has refused and two attempts at once looked alike.

A connection remembers the requests that were refused over it, by what their replies state (LinkConnection).

--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -16,9 +16,10 @@
 from walkcart.kernel.events import Events
 from walkcart.kernel.settings import parse_host_port
 from walkcart.kernel.taskerrors import log_task_error
-from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome
+from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused
 from walkcart.leaves.exchange import IDLE_TIMEOUT, LeafExchanges, LinkTools, Pending
 from walkcart.leaves.leaf import Leaf
+from walkcart.leaves.linkconnection import LinkConnection
 from walkcart.leaves.linkqueue import HasRoom, LinkQueue, always_has_room
 from walkcart.leaves.protocol import MAX_REPLY_BYTES
 from walkcart.wire.http import (
@@ -259,15 +260,15 @@
         if not connection.prepare_next():
             raise OSError("the leaf closes the connection after its status reply")
 
-    async def _process_queue(self, connection: HttpConnection) -> None:
-        last_used = self._tools.clock.monotonic()
+    async def _process_queue(self, http: HttpConnection) -> None:
+        connection = LinkConnection(http, self._tools.clock.monotonic())
         while True:
             pending = await self._wait_for_next()
             if pending is None:
                 return
-            if not await self._process(connection, pending, last_used):
+            if not await self._process(connection, pending):
                 return
-            last_used = self._tools.clock.monotonic()
+            connection.last_used = self._tools.clock.monotonic()
 
     async def _wait_for_next(self) -> Pending | None:
         """Wait for the next entry to send; None if the connection should close."""
@@ -300,14 +301,12 @@
         told = self._exchanges.idle_timeout < IDLE_TIMEOUT.total_seconds()
         return idle >= self._exchanges.idle_timeout and (told or self._connections > 1)
 
-    async def _process(
-        self, connection: HttpConnection, pending: Pending, last_used: float
-    ) -> bool:
+    async def _process(self, connection: LinkConnection, pending: Pending) -> bool:
         """Send one entry of the queue; return whether the connection stays usable."""
         if pending.attempt is None and pending.cancel_id:
-            return await self._send_cancel(connection, pending.cancel_id)
+            return await self._send_cancel(connection.http, pending.cancel_id)
         if pending.attempt is None:
-            return await self._still_serves(connection)
+            return await self._still_serves(connection.http)
         attempt = pending.attempt
         now = self._tools.clock.monotonic()
         if attempt.deadline <= now:
@@ -321,17 +320,7 @@
             detail = "its caller, or the instance that asked, no longer waits for it"
             self._finish(pending, Failed(NotRun(Reason.CANCELLED, detail)))
             return True
-        stale = now - last_used > MAX_UNCHECKED_IDLE.total_seconds()
-        usable = (
-            connection.is_quiet() and now - last_used < self._exchanges.idle_timeout
-        )
-        if usable and not attempt.repeatable and stale:
-            # The leaf may have dropped the connection silently. Where its status can't
-            # be requested, a new connection costs less than a request that may have
-            # run.
-            can_ask = self._tools.protocol.make_status_request() is not None
-            usable = can_ask and await self._still_serves(connection)
-        if not usable:
+        if not await self._may_carry(connection, attempt, now):
             # Nothing of the attempt was sent, so another connection may send it.
             self._queue.add_front(pending)
             return False
@@ -339,6 +328,20 @@
             return True
         return await self._exchange(connection, pending, attempt)
 
+    async def _may_carry(
+        self, connection: LinkConnection, attempt: Attempt, now: float
+    ) -> bool:
+        """Return whether an attempt may be sent over a connection."""
+        idle = now - connection.last_used
+        if not connection.http.is_quiet() or idle >= self._exchanges.idle_timeout:
+            return False
+        if attempt.repeatable or idle <= MAX_UNCHECKED_IDLE.total_seconds():
+            return True
+        # The leaf may have dropped the connection silently. Where its status can't be
+        # requested, a new connection costs less than a request that may have run.
+        can_ask = self._tools.protocol.make_status_request() is not None
+        return can_ask and await self._still_serves(connection.http)
+
     def _admit(self, pending: Pending, attempt: Attempt) -> bool:
         """Return whether an attempt may be sent now; otherwise finish it."""
         refusal: NotRun | None = NotRun(Reason.INTERNAL, "a fault of walkcart")
@@ -361,15 +364,16 @@
         return False
 
     async def _exchange(
-        self, connection: HttpConnection, pending: Pending, attempt: Attempt
+        self, connection: LinkConnection, pending: Pending, attempt: Attempt
     ) -> bool:
         self._running[attempt.id] = pending
         clean = False
         outcome: Outcome = Failed(MayHaveRun(Reason.DEADLINE, "no reply in time"))
         try:
             clean, outcome = await self._exchanges.run(
-                connection, pending, attempt, outcome
+                connection.http, pending, attempt, outcome
             )
+            self._record_refusal(connection, attempt, outcome)
         except trio.Cancelled:
             outcome = Failed(MayHaveRun(Reason.STOPPING, "stopped while it ran"))
             raise
@@ -380,6 +384,19 @@
             self._idle.unpark()
         return clean
 
+    def _record_refusal(
+        self, connection: LinkConnection, attempt: Attempt, outcome: Outcome
+    ) -> None:
+        """Record a refusal, and log one of a request that was refused here before."""
+        if not isinstance(outcome, Refused):
+            return
+        key = self._tools.protocol.make_request_key(attempt)
+        if key in connection.refused:
+            self._tools.events.emit(
+                Events.LEAF_REFUSED_AGAIN, leaf_id=self.leaf.id, request=key
+            )
+        connection.refused.append(key)
+
     async def _send_cancel(self, connection: HttpConnection, attempt_id: str) -> bool:
         if attempt_id not in self._running:
             return True
--- a/walkcart/leaves/protocol.py
+++ b/walkcart/leaves/protocol.py
@@ -151,6 +151,10 @@
         """Return whether a reply with these headers belongs to `attempt`."""
         ...
 
+    def make_request_key(self, attempt: Attempt) -> str:
+        """Return a text that attempts share if their replies look alike."""
+        ...
+
     def read_status(self, found: HeaderMap) -> LeafStatus:
         """Return what the leaf states about itself on a reply."""
         ...
@@ -187,6 +191,10 @@
         """Return whether a reply with these headers belongs to `attempt`."""
         return is_reply_to(attempt, found)
 
+    def make_request_key(self, attempt: Attempt) -> str:
+        """Return the attempt's id, which its reply echoes."""
+        return attempt.id
+
     def read_status(self, found: HeaderMap) -> LeafStatus:
         """Return what the leaf states about itself on a reply."""
         return read_status(found)
--- a/walkcart/platform/leafprotocol.py
+++ b/walkcart/platform/leafprotocol.py
@@ -54,13 +54,15 @@
 
     def is_reply_to(self, attempt: Attempt, found: HeaderMap) -> bool:
         """Return whether a reply echoes the id of this request, or no id at all."""
-        assert attempt.caller_request is not None
         echoed = found.get(REQUEST_ID)
         if echoed is None:
             return True
-        return echoed.decode("latin-1") == find_header(
-            attempt.caller_request.headers, REQUEST_ID
-        )
+        return echoed.decode("latin-1") == self.make_request_key(attempt)
+
+    def make_request_key(self, attempt: Attempt) -> str:
+        """Return the caller's id, which all attempts of one request share."""
+        assert attempt.caller_request is not None
+        return find_header(attempt.caller_request.headers, REQUEST_ID) or ""
 
     def read_status(self, found: HeaderMap) -> LeafStatus:
         """Read a leaf's load, its pace and its remaining cold time from a reply."""
