Leaf links: a refused request isn't sent again over the connection of its refusal

Cause: replies are told apart by the caller's id, which all attempts of a request share. A second attempt over the connection that carried a refusal takes a late copy of that refusal for its own reply, while the leaf runs it.

Fix: a connection remembers what was refused over it, and closes when such a request is due on it again; another connection carries the attempt, so that a copy of the refusal meets none. Other requests differ by their ids and keep using the connection, so nothing else costs a new one (leaf.reconnected counts).

--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -109,11 +109,6 @@
     LEAF_CROWDED = _info(
         320, "leaf_crowded", "Requests wait in this instance, since a leaf is busy."
     )
-    LEAF_REFUSED_AGAIN = _info(
-        321,
-        "leaf_refused_again",
-        "A leaf refused a request twice over one connection.",
-    )
     LEAF_WRONG_ATTEMPT = _warn(
         302,
         "leaf_wrong_attempt",
--- a/walkcart/kernel/metrics.py
+++ b/walkcart/kernel/metrics.py
@@ -78,6 +78,11 @@
     "leaf.asked_again": Metric(
         "counter", "requests", "To a leaf that lost its answer to the same question."
     ),
+    "leaf.reconnected": Metric(
+        "counter",
+        "requests",
+        "Sent over another connection than the one that carried their refusal.",
+    ),
     "leaf.late": Metric("counter", "replies", "Replies that nobody waited for."),
     "leaf.crowded": Metric("counter", "requests", "Waited here for room at a leaf."),
     "leaf.wait": Metric("timer", "ms", "What those waited until they were sent."),
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -332,6 +332,10 @@
         self, connection: LinkConnection, attempt: Attempt, now: float
     ) -> bool:
         """Return whether an attempt may be sent over a connection."""
+        if self._tools.protocol.make_request_key(attempt) in connection.refused:
+            # A late copy of the refusal would be taken for this attempt's reply.
+            self._tools.metrics.count("leaf.reconnected")
+            return False
         idle = now - connection.last_used
         if not connection.http.is_quiet() or idle >= self._exchanges.idle_timeout:
             return False
@@ -387,15 +391,10 @@
     def _record_refusal(
         self, connection: LinkConnection, attempt: Attempt, outcome: Outcome
     ) -> None:
-        """Record a refusal, and log one of a request that was refused here before."""
-        if not isinstance(outcome, Refused):
-            return
-        key = self._tools.protocol.make_request_key(attempt)
-        if key in connection.refused:
-            self._tools.events.emit(
-                Events.LEAF_REFUSED_AGAIN, leaf_id=self.leaf.id, request=key
-            )
-        connection.refused.append(key)
+        """Record a refusal: the request isn't sent over this connection again."""
+        if isinstance(outcome, Refused):
+            key = self._tools.protocol.make_request_key(attempt)
+            connection.refused.append(key)
 
     async def _send_cancel(self, connection: HttpConnection, attempt_id: str) -> bool:
         if attempt_id not in self._running:
