Platform: a refusal without the id of its request proves nothing

No caller was seen to meet it. What they would meet: a request that must not repeat runs twice, or is answered "not run" after it ran, when a copy of some other refusal arrives late and has no id.

Cause: a reply without an id was taken for the awaited one, whatever it said. Evidence: by reading, and the test.

Fix: such a refusal counts as "may have run". Answers without an id are accepted as before, since they promise nothing.

test_refusal_without_the_id_of_the_request_proves_nothing failed before the fix.

--- a/walkcart/platform/leafprotocol.py
+++ b/walkcart/platform/leafprotocol.py
@@ -97,6 +97,10 @@
         if reply.status == _MISDIRECTED:
             return Refused(Reason.LEAF_REPLACED)
         if NOT_RUN in found:
+            if REQUEST_ID not in found and self.make_request_key(attempt):
+                # It may be a late copy of the refusal of another request.
+                detail = "a refusal without the id of its request"
+                return Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
             return Refused(Reason.LEAF_REFUSED, _read_retry_after(found))
         success = 200 <= reply.status < 300
         if success and (STAMP not in found or CONTENT_ENCODING in found):
--- a/walkcart/platform/tests/test_leaf_replies.py
+++ b/walkcart/platform/tests/test_leaf_replies.py
@@ -74,3 +74,17 @@
     found = {} if echoed is None else {b"x-request-id": echoed}
     matches = PROTOCOL.is_reply_to(make_attempt(False), found)
     assert matches == (echoed in (None, b"id"))
+
+
+def test_refusal_without_the_id_of_the_request_proves_nothing():
+    """Guards against taking a late copy of some other refusal for this request's."""
+    headers = ((b"x-not-executed", b"1"),)
+    reply = HttpReply(503, headers)
+    outcome = PROTOCOL.read_outcome(make_attempt(False), reply, dict(headers), 0.1)
+    assert isinstance(outcome, Failed)
+    assert isinstance(outcome.verdict, MayHaveRun)
+    echoed = (*headers, (b"x-request-id", b"id"))
+    outcome = PROTOCOL.read_outcome(
+        make_attempt(False), HttpReply(503, echoed), dict(echoed), 0.1
+    )
+    assert isinstance(outcome, Refused)
