Leaf links: opening and checking connections move to a module of their own

LinkConnector opens the connections of a link and decides whether one may carry an attempt; LeafLink keeps the queue and the exchanges. No behaviour changes, but that the idle time is read when it is compared, not before the caller's presence is checked.

test_body_over_the_limit_is_dropped sets the limit of a body in the module that now uses it; what it checks is the same.

--- a/walkcart/bench/routed/emulatedlinks.py
+++ b/walkcart/bench/routed/emulatedlinks.py
@@ -20,7 +20,7 @@
 from walkcart.bench.routed.timeline import Timeline
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused, Replied
 from walkcart.leaves.leaf import UNPINNED, Leaf
-from walkcart.leaves.link import CONNECT_TIMEOUT
+from walkcart.leaves.linkconnection import CONNECT_TIMEOUT
 from walkcart.leaves.linkqueue import HasRoom, always_has_room
 from walkcart.leaves.pool import LeafPool
 from walkcart.leaves.pooltools import PoolTools
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -9,33 +9,20 @@
 
 from __future__ import annotations
 
-from datetime import timedelta
-
 import trio
 
-from walkcart.kernel.events import Events
-from walkcart.kernel.settings import parse_host_port
 from walkcart.kernel.taskerrors import log_task_error
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused
 from walkcart.leaves.exchange import IDLE_TIMEOUT, LeafExchanges, LinkTools, Pending
 from walkcart.leaves.leaf import Leaf
-from walkcart.leaves.linkconnection import LinkConnection
+from walkcart.leaves.linkconnection import LinkConnection, LinkConnector
 from walkcart.leaves.linkqueue import HasRoom, LinkQueue, always_has_room
-from walkcart.leaves.protocol import MAX_REPLY_BYTES
-from walkcart.wire.http import (
-    ExchangeFailed,
-    HttpConnection,
-)
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
-#: Time to connect and request the status, and for a status check or a cancel later.
-CONNECT_TIMEOUT = timedelta(seconds=1)
 #: Seconds between a failure to connect and the next try; doubles up to `MAX_BACKOFF`.
 INITIAL_BACKOFF = 0.05
 #: Maximum of that time, in seconds.
 MAX_BACKOFF = 2.0
-#: A connection that was idle for longer is checked before a non-repeatable request.
-MAX_UNCHECKED_IDLE = timedelta(seconds=1)
 
 
 class LeafLink:
@@ -69,6 +56,7 @@
         self._backoff = INITIAL_BACKOFF
         self._connect_after = float("-inf")
         self._exchanges = LeafExchanges(leaf, tools, self._adopt)
+        self._connector = LinkConnector(leaf, tools)
 
     @property
     def connections(self) -> int:
@@ -188,9 +176,9 @@
 
     async def _run_connection(self, stream: trio.abc.Stream | None) -> None:
         """Send attempts over one connection until it ends; connect without `stream`."""
-        connection: HttpConnection | None = None
+        connection: LinkConnection | None = None
         try:
-            connection = await self._open(stream)
+            connection = await self._connector.open(stream)
             if connection is not None:
                 await self._process_queue(connection)
         except Exception as error:
@@ -201,7 +189,7 @@
             self._connections -= 1
             if connection is not None:
                 with trio.CancelScope(shield=True):
-                    await connection.close()
+                    await connection.http.close()
         self._after_connection(connection is not None)
 
     def _after_connection(self, opened: bool) -> None:
@@ -222,46 +210,7 @@
         elif self._queue.has_sendable():
             self._wake_connection()
 
-    async def _open(self, stream: trio.abc.Stream | None) -> HttpConnection | None:
-        """Connect and request the status; None if the leaf can't be reached."""
-        address = parse_host_port(self.leaf.address)
-        try:
-            with trio.fail_after(CONNECT_TIMEOUT.total_seconds()):
-                if stream is None:
-                    stream = await self._tools.network.connect(address)
-                connection = HttpConnection(stream, self.leaf.address, MAX_REPLY_BYTES)
-                try:
-                    await self._check(connection)
-                except BaseException:
-                    await connection.close()
-                    raise
-                return connection
-        except (OSError, ExchangeFailed, trio.TooSlowError) as error:
-            self._tools.events.emit(
-                Events.LEAF_UNREACHABLE, leaf=self.leaf.address, detail=str(error)
-            )
-            return None
-
-    async def _check(self, connection: HttpConnection) -> None:
-        """Request the status, which shows that the leaf serves this connection.
-
-        Where the protocol has no such request, unread input or an end is the only sign.
-        """
-        protocol = self._tools.protocol
-        request = protocol.make_status_request()
-        if request is None:
-            if not connection.is_quiet():
-                raise OSError(
-                    "the leaf closed the new connection or sent unrequested data"
-                )
-            return
-        reply = await connection.exchange(request)
-        self._tools.on_status(self.leaf, protocol.read_status(dict(reply.headers)))
-        if not connection.prepare_next():
-            raise OSError("the leaf closes the connection after its status reply")
-
-    async def _process_queue(self, http: HttpConnection) -> None:
-        connection = LinkConnection(http, self._tools.clock.monotonic())
+    async def _process_queue(self, connection: LinkConnection) -> None:
         while True:
             pending = await self._wait_for_next()
             if pending is None:
@@ -304,9 +253,9 @@
     async def _process(self, connection: LinkConnection, pending: Pending) -> bool:
         """Send one entry of the queue; return whether the connection stays usable."""
         if pending.attempt is None and pending.cancel_id:
-            return await self._send_cancel(connection.http, pending.cancel_id)
+            return await self._send_cancel(connection, pending.cancel_id)
         if pending.attempt is None:
-            return await self._still_serves(connection.http)
+            return await self._connector.still_serves(connection)
         attempt = pending.attempt
         now = self._tools.clock.monotonic()
         if attempt.deadline <= now:
@@ -320,7 +269,8 @@
             detail = "its caller, or the instance that asked, no longer waits for it"
             self._finish(pending, Failed(NotRun(Reason.CANCELLED, detail)))
             return True
-        if not await self._may_carry(connection, attempt, now):
+        idle_timeout = self._exchanges.idle_timeout
+        if not await self._connector.may_carry(connection, attempt, idle_timeout):
             # Nothing of the attempt was sent, so another connection may send it.
             self._queue.add_front(pending)
             return False
@@ -328,24 +278,6 @@
             return True
         return await self._exchange(connection, pending, attempt)
 
-    async def _may_carry(
-        self, connection: LinkConnection, attempt: Attempt, now: float
-    ) -> bool:
-        """Return whether an attempt may be sent over a connection."""
-        if self._tools.protocol.make_request_key(attempt) in connection.refused:
-            # A late copy of the refusal would be taken for this attempt's reply.
-            self._tools.metrics.count("leaf.reconnected")
-            return False
-        idle = now - connection.last_used
-        if not connection.http.is_quiet() or idle >= self._exchanges.idle_timeout:
-            return False
-        if attempt.repeatable or idle <= MAX_UNCHECKED_IDLE.total_seconds():
-            return True
-        # The leaf may have dropped the connection silently. Where its status can't be
-        # requested, a new connection costs less than a request that may have run.
-        can_ask = self._tools.protocol.make_status_request() is not None
-        return can_ask and await self._still_serves(connection.http)
-
     def _admit(self, pending: Pending, attempt: Attempt) -> bool:
         """Return whether an attempt may be sent now; otherwise finish it."""
         refusal: NotRun | None = NotRun(Reason.INTERNAL, "a fault of walkcart")
@@ -358,15 +290,6 @@
                 self._finish(pending, Failed(refusal))
         return refusal is None
 
-    async def _still_serves(self, connection: HttpConnection) -> bool:
-        with trio.move_on_after(CONNECT_TIMEOUT.total_seconds()):
-            try:
-                await self._check(connection)
-            except (OSError, ExchangeFailed):
-                return False
-            return True
-        return False
-
     async def _exchange(
         self, connection: LinkConnection, pending: Pending, attempt: Attempt
     ) -> bool:
@@ -377,7 +300,9 @@
             clean, outcome = await self._exchanges.run(
                 connection.http, pending, attempt, outcome
             )
-            self._record_refusal(connection, attempt, outcome)
+            if isinstance(outcome, Refused):
+                key = self._tools.protocol.make_request_key(attempt)
+                connection.refused.append(key)
         except trio.Cancelled:
             outcome = Failed(MayHaveRun(Reason.STOPPING, "stopped while it ran"))
             raise
@@ -388,26 +313,10 @@
             self._idle.unpark()
         return clean
 
-    def _record_refusal(
-        self, connection: LinkConnection, attempt: Attempt, outcome: Outcome
-    ) -> None:
-        """Record a refusal: the request isn't sent over this connection again."""
-        if isinstance(outcome, Refused):
-            key = self._tools.protocol.make_request_key(attempt)
-            connection.refused.append(key)
-
-    async def _send_cancel(self, connection: HttpConnection, attempt_id: str) -> bool:
+    async def _send_cancel(self, connection: LinkConnection, attempt_id: str) -> bool:
         if attempt_id not in self._running:
             return True
-        request = self._tools.protocol.make_cancel_request(attempt_id)
-        assert request is not None
-        with trio.move_on_after(CONNECT_TIMEOUT.total_seconds()):
-            try:
-                await connection.exchange(request)
-            except ExchangeFailed:
-                return False
-            return connection.prepare_next()
-        return False
+        return await self._connector.send_cancel(connection, attempt_id)
 
     def _finish(self, pending: Pending, outcome: Outcome) -> None:
         if pending.attempt is None or pending.deliver is None:
--- a/walkcart/leaves/tests/test_link.py
+++ b/walkcart/leaves/tests/test_link.py
@@ -230,10 +230,10 @@
 
 
 def test_body_over_the_limit_is_dropped(monkeypatch):
-    from walkcart.leaves import link
+    from walkcart.leaves import linkconnection
 
     # A body of the stand-in leaf has some 100 bytes; a long query makes it longer.
-    monkeypatch.setattr(link, "MAX_REPLY_BYTES", 2000)
+    monkeypatch.setattr(linkconnection, "MAX_REPLY_BYTES", 2000)
 
     async def run():
         async with open_estate() as world:
