Leaf links: a fault before an attempt is sent ends the attempt

Cause: a connection's task takes an attempt from the queue, makes checks and sends it. An exception in the checks ended the task and with it the attempt: its outcome was never delivered, its question waited until the deadline, and its leaf counted it as in progress for good. Only the check of permission was guarded.

Fix: the task finishes the attempt that it took, as not run, whatever fails before the exchange, which finishes its own. An outcome is delivered once.

test_fault_before_a_request_is_sent_ends_its_attempt: 504 before the fix, 200 with it.

--- a/walkcart/leaves/exchange.py
+++ b/walkcart/leaves/exchange.py
@@ -54,6 +54,7 @@
         scope: cancels the running exchange.
         blocked_since: when the attempt began to wait for capacity at the leaf; None
             if it didn't have to.
+        finished: whether the outcome was delivered.
     """
 
     attempt: Attempt | None
@@ -62,6 +63,7 @@
     abandoned: bool = False
     scope: trio.CancelScope | None = None
     blocked_since: float | None = None
+    finished: bool = False
 
 
 #: Returns why an attempt may not be sent to a leaf now, or None if it may.
--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -215,7 +215,16 @@
             pending = await self._wait_for_next()
             if pending is None:
                 return
-            if not await self._process(connection, pending):
+            try:
+                usable = await self._process(connection, pending)
+            except Exception:
+                # Nothing of it was sent: an exchange finishes its attempt itself. One
+                # that is never finished keeps its question waiting until the deadline,
+                # and its leaf out of use for good.
+                fault = NotRun(Reason.INTERNAL, "a fault of walkcart")
+                self._finish(pending, Failed(fault))
+                raise
+            if not usable:
                 return
             connection.last_used = self._tools.clock.monotonic()
 
@@ -280,14 +289,9 @@
 
     def _admit(self, pending: Pending, attempt: Attempt) -> bool:
         """Return whether an attempt may be sent now; otherwise finish it."""
-        refusal: NotRun | None = NotRun(Reason.INTERNAL, "a fault of walkcart")
-        try:
-            refusal = self._tools.admit(self.leaf, attempt)
-        finally:
-            # Also after an exception: an attempt that is never finished keeps its
-            # question waiting until the deadline, and its leaf out of use for good.
-            if refusal is not None:
-                self._finish(pending, Failed(refusal))
+        refusal = self._tools.admit(self.leaf, attempt)
+        if refusal is not None:
+            self._finish(pending, Failed(refusal))
         return refusal is None
 
     async def _exchange(
@@ -319,8 +323,9 @@
         return await self._connector.send_cancel(connection, attempt_id)
 
     def _finish(self, pending: Pending, outcome: Outcome) -> None:
-        if pending.attempt is None or pending.deliver is None:
+        if pending.attempt is None or pending.deliver is None or pending.finished:
             return
+        pending.finished = True
         if pending.abandoned:
             self._tools.metrics.count("leaf.late")
         pending.deliver(pending.attempt, outcome)
