Entry: questions are made, and the entry is assembled, in modules of their own

QuestionMaker turns a caller's request into a question; tenantentry.py assembles what serves callers and metrics. No behaviour changes.

--- a/walkcart/daemon/tenant.py
+++ b/walkcart/daemon/tenant.py
@@ -10,13 +10,9 @@
 from functools import partial
 
 from walkcart.daemon.environment import ListenerService, TenantEnvironment
+from walkcart.daemon.tenantentry import add_entry, add_metrics_page
 from walkcart.daemon.tenantlimits import add_limits
-from walkcart.daemon.tenantserving import (
-    add_delegates,
-    add_entry,
-    add_metrics_page,
-    listen_for_peers,
-)
+from walkcart.daemon.tenantserving import add_delegates, listen_for_peers
 from walkcart.daemon.tenantstore import add_base, add_intent, add_leaves, add_store
 from walkcart.entry.routedservice import RoutedService
 from walkcart.entry.routedstop import RoutedStop
--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -19,10 +19,11 @@
 
 from walkcart.entry.callerports import CallerProtocol, CallerRequest, TeamRateLimiter
 from walkcart.entry.overloadgate import OverloadGate
+from walkcart.entry.questionmaker import QuestionMaker
 from walkcart.entry.requestlog import RequestLog
 from walkcart.entry.shutdowngate import ShutdownGate
 from walkcart.entry.startup import StartupGate
-from walkcart.entry.teamaccess import Access, find_access
+from walkcart.entry.teamaccess import find_access
 from walkcart.fanout.crashwatch import CrashWatch
 from walkcart.fanout.origins import RequestOrigins
 from walkcart.fanout.routed import RoutedGathering
@@ -32,28 +33,17 @@
 from walkcart.intent.routes import (
     Route,
     RouteTable,
-    Target,
-    ToService,
     ToShards,
-    ToSplit,
 )
 from walkcart.intent.teams import Team
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.spans import Tracer
-from walkcart.routing.instancedelay import InstanceDelay
 from walkcart.routing.quarantine import QuarantineLevel
-from walkcart.routing.splits import WeightedSplit
 from walkcart.wire.http import HttpReply, HttpRequest
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
-#: Subtracted from the time that a caller waits: the time of the answer on the network.
-DEADLINE_RESERVE = timedelta(milliseconds=10)
-#: Subtracted from a route's objective: the time of the request on the network, which
-#: may include opening a connection, and that of the answer. The delay in this instance
-#: is learned and subtracted as well.
-OBJECTIVE_RESERVE = timedelta(milliseconds=20)
 #: Retry-after of requests that are refused because no routing document is known yet.
 STARTUP_RETRY_DELAY = timedelta(seconds=1)
 
@@ -114,8 +104,9 @@
 
     def __init__(self, tools: RoutedEntryTools) -> None:
         self._tools = tools
-        self._splits: dict[str, tuple[ToSplit, WeightedSplit]] = {}
-        self._instance_delay = InstanceDelay()
+        self._questions = QuestionMaker(
+            tools.protocol, tools.origins, tools.random, tools.gathering.send_time
+        )
         self._log = RequestLog(tools.events, tools.metrics)
 
     async def handle(self, request: HttpRequest) -> HttpReply:
@@ -161,7 +152,7 @@
         )
         if isinstance(access, NotRun):
             return self._refuse(caller, access)
-        question = self._make_question(caller, table, route, access, start)
+        question = self._questions.make(caller, table, route, access, start)
         rejection = tools.shutdown.check(question)
         if rejection is not None:
             return self._refuse(caller, rejection, question.team)
@@ -230,7 +221,8 @@
                 reply = tools.protocol.render_merged(answer, top)
                 if answer.missing:
                     now = tools.gathering.clock.monotonic()
-                    self._instance_delay.observe(max(0.0, now - question.objective_at))
+                    late = max(0.0, now - question.objective_at)
+                    self._questions.instance_delay.observe(late)
                 return reply
             case Success(answer):
                 return tools.protocol.render_single(answer)
@@ -260,60 +252,6 @@
         finally:
             tools.quarantines.record(question.fingerprint, watch, question.careful)
 
-    def _make_question(
-        self,
-        caller: CallerRequest,
-        table: RouteTable,
-        route: Route,
-        access: Access,
-        start: float,
-    ) -> RoutedQuestion:
-        time = route.timeout
-        if caller.timeout is not None:
-            time = min(time, caller.timeout - DEADLINE_RESERVE)
-        objective = float("inf")
-        sharded = isinstance(route.target, ToShards)
-        if route.objective is not None:
-            objective = (route.objective - OBJECTIVE_RESERVE).total_seconds()
-            objective -= self._instance_delay.estimate(start)
-            objective -= self._tools.gathering.send_time.estimate(start)
-        team = access.grant.team
-        request = caller.forwarded
-        if table.document.teams is not None:
-            request = self._tools.protocol.attach_team(request, team)
-        return RoutedQuestion(
-            id=caller.id,
-            kind=route.name,
-            request=request,
-            services=self._choose_services(route),
-            deadline=start + max(0.0, time.total_seconds()),
-            objective_at=start + objective,
-            least_coverage=_least_coverage(route.target),
-            idempotent=route.idempotent,
-            most_attempts=route.most_attempts,
-            success_only=sharded,
-            traceparent=caller.traceparent,
-            fingerprint=self._tools.origins.fingerprint(request),
-            regions=table.find_allowed_regions(route.name, team),
-            team=team,
-            rank=table.find_rank(route.name, team),
-            grant=access.grant,
-        )
-
-    def _choose_services(self, route: Route) -> tuple[str, ...]:
-        match route.target:
-            case ToService(service):
-                return (service,)
-            case ToShards(services):
-                return services
-            case ToSplit(parts) as target:
-                held = self._splits.get(route.name)
-                if held is None or held[0] != target:
-                    split = WeightedSplit(self._tools.random.random())
-                    held = self._splits[route.name] = (target, split)
-                weights = [(part.service, part.weight) for part in parts]
-                return (held[1].choose(weights),)
-
     def _refuse(
         self, caller: CallerRequest, verdict: NotRun, team: str = ""
     ) -> HttpReply:
@@ -324,10 +262,6 @@
         return self._tools.protocol.render_failure(RoutedFailure(verdict))
 
 
-def _least_coverage(target: Target) -> float:
-    return target.least_coverage if isinstance(target, ToShards) else 1.0
-
-
 def _describe_objective(route: Route) -> int | None:
     """Return the route's objective in ms, for the log; None if it has none."""
     if route.objective is None:
