--- a/walkcart/platform/tests/test_late_refusals.py
+++ b/walkcart/platform/tests/test_late_refusals.py
@@ -9,7 +9,7 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 
 import pytest
@@ -88,16 +88,14 @@
 class RefusingLeaf(PlatformLeafStandin):
     """A leaf that refuses requests at random, and may send refusals twice."""
 
-    #: Connections that it accepted.
-    servers: list[RepeatingServer] = field(default_factory=list)
+    #: Share of the requests that it refuses.
+    refused: float = REFUSED
 
     def make_server(self):
-        server = RepeatingServer(self.handle, self.random)
-        self.servers.append(server)
-        return server
+        return RepeatingServer(self.handle, self.random)
 
     async def handle(self, request):
-        if self.random.random() < REFUSED:
+        if self.random.random() < self.refused:
             self.arrived.append(request)
             id = request.header(b"x-request-id") or ""
             headers = ((b"x-request-id", id.encode()), (b"x-not-executed", b"1"))
