Program: SIGHUP doesn't end a process that is still loading its modules

What callers met: the instance serves later, as the platform starts it again.

Cause: the handler is set once all modules are loaded, about 0.6 s after the start; until then the signal's default action ends the process.

Fix: the signal is ignored from the program's first lines until the handler is set. The state of the settings file is taken before its first read, so that a change in between is seen by the check that runs each second.

test_signal_to_reload_settings_does_not_end_a_starting_process failed before the fix.

--- a/walkcart/daemon/platform.py
+++ b/walkcart/daemon/platform.py
@@ -5,14 +5,19 @@
 
 from __future__ import annotations
 
+import signal
+
 from walkcart.daemon.deferred import skip_unused_modules
 
 if __name__ == "__main__":
+    # By default this signal would end the process while it loads its modules. Settings
+    # that change meanwhile are noticed by the state of their file.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     skip_unused_modules()
 
 import os
-import signal
 import sys
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import TextIO, cast
@@ -57,6 +62,7 @@
     if not path:
         print(f"walkcartd: {FILE_VARIABLE} isn't set", file=sys.stderr)
         sys.exit(EXIT_USAGE)
+    file_state = _read_file_state(Path(path))
     try:
         settings = read_settings(Path(path))
     except BadSettings as error:
@@ -66,10 +72,17 @@
     if port is None or port > MAX_PORT:
         print(f"walkcartd: {METRICS_VARIABLE} must be a port number", file=sys.stderr)
         sys.exit(EXIT_USAGE)
-    sys.exit(trio.run(_run, settings, Path(path), port, clock=BootClock()))
+    run = partial(_run, settings, Path(path), file_state, port)
+    sys.exit(trio.run(run, clock=BootClock()))
+
+
+#: Modification time and size of a file, or None if it can't be read.
+FileState = tuple[int, int] | None
 
 
-async def _run(settings: PlatformSettings, path: Path, port: int) -> int:
+async def _run(
+    settings: PlatformSettings, path: Path, file_state: FileState, port: int
+) -> int:
     log = cast(TextIO, LogSink(sys.stdout.fileno()))
     environment = TenantEnvironment(
         TcpNetwork(), NngTransport(), TrioClock(), Random(), log, port
@@ -83,7 +96,7 @@
     with trio.open_signal_receiver(*signals) as received:
         async with trio.open_nursery() as nursery:
             await nursery.start(tenant.kernel.run)
-            nursery.start_soon(_watch_file, tenant, path)
+            nursery.start_soon(_watch_file, tenant, path, file_state)
             await _wait_for_stop(received, tenant, path)
             ended = await tenant.stop.stop()
             nursery.cancel_scope.cancel()
@@ -97,9 +110,8 @@
         reload_settings(tenant, path)
 
 
-async def _watch_file(tenant: Tenant, path: Path) -> None:
-    """Reload the settings whenever the file has changed."""
-    seen = _read_file_state(path)
+async def _watch_file(tenant: Tenant, path: Path, seen: FileState) -> None:
+    """Reload the settings whenever the file differs from its state `seen`."""
     while True:
         await trio.sleep(FILE_CHECK_INTERVAL)
         state = _read_file_state(path)
@@ -108,8 +120,8 @@
             reload_settings(tenant, path)
 
 
-def _read_file_state(path: Path) -> tuple[int, int] | None:
-    """Return modification time and size of a file, or None if it can't be read."""
+def _read_file_state(path: Path) -> FileState:
+    """Return the state of a file."""
     try:
         status = path.stat()
     except OSError:
--- a/walkcart/daemon/tests/test_platform_program.py
+++ b/walkcart/daemon/tests/test_platform_program.py
@@ -1,8 +1,11 @@
 """Tests of the platform program's settings, at its start and when they change."""
 
 import os
+import signal
 import subprocess
 import sys
+from pathlib import Path
+from random import Random
 
 import trio
 
@@ -10,6 +13,7 @@
 from walkcart.daemon.platform import reload_settings
 from walkcart.kernel.settings import HostPort
 from walkcart.platform.tests.platformworld import open_platform
+from walkcart.platform.tests.soakenvironment import find_port_block
 from walkcart.platform.tests.test_documents import SETTINGS
 from walkcart.store.calls import StoreCalls
 
@@ -52,6 +56,59 @@
     assert "WALKCART_METRICS_PORT" in told
 
 
+def has_signal(pid, mask, number):
+    """Return whether a signal is in a mask of a process, such as ``SigIgn``."""
+    for line in Path(f"/proc/{pid}/status").read_text(encoding="utf-8").splitlines():
+        if line.startswith(f"{mask}:"):
+            return bool(int(line.split()[1], 16) & 1 << (number - 1))
+    raise AssertionError(f"the system doesn't state {mask}")
+
+
+def test_signal_to_reload_settings_does_not_end_a_starting_process(tmp_path):
+    """Guards against a SIGHUP that ends the process while it loads its modules."""
+    port = find_port_block(Random())
+    path = tmp_path / "settings.toml"
+    path.write_text(
+        f"""nodeName = "one"
+ip = "127.0.0.1"
+zone = "north-a"
+region = "north"
+portRange = [{port + 2}, {port + 3}]
+[zones]
+north-a = "north"
+[listen]
+front = "127.0.0.1:{port}"
+ready = "127.0.0.1:{port + 1}"
+[bounds]
+retryBudgetRatio = 0.2
+retryWindowS = 10
+budgetSlack = 54
+graceS = 6
+[platform]
+address = "127.0.0.1:{port + 4}"
+writesPerS = 400
+readsPerS = 2000
+""",
+        encoding="utf-8",
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-m", "walkcart.daemon.platform"],
+        env={**os.environ, "WALKCART_NODE_FILE": str(path)},
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        while not has_signal(process.pid, "SigIgn", signal.SIGHUP):
+            assert process.poll() is None
+            # The handler for reloads is only set once the modules are loaded.
+            assert not has_signal(process.pid, "SigCgt", signal.SIGHUP)
+        process.send_signal(signal.SIGHUP)
+        assert any('"event": "started"' in line for line in process.stdout)
+    finally:
+        process.kill()
+        process.wait()
+
+
 def test_changed_settings_move_the_store_and_invalid_ones_change_nothing(tmp_path):
     path = tmp_path / "settings.toml"
 
