--- a/walkcart/platform/tests/stopsoak.py
+++ b/walkcart/platform/tests/stopsoak.py
@@ -72,6 +72,7 @@
     started_at: float
     stopping: bool = False
     killed: bool = False
+    ended: bool = False
 
 
 @dataclass(slots=True)
@@ -198,7 +199,7 @@
             match kind:
                 case "stop":
                     name = self._random.choice(self._names)
-                    if not self._lives[name].stopping and not self._lives[name].killed:
+                    if not self._lives[name].stopping and not self._lives[name].ended:
                         nursery.start_soon(self._stop, name)
                 case "kill":
                     nursery.start_soon(self._kill, self._random.choice(self._names))
@@ -217,8 +218,9 @@
         start = trio.current_time()
         with trio.move_on_after(GRACE):
             await running.tenant.stop.stop()
-        if life.killed:
+        if life.ended:
             return
+        life.ended = True
         if trio.current_time() - start >= GRACE:
             self.broken.append(f"{name} was killed at the end of its grace time")
         running.scope.cancel()
@@ -227,9 +229,9 @@
 
     async def _kill(self, name: str) -> None:
         life = self._lives[name]
-        if life.killed:
+        if life.ended:
             return
-        life.killed = True
+        life.killed = life.ended = True
         self._world.tenants[name].scope.cancel()
         await trio.sleep(self._random.uniform(0.2, 1.0))
         await self._start_instance(name)
