--- a/walkcart/platform/tests/platformworld.py
+++ b/walkcart/platform/tests/platformworld.py
@@ -104,9 +104,19 @@
         )
         self.leafs[id] = leaf
         self.servers[id] = server
+        self.add_entry(id, service, str(address), data_centre)
+
+    def add_entry(
+        self,
+        id: str,
+        service: str,
+        address: str = "127.0.0.1:1",
+        data_centre: str = "north-a",
+    ) -> None:
+        """Store the entry of a leaf; at the default address there is none."""
         self.entries[id] = {
             "backend": service,
-            "address": str(address),
+            "address": address,
             "zone": data_centre,
             "version": "v1",
             "slots": 2,
@@ -116,6 +126,15 @@
         }
         self.store.put(f"servers/{id}", self.entries[id])
 
+    async def rewrite_entries(self, interval: float) -> None:
+        """Rewrite the entries that are stored, each once in `interval` seconds."""
+        while True:
+            for id in list(self.entries):
+                await trio.sleep(interval / len(self.entries))
+                if f"servers/{id}" in self.store.rows:
+                    self.entries[id]["seq"] += 1
+                    self.store.put(f"servers/{id}", self.entries[id])
+
     async def restart_leaf(self, id: str, born: int, **details: Any) -> None:
         """Stop a leaf without notice and start it again under the same id.
 
--- a/walkcart/platform/tests/stopsoak.py
+++ b/walkcart/platform/tests/stopsoak.py
@@ -123,7 +123,8 @@
     async def _start(self) -> None:
         world = self._world
         for number in range(OTHERS):
-            await self._add_entry(f"other-{number}")
+            id = f"i-{self._random.getrandbits(32):08x}"
+            world.add_entry(id, f"other-{number}")
         for _ in range(LEAVES):
             await self._add_leaf("bay")
         for number in range(SHARDS):
@@ -134,28 +135,13 @@
         world.store.faults.draw_lag = lambda: int(
             self._random.uniform(0, MAX_AGE) * rate
         )
-        world.nursery.start_soon(self._write_entries)
+        world.nursery.start_soon(world.rewrite_entries, HEARTBEAT)
         await trio.sleep(MAX_AGE)
         for name in self._names:
             await self._start_instance(name)
         for name in self._names:
             await world.wait_ready(name)
 
-    async def _add_entry(self, service: str) -> None:
-        """Store the entry of a leaf that gets no requests."""
-        id = f"i-{self._random.getrandbits(32):08x}"
-        self._world.entries[id] = {
-            "backend": service,
-            "address": "127.0.0.1:1",
-            "zone": "north-a",
-            "version": "v1",
-            "slots": 2,
-            "state": "ready",
-            "warmupLeftMs": 0,
-            "seq": 1,
-        }
-        self._world.store.put(f"servers/{id}", self._world.entries[id])
-
     async def _add_leaf(self, service: str, work: float | None = None) -> None:
         work = self._random.uniform(0.05, 0.96) if work is None else work
         id = f"i-{self._random.getrandbits(32):08x}"
@@ -178,14 +164,6 @@
             make_route("all", "/all/", fanoutServices=shards, topK=3, minCoverage=0.5),
         )
 
-    async def _write_entries(self) -> None:
-        while True:
-            for id in list(self._world.entries):
-                await trio.sleep(HEARTBEAT / len(self._world.entries))
-                if f"servers/{id}" in self._world.store.rows:
-                    self._world.entries[id]["seq"] += 1
-                    self._world.store.put(f"servers/{id}", self._world.entries[id])
-
     async def _start_instance(self, name: str) -> None:
         await self._world.start_instance(name)
         self._lives[name] = Life(name, trio.current_time())
--- a/walkcart/platform/tests/test_restart_between_pages.py
+++ b/walkcart/platform/tests/test_restart_between_pages.py
@@ -28,16 +28,6 @@
 CONTACT = 4.0
 
 
-async def write_entries(world):
-    """Rewrite all entries of leaves, spread over the time of a heartbeat."""
-    while True:
-        for id in list(world.entries):
-            await trio.sleep(HEARTBEAT / len(world.entries))
-            if f"servers/{id}" in world.store.rows:
-                world.entries[id]["seq"] += 1
-                world.store.put(f"servers/{id}", world.entries[id])
-
-
 def restart_while_leaves_leave(seed, instances, rounds=4):
     """Restart all instances several times while a leaf leaves.
 
@@ -53,17 +43,7 @@
         async with open_platform() as world:
             for number in range(OTHERS):
                 id = f"i-{random.getrandbits(32):08x}"
-                world.entries[id] = {
-                    "backend": f"shard-{number}",
-                    "address": "127.0.0.1:1",
-                    "zone": "north-a",
-                    "version": "v1",
-                    "slots": 2,
-                    "state": "ready",
-                    "warmupLeftMs": 0,
-                    "seq": 1,
-                }
-                world.store.put(f"servers/{id}", world.entries[id])
+                world.add_entry(id, f"shard-{number}")
             leaving = []
             for _ in range(LEAVES):
                 id = f"i-{random.getrandbits(32):08x}"
@@ -73,7 +53,7 @@
                 make_route("bay", "/bay/", backend="bay", routeType="non_idempotent")
             )
             world.store.faults.draw_lag = lambda: int(random.uniform(0, MAX_AGE) * rate)
-            world.nursery.start_soon(write_entries, world)
+            world.nursery.start_soon(world.rewrite_entries, HEARTBEAT)
             await trio.sleep(MAX_AGE)
             late = []
             for _ in range(rounds):
