--- /dev/null
+++ b/review/standins2/leaf.py
@@ -0,0 +1,110 @@
+"""A stand-in of a leaf, as PROTOCOL.md describes it."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+
+from standins2.http1 import read_message, render
+
+HEARTBEAT_S = 1.2
+SLOTS = 4
+
+
+class Leaf:
+    """Serves requests and records which of them ran; registers itself in the store."""
+
+    def __init__(self, id: str, backend: str, zone: str, store, record, work_s: float = 0.01):
+        self.id = id
+        self.backend = backend
+        self.zone = zone
+        self.store = store
+        self.record = record
+        self.work_s = work_s
+        self.seq = 0
+        self.state = "ready"
+        self.slots = asyncio.Semaphore(SLOTS)
+        self.running = 0
+        self.waiting = 0
+        self.arrived: list[tuple[float, str]] = []
+        self.ran: list[tuple[float, str]] = []
+        self.records = b"".join(os.urandom(16) for _ in range(6))
+        self.address = ""
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, host: str) -> None:
+        """Listen on a free port, and store the entry again at each heartbeat."""
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        self.address = "%s:%d" % self._server.sockets[0].getsockname()[:2]
+        self.write_entry()
+        self._beats = asyncio.create_task(self._beat())
+
+    def crash(self) -> None:
+        """End as a killed process does: its port and its connections reset."""
+        self._beats.cancel()
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def write_entry(self) -> None:
+        """Store the leaf's entry."""
+        self.seq += 1
+        self.store.put_json(
+            f"servers/{self.id}",
+            {
+                "backend": self.backend,
+                "address": self.address,
+                "zone": self.zone,
+                "version": "v1",
+                "slots": SLOTS,
+                "state": self.state,
+                "warmupLeftMs": 0,
+                "seq": self.seq,
+            },
+        )
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            self.write_entry()
+
+    async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
+        try:
+            while (request := await read_message(reader)) is not None:
+                writer.write(await self._answer(request))
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, request) -> bytes:
+        method, target, _ = request.start.split(" ")
+        if target == "/health":
+            headers = [("x-instance-id", self.id), self._load()]
+            return render("HTTP/1.1 200 OK", headers)
+        id = request.get("x-request-id")
+        if not id:
+            return render("HTTP/1.1 400 Bad Request", [("x-not-executed", "1")])
+        echo = ("x-request-id", id)
+        self.arrived.append((time.monotonic(), id))
+        if request.get("x-expect-instance") not in ("", self.id):
+            return render("HTTP/1.1 421 Misdirected", [echo, ("x-not-executed", "1")])
+        self.waiting += 1
+        async with self.slots:
+            self.waiting -= 1
+            self.running += 1
+            try:
+                self.ran.append((time.monotonic(), id))
+                self.record(f"leaf {self.id}: runs {id} ({method} {target})")
+                await asyncio.sleep(self.work_s)
+            finally:
+                self.running -= 1
+        headers = [echo, ("x-response-stamp", f"{self.id}.{id}"), self._load()]
+        return render("HTTP/1.1 200 OK", headers, self.records)
+
+    def _load(self) -> tuple[str, str]:
+        return ("x-server-load", f"{self.running},{self.waiting},{SLOTS}")
