Review case 6: requests stay refused after one crash of all leafs

Tried: all leafs of one service crash for 3.9 s under equal requests, then all instances are killed and started again.

--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -49,6 +49,7 @@
         self.process: subprocess.Popen | None = None
         self.own_ends: list[tuple[float, int]] = []
         self.stopping = False
+        self.down = False
         self.store_address = ""
 
 
@@ -134,7 +135,7 @@
         while True:
             await asyncio.sleep(0.05)
             code = instance.process.poll()
-            if code is None or instance.stopping:
+            if code is None or instance.stopping or instance.down:
                 continue
             instance.own_ends.append((time.monotonic(), code))
             self.record(f"{instance.name}: process ended by itself with {code}")
@@ -271,6 +272,18 @@
                 await asyncio.sleep(0.1)
         self.record("all instances are ready")
 
+    async def kill_all(self, down_s: float) -> None:
+        """Kill all processes at once, and start them again, as a final fault does."""
+        for instance in self.instances.values():
+            instance.down = True
+            instance.process.send_signal(signal.SIGKILL)
+        self.record("all instances: killed")
+        await asyncio.sleep(down_s)
+        for instance in self.instances.values():
+            instance.process.wait()
+            self._start_process(instance)
+            instance.down = False
+
     def log_of(self, instance: Instance) -> str:
         """Return what the processes of an instance wrote."""
         return (self.folder / f"{instance.name}.log").read_text(errors="replace")
--- a/review/standins2/leaf.py
+++ b/review/standins2/leaf.py
@@ -47,6 +47,11 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    def leave(self) -> None:
+        """Begin to leave without setting `draining`: the entry goes, serving goes on."""
+        self._beats.cancel()
+        self.store.remove(f"servers/{self.id}")
+
     def write_entry(self) -> None:
         """Store the leaf's entry."""
         self.seq += 1
--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -44,9 +44,7 @@
         self.changed = asyncio.Event()
         self.lose_watch_answers: set[tuple[str, str]] = set()
         self.lost: list[tuple[str, str]] = []
-        #: Seconds after which a watch that waits is cut; 0 for never.
-        self.cut_watches_after = 0.0
-        self.cuts = 0
+        self._cuts = 0
 
     async def listen_for(self, host: str, machine: str) -> str:
         """Listen on a free port for the calls of one machine; return the address."""
@@ -76,6 +74,13 @@
         del self.rows[key]
         self._note({"tlsKey": key, "revision": self.revision, "deleted": True})
 
+    def cut_waiting_watches(self) -> None:
+        """Cut all waiting watches: their connections close without an answer."""
+        self._cuts += 1
+        self.record("store: the waiting watches are cut")
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def _note(self, event: dict) -> None:
         self.history.append(event)
         self.changed.set()
@@ -158,8 +163,8 @@
 
     async def _watch(self, query, machine: str):
         prefix, after = query["pathPrefix"], int(query["after"])
-        began = time.monotonic()
-        end = began + int(query["waitMs"]) / 1000
+        end = time.monotonic() + int(query["waitMs"]) / 1000
+        cuts = self._cuts
         while True:
             events = [
                 event
@@ -177,18 +182,15 @@
                 as_of = events[-1]["revision"] if cut else self.revision
                 return 200, {"events": events, "asOf": as_of}
             left = end - time.monotonic()
-            if self.cut_watches_after:
-                cut_at = began + self.cut_watches_after
-                if time.monotonic() >= cut_at:
-                    self.cuts += 1
-                    raise ConnectionResetError
-                left = min(left, cut_at - time.monotonic())
-            if end <= time.monotonic():
+            if left <= 0:
                 return 200, {"events": [], "asOf": self.revision}
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
                 pass
+            if cuts != self._cuts:
+                # The connection of this watch is closed without an answer.
+                raise ConnectionResetError
 
     def _transact(self, content):
         for row in content["expectedRevision"]:
