--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import os
 import random
 import signal
@@ -126,8 +127,15 @@
         command = self._role["run"].split()
         command[0] = sys.executable if command[0] == "python3" else command[0]
         instance.process = subprocess.Popen(
-            command, cwd=REPOSITORY, env=variables, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            command,
+            cwd=REPOSITORY,
+            env=variables,
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+            preexec_fn=_end_with_parent,
         )
+        log.close()
         self.record(f"{instance.name}: process {instance.process.pid} started")
 
     async def _keep(self, instance: Instance) -> None:
@@ -315,6 +323,16 @@
     }
 
 
+_LIBC = ctypes.CDLL(None)
+#: Option of prctl(2): the signal that the calling process gets when its parent ends.
+_PR_SET_PDEATHSIG = 1
+
+
+def _end_with_parent() -> None:
+    """Have this process killed when the script ends, however it ends."""
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def _is_free(ip: str, port: int) -> bool:
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
