--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -100,8 +100,8 @@
         ips = [f"{self.block}.{number + 11}" for number in range(count)]
         base = random.SystemRandom().randrange(12000, 30000)
         for start in range(base, base + 400, 40):
-            ports = {"front": start, "ready": start + 1, "control": start + 2, "peers": start + 4}
-            wanted = [start, start + 1, start + 2, *range(start + 4, start + 20), 9109]
+            ports = {"front": start, "ready": start + 1, "peers": start + 4}
+            wanted = [start, start + 1, *range(start + 4, start + 20), 9109]
             if all(_is_free(ip, port) for ip in ips for port in wanted):
                 return ports
         raise CannotRun("no free ports")
@@ -153,7 +153,6 @@
     def _settings(self, instance: Instance) -> str:
         ports, ip = instance.ports, instance.ip
         zones = "\n".join(f'{zone} = "{region}"' for zone, region in ZONES.items())
-        seeds = ", ".join(f'"{item.ip}:{ports["control"]}"' for item in list(self.instances.values())[:3])
         return f"""nodeName = "{instance.name}"
 role = "entry"
 machineClass = "front"
@@ -162,8 +161,8 @@
 zone = "{instance.zone}"
 region = "{ZONES[instance.zone]}"
 portRange = [{ports["peers"]}, {ports["peers"] + 15}]
-seeds = [{seeds}]
-bootstrap = true
+seeds = []
+bootstrap = {"true" if instance.process is None else "false"}
 lossCounts = false
 discovery = "platform"
 entry = "virtual_ip"
@@ -174,7 +173,6 @@
 [listen]
 front = "{ip}:{ports["front"]}"
 ready = "{ip}:{ports["ready"]}"
-control = "{ip}:{ports["control"]}"
 [limits]
 cpuShare = 0.537
 cores = 2
--- a/review/standins2/leaf.py
+++ b/review/standins2/leaf.py
@@ -10,6 +10,10 @@
 
 HEARTBEAT_S = 1.2
 SLOTS = 4
+#: Requests that wait for a slot; more are turned away.
+QUEUE = 16
+#: Seconds between two looks whether the caller has closed its connection.
+LOOK_S = 0.01
 
 
 class Leaf:
@@ -31,6 +35,7 @@
         self.ran: list[tuple[float, str]] = []
         self.records = b"".join(os.urandom(16) for _ in range(6))
         self.address = ""
+        self.leaving = False
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, host: str) -> None:
@@ -49,6 +54,7 @@
 
     def leave(self) -> None:
         """Begin to leave without setting `draining`: the entry goes, serving goes on."""
+        self.leaving = True
         self._beats.cancel()
         self.store.remove(f"servers/{self.id}")
 
@@ -78,37 +84,57 @@
         self._writers.add(writer)
         try:
             while (request := await read_message(reader)) is not None:
-                writer.write(await self._answer(request))
+                answer = await self._answer(request, reader)
+                if answer is None:
+                    return
+                writer.write(answer)
                 await writer.drain()
+                if self.leaving:
+                    return
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
             self._writers.discard(writer)
             writer.close()
 
-    async def _answer(self, request) -> bytes:
+    async def _answer(self, request, reader) -> bytes | None:
+        """Answer a request; None if its connection was closed and it was dropped."""
         method, target, _ = request.start.split(" ")
         if target == "/health":
-            headers = [("x-instance-id", self.id), self._load()]
-            return render("HTTP/1.1 200 OK", headers)
+            status = "503 Leaving" if self.leaving else "200 OK"
+            return render(f"HTTP/1.1 {status}", [("x-instance-id", self.id), self._load()])
         id = request.get("x-request-id")
         if not id:
             return render("HTTP/1.1 400 Bad Request", [("x-not-executed", "1")])
         echo = ("x-request-id", id)
-        self.arrived.append((time.monotonic(), id))
+        refused = [echo, ("x-not-executed", "1")]
         if request.get("x-expect-instance") not in ("", self.id):
-            return render("HTTP/1.1 421 Misdirected", [echo, ("x-not-executed", "1")])
+            return render("HTTP/1.1 421 Misdirected", refused)
+        self.arrived.append((time.monotonic(), id))
+        ends_at = time.monotonic() + int(request.get("x-deadline-ms") or 60_000) / 1000
+        if self.waiting >= QUEUE:
+            return render("HTTP/1.1 503 Full", refused)
         self.waiting += 1
         async with self.slots:
             self.waiting -= 1
+            if time.monotonic() >= ends_at:
+                return render("HTTP/1.1 503 Too late", refused)
             self.running += 1
             try:
                 self.ran.append((time.monotonic(), id))
                 self.record(f"leaf {self.id}: runs {id} ({method} {target})")
-                await asyncio.sleep(self.work_s)
+                done_at = time.monotonic() + self.work_s
+                while (left := min(done_at, ends_at) - time.monotonic()) > 0:
+                    await asyncio.sleep(min(left, LOOK_S))
+                    if reader.at_eof():
+                        return None
             finally:
                 self.running -= 1
         headers = [echo, ("x-response-stamp", f"{self.id}.{id}"), self._load()]
+        if done_at > ends_at:
+            return render("HTTP/1.1 504 Time budget", headers)
+        if self.leaving:
+            headers.append(("connection", "close"))
         return render("HTTP/1.1 200 OK", headers, self.records)
 
     def _load(self) -> tuple[str, str]:
