Leaf entries that nest deeply end no process

Cause: the JSON decoder raises RecursionError, which is no MsgspecError, for such a value. Every reader listed the errors of its decoder itself, so none had this one.

Fix: kernel/decoding.py decodes bytes from outside and raises one error, BadData, whatever is wrong with them. Entries are the first to use it.

Evidence: both process tests and two of the unit tests fail without the change to documents.py: the processes end with RecursionError.

--- a/walkcart/platform/documents.py
+++ b/walkcart/platform/documents.py
@@ -19,6 +19,7 @@
     ToShards,
     ToSplit,
 )
+from walkcart.kernel.decoding import BadData, JsonDecoder
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.leaves.directory import LeafEntry
@@ -125,7 +126,7 @@
 
 
 _CONFIGURATION = msgspec.json.Decoder(_Configuration)
-_LEAF_ENTRY = msgspec.json.Decoder(_LeafEntry)
+_LEAF_ENTRY = JsonDecoder(_LeafEntry)
 
 
 def read_configuration(value: bytes) -> RoutingDocument:
@@ -225,7 +226,7 @@
 def _decode_leaf_entry(value: bytes) -> _LeafEntry | None:
     try:
         return _LEAF_ENTRY.decode(value)
-    except msgspec.MsgspecError:
+    except BadData:
         return None
 
 
@@ -261,7 +262,7 @@
     def _update_entry(self, key: str, value: bytes) -> None:
         try:
             stored = _LEAF_ENTRY.decode(value)
-        except msgspec.MsgspecError as error:
+        except BadData as error:
             self._events.emit(Events.LEAF_ENTRY_BAD, key=key, detail=str(error)[:200])
             return
         self._entries[key] = LeafEntry(
--- /dev/null
+++ b/walkcart/platform/tests/test_bad_stored_values.py
@@ -0,0 +1,130 @@
+"""Values in the store that can't be used, and real processes that read them.
+
+Each value costs at most itself: no process ends, the value is logged, later changes are
+in force, and requests are answered as before.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import trio
+
+from walkcart.platform.tests.platformworld import make_route
+from walkcart.platform.tests.processworld import (
+    POLL_INTERVAL,
+    Machine,
+    ProcessWorld,
+    open_processes,
+)
+
+SHARDS = [f"shard-{number}" for number in range(3)]
+ROUTE = make_route("all", "/all/", fanoutServices=SHARDS, topK=3, minCoverage=0.7)
+#: Maximum time until an instance has logged what was stored, in seconds.
+LOG_SECONDS = 10.0
+#: Levels of nesting at which decoders give up.
+DEPTH = 1500
+DEEP = b'{"notes": ' + b"[" * DEPTH + b"]" * DEPTH + b"}"
+
+
+def make_entry(**fields: Any) -> bytes:
+    """Return the entry of a leaf in the form in which leaves store it."""
+    entry = {
+        "backend": "shard-0",
+        "address": "127.0.0.1:1",
+        "zone": "north-a",
+        "version": "v1",
+        "slots": 2,
+        "state": "ready",
+        "warmupLeftMs": 0,
+        "seq": 1,
+    }
+    return msgspec.json.encode(entry | fields)
+
+
+class Fleet:
+    """Two instances, and leaves that serve one route."""
+
+    def __init__(self, world: ProcessWorld) -> None:
+        self.world = world
+        self.machines: list[Machine] = []
+        self.markers = 0
+
+    async def start(self, *stored: tuple[str, bytes]) -> None:
+        """Start the leaves, and the instances once some values are stored."""
+        for shard in SHARDS:
+            await self.world.start_leaf(f"i-{shard}", shard, records=b"r" * 64)
+        self.world.configure(ROUTE)
+        for key, value in stored:
+            self.world.store.put(key, value)
+        for name, data_centre in (("one", "north-a"), ("two", "south-a")):
+            machine = self.world.add_machine(name, data_centre)
+            self.machines.append(machine)
+            self.world.start(machine)
+        for machine in self.machines:
+            await self.world.wait_ready(machine)
+
+    async def check_unharmed(self) -> None:
+        """Check that later changes are in force and requests are answered."""
+        self.markers += 1
+        id = f"marker-{self.markers}"
+        self.world.add_entry(id, "nowhere", "127.0.0.1:9")
+        self.world.configure(ROUTE)
+        version = self.world.version
+        await self.wait_logged("leaf_added", f'"leaf": "{id}"')
+        await self.wait_logged("routes_in_force", f'"version": {version},')
+        for machine in self.machines:
+            reply = await self.world.ask(machine, "/all/x")
+            assert reply is not None and reply.status == 200, machine.read_log()[-2000:]
+            assert machine.ends == []
+
+    async def wait_logged(self, event: str, *details: str) -> None:
+        """Wait until each instance has logged an event with some details."""
+        for machine in self.machines:
+            with trio.move_on_after(LOG_SECONDS):
+                while not self._has_logged(machine, event, details):
+                    assert machine.ends == [], machine.read_log()[-2000:]
+                    await trio.sleep(POLL_INTERVAL)
+            assert self._has_logged(machine, event, details), (event, details)
+
+    def _has_logged(
+        self, machine: Machine, event: str, details: tuple[str, ...]
+    ) -> bool:
+        wanted = (f'"event": "{event}"', *details)
+        lines = machine.read_log().splitlines()
+        return any(all(part in line for part in wanted) for line in lines)
+
+
+def with_fleet(folder, action):
+    """Run `action(fleet)` with a fleet that isn't started yet."""
+
+    async def run():
+        async with open_processes(folder) as world:
+            await action(Fleet(world))
+
+    trio.run(run)
+
+
+#: Entries that name no leaf.
+BAD_ENTRIES = {"nested": DEEP}
+
+
+def test_unreadable_leaf_entries_end_no_process(tmp_path):
+    async def action(fleet):
+        await fleet.start()
+        for name, value in BAD_ENTRIES.items():
+            fleet.world.store.put(f"servers/{name}", value)
+            await fleet.wait_logged("leaf_entry_bad", f'"key": "servers/{name}"')
+            await fleet.check_unharmed()
+
+    with_fleet(tmp_path, action)
+
+
+def test_unreadable_leaf_entries_stop_no_start(tmp_path):
+    async def action(fleet):
+        stored = {f"servers/{name}": value for name, value in BAD_ENTRIES.items()}
+        await fleet.start(*stored.items())
+        await fleet.check_unharmed()
+
+    with_fleet(tmp_path, action)
--- a/walkcart/platform/tests/test_documents.py
+++ b/walkcart/platform/tests/test_documents.py
@@ -182,6 +182,7 @@
     "a-list": b"[1, 2]",
     "a-number": b"7",
     "deep": b"[" * 5000,
+    "deep-field": b'{"backend": "s", "notes": ' + b"[" * 1500 + b"]" * 1500 + b"}",
     "cut-off": msgspec.json.encode(ENTRY)[:-5],
     "other-state": msgspec.json.encode({**ENTRY, "state": "resting"}),
     "state-number": msgspec.json.encode({**ENTRY, "state": 1}),
@@ -215,6 +216,7 @@
 
 def test_rewritten_unreadable_entry_is_no_change():
     assert not leaf_entry_differs(b"rubbish 1", b"rubbish 2")
+    assert not leaf_entry_differs(b"rubbish 1", FOREIGN_ENTRIES["deep-field"])
 
 
 def test_restart_of_a_leaf_under_the_same_id_is_a_change():
