A configuration that nests deeply ends no process

Cause: as for the leaves' entries, RecursionError isn't the error that the reader of the configuration expects. It left the listener of the copy of op/, and with it the kernel.

Fix: read_configuration decodes through kernel/decoding.py. An unreadable document is logged as routes_bad, and the one in force stays; an instance that starts waits for the next one.

Evidence: two process tests and a unit test fail without the change. Three unit tests now expect BadData, with the same text, in place of msgspec's own error; one of them for more values.

--- a/walkcart/daemon/tenantstore.py
+++ b/walkcart/daemon/tenantstore.py
@@ -9,12 +9,11 @@
 from datetime import timedelta
 from random import Random
 
-import msgspec
-
 from walkcart.daemon.environment import TenantEnvironment
 from walkcart.fanout.origins import RequestOrigins
 from walkcart.intent.evacuations import Evacuations
 from walkcart.intent.routekeeper import RouteKeeper
+from walkcart.kernel.decoding import BadData
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
@@ -150,7 +149,7 @@
             return
         try:
             keeper.apply(read_configuration(item.value), update.origin)
-        except msgspec.MsgspecError as error:
+        except BadData as error:
             events.emit(Events.ROUTES_BAD, detail=str(error)[:300])
 
     follower = PrefixFollower(
--- a/walkcart/platform/documents.py
+++ b/walkcart/platform/documents.py
@@ -125,7 +125,7 @@
     born: int = 0
 
 
-_CONFIGURATION = msgspec.json.Decoder(_Configuration)
+_CONFIGURATION = JsonDecoder(_Configuration)
 _LEAF_ENTRY = JsonDecoder(_LeafEntry)
 
 
@@ -133,7 +133,7 @@
     """Parse a stored configuration into a routing document.
 
     Raises:
-        msgspec.MsgspecError: the value isn't a valid configuration.
+        BadData: the value isn't a valid configuration.
     """
     stored = _CONFIGURATION.decode(value)
     limits = stored.limits
--- a/walkcart/platform/tests/test_bad_stored_values.py
+++ b/walkcart/platform/tests/test_bad_stored_values.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
@@ -51,17 +52,30 @@
         self.machines: list[Machine] = []
         self.markers = 0
 
-    async def start(self, *stored: tuple[str, bytes]) -> None:
-        """Start the leaves, and the instances once some values are stored."""
+    async def start(
+        self, stored: Mapping[str, bytes] = {}, configuration: bytes | None = None
+    ) -> None:
+        """Start leaves and instances once some values are stored.
+
+        Args:
+            stored: values by key.
+            configuration: a configuration that is stored until the instances read it.
+        """
         for shard in SHARDS:
             await self.world.start_leaf(f"i-{shard}", shard, records=b"r" * 64)
-        self.world.configure(ROUTE)
-        for key, value in stored:
+        for key, value in stored.items():
             self.world.store.put(key, value)
+        if configuration is None:
+            self.world.configure(ROUTE)
+        else:
+            self.world.store.put("op/config", configuration)
         for name, data_centre in (("one", "north-a"), ("two", "south-a")):
             machine = self.world.add_machine(name, data_centre)
             self.machines.append(machine)
             self.world.start(machine)
+        if configuration is not None:
+            await self.wait_logged("routes_bad")
+            self.world.configure(ROUTE)
         for machine in self.machines:
             await self.world.wait_ready(machine)
 
@@ -79,21 +93,21 @@
             assert reply is not None and reply.status == 200, machine.read_log()[-2000:]
             assert machine.ends == []
 
-    async def wait_logged(self, event: str, *details: str) -> None:
+    async def wait_logged(self, event: str, *details: str, count: int = 1) -> None:
         """Wait until each instance has logged an event with some details."""
         for machine in self.machines:
             with trio.move_on_after(LOG_SECONDS):
-                while not self._has_logged(machine, event, details):
+                while count_logged(machine, event, details) < count:
                     assert machine.ends == [], machine.read_log()[-2000:]
                     await trio.sleep(POLL_INTERVAL)
-            assert self._has_logged(machine, event, details), (event, details)
+            assert count_logged(machine, event, details) >= count, (event, details)
+
 
-    def _has_logged(
-        self, machine: Machine, event: str, details: tuple[str, ...]
-    ) -> bool:
-        wanted = (f'"event": "{event}"', *details)
-        lines = machine.read_log().splitlines()
-        return any(all(part in line for part in wanted) for line in lines)
+def count_logged(machine: Machine, event: str, details: tuple[str, ...]) -> int:
+    """Return how many lines of an event an instance has logged."""
+    wanted = (f'"event": "{event}"', *details)
+    lines = machine.read_log().splitlines()
+    return sum(all(part in line for part in wanted) for line in lines)
 
 
 def with_fleet(folder, action):
@@ -124,7 +138,30 @@
 def test_unreadable_leaf_entries_stop_no_start(tmp_path):
     async def action(fleet):
         stored = {f"servers/{name}": value for name, value in BAD_ENTRIES.items()}
-        await fleet.start(*stored.items())
+        await fleet.start(stored)
+        await fleet.check_unharmed()
+
+    with_fleet(tmp_path, action)
+
+
+#: Documents that can't be in force; the one before them stays.
+BAD_CONFIGURATIONS = {"nested": DEEP}
+
+
+def test_unreadable_configurations_end_no_process(tmp_path):
+    async def action(fleet):
+        await fleet.start()
+        for number, value in enumerate(BAD_CONFIGURATIONS.values(), 1):
+            fleet.world.store.put("op/config", value)
+            await fleet.wait_logged("routes_bad", count=number)
+            await fleet.check_unharmed()
+
+    with_fleet(tmp_path, action)
+
+
+def test_unreadable_configuration_stops_no_start(tmp_path):
+    async def action(fleet):
+        await fleet.start(configuration=DEEP)
         await fleet.check_unharmed()
 
     with_fleet(tmp_path, action)
--- a/walkcart/platform/tests/test_documents.py
+++ b/walkcart/platform/tests/test_documents.py
@@ -12,6 +12,7 @@
 from walkcart.bench.harness import run_mocked
 from walkcart.intent.routes import ToService, ToShards, ToSplit
 from walkcart.kernel.clock import TrioClock
+from walkcart.kernel.decoding import BadData
 from walkcart.kernel.eventlog import EventLog
 from walkcart.platform.documents import (
     LeafEntries,
@@ -120,8 +121,10 @@
 
 
 def test_unreadable_configuration_is_an_error():
-    with pytest.raises(msgspec.MsgspecError):
-        read_configuration(b'{"version": "nine"}')
+    deep = b'{"version": 9, "notes": ' + b"[" * 1500 + b"]" * 1500 + b"}"
+    for value in (b'{"version": "nine"}', b"[" * 5000, deep):
+        with pytest.raises(BadData):
+            read_configuration(value)
 
 
 def test_unreadable_entry_is_logged_and_the_others_are_read():
--- a/walkcart/platform/tests/test_team_documents.py
+++ b/walkcart/platform/tests/test_team_documents.py
@@ -7,6 +7,7 @@
 
 from walkcart.intent.routes import RouteTable
 from walkcart.intent.teams import RateLimit, digest_key
+from walkcart.kernel.decoding import BadData
 from walkcart.platform.apikeys import MAX_KEY_BYTES, read_credential
 from walkcart.platform.callerprotocol import PlatformCallerProtocol
 from walkcart.platform.documents import read_configuration
@@ -84,7 +85,7 @@
     ],
 )
 def test_error_for_an_invalid_team_does_not_contain_its_keys(fields):
-    with pytest.raises(msgspec.MsgspecError) as caught:
+    with pytest.raises(BadData) as caught:
         read([{**make_team("riders", "secret-key"), **fields}])
     assert "secret-key" not in str(caught.value)
     assert "secret-key" not in repr(caught.value)
@@ -94,7 +95,7 @@
 def test_error_for_a_truncated_configuration_does_not_contain_keys(cut):
     content = make_configuration(3, [make_route("r", "/r/", backend="s")])
     content["tenants"] = [make_team("riders", "secret-key")]
-    with pytest.raises(msgspec.MsgspecError) as caught:
+    with pytest.raises(BadData) as caught:
         read_configuration(msgspec.json.encode(content)[:-cut])
     assert "secret-key" not in repr(caught.value)
 
