Shared keys that nest deeply end no process

A key below walkcart/quota did the same.

Cause: the readers of these keys expected MsgspecError only; the error ended the registration, which the kernel runs.

Fix: they decode through kernel/decoding.py. A bad key is logged as peer_bad_message, and the others are read.

Evidence: the process test, with bad keys below each prefix, fails without the change: the instances end with RecursionError.

--- a/walkcart/membership/instancekeys.py
+++ b/walkcart/membership/instancekeys.py
@@ -9,8 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import msgspec
-
+from walkcart.kernel.decoding import BadData, JsonDecoder
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.membership.instancerecord import (
@@ -21,6 +20,8 @@
 from walkcart.store.items import Item, SharedStore
 from walkcart.store.reading import read_prefix
 
+_RECORD = JsonDecoder(InstanceRecord)
+
 
 @dataclass(frozen=True, slots=True)
 class KeyReading:
@@ -80,8 +81,8 @@
 
     def _read_record(self, item: Item) -> InstanceRecord | None:
         try:
-            return msgspec.json.decode(item.value, type=InstanceRecord)
-        except msgspec.MsgspecError as error:
+            return _RECORD.decode(item.value)
+        except BadData as error:
             self._events.emit(
                 Events.PEER_BAD_MESSAGE, key=item.key, detail=str(error)[:200]
             )
--- a/walkcart/membership/quotaholders.py
+++ b/walkcart/membership/quotaholders.py
@@ -9,9 +9,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import msgspec
-
 from walkcart.kernel.clock import Clock
+from walkcart.kernel.decoding import BadData
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.membership.quotakeys import StoredKey, decode_key, parse_share
@@ -159,7 +158,7 @@
             return None
         try:
             stored = decode_key(item)
-        except msgspec.MsgspecError as error:
+        except BadData as error:
             self._events.emit(
                 Events.PEER_BAD_MESSAGE, key=item.key, detail=str(error)[:200]
             )
--- a/walkcart/membership/quotakeys.py
+++ b/walkcart/membership/quotakeys.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from walkcart.kernel.clock import Clock
+from walkcart.kernel.decoding import JsonDecoder
 from walkcart.membership.instancerecord import InstanceRecord
 from walkcart.routing.quotas import MAX_STARTS
 from walkcart.store.calls import StoreUnavailable
@@ -60,6 +61,9 @@
     starts: int
 
 
+_KEY = JsonDecoder(QuotaKey)
+
+
 @dataclass(frozen=True, slots=True)
 class StoredKey:
     """A key that was read or written.
@@ -92,9 +96,9 @@
     """Return the key in a stored item.
 
     Raises:
-        msgspec.MsgspecError: the value is not a valid key.
+        walkcart.kernel.decoding.BadData: the value is not a valid key.
     """
-    return StoredKey(msgspec.json.decode(item.value, type=QuotaKey), item.revision)
+    return StoredKey(_KEY.decode(item.value), item.revision)
 
 
 def parse_share(key: str) -> int | None:
@@ -127,7 +131,7 @@
 
         Raises:
             StoreUnavailable: the store gave no usable reply.
-            msgspec.MsgspecError: the value is not a valid key.
+            walkcart.kernel.decoding.BadData: the value is not a valid key.
         """
         name = QUOTA_PREFIX + str(share)
         page = await self._store.list_items(name, "", fresh=True)
--- a/walkcart/membership/quotashares.py
+++ b/walkcart/membership/quotashares.py
@@ -14,10 +14,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import msgspec
 import trio
 
 from walkcart.kernel.clock import Clock
+from walkcart.kernel.decoding import BadData
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
@@ -215,7 +215,7 @@
         """Ask for a share that its accountant can't renew, if the store is reached."""
         try:
             stored = await self._keys.read(share)
-        except (StoreUnavailable, msgspec.MsgspecError):
+        except (StoreUnavailable, BadData):
             # The store isn't reached from here either, or the key is invalid: the
             # accountant keeps the share.
             return
@@ -236,7 +236,7 @@
         except StoreUnavailable:
             # Logged by `StoreCalls`. A key stored nevertheless is read next time.
             return
-        except msgspec.MsgspecError as error:
+        except BadData as error:
             self._events.emit(
                 Events.PEER_BAD_MESSAGE, share=share, detail=str(error)[:200]
             )
--- a/walkcart/platform/tests/test_bad_stored_values.py
+++ b/walkcart/platform/tests/test_bad_stored_values.py
@@ -165,3 +165,31 @@
         await fleet.check_unharmed()
 
     with_fleet(tmp_path, action)
+
+
+#: Values of keys that instances share, which describe no instance and no share.
+BAD_SHARED = {
+    "walkcart/instances/nested": DEEP,
+    "walkcart/quota/0": DEEP,
+    "walkcart/quarantine/" + "0" * 32: DEEP,
+    "walkcart/cold/north-a/0": DEEP,
+    "walkcart/other/nested": DEEP,
+}
+#: Those of them whose readers log them.
+LOGGED_SHARED = ("instances", "quota", "quarantine")
+
+
+def test_unreadable_shared_keys_end_no_process(tmp_path):
+    async def action(fleet):
+        await fleet.start(BAD_SHARED)
+        for key in BAD_SHARED:
+            if key.split("/")[1] in LOGGED_SHARED:
+                await fleet.wait_logged("peer_bad_message", f'"key": "{key}"')
+        await fleet.check_unharmed()
+        for key, value in BAD_SHARED.items():
+            fleet.world.store.put(key + "1", value)
+        for name in LOGGED_SHARED:
+            await fleet.wait_logged("peer_bad_message", f"walkcart/{name}", count=3)
+        await fleet.check_unharmed()
+
+    with_fleet(tmp_path, action)
