Replies of the store that nest deeply fail their call only

Seen (trial, PlatformStore with prepared replies): the body of a reply that nests 1,500 deep raised RecursionError from each call of the store's client in place of StoreUnavailable, which is all that its callers expect; it would end the process.

Fix: the client decodes through kernel/decoding.py and rejects the reply, as any other garbage.

--- a/walkcart/platform/store.py
+++ b/walkcart/platform/store.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from walkcart.kernel.decoding import BadData, JsonDecoder
 from walkcart.platform.settings import parse_duration_ms
 from walkcart.store.calls import StoreCalls, StoreUnavailable
 from walkcart.store.items import (
@@ -107,6 +108,12 @@
 
 T = TypeVar("T")
 
+_PAGE = JsonDecoder(_Page)
+_EVENTS = JsonDecoder(_Events)
+_ITEMS = JsonDecoder(_Items)
+_REVISION = JsonDecoder(_Revision)
+_LEASE = JsonDecoder(_Lease)
+
 
 class PlatformStore:
     """Client of the platform's store.
@@ -132,7 +139,7 @@
         if not fresh:
             query["serializable"] = "1"
         reply = await self._get(_RANGE, query)
-        page = self._decode_success(reply, _Page)
+        page = self._decode_success(reply, _PAGE)
         items = tuple(_read_item(item) for item in page.items)
         return Page(items, page.as_of, not page.truncated)
 
@@ -149,7 +156,7 @@
         reply = await self._get(_WATCH, query, wait)
         if reply.status == _HISTORY_GONE:
             return HistoryLost()
-        content = self._decode_success(reply, _Events)
+        content = self._decode_success(reply, _EVENTS)
         changes = tuple(_read_change(item) for item in content.events)
         return Changes(changes, content.as_of)
 
@@ -166,14 +173,14 @@
         if reply.status == _NOT_FOUND:
             return LeaseNotFound()
         if reply.status == _CONDITION_FAILED:
-            rows = self._decode(reply, _Items).items
+            rows = self._decode(reply, _ITEMS).items
             return Rejected(tuple(_read_item(item) for item in rows))
-        return Committed(self._decode_success(reply, _Revision).revision)
+        return Committed(self._decode_success(reply, _REVISION).revision)
 
     async def grant_lease(self, time_to_live: timedelta) -> Lease:
         """Request a new lease."""
         body = _LeaseRequest(int(time_to_live.total_seconds() * 1000))
-        granted = self._decode_success(await self._post(_GRANT, body), _Lease)
+        granted = self._decode_success(await self._post(_GRANT, body), _LEASE)
         return Lease(granted.lease, parse_duration_ms(granted.ttl_ms))
 
     async def renew_lease(self, lease: Lease) -> Lease | LeaseNotFound:
@@ -181,7 +188,7 @@
         reply = await self._call(HttpRequest("POST", f"{_RENEW}{lease.id}"))
         if reply.status == _NOT_FOUND:
             return LeaseNotFound()
-        renewed = self._decode_success(reply, _Lease)
+        renewed = self._decode_success(reply, _LEASE)
         return Lease(lease.id, parse_duration_ms(renewed.ttl_ms))
 
     async def end_lease(self, lease: Lease) -> None:
@@ -208,16 +215,16 @@
         self._calls.record_success()
         return reply
 
-    def _decode_success(self, reply: HttpReply, kind: type[T]) -> T:
+    def _decode_success(self, reply: HttpReply, decoder: JsonDecoder[T]) -> T:
         """Decode the body of a reply; raise an error for any status but 200."""
         if reply.status != _OK:
             raise self._calls.reject_reply(f"status {reply.status}")
-        return self._decode(reply, kind)
+        return self._decode(reply, decoder)
 
-    def _decode(self, reply: HttpReply, kind: type[T]) -> T:
+    def _decode(self, reply: HttpReply, decoder: JsonDecoder[T]) -> T:
         try:
-            return msgspec.json.decode(reply.body, type=kind)
-        except msgspec.MsgspecError as error:
+            return decoder.decode(reply.body)
+        except BadData as error:
             raise self._calls.reject_reply(str(error)[:200]) from error
 
 
