Figures of the store that no clock or peer can hold are rejected

Seen (trial, PlatformStore with prepared replies): a ttlMs of 2**63 raised OverflowError from grant_lease and renew_lease, which ends the process; a ttlMs of 0 or -1, and a grant without a lease, were accepted, and a key stored with lease 0 is never removed. Revisions beyond 64 bits were accepted, which MessagePack can't encode for the other instances.

Fix: revisions and leases are bounded to 63 bits, times to live are at least 1 ms and shortened to the longest duration, and a grant names a lease. Anything else is a bad reply, as garbage is.

--- a/walkcart/platform/store.py
+++ b/walkcart/platform/store.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 from datetime import timedelta
-from typing import TypeVar
+from typing import Annotated, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
 
-from walkcart.kernel.decoding import BadData, JsonDecoder
-from walkcart.platform.settings import parse_duration_ms
+from walkcart.kernel.decoding import BadData, Count, JsonDecoder
+from walkcart.kernel.durations import milliseconds_to_duration
 from walkcart.store.calls import StoreCalls, StoreUnavailable
 from walkcart.store.items import (
+    NO_LEASE,
     Change,
     Changes,
     Committed,
@@ -46,26 +47,26 @@
 class _Item(msgspec.Struct, rename="camel"):
     # Key of the item, which isn't about TLS: the platform reuses a wire name.
     tls_key: str
-    revision: int
+    revision: Count
     # Standard base64 on the wire, decoded by msgspec.
     value: bytes = b""
     # Whether the key was removed; set only in replies to watches.
     deleted: bool = False
     # Id of the lease that the item is bound to, or 0.
-    lease: int = 0
+    lease: Count = 0
 
 
 class _Page(msgspec.Struct, rename="camel"):
     items: list[_Item]
     # Revision of the whole store at the time of the read.
-    as_of: int
+    as_of: Count
     # Whether more pages follow.
     truncated: bool = False
 
 
 class _Events(msgspec.Struct, rename="camel"):
     events: list[_Item]
-    as_of: int
+    as_of: Count
 
 
 class _Condition(msgspec.Struct, rename="camel"):
@@ -88,7 +89,7 @@
 
 
 class _Revision(msgspec.Struct):
-    revision: int
+    revision: Count
 
 
 class _Items(msgspec.Struct):
@@ -101,9 +102,9 @@
 
 class _Lease(msgspec.Struct, rename="camel"):
     # Granted time to live, which may differ from the requested one.
-    ttl_ms: int
+    ttl_ms: Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
     # Absent in the reply to a renewal.
-    lease: int = 0
+    lease: Count = 0
 
 
 T = TypeVar("T")
@@ -181,7 +182,9 @@
         """Request a new lease."""
         body = _LeaseRequest(int(time_to_live.total_seconds() * 1000))
         granted = self._decode_success(await self._post(_GRANT, body), _LEASE)
-        return Lease(granted.lease, parse_duration_ms(granted.ttl_ms))
+        if granted.lease == NO_LEASE:
+            raise self._calls.reject_reply("the reply names no lease")
+        return Lease(granted.lease, milliseconds_to_duration(granted.ttl_ms))
 
     async def renew_lease(self, lease: Lease) -> Lease | LeaseNotFound:
         """Restart the time to live of a lease."""
@@ -189,7 +192,7 @@
         if reply.status == _NOT_FOUND:
             return LeaseNotFound()
         renewed = self._decode_success(reply, _LEASE)
-        return Lease(lease.id, parse_duration_ms(renewed.ttl_ms))
+        return Lease(lease.id, milliseconds_to_duration(renewed.ttl_ms))
 
     async def end_lease(self, lease: Lease) -> None:
         """End a lease; do nothing if it has ended already."""
--- a/walkcart/platform/tests/test_store_replies.py
+++ b/walkcart/platform/tests/test_store_replies.py
@@ -10,6 +10,7 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from walkcart.kernel.durations import MAX_DURATION
 from walkcart.platform.store import PlatformStore
 from walkcart.store.calls import StoreUnavailable
 from walkcart.store.items import Lease, Put, Transaction
@@ -74,3 +75,36 @@
 @example("end", 999, b"")
 def test_any_reply_is_a_result_or_a_failed_call(name, status, body):
     is_rejected(name, body, status)
+
+
+#: Figures at the bounds of what clocks and codecs hold, and beyond them.
+FIGURES = [0, 1, -1, 2**31, 2**53, 2**63 - 1, 2**63, -(2**63), 2**64, 10**19, 10**400]
+
+
+@pytest.mark.parametrize("figure", FIGURES)
+def test_no_time_to_live_of_a_lease_raises_another_error(figure):
+    valid = 1 <= figure < 2**63
+    assert is_rejected("grant", {"lease": 3, "ttlMs": figure}) == (not valid)
+    assert is_rejected("renew", {"ttlMs": figure}) == (not valid)
+    if valid:
+        lease = call("grant", 200, {"lease": 3, "ttlMs": figure})
+        assert timedelta() < lease.time_to_live <= MAX_DURATION
+
+
+@pytest.mark.parametrize("figure", FIGURES)
+def test_revisions_and_leases_that_no_peer_could_be_told_are_rejected(figure):
+    is_bad = not 0 <= figure < 2**63
+    good = {"tlsKey": "op/a", "revision": 5, "value": "", "lease": 1}
+    for changed in ({"revision": figure}, {"lease": figure}):
+        item = good | changed
+        assert is_rejected("list", {"items": [item], "asOf": 9}) == is_bad
+        assert is_rejected("watch", {"events": [item], "asOf": 9}) == is_bad
+        assert is_rejected("commit", {"items": [item]}, 412) == is_bad
+    assert is_rejected("list", {"items": [], "asOf": figure}) == is_bad
+    assert is_rejected("watch", {"events": [], "asOf": figure}) == is_bad
+    assert is_rejected("commit", {"revision": figure}) == is_bad
+
+
+def test_grant_without_a_lease_is_rejected():
+    # A key stored with it would never be removed.
+    assert is_rejected("grant", {"ttlMs": 15000})
