Any remaining cold time in a leaf's entry is read

Fix: the time is converted by kernel/durations.py, which shortens what no clock holds. A leaf that has counted down below 0 is warm.

Evidence: the process test and five cases of the unit test fail without the change.

--- a/walkcart/platform/documents.py
+++ b/walkcart/platform/documents.py
@@ -20,6 +20,7 @@
     ToSplit,
 )
 from walkcart.kernel.decoding import BadData, JsonDecoder
+from walkcart.kernel.durations import milliseconds_to_duration
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.leaves.directory import LeafEntry
@@ -273,6 +274,7 @@
             region=self._regions.get(stored.zone, ""),
             slots=max(1, stored.slots),
             leaving=stored.state == _DRAINING,
-            cold_time=parse_duration_ms(stored.warmup_left_ms),
+            # A leaf that counts down may pass 0.
+            cold_time=milliseconds_to_duration(max(0.0, stored.warmup_left_ms)),
             incarnation=stored.born,
         )
--- a/walkcart/platform/tests/test_bad_stored_values.py
+++ b/walkcart/platform/tests/test_bad_stored_values.py
@@ -144,6 +144,25 @@
     with_fleet(tmp_path, action)
 
 
+#: Entries with figures that no clock holds; their leaves are used.
+ODD_ENTRIES = {
+    "cold-for-ever": make_entry(warmupLeftMs=1e19),
+    "warm-for-ever": make_entry(warmupLeftMs=-1e19),
+}
+
+
+def test_leaf_entries_with_extreme_figures_end_no_process(tmp_path):
+    async def action(fleet):
+        await fleet.start({f"servers/{id}": ODD_ENTRIES[id] for id in ODD_ENTRIES})
+        for id, value in ODD_ENTRIES.items():
+            await fleet.wait_logged("leaf_added", f'"leaf": "{id}"')
+            fleet.world.store.put(f"servers/{id}-again", value)
+            await fleet.wait_logged("leaf_added", f'"leaf": "{id}-again"')
+        await fleet.check_unharmed()
+
+    with_fleet(tmp_path, action)
+
+
 #: Documents that can't be in force; the one before them stays.
 BAD_CONFIGURATIONS = {"nested": DEEP}
 
--- a/walkcart/platform/tests/test_documents.py
+++ b/walkcart/platform/tests/test_documents.py
@@ -13,6 +13,7 @@
 from walkcart.intent.routes import ToService, ToShards, ToSplit
 from walkcart.kernel.clock import TrioClock
 from walkcart.kernel.decoding import BadData
+from walkcart.kernel.durations import MAX_DURATION
 from walkcart.kernel.eventlog import EventLog
 from walkcart.platform.documents import (
     LeafEntries,
@@ -217,6 +218,27 @@
     assert log.getvalue().count("leaf_entry_bad") == 1
 
 
+@pytest.mark.parametrize(
+    ("warmup", "cold_time"),
+    [
+        (3000, timedelta(seconds=3)),
+        (-1, timedelta()),
+        (-1e19, timedelta()),
+        (1e19, MAX_DURATION),
+        (1e308, MAX_DURATION),
+        (2**64, MAX_DURATION),
+    ],
+)
+def test_any_cold_time_of_a_leaf_is_read(warmup, cold_time):
+    async def run():
+        entries = LeafEntries({}, EventLog("one", TrioClock(), StringIO()))
+        await trio.lowlevel.checkpoint()
+        items = {"servers/x": make_entry(warmupLeftMs=warmup)}
+        return [entry.cold_time for entry in entries.read(items, items)]
+
+    assert run_mocked(run) == [cold_time]
+
+
 def test_rewritten_unreadable_entry_is_no_change():
     assert not leaf_entry_differs(b"rubbish 1", b"rubbish 2")
     assert not leaf_entry_differs(b"rubbish 1", FOREIGN_ENTRIES["deep-field"])
