--- a/walkcart/leaves/protocol.py
+++ b/walkcart/leaves/protocol.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from walkcart.kernel.durations import milliseconds_to_duration
 from walkcart.kernel.numbers import read_number
 from walkcart.leaves.attempts import Attempt, Failed, Outcome, Refused, Replied
 from walkcart.leaves.leaf import ANY_VERSION, BadSnapshot, Snapshot, parse_snapshot
@@ -267,7 +268,7 @@
 
 def _read_retry_after(found: HeaderMap) -> timedelta | None:
     milliseconds = read_number(found.get(RETRY_AFTER_MS))
-    return None if milliseconds is None else timedelta(milliseconds=milliseconds)
+    return None if milliseconds is None else milliseconds_to_duration(milliseconds)
 
 
 def matches_pin(pin: Snapshot, snapshot: Snapshot) -> bool:
--- a/walkcart/platform/leafprotocol.py
+++ b/walkcart/platform/leafprotocol.py
@@ -4,6 +4,7 @@
 
 from datetime import timedelta
 
+from walkcart.kernel.durations import milliseconds_to_duration, seconds_to_duration
 from walkcart.kernel.numbers import read_number
 from walkcart.leaves.attempts import Attempt, Failed, Outcome, Refused, Replied
 from walkcart.leaves.protocol import HeaderMap, LeafStatus
@@ -80,7 +81,7 @@
             incarnation=0,
             leaving=False,
             pace=percent / 100 if percent else None,
-            cold_time=None if cold is None else timedelta(milliseconds=cold),
+            cold_time=None if cold is None else milliseconds_to_duration(cold),
         )
 
     def read_outcome(
@@ -135,7 +136,6 @@
 def _read_retry_after(found: HeaderMap) -> timedelta | None:
     """Return the time to wait before a retry, or None if the leaf gave none."""
     try:
-        wait = timedelta(seconds=float(found[RETRY_AFTER]))
-    except (KeyError, ValueError, OverflowError):
+        return seconds_to_duration(float(found[RETRY_AFTER]))
+    except (KeyError, ValueError):
         return None
-    return wait if wait >= timedelta() else None
--- a/walkcart/platform/tests/test_leaf_replies.py
+++ b/walkcart/platform/tests/test_leaf_replies.py
@@ -5,10 +5,12 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from walkcart.kernel.durations import MAX_DURATION
 from walkcart.leaves.attempts import Attempt, Failed, Refused, Replied
+from walkcart.leaves.protocol import read_outcome
 from walkcart.platform.leafprotocol import PlatformLeafProtocol
 from walkcart.wire.http import HttpReply, HttpRequest
-from walkcart.wire.verdicts import MayHaveRun
+from walkcart.wire.verdicts import MayHaveRun, Reason
 
 PROTOCOL = PlatformLeafProtocol()
 NAMES = st.sampled_from(
@@ -20,12 +22,13 @@
         b"content-encoding",
         b"retry-after",
         b"keep-alive",
+        b"x-warmup-ms",
         b"x-other",
     ]
 )
 VALUES = st.one_of(
     st.sampled_from(
-        [b"1", b"3,0,2", b"timeout=5", b"0.5", b"nan", b"-1", b"", b"\xff"]
+        [b"1", b"3,0,2", b"timeout=5", b"0.5", b"nan", b"-1", b"", b"\xff", b"9" * 18]
     ),
     st.binary(max_size=20),
 )
@@ -46,6 +49,7 @@
 
 
 @given(REPLIES, st.booleans())
+@example(HttpReply(200, ((b"x-warmup-ms", b"9" * 18),)), False)
 @example(HttpReply(503, ((b"x-not-executed", b"1"), (b"retry-after", b"-1"))), False)
 def test_reply_is_never_taken_for_more_than_it_says(reply, success_only):
     attempt = make_attempt(success_only)
@@ -54,6 +58,7 @@
     assert status.load is None or status.load >= 0
     idle = PROTOCOL.read_idle_timeout(found)
     assert idle is None or idle >= 0
+    assert status.cold_time is None or status.cold_time >= timedelta()
     match PROTOCOL.read_outcome(attempt, reply, found, 0.1):
         case Refused(retry_after=retry_after):
             # Only the leaf itself can say that the request did not run.
@@ -88,3 +93,20 @@
         make_attempt(False), HttpReply(503, echoed), dict(echoed), 0.1
     )
     assert isinstance(outcome, Refused)
+
+
+def test_longest_times_that_a_leaf_can_state_are_shortened():
+    found = {b"x-warmup-ms": b"9" * 18, b"x-not-executed": b"1", b"retry-after": b"1e9"}
+    assert PROTOCOL.read_status(found).cold_time == MAX_DURATION
+    reply = HttpReply(503, (*found.items(), (b"x-request-id", b"id")))
+    outcome = PROTOCOL.read_outcome(
+        make_attempt(False), reply, dict(reply.headers), 0.1
+    )
+    assert outcome == Refused(Reason.LEAF_REFUSED, MAX_DURATION)
+    own = read_outcome(
+        make_attempt(False),
+        HttpReply(503),
+        {b"walkcart-ran": b"no", b"walkcart-retry-after-ms": b"9" * 18},
+        0.1,
+    )
+    assert own == Refused(Reason.LEAF_REFUSED, MAX_DURATION)
