Entries of leaves that no request can be sent to name no leaf

The address 0.0.0.0 is the instance's own machine.

Fix: such an entry is logged as leaf_entry_bad, as any that can't be read, and the others hold.

Evidence: the process test and the fifteen cases of a unit test fail without the change.

--- a/walkcart/kernel/settings.py
+++ b/walkcart/kernel/settings.py
@@ -65,6 +65,21 @@
         raise BadValue(expected) from None
 
 
+def parse_peer_address(text: str) -> HostPort:
+    """Parse the ``IP:port`` at which another process accepts connections.
+
+    An address with a scope is meaningful only at the machine that wrote it.
+
+    Raises:
+        BadValue: the text isn't such an address.
+    """
+    address = parse_host_port(text)
+    ip = ip_address(address.host)
+    if not address.port or ip.is_unspecified or ip.is_multicast or "%" in address.host:
+        raise BadValue("an IP number of one machine and a port above 0")
+    return address
+
+
 def parse_optional_host_port(text: str) -> HostPort | None:
     """Parse ``IP:port``, or return None for an empty text."""
     return parse_host_port(text) if text else None
--- a/walkcart/platform/documents.py
+++ b/walkcart/platform/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Collection, Iterable, Mapping
 from datetime import timedelta
 from typing import Literal
@@ -23,9 +24,15 @@
 from walkcart.kernel.durations import milliseconds_to_duration
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
+from walkcart.kernel.settings import BadValue, parse_peer_address
 from walkcart.leaves.directory import LeafEntry
 from walkcart.platform.settings import parse_duration_ms
-from walkcart.platform.teamdocuments import StoredTeam, read_regions, read_teams
+from walkcart.platform.teamdocuments import (
+    HEADER_TEXT_PATTERN,
+    StoredTeam,
+    read_regions,
+    read_teams,
+)
 from walkcart.store.items import Item
 
 #: Prefix of all keys that operators store. All of them are followed as one copy, so
@@ -126,6 +133,9 @@
     born: int = 0
 
 
+#: Texts that fit into a header.
+_HEADER_TEXT = re.compile(HEADER_TEXT_PATTERN)
+
 _CONFIGURATION = JsonDecoder(_Configuration)
 _LEAF_ENTRY = JsonDecoder(_LeafEntry)
 
@@ -231,6 +241,20 @@
         return None
 
 
+def _check_leaf(id: str, stored: _LeafEntry) -> None:
+    """Check that requests can be sent to a leaf: its id goes into a header.
+
+    Raises:
+        BadData: the id or the address can't be used.
+    """
+    if not _HEADER_TEXT.fullmatch(id):
+        raise BadData(f"expected an id without control characters, got {id!r}")
+    try:
+        parse_peer_address(stored.address)
+    except BadValue as error:
+        raise BadData(f"expected {error}, got {stored.address!r}") from None
+
+
 class LeafEntries:
     """Holds the decoded entries of leaves and decodes only those that change.
 
@@ -263,6 +287,7 @@
     def _update_entry(self, key: str, value: bytes) -> None:
         try:
             stored = _LEAF_ENTRY.decode(value)
+            _check_leaf(key.removeprefix(LEAF_PREFIX), stored)
         except BadData as error:
             self._events.emit(Events.LEAF_ENTRY_BAD, key=key, detail=str(error)[:200])
             return
--- a/walkcart/platform/teamdocuments.py
+++ b/walkcart/platform/teamdocuments.py
@@ -9,15 +9,15 @@
 from walkcart.intent.teams import RateLimit, Team, digest_key
 from walkcart.routing.eligibility import ALL_REGIONS, Regions
 
-#: Pattern of names that fit into a header: visible characters at both ends, and no
+#: Pattern of texts that fit into a header: visible characters at both ends, and no
 #: control characters.
-_NAME = r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?\Z"
+HEADER_TEXT_PATTERN = r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?\Z"
 
 
 class StoredTeam(msgspec.Struct, rename="camel"):
     """A team in the form in which operators store it."""
 
-    name: Annotated[str, msgspec.Meta(pattern=_NAME)]
+    name: Annotated[str, msgspec.Meta(pattern=HEADER_TEXT_PATTERN)]
     api_keys: list[str] = []
     # Priority, which overrides that of a route: 0 is the most urgent.
     priority: int | None = None
--- a/walkcart/platform/tests/test_bad_stored_values.py
+++ b/walkcart/platform/tests/test_bad_stored_values.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Mapping
 from typing import Any
 
@@ -121,7 +122,19 @@
 
 
 #: Entries that name no leaf.
-BAD_ENTRIES = {"nested": DEEP}
+BAD_ENTRIES = {
+    "nested": DEEP,
+    "with\r\nline-break": make_entry(),
+    "with\x00nothing": make_entry(),
+    " ": make_entry(),
+    "": make_entry(),
+    "no-address": make_entry(address="nowhere"),
+    "scoped-address": make_entry(address="::1%lo:99"),
+    "odd-scope": make_entry(address="::1%\xe9:99"),
+    "port-zero": make_entry(address="127.0.0.1:0"),
+    "any-address": make_entry(address="0.0.0.0:99"),
+    "group-address": make_entry(address="[ff02::1]:99"),
+}
 
 
 def test_unreadable_leaf_entries_end_no_process(tmp_path):
@@ -129,8 +142,9 @@
         await fleet.start()
         for name, value in BAD_ENTRIES.items():
             fleet.world.store.put(f"servers/{name}", value)
-            await fleet.wait_logged("leaf_entry_bad", f'"key": "servers/{name}"')
-            await fleet.check_unharmed()
+            key = json.dumps(f"servers/{name}")
+            await fleet.wait_logged("leaf_entry_bad", f'"key": {key}')
+        await fleet.check_unharmed()
 
     with_fleet(tmp_path, action)
 
--- a/walkcart/platform/tests/test_documents.py
+++ b/walkcart/platform/tests/test_documents.py
@@ -203,6 +203,50 @@
 }
 
 
+@pytest.mark.parametrize(
+    ("key", "address"),
+    [
+        ("servers/", "10.0.0.1:1"),
+        ("servers/ a", "10.0.0.1:1"),
+        ("servers/a\r\nx-other: b", "10.0.0.1:1"),
+        ("servers/a\x7f", "10.0.0.1:1"),
+        ("servers/b", ""),
+        ("servers/b", "nowhere"),
+        ("servers/b", "10.0.0.1"),
+        ("servers/b", "10.0.0.1:65536"),
+        ("servers/b", "10.0.0.1:0"),
+        ("servers/b", "0.0.0.0:1"),
+        ("servers/b", "[::]:1"),
+        ("servers/b", "224.0.0.1:1"),
+        ("servers/b", "[ff02::1]:1"),
+        ("servers/b", "[fe80::1%eth0]:1"),
+        ("servers/b", "[::1%\xe9]:1"),
+    ],
+)
+def test_leaf_that_no_request_can_be_sent_to_is_skipped(key, address):
+    log = StringIO()
+
+    async def run():
+        entries = LeafEntries({}, EventLog("one", TrioClock(), log))
+        await trio.lowlevel.checkpoint()
+        items = {"servers/a": make_entry(), key: make_entry(address=address)}
+        return [entry.id for entry in entries.read(items, items)]
+
+    assert run_mocked(run) == ["a"]
+    assert log.getvalue().count("leaf_entry_bad") == 1
+
+
+@pytest.mark.parametrize("id", ["a", "i-7f3a91c2", "a b", "\u00e9", "a/b", "x" * 190])
+def test_any_id_that_fits_into_a_header_is_read(id):
+    async def run():
+        entries = LeafEntries({}, EventLog("one", TrioClock(), StringIO()))
+        await trio.lowlevel.checkpoint()
+        items = {f"servers/{id}": make_entry(address="[fd00::1]:1")}
+        return [entry.id for entry in entries.read(items, items)]
+
+    assert run_mocked(run) == [id]
+
+
 @pytest.mark.parametrize("name", FOREIGN_ENTRIES)
 def test_foreign_entry_is_skipped_and_the_others_are_read(name):
     log = StringIO()
