Records of instances with extreme figures end no process

Seen (new): where a team has a limit, a record below walkcart/instances with 1e300 cores ended all processes with code 1, again at each start. Read in the source: one with 0 cores raises ZeroDivisionError in each question that may be delegated there, and a record under the key of another instance replaces that instance's address.

Cause: ranks divide by the cores and square them.

Fix: the cores that count are bounded, those of others at the read and the own ones before they are stored, so that all instances compute the same ranks. A record must be stored under its own name.

Evidence: the process test fails without the change (OverflowError). The unit tests use the new function and weren't run without it.

--- a/walkcart/daemon/tenantstore.py
+++ b/walkcart/daemon/tenantstore.py
@@ -27,7 +27,7 @@
 from walkcart.leaves.pool import LeafPool
 from walkcart.leaves.pooltools import PoolTools
 from walkcart.leaves.protocol import LeafStatus
-from walkcart.membership.instancerecord import InstanceRecord
+from walkcart.membership.instancerecord import InstanceRecord, bound_cores
 from walkcart.membership.registration import Registration
 from walkcart.platform.documents import (
     CONFIGURATION_KEY,
@@ -111,7 +111,7 @@
         settings.data_centre,
         settings.region,
         str(peers.address),
-        settings.cores,
+        bound_cores(settings.cores),
     )
     registration = Registration(
         store,
--- a/walkcart/membership/instancekeys.py
+++ b/walkcart/membership/instancekeys.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from msgspec.structs import replace
+
 from walkcart.kernel.decoding import BadData, JsonDecoder
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
@@ -16,6 +18,7 @@
     INSTANCE_PREFIX,
     SHARED_PREFIX,
     InstanceRecord,
+    bound_cores,
 )
 from walkcart.store.items import Item, SharedStore
 from walkcart.store.reading import read_prefix
@@ -81,7 +84,10 @@
 
     def _read_record(self, item: Item) -> InstanceRecord | None:
         try:
-            return _RECORD.decode(item.value)
+            record = _RECORD.decode(item.value)
+            if item.key != INSTANCE_PREFIX + record.name:
+                raise BadData(f"the record is that of {record.name!r}")
+            return replace(record, cores=bound_cores(record.cores))
         except BadData as error:
             self._events.emit(
                 Events.PEER_BAD_MESSAGE, key=item.key, detail=str(error)[:200]
--- a/walkcart/membership/instancerecord.py
+++ b/walkcart/membership/instancerecord.py
@@ -12,6 +12,9 @@
 SHARED_PREFIX = "walkcart/"
 #: Prefix of the keys that hold the instances' records.
 INSTANCE_PREFIX = "walkcart/instances/"
+#: Bounds of the cores of an instance, by which work is divided among instances.
+MIN_CORES = 0.01
+MAX_CORES = 4096.0
 
 
 class InstanceRecord(msgspec.Struct, frozen=True):
@@ -37,3 +40,13 @@
     def incarnation(self) -> int:
         """Always 0: the present process accepts messages meant for an earlier one."""
         return 0
+
+
+def bound_cores(cores: float) -> float:
+    """Return a number of cores that work can be divided by.
+
+    Examples:
+        >>> bound_cores(1.5), bound_cores(0.0), bound_cores(1e300)
+        (1.5, 0.01, 4096.0)
+    """
+    return min(MAX_CORES, max(MIN_CORES, cores))
--- a/walkcart/platform/tests/test_bad_stored_values.py
+++ b/walkcart/platform/tests/test_bad_stored_values.py
@@ -13,7 +13,11 @@
 import msgspec
 import trio
 
-from walkcart.platform.tests.platformworld import make_route
+from walkcart.platform.tests.platformworld import (
+    make_configuration,
+    make_route,
+    make_team,
+)
 from walkcart.platform.tests.processworld import (
     POLL_INTERVAL,
     Machine,
@@ -22,7 +26,11 @@
 )
 
 SHARDS = [f"shard-{number}" for number in range(3)]
-ROUTE = make_route("all", "/all/", fanoutServices=SHARDS, topK=3, minCoverage=0.7)
+ROUTE = make_route(
+    "all", "/all/", fanoutServices=SHARDS, topK=3, minCoverage=0.7, public=True
+)
+#: A limit, so that instances divide the limits among them.
+TEAMS = [make_team("fitters", "key", ratePerS=1000, burst=50)]
 #: Maximum time until an instance has logged what was stored, in seconds.
 LOG_SECONDS = 10.0
 #: Levels of nesting at which decoders give up.
@@ -67,7 +75,7 @@
         for key, value in stored.items():
             self.world.store.put(key, value)
         if configuration is None:
-            self.world.configure(ROUTE)
+            self.configure()
         else:
             self.world.store.put("op/config", configuration)
         for name, data_centre in (("one", "north-a"), ("two", "south-a")):
@@ -76,17 +84,24 @@
             self.world.start(machine)
         if configuration is not None:
             await self.wait_logged("routes_bad")
-            self.world.configure(ROUTE)
+            self.configure()
         for machine in self.machines:
             await self.world.wait_ready(machine)
 
+    def configure(self, **fields: Any) -> int:
+        """Store the next version of the configuration; return its number."""
+        self.world.version += 1
+        version = self.world.version
+        content = make_configuration(version, [ROUTE]) | {"tenants": TEAMS} | fields
+        self.world.store.put("op/config", content)
+        return version
+
     async def check_unharmed(self) -> None:
         """Check that later changes are in force and requests are answered."""
         self.markers += 1
         id = f"marker-{self.markers}"
         self.world.add_entry(id, "nowhere", "127.0.0.1:9")
-        self.world.configure(ROUTE)
-        version = self.world.version
+        version = self.configure()
         await self.wait_logged("leaf_added", f'"leaf": "{id}"')
         await self.wait_logged("routes_in_force", f'"version": {version},')
         for machine in self.machines:
@@ -103,6 +118,14 @@
                     await trio.sleep(POLL_INTERVAL)
             assert count_logged(machine, event, details) >= count, (event, details)
 
+    async def wait_any_logged(self, event: str) -> None:
+        """Wait until some instance has logged an event."""
+        with trio.move_on_after(LOG_SECONDS):
+            while not any(count_logged(item, event, ()) for item in self.machines):
+                await trio.sleep(POLL_INTERVAL)
+        assert [machine.ends for machine in self.machines] == [[], []]
+        assert any(count_logged(item, event, ()) for item in self.machines), event
+
 
 def count_logged(machine: Machine, event: str, details: tuple[str, ...]) -> int:
     """Return how many lines of an event an instance has logged."""
@@ -226,3 +249,31 @@
         await fleet.check_unharmed()
 
     with_fleet(tmp_path, action)
+
+
+#: Records of instances that have extreme figures, or can't be reached.
+ODD_RECORDS = {
+    "huge": {"cores": 1e300, "peer_address": "127.0.0.1:1"},
+    "tiny": {"cores": -1e300, "peer_address": "127.0.0.1:1"},
+    "scoped": {"peer_address": "[::1%\xe9]:1"},
+    "nowhere": {"peer_address": "nowhere"},
+    "nobody\r\n": {"peer_address": "127.0.0.1:0"},
+}
+
+
+def test_records_of_instances_with_extreme_figures_end_no_process(tmp_path):
+    async def action(fleet):
+        records = {
+            f"walkcart/instances/{name}": msgspec.json.encode(
+                {"name": name, "started": "", "data_centre": "north-a"}
+                | {"region": "north"}
+                | fields
+            )
+            for name, fields in ODD_RECORDS.items()
+        }
+        await fleet.start(records)
+        await fleet.wait_logged("instances_changed", "huge")
+        await fleet.wait_any_logged("quota_share_taken")
+        await fleet.check_unharmed()
+
+    with_fleet(tmp_path, action)
