Stored strikes are numbers that other instances can be told

Seen (unit test): a key below walkcart/quarantine with a number beyond 64 bits was merged, and each message that passed it on raised OverflowError when it was encoded; what was queued for that peer with it was lost, every half second. Negative ones and 1_0 were accepted as well, and a fourth strike was dropped without a line.

Fix: strikes are parsed as numbers of at most 18 digits; ours have 15. A key with anything else is logged as peer_bad_message.

--- a/walkcart/membership/quarantinekeys.py
+++ b/walkcart/membership/quarantinekeys.py
@@ -20,6 +20,7 @@
 from walkcart.kernel.clock import Clock
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
+from walkcart.kernel.numbers import read_number
 from walkcart.routing.quarantine import (
     REFUSED_STRIKES,
     Quarantine,
@@ -119,16 +120,29 @@
         """Merge a stored key, whose age is unknown, unless its request is known."""
         try:
             fingerprint = bytes.fromhex(item.key.removeprefix(QUARANTINE_PREFIX))
-            strikes = frozenset(int(part) for part in item.value.split(b","))
+            strikes = _parse_strikes(item.value)
         except ValueError as error:
             self._events.emit(
                 Events.PEER_BAD_MESSAGE, key=item.key, detail=str(error)[:200]
             )
             return
-        if len(fingerprint) != FINGERPRINT_BYTES or len(strikes) > REFUSED_STRIKES:
+        if len(fingerprint) != FINGERPRINT_BYTES:
             return
         if self._quarantine.find(fingerprint) is not None:
             return
         now = self._clock.monotonic()
         if self._quarantine.merge(fingerprint, StrikeRecord(strikes, now), now):
             self._on_news(fingerprint)
+
+
+def _parse_strikes(value: bytes) -> frozenset[int]:
+    """Return the strikes in a stored value.
+
+    Raises:
+        ValueError: the value isn't a list of up to `REFUSED_STRIKES` numbers.
+    """
+    strikes = {read_number(part) for part in value.split(b",", REFUSED_STRIKES)}
+    found = frozenset(strike for strike in strikes if strike is not None)
+    if len(found) != len(strikes) or len(found) > REFUSED_STRIKES:
+        raise ValueError(f"expected {REFUSED_STRIKES} numbers, got {value[:80]!r}")
+    return found
