Keys of shares state numbers that instances can use

Seen (unit tests): a key below walkcart/quota whose number has thousands of digits raised ValueError from the registration, which the kernel runs, and a negative count of starts gave a share its start level each time, however often it changed hands.

Fix: the number of a share has at most 18 ASCII digits, and the starts are a count; a key with others is skipped, as one that can't be read.

Evidence: five cases of the unit tests fail without the change.

--- a/walkcart/membership/quotakeys.py
+++ b/walkcart/membership/quotakeys.py
@@ -15,7 +15,8 @@
 import msgspec
 
 from walkcart.kernel.clock import Clock
-from walkcart.kernel.decoding import JsonDecoder
+from walkcart.kernel.decoding import Count, JsonDecoder
+from walkcart.kernel.numbers import read_number
 from walkcart.membership.instancerecord import InstanceRecord
 from walkcart.routing.quotas import MAX_STARTS
 from walkcart.store.calls import StoreUnavailable
@@ -58,7 +59,7 @@
 
     holder: str
     started: str
-    starts: int
+    starts: Count
 
 
 _KEY = JsonDecoder(QuotaKey)
@@ -103,8 +104,7 @@
 
 def parse_share(key: str) -> int | None:
     """Return the number of the share in the name of a key, or None."""
-    number = key.removeprefix(QUOTA_PREFIX)
-    return int(number) if number.isdecimal() else None
+    return read_number(key.removeprefix(QUOTA_PREFIX))
 
 
 class QuotaKeys:
--- a/walkcart/membership/tests/test_shared_keys.py
+++ b/walkcart/membership/tests/test_shared_keys.py
@@ -1,4 +1,4 @@
-"""Keys of quarantined requests, with contents that can't be used."""
+"""Keys of quarantined requests and rate limits, with contents that can't be used."""
 
 from __future__ import annotations
 
@@ -14,8 +14,10 @@
 
 from walkcart.bench.harness import run_mocked
 from walkcart.kernel.clock import TrioClock
+from walkcart.kernel.decoding import BadData
 from walkcart.kernel.eventlog import EventLog
 from walkcart.membership.quarantinekeys import QUARANTINE_PREFIX, QuarantineKeys
+from walkcart.membership.quotakeys import QUOTA_PREFIX, decode_key, parse_share
 from walkcart.routing.quarantine import Quarantine
 from walkcart.store.backoff import Backoff
 from walkcart.store.items import Item
@@ -72,3 +74,16 @@
     strikes, _ = merge_strikes(value)
     entry = QuarantineEntry(FINGERPRINT, tuple(strikes), 1.0)
     msgspec.msgpack.encode(Envelope("a", 0, "", 0, (QuarantineNews((entry,)),)))
+
+
+@pytest.mark.parametrize("number", ["", "x", "-1", "\u0663", "\u00b2", "9" * 5000])
+def test_key_without_a_share_number_names_no_share(number):
+    assert parse_share(QUOTA_PREFIX + number) is None
+
+
+@pytest.mark.parametrize("starts", ["-1", "%d" % 2**64, "9" * 30, "1.5", '"1"'])
+def test_key_of_a_share_with_impossible_starts_is_refused(starts):
+    value = msgspec.json.encode({"holder": "a", "started": "b", "starts": 0})
+    value = value.replace(b":0", b":" + starts.encode())
+    with pytest.raises(BadData):
+        decode_key(Item(QUOTA_PREFIX + "0", value, 1))
