No figure of a configuration ends a process

Not ends, but wrong: a negative topK dropped the least records of an answer, an idleTimeoutMs of 0 would close each connection at once, and sums of weights near 1.8e308 are infinite.

Fix: times are converted by kernel/durations.py and shortened where they mean 'for ever'. Whole numbers are bounded to what other instances can be told, rates and weights to what can be multiplied. A figure without a meaning (negative times, records or bytes, a coverage outside 0 to 1, limits that allow nothing) makes the document invalid: routes_bad is logged and the one in force stays.

--- a/walkcart/platform/documents.py
+++ b/walkcart/platform/documents.py
@@ -4,8 +4,7 @@
 
 import re
 from collections.abc import Collection, Iterable, Mapping
-from datetime import timedelta
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -20,15 +19,19 @@
     ToShards,
     ToSplit,
 )
-from walkcart.kernel.decoding import BadData, JsonDecoder
-from walkcart.kernel.durations import milliseconds_to_duration
+from walkcart.kernel.decoding import BadData, Count, Int64, JsonDecoder
+from walkcart.kernel.durations import (
+    BadDuration,
+    milliseconds_to_duration,
+    seconds_to_duration,
+)
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.settings import BadValue, parse_peer_address
 from walkcart.leaves.directory import LeafEntry
-from walkcart.platform.settings import parse_duration_ms
 from walkcart.platform.teamdocuments import (
     HEADER_TEXT_PATTERN,
+    MAX_RATE,
     StoredTeam,
     read_regions,
     read_teams,
@@ -46,6 +49,9 @@
 #: Prefix of the keys of the leaves' entries; the leaf's id follows.
 LEAF_PREFIX = "servers/"
 
+#: Maximum weight in a traffic split: sums of such weights are finite.
+MAX_WEIGHT = 1e15
+
 #: Type of the routes whose requests may run more than once.
 _IDEMPOTENT = "idempotent"
 #: State in the entry of a leaf that is about to stop.
@@ -55,7 +61,7 @@
 class _SplitPart(msgspec.Struct):
     """A service of a traffic split, named by either of two fields."""
 
-    weight: float
+    weight: Annotated[float, msgspec.Meta(le=MAX_WEIGHT)]
     backend: str = ""
     name: str = ""
 
@@ -70,17 +76,17 @@
     # Latency objective of an answer, in ms; a later answer is worth less to the caller.
     target_latency_ms: float = 0.0
     # Maximum number of leaves that one request is sent to, per shard if sharded.
-    max_attempts: int = 1
+    max_attempts: Int64 = 1
     # Priority: 0 is the most urgent.
-    priority: int = 0
+    priority: Int64 = 0
     # Target, one of three: a service, a split over services, or shards of an index.
     backend: str = ""
     traffic_split: list[_SplitPart] = []
     fanout_services: list[str] = []
     # Number of records in a merged answer.
-    top_k: int = msgspec.field(default=0, name="topK")
+    top_k: Count = msgspec.field(default=0, name="topK")
     # Minimum fraction of the shards that an answer must contain.
-    min_coverage: float = 0.0
+    min_coverage: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     # Regions in which requests may be served; empty means all.
     allowed_regions: list[str] = []
     # Whether requests are served without a key.
@@ -90,7 +96,7 @@
 class _Service(msgspec.Struct, rename="camel"):
     name: str
     # Maximum connections that one leaf accepts from all its clients together.
-    max_conns: int = 8
+    max_conns: Int64 = 8
     # How long a leaf stays cold after a start or an evacuation, in seconds.
     warmup_s: float = 0.0
     # Requests per second that a cold leaf can serve; 0 means no limit.
@@ -98,14 +104,15 @@
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int = 32768
-    max_body_bytes: int = 1 << 20
-    header_timeout_ms: float = 10_000
-    idle_timeout_ms: float = 120_000
+    max_header_bytes: Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)] = 32768
+    max_body_bytes: Count = 1 << 20
+    # With times of 0 every connection would be closed at once.
+    header_timeout_ms: Annotated[float, msgspec.Meta(gt=0)] = 10_000
+    idle_timeout_ms: Annotated[float, msgspec.Meta(gt=0)] = 120_000
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Int64
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -123,14 +130,14 @@
     zone: str
     # Version of the leaf's software.
     version: str
-    slots: int
+    slots: Int64
     state: Literal["ready", "draining"]
     # Remaining time for which the leaf is slow after its start, in ms.
     warmup_left_ms: float
     # Number of times that the entry was written.
     seq: int
     # Start of the leaf's process in Unix milliseconds; 0 if the leaf doesn't report it.
-    born: int = 0
+    born: Int64 = 0
 
 
 #: Texts that fit into a header.
@@ -147,6 +154,13 @@
         BadData: the value isn't a valid configuration.
     """
     stored = _CONFIGURATION.decode(value)
+    try:
+        return _make_document(stored)
+    except BadDuration as error:
+        raise BadData(str(error)) from None
+
+
+def _make_document(stored: _Configuration) -> RoutingDocument:
     limits = stored.limits
     return RoutingDocument(
         version=stored.version,
@@ -155,8 +169,8 @@
         limits=CallerLimits(
             header_bytes=limits.max_header_bytes,
             body_bytes=limits.max_body_bytes,
-            head_time=parse_duration_ms(limits.header_timeout_ms),
-            idle_time=parse_duration_ms(limits.idle_timeout_ms),
+            head_time=milliseconds_to_duration(limits.header_timeout_ms),
+            idle_time=milliseconds_to_duration(limits.idle_timeout_ms),
         ),
         teams=read_teams(stored.tenants),
     )
@@ -166,22 +180,22 @@
     return ServiceSpec(
         service.name,
         service.max_conns,
-        timedelta(seconds=service.warmup_s),
-        service.warmup_per_s,
+        seconds_to_duration(service.warmup_s),
+        min(service.warmup_per_s, MAX_RATE),
     )
 
 
 def _read_route(route: _Route) -> Route:
     objective = None
     if route.target_latency_ms:
-        objective = parse_duration_ms(route.target_latency_ms)
+        objective = milliseconds_to_duration(route.target_latency_ms)
     return Route(
         name=route.name,
         host=route.host.lower(),
         prefix=route.path_prefix,
         target=_read_target(route),
         idempotent=route.route_type == _IDEMPOTENT,
-        timeout=parse_duration_ms(route.timeout_ms),
+        timeout=milliseconds_to_duration(route.timeout_ms),
         objective=objective,
         most_attempts=max(1, route.max_attempts),
         rank=route.priority,
--- a/walkcart/platform/teamdocuments.py
+++ b/walkcart/platform/teamdocuments.py
@@ -7,12 +7,18 @@
 import msgspec
 
 from walkcart.intent.teams import RateLimit, Team, digest_key
+from walkcart.kernel.decoding import Int64
 from walkcart.routing.eligibility import ALL_REGIONS, Regions
 
 #: Pattern of texts that fit into a header: visible characters at both ends, and no
 #: control characters.
 HEADER_TEXT_PATTERN = r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?\Z"
 
+#: Bounds of the rates that count, in requests per second. Products with them, and their
+#: reciprocals, are finite; a rate beyond them means no limit, or almost no requests.
+MIN_RATE = 1e-6
+MAX_RATE = 1e9
+
 
 class StoredTeam(msgspec.Struct, rename="camel"):
     """A team in the form in which operators store it."""
@@ -20,7 +26,7 @@
     name: Annotated[str, msgspec.Meta(pattern=HEADER_TEXT_PATTERN)]
     api_keys: list[str] = []
     # Priority, which overrides that of a route: 0 is the most urgent.
-    priority: int | None = None
+    priority: Int64 | None = None
     # Requests per second over all instances; 0 means no limit.
     rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     # Requests beyond the rate that may come at once.
@@ -38,7 +44,10 @@
 
 
 def _read_team(team: StoredTeam) -> Team:
-    limit = RateLimit(team.rate_per_s, team.burst) if team.rate_per_s else None
+    limit = None
+    if team.rate_per_s:
+        rate = min(MAX_RATE, max(MIN_RATE, team.rate_per_s))
+        limit = RateLimit(rate, min(MAX_RATE, team.burst))
     return Team(
         name=team.name,
         keys=frozenset(digest_key(key.encode()) for key in team.api_keys),
--- a/walkcart/platform/tests/test_bad_stored_values.py
+++ b/walkcart/platform/tests/test_bad_stored_values.py
@@ -53,6 +53,12 @@
     return msgspec.json.encode(entry | fields)
 
 
+def make_content(version: int = 1000, **fields: Any) -> bytes:
+    """Return a configuration with some fields replaced."""
+    content = make_configuration(version, [ROUTE]) | {"tenants": TEAMS} | fields
+    return msgspec.json.encode(content)
+
+
 class Fleet:
     """Two instances, and leaves that serve one route."""
 
@@ -92,8 +98,7 @@
         """Store the next version of the configuration; return its number."""
         self.world.version += 1
         version = self.world.version
-        content = make_configuration(version, [ROUTE]) | {"tenants": TEAMS} | fields
-        self.world.store.put("op/config", content)
+        self.world.store.put("op/config", make_content(version, **fields))
         return version
 
     async def check_unharmed(self) -> None:
@@ -201,7 +206,14 @@
 
 
 #: Documents that can't be in force; the one before them stays.
-BAD_CONFIGURATIONS = {"nested": DEEP}
+BAD_CONFIGURATIONS = {
+    "nested": DEEP,
+    "negative-timeout": make_content(routes=[ROUTE | {"timeoutMs": -1e19}]),
+    "negative-records": make_content(routes=[ROUTE | {"topK": -5}]),
+    "too-much-coverage": make_content(routes=[ROUTE | {"minCoverage": 1.5}]),
+    "no-idle-time": make_content(limits={"idleTimeoutMs": 0}),
+    "huge-version": make_content(version=2**64),
+}
 
 
 def test_unreadable_configurations_end_no_process(tmp_path):
@@ -210,7 +222,7 @@
         for number, value in enumerate(BAD_CONFIGURATIONS.values(), 1):
             fleet.world.store.put("op/config", value)
             await fleet.wait_logged("routes_bad", count=number)
-            await fleet.check_unharmed()
+        await fleet.check_unharmed()
 
     with_fleet(tmp_path, action)
 
@@ -223,6 +235,45 @@
     with_fleet(tmp_path, action)
 
 
+#: Changes of a configuration to figures that no clock holds. It is in force with them.
+ODD_CONFIGURATIONS = {
+    "time": {"routes": [ROUTE | {"timeoutMs": 1e19, "targetLatencyMs": 1e300}]},
+    "idle-time": {"limits": {"idleTimeoutMs": 8e16, "maxBodyBytes": 2**63 - 1}},
+    "cold-leaves": {
+        "services": [{"name": SHARDS[0], "warmupS": 1e15, "warmupPerS": 1.7e308}]
+    },
+    "connections": {"services": [{"name": SHARDS[0], "maxConns": 2**63 - 1}] * 2},
+    "no-connections": {"services": [{"name": SHARDS[0], "maxConns": -3}]},
+    "weights": {
+        "routes": [
+            ROUTE,
+            make_route(
+                "split",
+                "/split/",
+                trafficSplit=[{"backend": name, "weight": 1e15} for name in SHARDS],
+                public=True,
+            ),
+        ]
+    },
+    "rates": {"tenants": [make_team("fitters", "key", ratePerS=1.7e308, burst=1e308)]},
+}
+
+
+def test_configurations_with_extreme_figures_end_no_process(tmp_path):
+    async def action(fleet):
+        await fleet.start()
+        fleet.world.store.put("servers/cold", make_entry(warmupLeftMs=60_000))
+        for fields in ODD_CONFIGURATIONS.values():
+            version = fleet.configure(**fields)
+            await fleet.wait_logged("routes_in_force", f'"version": {version},')
+            for machine in fleet.machines:
+                reply = await fleet.world.ask(machine, "/all/x")
+                assert reply is not None and reply.status == 200
+        await fleet.check_unharmed()
+
+    with_fleet(tmp_path, action)
+
+
 #: Values of keys that instances share, which describe no instance and no share.
 BAD_SHARED = {
     "walkcart/instances/nested": DEEP,
