Packed values and envelopes that nest deeply are refused

Seen (unit tests): a stored configuration, a bucket of claims, a relayed copy or an envelope of a peer with a field that nests 5,000 deep raised RecursionError in place of BadValue or BadMessage, which their readers expect. The reader of the stored configuration of the product's own interface ends with it, and the kernel; for envelopes an internal error was logged.

Fix: both decode through kernel/decoding.py.

--- a/walkcart/store/packing.py
+++ b/walkcart/store/packing.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import zlib
+from functools import cache
 from typing import Any, TypeVar
 
 import msgspec
 
+from walkcart.kernel.decoding import BadData, MsgpackDecoder
+
 T = TypeVar("T")
 
 
@@ -36,6 +39,11 @@
         packed = unpacker.decompress(data, limit)
         if unpacker.unconsumed_tail or not unpacker.eof:
             raise BadValue("too long or cut short")
-        return msgspec.msgpack.decode(packed, type=kind)
-    except (zlib.error, msgspec.MsgspecError) as error:
+        return _find_decoder(kind).decode(packed)
+    except (zlib.error, BadData) as error:
         raise BadValue(str(error)) from None
+
+
+@cache
+def _find_decoder(kind: type[T]) -> MsgpackDecoder[T]:
+    return MsgpackDecoder(kind)
--- a/walkcart/wire/codec.py
+++ b/walkcart/wire/codec.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from walkcart.kernel.decoding import BadData, MsgpackDecoder
 from walkcart.wire.messages import Envelope
 
 #: Largest envelope that is accepted, in bytes: a whole configuration fits.
@@ -22,7 +23,7 @@
 _CHECKSUM_BYTES = 4
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Envelope)
+_DECODER = MsgpackDecoder(Envelope)
 
 
 class BadMessage(ValueError):
@@ -49,7 +50,7 @@
         data = _verify_checksum(data[1:])
     try:
         return _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
+    except BadData as error:
         raise BadMessage(str(error)) from None
 
 
--- a/walkcart/wire/tests/test_wire.py
+++ b/walkcart/wire/tests/test_wire.py
@@ -1,12 +1,19 @@
 """Envelopes and the peer transport."""
 
+from zlib import crc32
+
 import pytest
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
 from walkcart.kernel.settings import HostPort
-from walkcart.wire.codec import BadMessage, decode_envelope, encode_envelope
+from walkcart.wire.codec import (
+    CHECKSUM_MARK,
+    BadMessage,
+    decode_envelope,
+    encode_envelope,
+)
 from walkcart.wire.messages import ClaimAsk, ConfigurationPull, Envelope
 from walkcart.wire.peers import NngTransport
 
@@ -24,6 +31,16 @@
         decode_envelope(data)
 
 
+@pytest.mark.parametrize("deep", [b"\x91" * 5000 + b"\xc0", b"\x81\xa1a" * 5000])
+def test_envelope_with_an_unknown_field_that_nests_deeply_is_refused(deep):
+    plain = encode_envelope(ENVELOPE)[len(CHECKSUM_MARK) + 4 :]
+    data = bytes([plain[0] + 1]) + plain[1:] + deep
+    marked = CHECKSUM_MARK + crc32(data).to_bytes(4, "big") + data
+    for received in (deep, data, marked):
+        with pytest.raises(BadMessage):
+            decode_envelope(received)
+
+
 @given(st.integers(0, 200), st.integers(0, 255))
 def test_corrupted_envelope_is_decoded_or_refused(place, value):
     data = bytearray(encode_envelope(ENVELOPE))
