Rows of the instance list that can't be read cost only themselves

Seen (unit tests): one row with a wrong type, or a number beyond 64 bits, made the whole list unreadable, or was accepted and can't be told to peers; a list that nests deeply raised RecursionError from the poll, which the kernel runs.

Fix: the page is decoded through kernel/decoding.py, and each row by itself. A list that nests too deeply is unreadable as a whole, since the decoder can't skip such a row; its last content stays in use.

--- a/walkcart/membership/listing.py
+++ b/walkcart/membership/listing.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
@@ -19,6 +19,7 @@
 import msgspec
 import trio
 
+from walkcart.kernel.decoding import BadData, Int64, JsonDecoder
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.settings import BadValue, HostPort, parse_host_port
@@ -58,18 +59,19 @@
     address: str
     peer_address: str = ""
     state: str = "live"
-    incarnation: int = 0
+    incarnation: Int64 = 0
     labels: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
 class _Page:
-    revision: int
+    revision: Int64
     full: bool
-    instances: tuple[ListedInstance, ...]
+    instances: tuple[msgspec.Raw, ...]
 
 
-_PAGE = msgspec.json.Decoder(_Page)
+_PAGE = JsonDecoder(_Page)
+_ROW = JsonDecoder(ListedInstance)
 
 #: Called with all listed leaves after each change.
 Listener = Callable[[tuple[ListedInstance, ...]], None]
@@ -135,7 +137,7 @@
         with trio.move_on_after(READ_TIMEOUT.total_seconds()):
             try:
                 page = await self._fetch()
-            except (OSError, ExchangeFailed, msgspec.MsgspecError, ValueError) as error:
+            except (OSError, ExchangeFailed, ValueError) as error:
                 await self._drop_connection()
                 self._report_failure(str(error))
                 return
@@ -178,7 +180,7 @@
         if page.full:
             self._rows = {}
         self._revision = page.revision
-        for row in page.instances:
+        for row in self._decode_rows(page):
             if row.state == STATE_GONE:
                 self._rows.pop(row.name, None)
             else:
@@ -189,6 +191,14 @@
         for listener in self._listeners:
             listener(leaves)
 
+    def _decode_rows(self, page: _Page) -> Iterator[ListedInstance]:
+        """Yield the rows of a page; log those that can't be read."""
+        for data in page.instances:
+            try:
+                yield _ROW.decode(bytes(data))
+            except BadData as error:
+                self._events.emit(Events.LIST_FAILED, detail=f"a row: {error}"[:200])
+
     def _seed_view(self) -> None:
         rows = [row for row in self._rows.values() if row.role == ROLE_INSTANCE]
         live = frozenset(row.name for row in rows if row.state != STATE_LEAVING)
