Bodies that nest deeply are bad requests and failures of a leaf

Seen (unit tests): a caller's body on the product's own interface that nests 1,500 deep got a 500 and an internal error in the log in place of a 400. A leaf's body that does so raised RecursionError in the exchange. The tool ended with a traceback for such input, and for replies that aren't JSON.

Fix: all of them decode through kernel/decoding.py; no decoder of msgspec is used on outside bytes elsewhere.

Evidence: both tests of bodies fail without the change; the test of the tool uses a new function and wasn't run without it.

--- a/walkcart/cli/clients.py
+++ b/walkcart/cli/clients.py
@@ -8,7 +8,6 @@
 from random import Random
 from typing import Any, TypeVar
 
-import msgspec
 import trio
 
 from walkcart.cli.exits import CommandFailed, Exit
@@ -16,6 +15,7 @@
 from walkcart.intent.applying import Applier, read_stored
 from walkcart.intent.document import Document, DocumentError
 from walkcart.kernel.clock import TrioClock
+from walkcart.kernel.decoding import BadData, JsonDecoder
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.spans import Tracer
@@ -34,6 +34,8 @@
 #: Time after which the tool gives up on a store that is unavailable.
 OUTAGE_TIMEOUT = timedelta(seconds=10)
 
+_ANY_JSON = JsonDecoder(Any)
+
 
 def run(action: Callable[[], Awaitable[T]]) -> T:
     """Run an asynchronous action with trio and return its result.
@@ -117,7 +119,20 @@
         CommandFailed: the instance refuses the request or doesn't answer.
     """
     reply = await call_instance(settings, "GET", target, settings.token)
-    content = msgspec.json.decode(reply.body)
+    content = decode_reply(reply.body)
     if reply.status != 200:
         raise CommandFailed(Exit.FAILED, content.get("detail", str(reply.status)))
     return content
+
+
+def decode_reply(body: bytes) -> Any:
+    """Return the decoded JSON body of a reply of an instance.
+
+    Raises:
+        CommandFailed: the body isn't JSON.
+    """
+    try:
+        return _ANY_JSON.decode(body)
+    except BadData as error:
+        detail = f"the instance's reply isn't JSON: {error}"
+        raise CommandFailed(Exit.UNAVAILABLE, detail) from None
--- a/walkcart/cli/lossaccount.py
+++ b/walkcart/cli/lossaccount.py
@@ -13,9 +13,10 @@
 from datetime import datetime
 from typing import Any
 
-import msgspec
-
 from walkcart.cli.losscauses import Cause, InstanceHistory, Outcome, RequestEnd
+from walkcart.kernel.decoding import JsonDecoder
+
+_LINE = JsonDecoder(Any)
 
 #: Maximum number of counters; beyond it, each pair of adjacent time steps is merged.
 MAX_COUNTS = 50_000
@@ -74,13 +75,13 @@
 
     def _read_line(self, text: str) -> None:
         try:
-            line = msgspec.json.decode(text[max(0, text.find("{")) :])
+            line = _LINE.decode(text[max(0, text.find("{")) :].encode())
             if line.get("event") == "log_lines_dropped":
                 self.dropped += line["count"]
                 return
             time = datetime.fromisoformat(line["time"]).timestamp()
             memory = self._find_history(line["instance"])
-        except (msgspec.MsgspecError, ValueError, KeyError, TypeError, AttributeError):
+        except (ValueError, KeyError, TypeError, AttributeError):
             self.unusable += 1
             return
         self.dropped += line.get("dropped_lines", 0)
--- a/walkcart/cli/tests/test_tool.py
+++ b/walkcart/cli/tests/test_tool.py
@@ -6,7 +6,8 @@
 
 from walkcart.bench.fleet import Fleet, Processes
 from walkcart.bench.world import make_partner, make_service
-from walkcart.cli.exits import Exit
+from walkcart.cli.clients import decode_reply
+from walkcart.cli.exits import CommandFailed, Exit
 from walkcart.cli.tests.running import run_alone
 
 INTENT = '[[routing_intent]]\nname = "all"\nselector = "tier=search"\ndeadline = 1.0\n'
@@ -124,6 +125,16 @@
     assert "Traceback" not in ended.stderr
 
 
+def test_unreadable_input_ends_the_tool_with_a_message():
+    ended = run_alone("query", "parts", "[" * 3000)
+    assert ended.returncode == Exit.USAGE
+    assert "Traceback" not in ended.stderr
+    for body in (b"", b"<html>", b"[" * 3000):
+        with pytest.raises(CommandFailed) as caught:
+            decode_reply(body)
+        assert caught.value.code == Exit.UNAVAILABLE
+
+
 def test_help_has_examples():
     ended = run_alone("help", "apply")
     assert ended.returncode == Exit.OK
--- a/walkcart/cli/views.py
+++ b/walkcart/cli/views.py
@@ -7,13 +7,22 @@
 import msgspec
 from cleo.helpers import argument, option
 
-from walkcart.cli.clients import call_instance, fetch_document, fetch_json, run
+from walkcart.cli.clients import (
+    call_instance,
+    decode_reply,
+    fetch_document,
+    fetch_json,
+    run,
+)
 from walkcart.cli.command import COMMON_OPTIONS, ToolCommand
 from walkcart.cli.exits import CommandFailed, Exit
 from walkcart.cli.settings import ToolSettings
 from walkcart.intent.document import Document
 from walkcart.intent.loading import to_tables
 from walkcart.intent.model import KINDS
+from walkcart.kernel.decoding import BadData, JsonDecoder
+
+_ANY_JSON = JsonDecoder(Any)
 
 
 class GetCommand(ToolCommand):
@@ -152,8 +161,8 @@
             if value is not None:
                 headers.append((f"walkcart-{name}".encode(), value.encode()))
         try:
-            query = msgspec.json.decode(self.argument("query").encode())
-        except msgspec.MsgspecError as error:
+            query = _ANY_JSON.decode(self.argument("query").encode())
+        except BadData as error:
             raise CommandFailed(Exit.USAGE, f"query: expected JSON: {error}") from None
         target = f"/v1/services/{self.argument('service')}/query"
         body = msgspec.json.encode({"query": query})
@@ -162,7 +171,7 @@
                 settings, "POST", target, settings.partner_token, tuple(headers), body
             )
         )
-        content = msgspec.json.decode(reply.body)
+        content = decode_reply(reply.body)
         if reply.status != 200:
             detail = f"{content['verdict']}: {content['title']}: {content['detail']}"
             raise CommandFailed(Exit.FAILED, detail)
--- a/walkcart/entry/replies.py
+++ b/walkcart/entry/replies.py
@@ -15,6 +15,7 @@
 
 from walkcart.entry.requests import QueryBody
 from walkcart.fanout.answers import Answer
+from walkcart.kernel.decoding import BadData, JsonDecoder
 from walkcart.wire.http import HttpReply
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
@@ -71,8 +72,8 @@
     rows: list[dict[str, Any]]
 
 
-_DECODE_ROWS = msgspec.json.Decoder(_Rows).decode
-_DECODE_SORTABLE = msgspec.json.Decoder(_SortableRows).decode
+_DECODE_ROWS = JsonDecoder(_Rows).decode
+_DECODE_SORTABLE = JsonDecoder(_SortableRows).decode
 
 
 class BadRows(ValueError):
@@ -92,7 +93,7 @@
             ]
         else:
             rows = _sort_rows(body, answer)
-    except msgspec.MsgspecError as error:
+    except BadData as error:
         raise BadRows(str(error)) from None
     return rows[: body.limit] if body.limit else rows
 
--- a/walkcart/entry/requests.py
+++ b/walkcart/entry/requests.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from walkcart.kernel.decoding import BadData, JsonDecoder
 from walkcart.wire.http import HttpRequest
 from walkcart.wire.verdicts import NotRun, Reason
 
@@ -85,8 +86,8 @@
     traceparent: str | None
 
 
-_QUERY = msgspec.json.Decoder(QueryBody)
-_EXECUTE = msgspec.json.Decoder(ExecuteBody)
+_QUERY = JsonDecoder(QueryBody)
+_EXECUTE = JsonDecoder(ExecuteBody)
 
 
 def read_query(request: HttpRequest) -> QueryBody:
@@ -119,7 +120,7 @@
         # UTF-8 in them would go through.
         request.body.decode("utf-8")
         return decoder.decode(request.body)
-    except msgspec.MsgspecError as error:
+    except BadData as error:
         raise make_bad_request(f"body: {error}") from None
     except UnicodeDecodeError:
         raise make_bad_request("body: expected UTF-8") from None
--- a/walkcart/entry/tests/test_bad_input.py
+++ b/walkcart/entry/tests/test_bad_input.py
@@ -107,6 +107,11 @@
     check_refused(request(body=b'{"query": '), 400, "body")
 
 
+def test_body_that_nests_deeply():
+    deep = b"[" * 1500 + b"]" * 1500
+    check_refused(request(body=b'{"query": ' + deep + b"}"), 400, "deeply")
+
+
 def test_body_with_an_unknown_field():
     check_refused(request(body=b'{"query": 1, "sort": 2}'), 400, "sort")
 
--- a/walkcart/leaves/protocol.py
+++ b/walkcart/leaves/protocol.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from walkcart.kernel.decoding import BadData, JsonDecoder
 from walkcart.kernel.durations import milliseconds_to_duration
 from walkcart.kernel.numbers import read_number
 from walkcart.leaves.attempts import Attempt, Failed, Outcome, Refused, Replied
@@ -52,7 +53,7 @@
 HeaderMap = Mapping[bytes, bytes]
 
 #: Checks that a body is a JSON object without decoding its values.
-_CHECK_JSON = msgspec.json.Decoder(dict[str, msgspec.Raw]).decode
+_CHECK_JSON = JsonDecoder(dict[str, msgspec.Raw]).decode
 
 #: Largest body of a leaf's reply that is accepted, in bytes.
 MAX_REPLY_BYTES = 4 << 20
@@ -250,7 +251,7 @@
         return Failed(MayHaveRun(Reason.LEAF_FAILED, "the leaf states no snapshot"))
     try:
         _CHECK_JSON(reply.body)
-    except msgspec.MsgspecError:
+    except BadData:
         return Failed(MayHaveRun(Reason.LEAF_FAILED, "the leaf's body is no JSON"))
     partial = found.get(PARTIAL) == b"yes"
     return Replied(snapshot, partial, reply.status, reply.body, elapsed)
--- a/walkcart/leaves/tests/test_link.py
+++ b/walkcart/leaves/tests/test_link.py
@@ -10,8 +10,9 @@
 from walkcart.leaves.attempts import Attempt, Failed
 from walkcart.leaves.gateway import LeafGateway
 from walkcart.leaves.leaf import Snapshot
-from walkcart.leaves.protocol import read_outcome, read_status
+from walkcart.leaves.protocol import SNAPSHOT, read_outcome, read_status
 from walkcart.wire.http import HttpReply
+from walkcart.wire.verdicts import Reason
 
 
 def test_full_leaf_is_not_met_with_a_storm_of_connections():
@@ -246,3 +247,12 @@
     long, short = run_mocked(run)
     assert (long.status, long.verdict) == (502, "may_have_run")
     assert short.content["coverage"]["complete"]
+
+
+def test_reply_whose_body_nests_deeply_is_a_failure_of_the_leaf():
+    body = b'{"rows": ' + b"[" * 1500 + b"]" * 1500 + b"}"
+    found = {SNAPSHOT: b"1:1"}
+    attempt = Attempt("a", 0, 1.0)
+    outcome = read_outcome(attempt, HttpReply(200, body=body), found, 0.1)
+    assert isinstance(outcome, Failed)
+    assert outcome.verdict.reason is Reason.LEAF_FAILED
