Cut watches don't renew the grace of a leaf whose entry is gone

A leaf whose entry had gone went on getting requests until it ended, for as long as the store cut waiting watches every two seconds; unrepeatable ones that it had at its end were lost.

Cause: an entry that goes within 2.2 s of the store's return is kept. Any failed call counted as an outage and the next served one as the return, so each cut watch began the 2.2 s anew.

Fix: only 1.5 liveness reports without a served call are an outage that an entry can lapse in; the interval is read from the settings file. A cut watch is followed by a renewal within milliseconds, so it is none. An entry is kept for 4.4 s without outages at most.

--- a/walkcart/daemon/tenantstore.py
+++ b/walkcart/daemon/tenantstore.py
@@ -61,6 +61,9 @@
 #: Time without a reply after which a call to the store has failed. The store answers
 #: within milliseconds; the wait of a watch is added.
 STORE_CALL_TIMEOUT = timedelta(seconds=1)
+#: Liveness reports of a leaf that an outage of the store must cover for its entry to
+#: lapse. An entry outlives two missed reports; reports are not quite regular.
+LAPSE_REPORTS = 1.5
 #: Pause after a change of leaves' entries. It batches the changes of many leaves that
 #: start together; a change may take three seconds to be in force. The pause must be
 #: below 1.3 s: instances that are fed from this copy switch to another feeder when it
@@ -103,6 +106,7 @@
         kernel.find("metrics", Metrics),
         kernel.find("tracer", Tracer),
         STORE_CALL_TIMEOUT,
+        settings.report_interval * LAPSE_REPORTS,
     )
     store = PlatformStore(calls)
     started = environment.clock.now().isoformat()
@@ -177,10 +181,7 @@
     calls = kernel.find("calls", StoreCalls)
     clock = environment.clock
 
-    def find_reachable_since() -> float:
-        return calls.reachable_since if calls.reachable else clock.monotonic()
-
-    directory = LeafDirectory(clock, events, find_reachable_since)
+    directory = LeafDirectory(clock, events, calls.find_return_time)
     evacuations = kernel.find("evacuations", Evacuations)
     cold = ColdLimiter(
         directory, kernel.find("keeper", RouteKeeper), settings.cold_bound, clock
--- a/walkcart/leaves/directory.py
+++ b/walkcart/leaves/directory.py
@@ -1,7 +1,7 @@
 """The leaves of each service, from their entries in the shared store.
 
-An entry that vanishes while the store is unreachable, or just after its return, may
-only have lapsed: a living leaf stores it again shortly, so it is kept for a while.
+An entry that vanishes during an outage of the store, or just after its return, may only
+have lapsed: a living leaf stores it again shortly, so it is kept for a while.
 
 See Also:
     `walkcart.store.follower.PrefixFollower`, which reads the entries.
@@ -31,6 +31,11 @@
 #: Time after the store's return for which a lapsed entry is kept: living leaves have
 #: stored theirs again by then, as the platform's operators state.
 LAPSE_GRACE = timedelta(seconds=2.2)
+#: Maximum time for which one lapsed entry is kept, not counting outages: the store may
+#: return and fail again before `LAPSE_GRACE` is over.
+MAX_HELD_TIME = 2 * LAPSE_GRACE
+#: Time between two checks of the lapsed entries.
+LAPSE_CHECK_INTERVAL = LAPSE_GRACE / 8
 #: Largest number of replaced leaf processes that are remembered.
 MAX_REPLACED = 4096
 
@@ -74,8 +79,8 @@
     Args:
         clock: source of time.
         events: log of changes.
-        store_back_at: returns when the store last became reachable; the present
-            while it is unreachable.
+        store_back_at: returns when the store returned from its last outage; the
+            present during an outage.
     """
 
     def __init__(
@@ -88,6 +93,7 @@
         self._leaves: dict[str, Leaf] = {}
         self._by_service: dict[str, tuple[Leaf, ...]] = {}
         self._places: dict[str, frozenset[Location]] = {}
+        #: Seconds for which each lapsed entry was kept, not counting outages.
         self._lapsed: dict[str, float] = {}
         self._replaced: dict[tuple[str, int, str], None] = {}
         self._evacuated = NO_DATA_CENTRES
@@ -165,7 +171,7 @@
         for id in [id for id in self._entries if id not in found]:
             if lapsing and not self._entries[id].leaving:
                 if id not in self._lapsed:
-                    self._lapsed[id] = now
+                    self._lapsed[id] = 0.0
                     self._events.emit(Events.LEAF_HELD, leaf=id)
                 found[id] = self._entries[id]
             else:
@@ -184,19 +190,25 @@
         """Remove entries that stay lapsed, until cancelled."""
         task_status.started()
         while True:
-            await trio.sleep(LAPSE_GRACE.total_seconds() / 8)
+            await trio.sleep(LAPSE_CHECK_INTERVAL.total_seconds())
             self._drop_lapsed()
 
     def _drop_lapsed(self) -> None:
-        now = self._clock.monotonic()
-        if now - self._store_back_at() < LAPSE_GRACE.total_seconds():
+        back_for = self._clock.monotonic() - self._store_back_at()
+        if back_for <= 0:
             return
-        gone = [id for id in self._lapsed if id in self._entries]
+        for id in self._lapsed:
+            self._lapsed[id] += LAPSE_CHECK_INTERVAL.total_seconds()
+        is_over = back_for >= LAPSE_GRACE.total_seconds()
+        gone = [
+            id
+            for id, held_for in self._lapsed.items()
+            if is_over or held_for >= MAX_HELD_TIME.total_seconds()
+        ]
         if not gone:
             return
-        self._lapsed.clear()
         for id in gone:
-            del self._entries[id]
+            del self._lapsed[id], self._entries[id]
             self._events.emit(Events.LEAF_REMOVED, leaf=id, reason="lapsed")
         self._rebuild()
 
--- a/walkcart/platform/settings.py
+++ b/walkcart/platform/settings.py
@@ -92,6 +92,8 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
     # Region of each data centre.
     zones: dict[str, str] = {}
+    # Time between two liveness reports of a leaf.
+    heartbeat_ms: float = 1200.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +119,7 @@
         cores: CPU capacity, in cores of the usual speed.
         cold_bound: limits on the requests to cold leaves.
         quota_bounds: by how much teams' rate limits may be exceeded.
+        report_interval: seconds between two liveness reports of a leaf.
     """
 
     instance: str
@@ -136,6 +139,7 @@
     cores: float = 1.0
     cold_bound: ColdBound = ColdBound()
     quota_bounds: QuotaBounds = QuotaBounds()
+    report_interval: float = 1.2
 
 
 def parse_duration_ms(milliseconds: float) -> timedelta:
@@ -182,4 +186,5 @@
             file.bounds.quota_tolerance,
             file.bounds.quota_slack,
         ),
+        report_interval=file.heartbeat_ms / 1000,
     )
--- a/walkcart/store/calls.py
+++ b/walkcart/store/calls.py
@@ -64,6 +64,8 @@
         metrics: counts the calls.
         tracer: starts a span for each call.
         call_time: timeout of a call, on top of the time that the service may hold it.
+        min_outage: shortest time without a served call, in seconds, that counts as an
+            outage in `find_return_time`.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         metrics: Metrics,
         tracer: Tracer,
         call_time: timedelta = CALL_TIMEOUT,
+        min_outage: float = 0.0,
     ) -> None:
         self._address = address
         self._network = network
@@ -85,14 +88,13 @@
         self._metrics = metrics
         self._tracer = tracer
         self._call_time = call_time
+        self._min_outage = min_outage
         self._idle: list[HttpConnection] = []
         #: Whether the last call was served; true before the first one.
         self.reachable = True
         #: Time at which a call was last served; at first the start.
         self.last_success = clock.monotonic()
-        #: Time at which calls began to succeed again after a failure; at first the
-        #: start.
-        self.reachable_since = self.last_success
+        self._returned_at = self.last_success
         self._unreachable_since = self.last_success
         self._recovery_listeners: list[Callable[[], None]] = []
         self._success_listeners: list[Callable[[], None]] = []
@@ -123,6 +125,17 @@
             return 0.0
         return self._clock.monotonic() - self._unreachable_since
 
+    def find_return_time(self) -> float:
+        """Return when the service returned from its last outage; at first the start.
+
+        During an outage this is the present. A failed call is no outage while others
+        are served: a waiting watch may be cut at any time.
+        """
+        now = self._clock.monotonic()
+        if self.reachable or now - self.last_success < self._min_outage:
+            return self._returned_at
+        return now
+
     async def wait_reachable(self) -> None:
         """Wait until the service is reachable, as far as this instance knows."""
         await self._recovered.wait()
@@ -210,11 +223,13 @@
 
     def record_success(self) -> None:
         """Record that the service served a call."""
-        self.last_success = self._clock.monotonic()
+        now = self._clock.monotonic()
+        previous, self.last_success = self.last_success, now
         if not self.reachable:
             self._events.emit(Events.STORE_BACK)
             self.reachable = True
-            self.reachable_since = self.last_success
+            if now - previous >= self._min_outage:
+                self._returned_at = now
             self._recovered.set()
             for listener in self._recovery_listeners:
                 listener()
