--- a/walkcart/platform/optionalfields.py
+++ b/walkcart/platform/optionalfields.py
@@ -54,6 +54,8 @@
 #: Calls to the store per second, for all instances together.
 WRITE_RATE = OptionalNumber("platform.writesPerS", 100.0, _MIN_DIVISOR)
 READ_RATE = OptionalNumber("platform.readsPerS", 500.0, _MIN_DIVISOR)
+#: Milliseconds between two liveness reports of a leaf.
+REPORT_INTERVAL = OptionalNumber("heartbeatMs", 1200.0, 1.0, _MAX_SECONDS)
 
 
 def find_field(content: dict[str, Any], name: str) -> Any:
--- a/walkcart/platform/settings.py
+++ b/walkcart/platform/settings.py
@@ -31,6 +31,7 @@
     QUOTA_TOLERANCE,
     QUOTA_WINDOW,
     READ_RATE,
+    REPORT_INTERVAL,
     RETRY_RATIO,
     RETRY_SLACK,
     RETRY_WINDOW,
@@ -123,6 +124,7 @@
         cold_bound: limits on the requests to cold leaves.
         quota_bounds: by how much teams' rate limits may be exceeded.
         invalid: optional settings that are invalid; their defaults are used.
+        report_interval: seconds between two liveness reports of a leaf.
     """
 
     instance: str
@@ -143,6 +145,7 @@
     cold_bound: ColdBound = ColdBound()
     quota_bounds: QuotaBounds = QuotaBounds()
     invalid: tuple[InvalidSetting, ...] = ()
+    report_interval: float = 1.2
 
 
 def parse_duration_ms(milliseconds: float) -> timedelta:
@@ -232,6 +235,7 @@
             optional.read_number(QUOTA_TOLERANCE),
             optional.read_number(QUOTA_SLACK),
         ),
+        report_interval=optional.read_number(REPORT_INTERVAL) / 1000,
         invalid=tuple(optional.invalid),
     )
 
