Parse header lines in linear time

Seen: one header line of 30 kB, a colon, blanks and then a NUL, keeps the event loop busy for 3.2 s, and one of 60 kB for 11 to 12 s (measured on a whole core); meanwhile the instance answers nobody. It may come in a caller's request, in a leaf's or the store's reply, in a head or in trailers, and again and again.

Cause: h11's pattern of a header line is a run of blanks, a value that may be empty, and a run of blanks. For a line that doesn't match, every way to split the blanks between the two runs is tried. The size limit of h11 doesn't help: it applies to heads that are incomplete, and a whole one that comes in one read of 64 kB is parsed at once.

The new pattern is built from h11's grammar and takes the first run of blanks possessively. A value never begins with a blank, so the same lines match. h11 has no public setting for this, so its module variable is replaced.

--- a/walkcart/wire/http.py
+++ b/walkcart/wire/http.py
@@ -16,8 +16,11 @@
 import h11
 import trio
 
+from walkcart.wire.linearheaders import use_linear_header_pattern
 from walkcart.wire.network import is_quiet
 
+use_linear_header_pattern()
+
 #: Largest number of bytes that are read from a stream at once.
 RECEIVE_SIZE = 65536
 #: Largest head of a request or reply, in bytes.
