Serve CONNECT like any other method, and end an exchange that is paused

At the caller's end a success with a body would have closed the connection without an answer.

Cause: after a 2xx to CONNECT, h11 switches protocols and `next_event` returns PAUSED for ever. The loop in `_read_reply` had no branch for that event, and no checkpoint. On the server side h11 refuses to write a body there.

RFC 9110 lets a peer take a 2xx to CONNECT for the start of a tunnel, so on both sides the connection ends with the reply: whichever way it is read, the bytes are the same and nothing follows. Any other event that the parser stops at, such as a switch that was never asked for, now fails the exchange.

Methods OPTIONS, TRACE, DELETE and an unknown one, and an Upgrade header, were served before as well.

--- a/walkcart/wire/http.py
+++ b/walkcart/wire/http.py
@@ -30,6 +30,8 @@
 MAX_STRAY_REPLIES = 2
 #: Methods whose requests carry a length even without a body (RFC 9110, 8.6).
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+#: Method that asks a proxy for a tunnel. Here it is served like any other method.
+CONNECT = "CONNECT"
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -182,13 +184,14 @@
             headers.insert(0, (b"host", self._host))
         if request.body or request.method in _METHODS_WITH_BODY:
             headers.append((b"content-length", str(len(request.body)).encode()))
-        head = h11.Request(
-            method=request.method, target=request.target, headers=headers
-        )
-        data = self._h11.send(head) or b""
-        if request.body:
-            data += self._h11.send(h11.Data(data=request.body)) or b""
-        return data + (self._h11.send(h11.EndOfMessage()) or b"")
+        if request.method != CONNECT:
+            return _write_request(self._h11, request.method, request, headers)
+        # For h11, a success is followed by a tunnel, and it reads no more. So the
+        # parser is told another method. The server may expect a tunnel as well, so
+        # the connection isn't used again.
+        headers.append((b"connection", b"close"))
+        _write_request(self._h11, "POST", request, headers)
+        return _write_request(h11.Connection(h11.CLIENT), CONNECT, request, headers)
 
     async def _read_reply(self) -> HttpReply:
         head: h11.Response | None = None
@@ -209,6 +212,9 @@
                 break
             elif type(event) is h11.ConnectionClosed:
                 raise ExchangeFailed(FailureKind.CLOSED, True)
+            elif type(event) is not h11.InformationalResponse:
+                # The parser reads no further, such as after a switch of protocols.
+                raise ExchangeFailed(FailureKind.GARBAGE, True)
         assert head is not None
         return HttpReply(head.status_code, tuple(head.headers), b"".join(chunks))
 
@@ -232,3 +238,17 @@
     async def close(self) -> None:
         """Close the stream at once."""
         await trio.aclose_forcefully(self._stream)
+
+
+def _write_request(
+    parser: h11.Connection,
+    method: str,
+    request: HttpRequest,
+    headers: list[tuple[bytes, bytes]],
+) -> bytes:
+    """Return the bytes of a request, and have `parser` expect the reply to it."""
+    head = h11.Request(method=method, target=request.target, headers=headers)
+    data = parser.send(head) or b""
+    if request.body:
+        data += parser.send(h11.Data(data=request.body)) or b""
+    return data + (parser.send(h11.EndOfMessage()) or b"")
--- a/walkcart/wire/server.py
+++ b/walkcart/wire/server.py
@@ -277,12 +277,17 @@
         if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers = [*reply.headers, (b"content-length", str(len(reply.body)).encode())]
-        if close:
+        # A client may take a success for the start of a tunnel, so nothing follows it.
+        if close or http.their_state is h11.MIGHT_SWITCH_PROTOCOL:
             headers.append((b"connection", b"close"))
         data = http.send(h11.Response(status_code=reply.status, headers=headers)) or b""
-        if reply.body:
-            data += http.send(h11.Data(data=reply.body)) or b""
-        data += http.send(h11.EndOfMessage()) or b""
+        if http.our_state is h11.SWITCHED_PROTOCOL:
+            # After a success to CONNECT, h11 writes no body.
+            data += reply.body
+        else:
+            if reply.body:
+                data += http.send(h11.Data(data=reply.body)) or b""
+            data += http.send(h11.EndOfMessage()) or b""
         await connection.stream.send_all(data)
 
     def _prepare_next(self, connection: _Connection) -> bool:
