Send no body where a reply has none

Seen: a reply with a body to a HEAD request, or with status 204 or 304, closed the caller's connection without an answer; so HEAD on the metrics page, on the own interface, and where a leaf's reply is merged.

Cause: h11 raises LocalProtocolError when more is written than such a reply may have, which the server takes for a faulty reply.

Evidence: both cases of the new test failed before (connection closed); also test_unusual_methods with HEAD, whose leaf uses the same server.

The server leaves the body out in these cases, and the length for 204 and 304.

--- a/walkcart/platform/tests/test_unusual_methods.py
+++ b/walkcart/platform/tests/test_unusual_methods.py
@@ -40,7 +40,7 @@
     assert single.header(b"x-response-stamp").startswith("stamp-i-single")
 
 
-@pytest.mark.parametrize("method", ["OPTIONS", "TRACE", "DELETE", "x-y!"])
+@pytest.mark.parametrize("method", ["HEAD", "OPTIONS", "TRACE", "DELETE", "x-y!"])
 def test_other_methods_reach_the_leaf_unchanged(tmp_path, method):
     _, single, after, ready, ends = trio.run(ask_with_method, tmp_path, method)
     assert (single and single.status, after and after.status) == (200, 200)
--- a/walkcart/wire/server.py
+++ b/walkcart/wire/server.py
@@ -14,13 +14,22 @@
 import h11
 import trio
 
-from walkcart.wire.http import MAX_HEADER_BYTES, RECEIVE_SIZE, HttpReply, HttpRequest
+from walkcart.wire.http import (
+    CONNECT,
+    MAX_HEADER_BYTES,
+    RECEIVE_SIZE,
+    HttpReply,
+    HttpRequest,
+)
 from walkcart.wire.network import is_quiet
 
 #: Passes of the event loop that a newly started task needs to read available input and
 #: act on it: one each to start, to read, and to resume after the read.
 WATCH_CHECKPOINTS = 3
 
+#: Statuses whose replies have neither a body nor a length (RFC 9110, 15.3.5, 15.4.5).
+_BODYLESS_STATUSES = frozenset({204, 304})
+
 Handler = Callable[[HttpRequest], Awaitable[HttpReply]]
 
 
@@ -68,6 +77,8 @@
     idle_scope: trio.CancelScope | None = None
     idle_since: float = 0.0
     requests: int = field(default=0)
+    #: Method of the request that was read last.
+    method: str = ""
     #: When the request in progress was read in full; None before that.
     read_at: float | None = None
     #: Whether the client disconnected while its request was handled.
@@ -262,7 +273,7 @@
             else:
                 return None
         assert head is not None
-        method = head.method.decode("ascii")
+        connection.method = method = head.method.decode("ascii")
         target = head.target.decode("latin-1")
         return HttpRequest(method, target, tuple(head.headers), b"".join(chunks))
 
@@ -276,17 +287,23 @@
         http = connection.http
         if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        headers = [*reply.headers, (b"content-length", str(len(reply.body)).encode())]
+        headers = list(reply.headers)
+        if reply.status not in _BODYLESS_STATUSES:
+            headers.append((b"content-length", str(len(reply.body)).encode()))
+        has_body = connection.method != "HEAD" and (
+            reply.status not in _BODYLESS_STATUSES
+        )
+        body = reply.body if has_body else b""
         # A client may take a success for the start of a tunnel, so nothing follows it.
-        if close or http.their_state is h11.MIGHT_SWITCH_PROTOCOL:
+        if close or connection.method == CONNECT:
             headers.append((b"connection", b"close"))
         data = http.send(h11.Response(status_code=reply.status, headers=headers)) or b""
         if http.our_state is h11.SWITCHED_PROTOCOL:
             # After a success to CONNECT, h11 writes no body.
-            data += reply.body
+            data += body
         else:
-            if reply.body:
-                data += http.send(h11.Data(data=reply.body)) or b""
+            if body:
+                data += http.send(h11.Data(data=body)) or b""
             data += http.send(h11.EndOfMessage()) or b""
         await connection.stream.send_all(data)
 
--- a/walkcart/wire/tests/test_server_errors.py
+++ b/walkcart/wire/tests/test_server_errors.py
@@ -1,5 +1,6 @@
 """Unexpected errors and malformed requests end a connection, not the server."""
 
+import pytest
 import trio
 from trio.testing import memory_stream_pair
 
@@ -55,3 +56,28 @@
     received = run_mocked(run).lower()
     assert received.startswith(b"http/1.1 400")
     assert b"connection: close" in received
+
+
+@pytest.mark.parametrize(("method", "status"), [("HEAD", 200), ("GET", 204)])
+def test_a_reply_that_may_have_no_body_is_sent_without_the_handlers(method, status):
+    async def run():
+        async def answer(request):
+            return HttpReply(status, ((b"x-kind", b"answer"),), b"body")
+
+        server = HttpServer(
+            answer, ServerLimits(), lambda fault: HttpReply(fault.value)
+        )
+        ours, theirs = memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.serve, theirs)
+            head = f"{method} / HTTP/1.1\r\nhost: x\r\n\r\n".encode()
+            replies = []
+            for _ in range(2):
+                await ours.send_all(head)
+                replies.append(await ours.receive_some())
+            await ours.aclose()
+        return replies
+
+    for reply in run_mocked(run):
+        assert reply.startswith(b"HTTP/1.1 %d" % status)
+        assert reply.partition(b"\r\n\r\n")[2] == b""
