End replies that bring no body, or bring it in tiny pieces

Seen: a leaf that sends interim replies (1xx) without end held its request until the deadline, 6.06 s of 6 s. A body in endless chunks of two bytes did so as well (6.14 s), kept a whole core busy meanwhile and took 53 MB for one request. The other kinds of endless bytes that were tried (head line, headers, large chunks, no length, chunk size, chunk extension, trailers, stray replies, garbage) ended within 0.4 s before.

Cause: interim replies weren't counted; each piece of a body was kept as an object of its own, many times its length, and parsed at the usual cost, in a loop that yields only where a read of 64 kB was used up.

Now a reply may have 16 interim replies and a body 32,768 pieces; bodies are collected in one buffer, and other tasks get their turn every 256 pieces. The same buffer serves callers' bodies, which get 413.

--- a/walkcart/wire/http.py
+++ b/walkcart/wire/http.py
@@ -16,6 +16,7 @@
 import h11
 import trio
 
+from walkcart.wire.bodies import BodyBuffer
 from walkcart.wire.linearheaders import use_linear_header_pattern
 from walkcart.wire.network import is_quiet
 
@@ -28,6 +29,8 @@
 #: Largest number of replies to earlier exchanges that are skipped; a leaf that sends
 #: more is faulty, and its connection is closed.
 MAX_STRAY_REPLIES = 2
+#: Largest number of interim replies (1xx) to one request.
+MAX_INTERIM_REPLIES = 16
 #: Methods whose requests carry a length even without a body (RFC 9110, 8.6).
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 #: Method that asks a proxy for a tunnel. Here it is served like any other method.
@@ -195,8 +198,8 @@
 
     async def _read_reply(self) -> HttpReply:
         head: h11.Response | None = None
-        chunks: list[bytes] = []
-        size = 0
+        body = BodyBuffer(self._body_limit)
+        interim = 0
         while True:
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
@@ -204,19 +207,22 @@
             elif type(event) is h11.Response:
                 head = event
             elif type(event) is h11.Data:
-                size += len(event.data)
-                if size > self._body_limit:
+                if not await body.append(event.data):
                     raise ExchangeFailed(FailureKind.TOO_LONG, True)
-                chunks.append(bytes(event.data))
             elif type(event) is h11.EndOfMessage:
                 break
             elif type(event) is h11.ConnectionClosed:
                 raise ExchangeFailed(FailureKind.CLOSED, True)
-            elif type(event) is not h11.InformationalResponse:
-                # The parser reads no further, such as after a switch of protocols.
+            elif type(event) is h11.InformationalResponse and (
+                interim < MAX_INTERIM_REPLIES
+            ):
+                interim += 1
+            else:
+                # Too many interim replies, or the parser reads no further, such as
+                # after a switch of protocols.
                 raise ExchangeFailed(FailureKind.GARBAGE, True)
         assert head is not None
-        return HttpReply(head.status_code, tuple(head.headers), b"".join(chunks))
+        return HttpReply(head.status_code, tuple(head.headers), body.finish())
 
     def is_quiet(self) -> bool:
         """Return whether nothing was received while the connection was idle.
--- a/walkcart/wire/server.py
+++ b/walkcart/wire/server.py
@@ -14,6 +14,7 @@
 import h11
 import trio
 
+from walkcart.wire.bodies import BodyBuffer
 from walkcart.wire.http import (
     CONNECT,
     MAX_HEADER_BYTES,
@@ -248,8 +249,7 @@
     async def _collect(self, connection: _Connection) -> HttpRequest | None:
         """Collect the parts of one request; None if the client disconnected."""
         head: h11.Request | None = None
-        chunks: list[bytes] = []
-        size = 0
+        body = BodyBuffer(self.limits.body)
         while True:
             event = connection.http.next_event()
             if event is h11.NEED_DATA:
@@ -264,10 +264,8 @@
                 if has_ambiguous_end(head.headers):
                     raise BadRequest(Fault.MALFORMED)
             elif type(event) is h11.Data:
-                size += len(event.data)
-                if size > self.limits.body:
+                if not await body.append(event.data):
                     raise BadRequest(Fault.BODY_TOO_LONG)
-                chunks.append(bytes(event.data))
             elif type(event) is h11.EndOfMessage:
                 break
             else:
@@ -275,7 +273,7 @@
         assert head is not None
         connection.method = method = head.method.decode("ascii")
         target = head.target.decode("latin-1")
-        return HttpRequest(method, target, tuple(head.headers), b"".join(chunks))
+        return HttpRequest(method, target, tuple(head.headers), body.finish())
 
     async def _send_continue(self, connection: _Connection) -> None:
         head = h11.InformationalResponse(status_code=100, headers=[])
--- a/walkcart/wire/tests/test_server_errors.py
+++ b/walkcart/wire/tests/test_server_errors.py
@@ -5,6 +5,7 @@
 from trio.testing import memory_stream_pair
 
 from walkcart.bench.harness import run_mocked
+from walkcart.wire.bodies import MAX_PIECES
 from walkcart.wire.http import HttpReply, HttpRequest
 from walkcart.wire.server import HttpServer, ServerLimits
 
@@ -81,3 +82,23 @@
     for reply in run_mocked(run):
         assert reply.startswith(b"HTTP/1.1 %d" % status)
         assert reply.partition(b"\r\n\r\n")[2] == b""
+
+
+def test_a_body_in_too_many_pieces_is_refused():
+    async def run():
+        async def answer(request):
+            return HttpReply(200)
+
+        server = HttpServer(
+            answer, ServerLimits(), lambda fault: HttpReply(fault.value)
+        )
+        ours, theirs = memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.serve, theirs)
+            await ours.send_all(
+                b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+                + b"1\r\na\r\n" * (MAX_PIECES + 1)
+            )
+            return await ours.receive_some()
+
+    assert run_mocked(run).startswith(b"HTTP/1.1 413")
