Share a request's body among the leafs it is sent to

Cause: the client joined head and body before each send, so each leaf's request held a copy while it was sent. The server did the same with replies.

A long body is now sent after its head, from the one object that was read; short ones go out with their head as before, in one system call.

--- a/walkcart/wire/bodies.py
+++ b/walkcart/wire/bodies.py
@@ -9,6 +9,17 @@
 MAX_PIECES = 32768
 #: Number of pieces that are parsed before other tasks get their turn.
 PIECES_PER_TURN = 256
+#: Size from which a body is sent apart from its head, in bytes: joining them copies it.
+MIN_SEPARATE_BODY = 16384
+
+
+def join_parts(head: bytes, body: bytes) -> list[bytes]:
+    """Return the parts in which a message is sent.
+
+    A short body goes out with its head. A long one isn't copied, so that requests with
+    the same body, one to each of many leaves, share it.
+    """
+    return [head + body] if len(body) < MIN_SEPARATE_BODY else [head, body]
 
 
 class BodyBuffer:
--- a/walkcart/wire/http.py
+++ b/walkcart/wire/http.py
@@ -16,7 +16,7 @@
 import h11
 import trio
 
-from walkcart.wire.bodies import BodyBuffer
+from walkcart.wire.bodies import BodyBuffer, join_parts
 from walkcart.wire.linearheaders import use_linear_header_pattern
 from walkcart.wire.network import is_quiet
 
@@ -144,12 +144,13 @@
         Raises:
             ExchangeFailed: no complete reply came; the connection can't be used again.
         """
-        data = self._encode(request)
+        parts = self._encode(request)
         sent = False
         try:
             # A send that fails may already have sent some bytes.
             sent = True
-            await self._stream.send_all(data)
+            for part in parts:
+                await self._stream.send_all(part)
             reply = await self._read_reply()
             strays = 0
             while belongs is not None and not belongs(reply):
@@ -181,7 +182,7 @@
         if ended:
             self._h11.receive_data(b"")
 
-    def _encode(self, request: HttpRequest) -> bytes:
+    def _encode(self, request: HttpRequest) -> list[bytes]:
         headers = list(request.headers)
         if find_header(request.headers, b"host") is None:
             headers.insert(0, (b"host", self._host))
@@ -251,10 +252,11 @@
     method: str,
     request: HttpRequest,
     headers: list[tuple[bytes, bytes]],
-) -> bytes:
+) -> list[bytes]:
     """Return the bytes of a request, and have `parser` expect the reply to it."""
     head = h11.Request(method=method, target=request.target, headers=headers)
     data = parser.send(head) or b""
     if request.body:
-        data += parser.send(h11.Data(data=request.body)) or b""
-    return data + (parser.send(h11.EndOfMessage()) or b"")
+        parser.send(h11.Data(data=request.body))
+    parser.send(h11.EndOfMessage())
+    return join_parts(data, request.body)
--- a/walkcart/wire/server.py
+++ b/walkcart/wire/server.py
@@ -14,7 +14,7 @@
 import h11
 import trio
 
-from walkcart.wire.bodies import BodyBuffer
+from walkcart.wire.bodies import BodyBuffer, join_parts
 from walkcart.wire.http import (
     CONNECT,
     MAX_HEADER_BYTES,
@@ -296,14 +296,13 @@
         if close or connection.method == CONNECT:
             headers.append((b"connection", b"close"))
         data = http.send(h11.Response(status_code=reply.status, headers=headers)) or b""
-        if http.our_state is h11.SWITCHED_PROTOCOL:
-            # After a success to CONNECT, h11 writes no body.
-            data += body
-        else:
+        # After a success to CONNECT, h11 expects nothing more.
+        if http.our_state is not h11.SWITCHED_PROTOCOL:
             if body:
-                data += http.send(h11.Data(data=body)) or b""
-            data += http.send(h11.EndOfMessage()) or b""
-        await connection.stream.send_all(data)
+                http.send(h11.Data(data=body))
+            http.send(h11.EndOfMessage())
+        for part in join_parts(data, body):
+            await connection.stream.send_all(part)
 
     def _prepare_next(self, connection: _Connection) -> bool:
         http = connection.http
