Bound the memory of all bodies together

Cause: 4 MiB are allowed for each reply, and a request's body for each connection, but nothing limits their sum.

A budget now limits the bodies of callers' requests (an eighth of the memory that the settings state) and one the bodies of leafs' replies (a quarter). Each body takes its share as it comes, and gives it back when the last object that holds it is gone, so parts count until their answer is put together. Bodies of up to 16 KiB take nothing: small requests are served while long ones have used everything up. A reply that finds no memory ends its exchange like one that is too long; a request gets 503 with Retry-After, and hasn't run. A server that refuses a request before its end now reads on for up to a second, as the reset of a close with unread input takes the reply from the caller: the test met that with 413 and 503.

--- a/walkcart/daemon/tenantentry.py
+++ b/walkcart/daemon/tenantentry.py
@@ -32,6 +32,7 @@
 from walkcart.platform.settings import PlatformSettings
 from walkcart.routing.shutdown import ShutdownDeadline
 from walkcart.store.follower import PrefixFollower
+from walkcart.wire.bodies import MemoryBudget
 from walkcart.wire.http import HttpReply, HttpRequest
 from walkcart.wire.server import HttpServer, ServerLimits
 
@@ -97,6 +98,7 @@
         keeper,
         directory,
         events,
+        MemoryBudget(settings.memory.requests),
     )
     kernel.add("entry", service)
 
--- a/walkcart/daemon/tenantstore.py
+++ b/walkcart/daemon/tenantstore.py
@@ -49,6 +49,7 @@
 from walkcart.store.calls import StoreCalls
 from walkcart.store.follower import PrefixFollower
 from walkcart.store.updates import Update
+from walkcart.wire.bodies import MemoryBudget
 from walkcart.wire.peers import PeerListener
 from walkcart.wire.verdicts import NotRun
 
@@ -242,6 +243,7 @@
         record_status,
         PlatformLeafProtocol(),
         admit,
+        MemoryBudget(settings.memory.replies),
     )
     pool = LeafPool(
         PoolTools(
--- a/walkcart/entry/app.py
+++ b/walkcart/entry/app.py
@@ -19,8 +19,14 @@
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.taskerrors import log_task_error
 from walkcart.membership.listing import InstanceList
+from walkcart.wire.bodies import MemoryBudget, MemoryPlan
 from walkcart.wire.http import HttpReply, HttpRequest
-from walkcart.wire.server import Fault, HttpServer, ServerLimits
+from walkcart.wire.server import (
+    MEMORY_RETRY_DELAY,
+    Fault,
+    HttpServer,
+    ServerLimits,
+)
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
 _SERVICE_PATH = re.compile(r"/v1/services/([^/?]+)/(query|execute|explain)")
@@ -31,6 +37,7 @@
     Fault.TIMEOUT: "the request wasn't whole in time",
     Fault.BODY_TOO_LONG: "the body is too long",
     Fault.HEADERS_TOO_LONG: "the headers are too long",
+    Fault.NO_MEMORY: "no memory is left for the body",
 }
 
 
@@ -80,6 +87,7 @@
             self._answer_fault,
             self._log_disconnect,
             on_error=self._log_error,
+            budget=MemoryBudget(MemoryPlan().requests),
         )
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
@@ -107,7 +115,11 @@
 
     def _answer_fault(self, fault: Fault) -> HttpReply:
         self._events.emit(Events.REQUEST_BAD, detail=FAULT_DETAILS[fault])
-        problem = render_verdict(NotRun(Reason.BAD_REQUEST, FAULT_DETAILS[fault]))
+        verdict = NotRun(Reason.BAD_REQUEST, FAULT_DETAILS[fault])
+        if fault is Fault.NO_MEMORY:
+            detail = FAULT_DETAILS[fault]
+            verdict = NotRun(Reason.OVERLOADED, detail, MEMORY_RETRY_DELAY)
+        problem = render_verdict(verdict)
         return HttpReply(fault.value, problem.headers, problem.body)
 
     async def _handle(self, request: HttpRequest) -> HttpReply:
--- a/walkcart/entry/routedservice.py
+++ b/walkcart/entry/routedservice.py
@@ -17,6 +17,7 @@
 from walkcart.kernel.events import Events
 from walkcart.kernel.taskerrors import log_task_error
 from walkcart.leaves.directory import LeafDirectory
+from walkcart.wire.bodies import MemoryBudget
 from walkcart.wire.http import HttpReply, HttpRequest
 from walkcart.wire.server import Fault, HttpServer, ServerLimits
 
@@ -37,6 +38,7 @@
         keeper: holds the routes and the limits on callers' connections.
         directory: holds the leaves; readiness depends on whether they are known.
         events: log for the start, bad requests and failures.
+        budget: limits the memory of all requests' bodies together.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         keeper: RouteKeeper,
         directory: LeafDirectory,
         events: EventLog,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self._listener = listener
         self._render_fault = render_fault
@@ -62,6 +65,7 @@
             self._log_disconnect,
             cancel_on_disconnect=True,
             on_error=self._log_error,
+            budget=budget,
         )
         keeper.on_change(self._update_limits)
 
--- a/walkcart/leaves/attempts.py
+++ b/walkcart/leaves/attempts.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from walkcart.intent.teams import Grant
 from walkcart.leaves.leaf import UNPINNED, Snapshot
 from walkcart.routing.eligibility import ALL_REGIONS, Regions
+from walkcart.wire.bodies import MemoryShare
 from walkcart.wire.http import Headers, HttpRequest
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
@@ -90,6 +91,7 @@
         body: body of the reply.
         elapsed: seconds from the send to the last byte.
         headers: headers of the reply; kept for routed requests only.
+        share: part of a memory budget that the body takes; None if it takes none.
     """
 
     snapshot: Snapshot
@@ -98,6 +100,7 @@
     body: bytes
     elapsed: float
     headers: Headers = ()
+    share: MemoryShare | None = field(default=None, repr=False, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkcart/leaves/exchange.py
+++ b/walkcart/leaves/exchange.py
@@ -25,6 +25,7 @@
     LeafStatus,
     QuestionProtocol,
 )
+from walkcart.wire.bodies import MemoryBudget, MemoryPlan
 from walkcart.wire.http import (
     ExchangeFailed,
     FailureKind,
@@ -88,6 +89,7 @@
         on_status: called with what a leaf states about itself.
         protocol: protocol of the leaves.
         admit: called just before an attempt is sent.
+        budget: limits the memory of all leaves' replies together.
     """
 
     network: Network
@@ -98,6 +100,9 @@
     on_status: Callable[[Leaf, LeafStatus], None]
     protocol: LeafProtocol = field(default_factory=QuestionProtocol)
     admit: Admit = admit_all
+    budget: MemoryBudget = field(
+        default_factory=lambda: MemoryBudget(MemoryPlan().replies)
+    )
 
 
 class LeafExchanges:
--- a/walkcart/leaves/linkconnection.py
+++ b/walkcart/leaves/linkconnection.py
@@ -69,7 +69,9 @@
             with trio.fail_after(CONNECT_TIMEOUT.total_seconds()):
                 if stream is None:
                     stream = await self._tools.network.connect(address)
-                http = HttpConnection(stream, self._leaf.address, MAX_REPLY_BYTES)
+                http = HttpConnection(
+                    stream, self._leaf.address, MAX_REPLY_BYTES, self._tools.budget
+                )
                 try:
                     await self._check(http)
                 except BaseException:
--- a/walkcart/leaves/protocol.py
+++ b/walkcart/leaves/protocol.py
@@ -252,7 +252,9 @@
     except msgspec.MsgspecError:
         return Failed(MayHaveRun(Reason.LEAF_FAILED, "the leaf's body is no JSON"))
     partial = found.get(PARTIAL) == b"yes"
-    return Replied(snapshot, partial, reply.status, reply.body, elapsed)
+    return Replied(
+        snapshot, partial, reply.status, reply.body, elapsed, share=reply.share
+    )
 
 
 def _find_refusal_reason(status: int) -> Reason:
--- a/walkcart/platform/callerprotocol.py
+++ b/walkcart/platform/callerprotocol.py
@@ -25,7 +25,7 @@
 )
 from walkcart.platform.records import merge_records
 from walkcart.wire.http import HttpReply, HttpRequest, find_header
-from walkcart.wire.server import Fault
+from walkcart.wire.server import MEMORY_RETRY_DELAY, Fault
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
 #: Headers that an instance sets anew for each leaf; the caller's values are dropped.
@@ -118,7 +118,9 @@
                 return HttpReply(_BAD_GATEWAY)
 
     def render_fault(self, fault: Fault) -> HttpReply:
-        """Render the reply to a caller whose bytes aren't a valid request."""
+        """Render the reply to a caller whose bytes aren't a request to serve."""
+        if fault is Fault.NO_MEMORY:
+            return HttpReply(fault.value, (_make_retry_after(MEMORY_RETRY_DELAY),))
         return HttpReply(fault.value)
 
 
@@ -154,4 +156,4 @@
     """
     if reply.status in _NOT_RUN_STATUSES:
         return HttpReply(_BAD_GATEWAY)
-    return HttpReply(reply.status, reply.headers, reply.body)
+    return HttpReply(reply.status, reply.headers, reply.body, reply.share)
--- a/walkcart/platform/leafprotocol.py
+++ b/walkcart/platform/leafprotocol.py
@@ -111,7 +111,13 @@
             return Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
         headers = strip_hop_headers(reply.headers, _LEAF_STATUS_HEADERS)
         return Replied(
-            attempt.pin, False, reply.status, reply.body, elapsed, headers=headers
+            attempt.pin,
+            False,
+            reply.status,
+            reply.body,
+            elapsed,
+            headers=headers,
+            share=reply.share,
         )
 
     def read_idle_timeout(self, found: HeaderMap) -> float | None:
--- a/walkcart/platform/settings.py
+++ b/walkcart/platform/settings.py
@@ -17,6 +17,7 @@
 from walkcart.kernel.settings import BadValue, HostPort, parse_host_port
 from walkcart.routing.coldleaves import ColdBound
 from walkcart.routing.quotas import QuotaBounds
+from walkcart.wire.bodies import MemoryPlan
 
 #: Environment variable with the path of the file.
 FILE_VARIABLE = "WALKCART_NODE_FILE"
@@ -58,6 +59,10 @@
     grace_s: float = 6.0
 
 
+#: Least and greatest size of a machine's memory that is taken for one, in MiB.
+MIN_MEMORY_MB, MAX_MEMORY_MB = 64, 2**20
+
+
 class _Limits(msgspec.Struct, rename="camel"):
     """Resources of the machine."""
 
@@ -65,6 +70,8 @@
     cpu_share: float = 1.0
     # Speed of that core relative to the usual one; despite its name, not a count.
     cores: float = 1.0
+    # Memory of the process, in MiB; 0 if it isn't stated.
+    memory_mb: float = 0.0
 
 
 class _Store(msgspec.Struct, rename="camel"):
@@ -115,6 +122,7 @@
         repeat_allowance: repeats beyond the ratio, for all instances together.
         grace: time from the stop signal until the process is killed.
         cores: CPU capacity, in cores of the usual speed.
+        memory: how much of the memory bodies may take.
         cold_bound: limits on the requests to cold leaves.
         quota_bounds: by how much teams' rate limits may be exceeded.
     """
@@ -136,6 +144,7 @@
     cores: float = 1.0
     cold_bound: ColdBound = ColdBound()
     quota_bounds: QuotaBounds = QuotaBounds()
+    memory: MemoryPlan = MemoryPlan()
 
 
 def parse_duration_ms(milliseconds: float) -> timedelta:
@@ -182,4 +191,12 @@
             file.bounds.quota_tolerance,
             file.bounds.quota_slack,
         ),
+        memory=_plan_memory(file.limits.memory_mb),
     )
+
+
+def _plan_memory(megabytes: float) -> MemoryPlan:
+    """Return the plan for a machine; a size that isn't sensible isn't used."""
+    if MIN_MEMORY_MB <= megabytes <= MAX_MEMORY_MB:
+        return MemoryPlan(int(megabytes * 2**20))
+    return MemoryPlan()
--- a/walkcart/wire/bodies.py
+++ b/walkcart/wire/bodies.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 import trio
 
 #: Largest number of pieces of one body. Parsing a piece takes time however short it is,
@@ -9,6 +11,16 @@
 MAX_PIECES = 32768
 #: Number of pieces that are parsed before other tasks get their turn.
 PIECES_PER_TURN = 256
+#: Size up to which a body takes nothing of a budget, in bytes. So small requests are
+#: served while long bodies have used up all memory; their number is limited by that of
+#: connections.
+SMALL_BODY = 16384
+#: Memory of a machine whose size isn't known, in bytes.
+DEFAULT_MEMORY = 300 << 20
+#: Parts of the memory for the bodies of requests and replies: an eighth and a quarter.
+#: What a parser holds, copies while a reply is put together, and unread bytes in the
+#: kernel take about as much again.
+REQUEST_DIVISOR, REPLY_DIVISOR = 8, 4
 #: Size from which a body is sent apart from its head, in bytes: joining them copies it.
 MIN_SEPARATE_BODY = 16384
 
@@ -22,31 +34,122 @@
     return [head + body] if len(body) < MIN_SEPARATE_BODY else [head, body]
 
 
+class BodyTooLong(Exception):
+    """A body has too many bytes, or comes in too many pieces."""
+
+
+class NoMemory(Exception):
+    """The memory for bodies is used up by others."""
+
+
+class MemoryBudget:
+    """Limits the memory that all bodies of one kind take together.
+
+    Args:
+        limit: largest number of bytes.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self.used = 0
+
+    def try_take(self, size: int) -> bool:
+        """Take `size` bytes; return False, and take none, if there aren't as many."""
+        if self.used + size > self._limit:
+            return False
+        self.used += size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Give back `size` bytes."""
+        self.used -= size
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryPlan:
+    """How much of a machine's memory bodies may take.
+
+    Args:
+        total: memory of the machine, in bytes.
+    """
+
+    total: int = DEFAULT_MEMORY
+
+    @property
+    def requests(self) -> int:
+        """Bytes for the bodies of callers' requests."""
+        return self.total // REQUEST_DIVISOR
+
+    @property
+    def replies(self) -> int:
+        """Bytes for the bodies of leaves' replies."""
+        return self.total // REPLY_DIVISOR
+
+
+class MemoryShare:
+    """The part of a budget that one body takes, for as long as this object lives.
+
+    Whatever keeps the body keeps its share, so the memory is given back with the last
+    of them, wherever the body went.
+
+    Args:
+        budget: the budget.
+    """
+
+    __slots__ = ("_budget", "_size")
+
+    def __init__(self, budget: MemoryBudget) -> None:
+        self._budget = budget
+        self._size = 0
+
+    def try_grow_to(self, size: int) -> bool:
+        """Take what is missing to `size` bytes; return whether there was as much."""
+        missing = size - self._size
+        if missing > 0:
+            if not self._budget.try_take(missing):
+                return False
+            self._size = size
+        return True
+
+    def __del__(self) -> None:
+        """Give the memory back."""
+        self._budget.give_back(self._size)
+
+
 class BodyBuffer:
     """Collects the pieces of one body.
 
     Args:
         limit: largest size of the body, in bytes.
+        budget: limits the memory of all bodies together; None sets no limit.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, budget: MemoryBudget | None = None) -> None:
         self._limit = limit
+        #: The body's part of the budget; None without one.
+        self.share = None if budget is None else MemoryShare(budget)
         self._pieces = 0
         # Not a list of pieces: a short one takes many times its length in memory.
         self._data = bytearray()
 
-    async def append(self, piece: bytes) -> bool:
-        """Add a piece; return False if the body is too long or has too many pieces.
+    async def append(self, piece: bytes) -> None:
+        """Add a piece.
 
         Other tasks get their turn now and then, however many pieces one read brought.
+
+        Raises:
+            BodyTooLong: the body is longer than allowed, or in too many pieces.
+            NoMemory: the budget has no memory for it.
         """
         self._pieces += 1
-        if len(self._data) + len(piece) > self._limit or self._pieces > MAX_PIECES:
-            return False
+        size = len(self._data) + len(piece)
+        if size > self._limit or self._pieces > MAX_PIECES:
+            raise BodyTooLong
+        if size > SMALL_BODY and self.share and not self.share.try_grow_to(size):
+            raise NoMemory
         self._data += piece
         if self._pieces % PIECES_PER_TURN == 0:
             await trio.lowlevel.checkpoint()
-        return True
 
     def finish(self) -> bytes:
         """Return the whole body, and keep none of it."""
--- a/walkcart/wire/http.py
+++ b/walkcart/wire/http.py
@@ -16,7 +16,14 @@
 import h11
 import trio
 
-from walkcart.wire.bodies import BodyBuffer, join_parts
+from walkcart.wire.bodies import (
+    BodyBuffer,
+    BodyTooLong,
+    MemoryBudget,
+    MemoryShare,
+    NoMemory,
+    join_parts,
+)
 from walkcart.wire.linearheaders import use_linear_header_pattern
 from walkcart.wire.network import is_quiet
 
@@ -69,11 +76,13 @@
         status: status code.
         headers: headers with lower-case names.
         body: body of the reply.
+        share: part of a memory budget that the body takes; None if it takes none.
     """
 
     status: int
     headers: Headers = ()
     body: bytes = b""
+    share: MemoryShare | None = field(default=None, repr=False, compare=False)
 
     def header(self, name: bytes) -> str | None:
         """Return the first header called `name`, or None."""
@@ -94,6 +103,7 @@
     CLOSED = "closed"
     GARBAGE = "garbage"
     TOO_LONG = "too long"
+    NO_MEMORY = "no memory is left for the reply"
 
 
 class ExchangeFailed(Exception):
@@ -121,12 +131,21 @@
         stream: stream to the server.
         host: value of the ``Host`` header for requests without one.
         body_limit: largest reply body that is accepted, in bytes.
+        budget: limits the memory of the reply bodies of all connections together; None
+            sets no limit.
     """
 
-    def __init__(self, stream: trio.abc.Stream, host: str, body_limit: int) -> None:
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        host: str,
+        body_limit: int,
+        budget: MemoryBudget | None = None,
+    ) -> None:
         self._stream = stream
         self._host = host.encode()
         self._body_limit = body_limit
+        self._budget = budget
         self._h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
         )
@@ -162,6 +181,10 @@
             return reply
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             raise ExchangeFailed(FailureKind.CLOSED, sent) from None
+        except BodyTooLong:
+            raise ExchangeFailed(FailureKind.TOO_LONG, sent) from None
+        except NoMemory:
+            raise ExchangeFailed(FailureKind.NO_MEMORY, sent) from None
         except h11.RemoteProtocolError as error:
             kind = FailureKind.GARBAGE
             if self._h11.trailing_data[1] and not self._h11.trailing_data[0]:
@@ -199,7 +222,7 @@
 
     async def _read_reply(self) -> HttpReply:
         head: h11.Response | None = None
-        body = BodyBuffer(self._body_limit)
+        body = BodyBuffer(self._body_limit, self._budget)
         interim = 0
         while True:
             event = self._h11.next_event()
@@ -208,8 +231,7 @@
             elif type(event) is h11.Response:
                 head = event
             elif type(event) is h11.Data:
-                if not await body.append(event.data):
-                    raise ExchangeFailed(FailureKind.TOO_LONG, True)
+                await body.append(event.data)
             elif type(event) is h11.EndOfMessage:
                 break
             elif type(event) is h11.ConnectionClosed:
@@ -223,7 +245,8 @@
                 # after a switch of protocols.
                 raise ExchangeFailed(FailureKind.GARBAGE, True)
         assert head is not None
-        return HttpReply(head.status_code, tuple(head.headers), body.finish())
+        headers = tuple(head.headers)
+        return HttpReply(head.status_code, headers, body.finish(), body.share)
 
     def is_quiet(self) -> bool:
         """Return whether nothing was received while the connection was idle.
--- a/walkcart/wire/server.py
+++ b/walkcart/wire/server.py
@@ -14,7 +14,14 @@
 import h11
 import trio
 
-from walkcart.wire.bodies import BodyBuffer, join_parts
+from walkcart.wire.bodies import (
+    BodyBuffer,
+    BodyTooLong,
+    MemoryBudget,
+    MemoryShare,
+    NoMemory,
+    join_parts,
+)
 from walkcart.wire.http import (
     CONNECT,
     MAX_HEADER_BYTES,
@@ -31,6 +38,11 @@
 #: Statuses whose replies have neither a body nor a length (RFC 9110, 15.3.5, 15.4.5).
 _BODYLESS_STATUSES = frozenset({204, 304})
 
+#: Maximum time for which the rest of a refused request is read.
+DISCARD_TIMEOUT = timedelta(seconds=1)
+#: Time after which a request may be sent again that found no memory for its body.
+MEMORY_RETRY_DELAY = timedelta(seconds=1)
+
 Handler = Callable[[HttpRequest], Awaitable[HttpReply]]
 
 
@@ -58,6 +70,7 @@
     TIMEOUT = 408
     BODY_TOO_LONG = 413
     HEADERS_TOO_LONG = 431
+    NO_MEMORY = 503
 
 
 class BadRequest(Exception):
@@ -82,6 +95,10 @@
     method: str = ""
     #: When the request in progress was read in full; None before that.
     read_at: float | None = None
+    #: Part of the memory budget that the body of the request in progress takes.
+    share: MemoryShare | None = None
+    #: Whether a request was refused before it was read to its end.
+    unread: bool = False
     #: Whether the client disconnected while its request was handled.
     gone: bool = False
 
@@ -98,6 +115,8 @@
             disconnects.
         on_error: called with an unexpected error, which then ends only its connection;
             without it such an error ends the instance.
+        budget: limits the memory of the bodies of all requests in progress together;
+            None sets no limit.
     """
 
     def __init__(
@@ -108,6 +127,7 @@
         on_disconnect: Callable[[], None] = lambda: None,
         cancel_on_disconnect: bool = False,
         on_error: Callable[[Exception], None] | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self._handler = handler
         self.limits = limits
@@ -115,6 +135,7 @@
         self._on_fault = on_fault
         self._on_disconnect = on_disconnect
         self._on_error = on_error
+        self._budget = budget
         self._connections: set[_Connection] = set()
         self._closing = False
         self.in_progress = 0
@@ -148,6 +169,8 @@
         try:
             while await self._serve_one(connection):
                 connection.requests += 1
+            if connection.unread:
+                await _discard_input(stream)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             self._on_disconnect()
         except h11.LocalProtocolError:
@@ -171,6 +194,7 @@
             try:
                 request = await self._read_request(connection)
             except BadRequest as error:
+                connection.unread = True
                 await self._send(connection, self._on_fault(error.fault), close=True)
                 return False
             if request is None:
@@ -183,7 +207,7 @@
                 return False
             await self._send(connection, reply, close=self._closing)
         finally:
-            connection.read_at = None
+            connection.read_at = connection.share = None
             self.in_progress -= 1
         return self._prepare_next(connection)
 
@@ -242,6 +266,10 @@
         with trio.move_on_after(self.limits.read_time.total_seconds()):
             try:
                 return await self._collect(connection)
+            except BodyTooLong:
+                raise BadRequest(Fault.BODY_TOO_LONG) from None
+            except NoMemory:
+                raise BadRequest(Fault.NO_MEMORY) from None
             except h11.RemoteProtocolError as error:
                 raise BadRequest(_find_fault(error)) from None
         raise BadRequest(Fault.TIMEOUT)
@@ -249,7 +277,8 @@
     async def _collect(self, connection: _Connection) -> HttpRequest | None:
         """Collect the parts of one request; None if the client disconnected."""
         head: h11.Request | None = None
-        body = BodyBuffer(self.limits.body)
+        body = BodyBuffer(self.limits.body, self._budget)
+        connection.share = body.share
         while True:
             event = connection.http.next_event()
             if event is h11.NEED_DATA:
@@ -264,8 +293,7 @@
                 if has_ambiguous_end(head.headers):
                     raise BadRequest(Fault.MALFORMED)
             elif type(event) is h11.Data:
-                if not await body.append(event.data):
-                    raise BadRequest(Fault.BODY_TOO_LONG)
+                await body.append(event.data)
             elif type(event) is h11.EndOfMessage:
                 break
             else:
@@ -312,6 +340,19 @@
         return True
 
 
+async def _discard_input(stream: trio.abc.Stream) -> None:
+    """Read what a client still sends of a refused request, for a short time.
+
+    A connection that is closed with unread input is reset, and the client may lose the
+    reply.
+    """
+    with trio.move_on_after(DISCARD_TIMEOUT.total_seconds()):
+        if isinstance(stream, trio.abc.HalfCloseableStream):
+            await stream.send_eof()
+        while await stream.receive_some(RECEIVE_SIZE):
+            pass
+
+
 def has_ambiguous_end(headers: Iterable[tuple[bytes, bytes]]) -> bool:
     """Return whether a request states its length in two ways (RFC 9112, 6.1)."""
     names = {name for name, _ in headers}
