--- a/walkcart/platform/settings.py
+++ b/walkcart/platform/settings.py
@@ -27,6 +27,7 @@
     CORES,
     CPU_SHARE,
     GRACE,
+    MEMORY,
     QUOTA_SLACK,
     QUOTA_TOLERANCE,
     QUOTA_WINDOW,
@@ -43,12 +44,14 @@
 )
 from walkcart.routing.coldleaves import ColdBound
 from walkcart.routing.quotas import QuotaBounds
+from walkcart.wire.bodies import MemoryPlan
 
 #: Environment variable with the path of the file.
 FILE_VARIABLE = "WALKCART_NODE_FILE"
 #: Maximum size of the file, in bytes.
 MAX_FILE_BYTES = 256 * 1024
 MAX_PORT = 65535
+BYTES_PER_MIB = 2**20
 
 
 class BadSettings(ValueError):
@@ -121,6 +124,7 @@
         repeat_allowance: repeats beyond the ratio, for all instances together.
         grace: time from the stop signal until the process is killed.
         cores: CPU capacity, in cores of the usual speed.
+        memory: how much of the memory bodies may take.
         cold_bound: limits on the requests to cold leaves.
         quota_bounds: by how much teams' rate limits may be exceeded.
         invalid: optional settings that are invalid; their defaults are used.
@@ -144,6 +148,7 @@
     cores: float = 1.0
     cold_bound: ColdBound = ColdBound()
     quota_bounds: QuotaBounds = QuotaBounds()
+    memory: MemoryPlan = MemoryPlan()
     invalid: tuple[InvalidSetting, ...] = ()
     report_interval: float = 1.2
 
@@ -235,6 +240,7 @@
             optional.read_number(QUOTA_TOLERANCE),
             optional.read_number(QUOTA_SLACK),
         ),
+        memory=MemoryPlan(int(optional.read_number(MEMORY) * BYTES_PER_MIB)),
         report_interval=optional.read_number(REPORT_INTERVAL) / 1000,
         invalid=tuple(optional.invalid),
     )
--- a/walkcart/wire/http.py
+++ b/walkcart/wire/http.py
@@ -16,8 +16,19 @@
 import h11
 import trio
 
+from walkcart.wire.bodies import (
+    BodyBuffer,
+    BodyTooLong,
+    MemoryBudget,
+    MemoryShare,
+    NoMemory,
+    join_parts,
+)
+from walkcart.wire.linearheaders import use_linear_header_pattern
 from walkcart.wire.network import is_quiet
 
+use_linear_header_pattern()
+
 #: Largest number of bytes that are read from a stream at once.
 RECEIVE_SIZE = 65536
 #: Largest head of a request or reply, in bytes.
@@ -25,8 +36,12 @@
 #: Largest number of replies to earlier exchanges that are skipped; a leaf that sends
 #: more is faulty, and its connection is closed.
 MAX_STRAY_REPLIES = 2
+#: Largest number of interim replies (1xx) to one request.
+MAX_INTERIM_REPLIES = 16
 #: Methods whose requests carry a length even without a body (RFC 9110, 8.6).
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+#: Method that asks a proxy for a tunnel. Here it is served like any other method.
+CONNECT = "CONNECT"
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -61,11 +76,13 @@
         status: status code.
         headers: headers with lower-case names.
         body: body of the reply.
+        share: part of a memory budget that the body takes; None if it takes none.
     """
 
     status: int
     headers: Headers = ()
     body: bytes = b""
+    share: MemoryShare | None = field(default=None, repr=False, compare=False)
 
     def header(self, name: bytes) -> str | None:
         """Return the first header called `name`, or None."""
@@ -86,6 +103,7 @@
     CLOSED = "closed"
     GARBAGE = "garbage"
     TOO_LONG = "too long"
+    NO_MEMORY = "no memory is left for the reply"
 
 
 class ExchangeFailed(Exception):
@@ -113,12 +131,21 @@
         stream: stream to the server.
         host: value of the ``Host`` header for requests without one.
         body_limit: largest reply body that is accepted, in bytes.
+        budget: limits the memory of the reply bodies of all connections together; None
+            sets no limit.
     """
 
-    def __init__(self, stream: trio.abc.Stream, host: str, body_limit: int) -> None:
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        host: str,
+        body_limit: int,
+        budget: MemoryBudget | None = None,
+    ) -> None:
         self._stream = stream
         self._host = host.encode()
         self._body_limit = body_limit
+        self._budget = budget
         self._h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
         )
@@ -136,12 +163,13 @@
         Raises:
             ExchangeFailed: no complete reply came; the connection can't be used again.
         """
-        data = self._encode(request)
+        parts = self._encode(request)
         sent = False
         try:
             # A send that fails may already have sent some bytes.
             sent = True
-            await self._stream.send_all(data)
+            for part in parts:
+                await self._stream.send_all(part)
             reply = await self._read_reply()
             strays = 0
             while belongs is not None and not belongs(reply):
@@ -153,6 +181,10 @@
             return reply
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             raise ExchangeFailed(FailureKind.CLOSED, sent) from None
+        except BodyTooLong:
+            raise ExchangeFailed(FailureKind.TOO_LONG, sent) from None
+        except NoMemory:
+            raise ExchangeFailed(FailureKind.NO_MEMORY, sent) from None
         except h11.RemoteProtocolError as error:
             kind = FailureKind.GARBAGE
             if self._h11.trailing_data[1] and not self._h11.trailing_data[0]:
@@ -173,24 +205,25 @@
         if ended:
             self._h11.receive_data(b"")
 
-    def _encode(self, request: HttpRequest) -> bytes:
+    def _encode(self, request: HttpRequest) -> list[bytes]:
         headers = list(request.headers)
         if find_header(request.headers, b"host") is None:
             headers.insert(0, (b"host", self._host))
         if request.body or request.method in _METHODS_WITH_BODY:
             headers.append((b"content-length", str(len(request.body)).encode()))
-        head = h11.Request(
-            method=request.method, target=request.target, headers=headers
-        )
-        data = self._h11.send(head) or b""
-        if request.body:
-            data += self._h11.send(h11.Data(data=request.body)) or b""
-        return data + (self._h11.send(h11.EndOfMessage()) or b"")
+        if request.method != CONNECT:
+            return _write_request(self._h11, request.method, request, headers)
+        # For h11, a success is followed by a tunnel, and it reads no more. So the
+        # parser is told another method. The server may expect a tunnel as well, so
+        # the connection isn't used again.
+        headers.append((b"connection", b"close"))
+        _write_request(self._h11, "POST", request, headers)
+        return _write_request(h11.Connection(h11.CLIENT), CONNECT, request, headers)
 
     async def _read_reply(self) -> HttpReply:
         head: h11.Response | None = None
-        chunks: list[bytes] = []
-        size = 0
+        body = BodyBuffer(self._body_limit, self._budget)
+        interim = 0
         while True:
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
@@ -198,16 +231,22 @@
             elif type(event) is h11.Response:
                 head = event
             elif type(event) is h11.Data:
-                size += len(event.data)
-                if size > self._body_limit:
-                    raise ExchangeFailed(FailureKind.TOO_LONG, True)
-                chunks.append(bytes(event.data))
+                await body.append(event.data)
             elif type(event) is h11.EndOfMessage:
                 break
             elif type(event) is h11.ConnectionClosed:
                 raise ExchangeFailed(FailureKind.CLOSED, True)
+            elif type(event) is h11.InformationalResponse and (
+                interim < MAX_INTERIM_REPLIES
+            ):
+                interim += 1
+            else:
+                # Too many interim replies, or the parser reads no further, such as
+                # after a switch of protocols.
+                raise ExchangeFailed(FailureKind.GARBAGE, True)
         assert head is not None
-        return HttpReply(head.status_code, tuple(head.headers), b"".join(chunks))
+        headers = tuple(head.headers)
+        return HttpReply(head.status_code, headers, body.finish(), body.share)
 
     def is_quiet(self) -> bool:
         """Return whether nothing was received while the connection was idle.
@@ -229,3 +268,18 @@
     async def close(self) -> None:
         """Close the stream at once."""
         await trio.aclose_forcefully(self._stream)
+
+
+def _write_request(
+    parser: h11.Connection,
+    method: str,
+    request: HttpRequest,
+    headers: list[tuple[bytes, bytes]],
+) -> list[bytes]:
+    """Return the bytes of a request, and have `parser` expect the reply to it."""
+    head = h11.Request(method=method, target=request.target, headers=headers)
+    data = parser.send(head) or b""
+    if request.body:
+        parser.send(h11.Data(data=request.body))
+    parser.send(h11.EndOfMessage())
+    return join_parts(data, request.body)
--- a/walkcart/wire/server.py
+++ b/walkcart/wire/server.py
@@ -14,13 +14,35 @@
 import h11
 import trio
 
-from walkcart.wire.http import MAX_HEADER_BYTES, RECEIVE_SIZE, HttpReply, HttpRequest
+from walkcart.wire.bodies import (
+    BodyBuffer,
+    BodyTooLong,
+    MemoryBudget,
+    MemoryShare,
+    NoMemory,
+    join_parts,
+)
+from walkcart.wire.http import (
+    CONNECT,
+    MAX_HEADER_BYTES,
+    RECEIVE_SIZE,
+    HttpReply,
+    HttpRequest,
+)
 from walkcart.wire.network import is_quiet
 
 #: Passes of the event loop that a newly started task needs to read available input and
 #: act on it: one each to start, to read, and to resume after the read.
 WATCH_CHECKPOINTS = 3
 
+#: Statuses whose replies have neither a body nor a length (RFC 9110, 15.3.5, 15.4.5).
+_BODYLESS_STATUSES = frozenset({204, 304})
+
+#: Maximum time for which the rest of a refused request is read.
+DISCARD_TIMEOUT = timedelta(seconds=1)
+#: Time after which a request may be sent again that found no memory for its body.
+MEMORY_RETRY_DELAY = timedelta(seconds=1)
+
 Handler = Callable[[HttpRequest], Awaitable[HttpReply]]
 
 
@@ -48,6 +70,7 @@
     TIMEOUT = 408
     BODY_TOO_LONG = 413
     HEADERS_TOO_LONG = 431
+    NO_MEMORY = 503
 
 
 class BadRequest(Exception):
@@ -68,8 +91,14 @@
     idle_scope: trio.CancelScope | None = None
     idle_since: float = 0.0
     requests: int = field(default=0)
+    #: Method of the request that was read last.
+    method: str = ""
     #: When the request in progress was read in full; None before that.
     read_at: float | None = None
+    #: Part of the memory budget that the body of the request in progress takes.
+    share: MemoryShare | None = None
+    #: Whether a request was refused before it was read to its end.
+    unread: bool = False
     #: Whether the client disconnected while its request was handled.
     gone: bool = False
 
@@ -86,6 +115,8 @@
             disconnects.
         on_error: called with an unexpected error, which then ends only its connection;
             without it such an error ends the instance.
+        budget: limits the memory of the bodies of all requests in progress together;
+            None sets no limit.
     """
 
     def __init__(
@@ -96,6 +127,7 @@
         on_disconnect: Callable[[], None] = lambda: None,
         cancel_on_disconnect: bool = False,
         on_error: Callable[[Exception], None] | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self._handler = handler
         self.limits = limits
@@ -103,6 +135,7 @@
         self._on_fault = on_fault
         self._on_disconnect = on_disconnect
         self._on_error = on_error
+        self._budget = budget
         self._connections: set[_Connection] = set()
         self._closing = False
         self.in_progress = 0
@@ -136,6 +169,8 @@
         try:
             while await self._serve_one(connection):
                 connection.requests += 1
+            if connection.unread:
+                await _discard_input(stream)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             self._on_disconnect()
         except h11.LocalProtocolError:
@@ -159,6 +194,7 @@
             try:
                 request = await self._read_request(connection)
             except BadRequest as error:
+                connection.unread = True
                 await self._send(connection, self._on_fault(error.fault), close=True)
                 return False
             if request is None:
@@ -171,7 +207,7 @@
                 return False
             await self._send(connection, reply, close=self._closing)
         finally:
-            connection.read_at = None
+            connection.read_at = connection.share = None
             self.in_progress -= 1
         return self._prepare_next(connection)
 
@@ -230,6 +266,10 @@
         with trio.move_on_after(self.limits.read_time.total_seconds()):
             try:
                 return await self._collect(connection)
+            except BodyTooLong:
+                raise BadRequest(Fault.BODY_TOO_LONG) from None
+            except NoMemory:
+                raise BadRequest(Fault.NO_MEMORY) from None
             except h11.RemoteProtocolError as error:
                 raise BadRequest(_find_fault(error)) from None
         raise BadRequest(Fault.TIMEOUT)
@@ -237,8 +277,8 @@
     async def _collect(self, connection: _Connection) -> HttpRequest | None:
         """Collect the parts of one request; None if the client disconnected."""
         head: h11.Request | None = None
-        chunks: list[bytes] = []
-        size = 0
+        body = BodyBuffer(self.limits.body, self._budget)
+        connection.share = body.share
         while True:
             event = connection.http.next_event()
             if event is h11.NEED_DATA:
@@ -253,18 +293,15 @@
                 if has_ambiguous_end(head.headers):
                     raise BadRequest(Fault.MALFORMED)
             elif type(event) is h11.Data:
-                size += len(event.data)
-                if size > self.limits.body:
-                    raise BadRequest(Fault.BODY_TOO_LONG)
-                chunks.append(bytes(event.data))
+                await body.append(event.data)
             elif type(event) is h11.EndOfMessage:
                 break
             else:
                 return None
         assert head is not None
-        method = head.method.decode("ascii")
+        connection.method = method = head.method.decode("ascii")
         target = head.target.decode("latin-1")
-        return HttpRequest(method, target, tuple(head.headers), b"".join(chunks))
+        return HttpRequest(method, target, tuple(head.headers), body.finish())
 
     async def _send_continue(self, connection: _Connection) -> None:
         head = h11.InformationalResponse(status_code=100, headers=[])
@@ -276,14 +313,24 @@
         http = connection.http
         if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        headers = [*reply.headers, (b"content-length", str(len(reply.body)).encode())]
-        if close:
+        headers = list(reply.headers)
+        if reply.status not in _BODYLESS_STATUSES:
+            headers.append((b"content-length", str(len(reply.body)).encode()))
+        has_body = connection.method != "HEAD" and (
+            reply.status not in _BODYLESS_STATUSES
+        )
+        body = reply.body if has_body else b""
+        # A client may take a success for the start of a tunnel, so nothing follows it.
+        if close or connection.method == CONNECT:
             headers.append((b"connection", b"close"))
         data = http.send(h11.Response(status_code=reply.status, headers=headers)) or b""
-        if reply.body:
-            data += http.send(h11.Data(data=reply.body)) or b""
-        data += http.send(h11.EndOfMessage()) or b""
-        await connection.stream.send_all(data)
+        # After a success to CONNECT, h11 expects nothing more.
+        if http.our_state is not h11.SWITCHED_PROTOCOL:
+            if body:
+                http.send(h11.Data(data=body))
+            http.send(h11.EndOfMessage())
+        for part in join_parts(data, body):
+            await connection.stream.send_all(part)
 
     def _prepare_next(self, connection: _Connection) -> bool:
         http = connection.http
@@ -293,6 +340,19 @@
         return True
 
 
+async def _discard_input(stream: trio.abc.Stream) -> None:
+    """Read what a client still sends of a refused request, for a short time.
+
+    A connection that is closed with unread input is reset, and the client may lose the
+    reply.
+    """
+    with trio.move_on_after(DISCARD_TIMEOUT.total_seconds()):
+        if isinstance(stream, trio.abc.HalfCloseableStream):
+            await stream.send_eof()
+        while await stream.receive_some(RECEIVE_SIZE):
+            pass
+
+
 def has_ambiguous_end(headers: Iterable[tuple[bytes, bytes]]) -> bool:
     """Return whether a request states its length in two ways (RFC 9112, 6.1)."""
     names = {name for name, _ in headers}
