--- a/walkcart/platform/tests/processworld.py
+++ b/walkcart/platform/tests/processworld.py
@@ -85,16 +85,25 @@
     starts: int = 0
     #: Whether the process is to be started again after it has ended.
     kept: bool = True
+    #: Added to its ports, but for that of the metrics page. Instances that share an
+    #: address differ in it.
+    port_offset: int = 0
 
     @property
     def callers(self) -> HostPort:
         """The address for callers."""
-        return HostPort(self.ip, CALLERS_PORT)
+        return HostPort(self.ip, CALLERS_PORT + self.port_offset)
 
     @property
     def readiness(self) -> HostPort:
         """The address of the balancer's readiness check."""
-        return HostPort(self.ip, READINESS_PORT)
+        return HostPort(self.ip, READINESS_PORT + self.port_offset)
+
+    @property
+    def peers(self) -> list[HostPort]:
+        """The addresses of which the instance takes one for its peers."""
+        first, last = (port + self.port_offset for port in PEER_PORTS)
+        return [HostPort(self.ip, port) for port in range(first, last + 1)]
 
     @property
     def settings_path(self) -> Path:
@@ -184,7 +193,7 @@
             data_centre: its data centre.
             ip: its address; by default a loopback address that no other one has.
         """
-        ip = ip or _make_address()
+        ip = ip or make_address()
         text = make_settings_file(name, ip, data_centre, self.store_address)
         machine = Machine(name, ip, data_centre, self.folder / f"{name}.log", text)
         self.machines[name] = machine
@@ -218,6 +227,11 @@
             )
         machine.starts += 1
 
+    def start_once(self, machine: Machine) -> None:
+        """Start the process of a machine without starting it again after its end."""
+        machine.kept = False
+        self._start_process(machine)
+
     async def _keep(self, machine: Machine) -> None:
         while machine.kept:
             await trio.sleep(POLL_INTERVAL)
@@ -349,7 +363,12 @@
 
 
 def make_settings_file(
-    name: str, ip: str, data_centre: str, store: HostPort, **bounds: object
+    name: str,
+    ip: str,
+    data_centre: str,
+    store: HostPort,
+    port_offset: int = 0,
+    **bounds: object,
 ) -> str:
     """Return the text of a settings file as the platform fills it.
 
@@ -358,6 +377,7 @@
         ip: address of its machine.
         data_centre: its data centre.
         store: address of the store.
+        port_offset: added to all ports.
         bounds: values of the table ``bounds`` that differ from the usual ones.
     """
     zones = "\n".join(f'{zone} = "{region}"' for zone, region in REGIONS.items())
@@ -370,19 +390,22 @@
         **bounds,
     }
     lines = "\n".join(f"{key} = {value}" for key, value in usual.items())
+    callers, readiness, first_peer, last_peer = (
+        port + port_offset for port in (CALLERS_PORT, READINESS_PORT, *PEER_PORTS)
+    )
     return (
         f'nodeName = "{name}"\nrole = "entry"\nip = "{ip}"\nzone = "{data_centre}"\n'
         f'region = "{REGIONS[data_centre]}"\n'
-        f"portRange = [{PEER_PORTS[0]}, {PEER_PORTS[1]}]\nbootstrap = true\n"
+        f"portRange = [{first_peer}, {last_peer}]\nbootstrap = true\n"
         f"[zones]\n{zones}\n"
-        f'[listen]\nfront = "{ip}:{CALLERS_PORT}"\nready = "{ip}:{READINESS_PORT}"\n'
+        f'[listen]\nfront = "{ip}:{callers}"\nready = "{ip}:{readiness}"\n'
         "[limits]\ncpuShare = 0.537\ncores = 2\nmemoryMb = 300\nmaxFds = 4100\n"
         f"[bounds]\n{lines}\n"
         f'[platform]\naddress = "{store}"\nwritesPerS = 400\nreadsPerS = 2000\n'
     )
 
 
-def _make_address() -> str:
+def make_address() -> str:
     """Return a loopback address that no other machine of any test process has."""
     process = os.getpid()
     number = next(_machine_numbers)
--- a/walkcart/platform/tests/soakcalls.py
+++ b/walkcart/platform/tests/soakcalls.py
@@ -65,7 +65,7 @@
 
     async def is_ready(self, name: str) -> bool:
         """Return whether a daemon reports that it is ready."""
-        address = HostPort("127.0.0.1", self._environment.first_port_of(name) + 1)
+        address = self._environment.machines[name].readiness
         reply = await self._exchange_once(address, HttpRequest("GET", "/api/ready"))
         return reply is not None and reply.status == 200
 
@@ -77,7 +77,7 @@
             path: path of the request.
             key: key to send if there are teams; by default one that is always valid.
         """
-        address = HostPort("127.0.0.1", self._environment.first_port_of(name))
+        address = self._environment.machines[name].callers
         request = self._make_request("one", path, key or key_of(TEAMS[0]))
         reply = await self._exchange_once(address, request)
         return reply.status if reply else 0
@@ -116,7 +116,7 @@
         """Send requests to one daemon until the connection ends, then to another."""
         while True:
             name = self._random.choice(sorted(self._environment.store_proxies))
-            address = HostPort("127.0.0.1", self._environment.first_port_of(name))
+            address = self._environment.machines[name].callers
             try:
                 stream = await TcpNetwork().connect(address)
             except OSError:
--- a/walkcart/platform/tests/soakenvironment.py
+++ b/walkcart/platform/tests/soakenvironment.py
@@ -4,6 +4,8 @@
 
 import socket
 from collections import Counter
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from random import Random
 from typing import Any
 
@@ -19,6 +21,7 @@
     make_configuration,
     make_route,
 )
+from walkcart.platform.tests.processworld import Machine, make_settings_file
 from walkcart.platform.tests.soakproxy import Proxy, ProxyFault
 from walkcart.platform.tests.soakteams import SoakTeams
 from walkcart.platform.tests.storestandin import (
@@ -37,7 +40,7 @@
 HOME_REGION = "south"
 #: Requests per second that a cold leaf can serve; callers send each leaf about 40.
 COLD_RATE = 5
-#: The daemons' listening ports are a block of consecutive ports, four for each daemon.
+#: A program's listening ports are a block of consecutive ports.
 #: These are the first port, the number of blocks that fit below the ephemeral ports of
 #: the machine, and the number of ports in a block.
 FIRST_PORT = 23000
@@ -68,6 +71,20 @@
         return True
 
 
+def make_entry(service: str, address: str, place: str) -> dict[str, Any]:
+    """Return the entry of a leaf."""
+    return {
+        "backend": service,
+        "address": address,
+        "zone": place,
+        "version": "v1",
+        "slots": 2,
+        "state": "ready",
+        "warmupLeftMs": 0,
+        "seq": 1,
+    }
+
+
 class SoakEnvironment:
     """Store, leaves and proxies in this process.
 
@@ -90,19 +107,29 @@
         self.leaf_places: dict[str, str] = {}
         self.leaf_proxies: dict[str, Proxy] = {}
         self.store_proxies: dict[str, Proxy] = {}
-        self.places: dict[str, str] = {}
-        self.first_port = find_port_block(random)
+        self.machines: Mapping[str, Machine] = {}
 
-    async def start(self, names: list[str], data_centres: tuple[str, ...]) -> None:
-        """Start store, leaves and proxies for daemons of these names."""
+    async def start(
+        self, machines: Mapping[str, Machine], data_centres: tuple[str, ...]
+    ) -> None:
+        """Start store, leaves and proxies, and make the daemons' settings."""
+        self.machines = machines
         address = await self._nursery.start(
             self.store.make_server().run, TcpNetwork(), LOOPBACK
         )
-        for number, name in enumerate(names):
+        for name, machine in machines.items():
             proxy = Proxy(address)
             await self._nursery.start(proxy.run)
             self.store_proxies[name] = proxy
-            self.places[name] = data_centres[number % len(data_centres)]
+            machine.settings = make_settings_file(
+                name,
+                machine.ip,
+                machine.data_centre,
+                proxy.address,
+                machine.port_offset,
+                warmupTolerance=1.5,
+                warmupSlack=5,
+            )
         for shard in range(SHARDS):
             for place in data_centres:
                 await self._start_leaf(f"s{shard}-{place}", f"shard-{shard}", place)
@@ -122,39 +149,19 @@
         self.leafs[id] = leaf
         self.leaf_places[id] = place
         self.leaf_proxies[id] = proxy
-        self.store.put(
-            f"servers/{id}",
-            {
-                "backend": service,
-                "address": str(proxy.address),
-                "zone": place,
-                "version": "v1",
-                "slots": 2,
-                "state": "ready",
-                "warmupLeftMs": 0,
-                "seq": 1,
-            },
-        )
-
-    def first_port_of(self, name: str) -> int:
-        """Return the first port of a daemon."""
-        return self.first_port + 4 * sorted(self.store_proxies).index(name)
+        self.store.put(f"servers/{id}", make_entry(service, str(proxy.address), place))
 
-    def make_settings(self, name: str) -> str:
-        """Return the text of a daemon's settings file."""
-        port = self.first_port_of(name)
-        place = self.places[name]
-        zones = "\n".join(f'{zone} = "{region}"' for zone, region in REGIONS.items())
-        return (
-            f'nodeName = "{name}"\nip = "127.0.0.1"\nzone = "{place}"\n'
-            f'region = "{REGIONS[place]}"\nportRange = [{port + 2}, {port + 3}]\n'
-            f"[zones]\n{zones}\n"
-            f'[listen]\nfront = "127.0.0.1:{port}"\nready = "127.0.0.1:{port + 1}"\n'
-            "[bounds]\nretryBudgetRatio = 0.2\nretryWindowS = 10\nbudgetSlack = 54\n"
-            "graceS = 6\nwarmupTolerance = 1.5\nwarmupSlack = 5\n"
-            f'[platform]\naddress = "{self.store_proxies[name].address}"\n'
-            "writesPerS = 400\nreadsPerS = 2000\n"
-        )
+    @contextmanager
+    def store_values(self, values: Mapping[str, Any]) -> Iterator[None]:
+        """Store values, and remove them at the end of the context."""
+        for key, value in values.items():
+            self.store.put(key, value)
+        try:
+            yield
+        finally:
+            for key in values:
+                if key in self.store.rows:
+                    self.store.remove(key)
 
     def change_routes(self) -> None:
         """Store a new version of the configuration that keeps the callers' routes."""
@@ -173,7 +180,7 @@
 
     async def evacuate(self, duration: float) -> None:
         """Evacuate a data centre for a while; its leaves are cold afterwards."""
-        place = self._random.choice(sorted(set(self.places.values())))
+        place = self._random.choice(sorted(set(self.leaf_places.values())))
         self.store.put(f"op/evacuate/{place}", {})
         await trio.sleep(duration)
         self.end_evacuation(place)
@@ -249,7 +256,7 @@
     def clear_faults(self) -> None:
         """End all faults and evacuations."""
         self.store.faults = PlatformStoreFaults()
-        for place in set(self.places.values()):
+        for place in set(self.leaf_places.values()):
             self.end_evacuation(place)
         for leaf in self.leafs.values():
             leaf.faults = PlatformLeafFaults()
--- /dev/null
+++ b/walkcart/platform/tests/soakfaults.py
@@ -0,0 +1,104 @@
+"""The table of the kinds of faults of a soak test."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from walkcart.platform.tests.soaked import Soaked
+from walkcart.platform.tests.soakinputfaults import (
+    add_bad_leaf,
+    send_bad_requests,
+    send_peer_bytes,
+    store_bad_document,
+    store_bad_entries,
+    store_bad_shared,
+)
+from walkcart.platform.tests.soakprocessfaults import (
+    break_settings,
+    flood,
+    hold_metrics_port,
+    hold_port,
+    kill,
+    kill_all,
+    limit_descriptors,
+    pause,
+    pause_long,
+    restart_quickly,
+    stop,
+)
+
+#: Injects a fault into a daemon, or into what surrounds it, for some seconds.
+Inject = Callable[[Soaked, str, float], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class FaultKind:
+    """A kind of fault.
+
+    Args:
+        inject: injects one.
+        events: events of which the daemons log at least one after such faults.
+    """
+
+    inject: Inject
+    events: tuple[str, ...] = ()
+
+
+async def disturb_store(soaked: Soaked, name: str, duration: float) -> None:
+    """Make the store fail."""
+    await soaked.environment.disturb_store(duration)
+
+
+async def disturb_leaf(soaked: Soaked, name: str, duration: float) -> None:
+    """Make a leaf misbehave."""
+    await soaked.environment.disturb_leaf(duration)
+
+
+async def disturb_link(soaked: Soaked, name: str, duration: float) -> None:
+    """Make the connections to a leaf misbehave."""
+    await soaked.environment.disturb_link(duration)
+
+
+async def change_routes(soaked: Soaked, name: str, duration: float) -> None:
+    """Store a new version of the configuration."""
+    soaked.environment.change_routes()
+
+
+async def evacuate(soaked: Soaked, name: str, duration: float) -> None:
+    """Evacuate a data centre."""
+    await soaked.environment.evacuate(duration)
+
+
+async def reassign_key(soaked: Soaked, name: str, duration: float) -> None:
+    """Give a key to another team, if there are teams."""
+    if soaked.environment.teams is not None:
+        soaked.environment.teams.reassign_key()
+        soaked.environment.change_routes()
+
+
+KINDS: dict[str, FaultKind] = {
+    "kill": FaultKind(kill),
+    "stop": FaultKind(stop),
+    "pause": FaultKind(pause),
+    "long pause": FaultKind(pause_long),
+    "herd": FaultKind(kill_all),
+    "restarts": FaultKind(restart_quickly),
+    "store": FaultKind(disturb_store),
+    "leaf": FaultKind(disturb_leaf),
+    "link": FaultKind(disturb_link),
+    "route": FaultKind(change_routes),
+    "evacuate": FaultKind(evacuate),
+    "keys": FaultKind(reassign_key),
+    "entries": FaultKind(store_bad_entries, ("leaf_entry_bad",)),
+    "documents": FaultKind(store_bad_document, ("routes_bad",)),
+    "shared": FaultKind(store_bad_shared, ("peer_bad_message",)),
+    "bad leaf": FaultKind(add_bad_leaf, ("leaf_bad_reply", "leaf_unreachable")),
+    "requests": FaultKind(send_bad_requests, ("request_bad",)),
+    "peers": FaultKind(send_peer_bytes, ("peer_bad_message",)),
+    "flood": FaultKind(flood),
+    "descriptors": FaultKind(limit_descriptors),
+    "ports": FaultKind(hold_port),
+    "metrics": FaultKind(hold_metrics_port),
+    "settings": FaultKind(break_settings, ("settings_bad",)),
+}
