Messages of peers: figures, names and the number of messages are bounded

Any program can connect to the port for peers. An envelope with a valid checksum could state times and rates that are not numbers, infinite or negative, ids of megabytes (a question's id is kept for 5 s after its end), any number of messages, and fields beyond the known ones that nest without end. What came of it was up to each handler; a nested field ended as an internal error.

What is out of bounds is a bad message: logged as event 405 and dropped. An accountant bounds the turn that it states, which a very small rate makes huge.

--- a/walkcart/membership/quotaserver.py
+++ b/walkcart/membership/quotaserver.py
@@ -19,6 +19,7 @@
 from walkcart.membership.quotashares import QuotaShares
 from walkcart.routing.quotas import MAX_SHARES, QuotaBounds, QuotaRequest
 from walkcart.routing.tokenbucket import MAX_TURN_WAIT
+from walkcart.wire.figures import MAX_FIGURE
 from walkcart.wire.messagebase import Message
 from walkcart.wire.quotas import QuotaAsk, QuotaElsewhere, QuotaGrant
 
@@ -70,9 +71,8 @@
             return QuotaElsewhere(ask.id, holder.name, holder.revision)
         reply = account.grant(self._apply_newest_limit(ask), self._clock.monotonic())
         wait = min(reply.wait, MAX_TURN_WAIT)
-        return QuotaGrant(
-            ask.id, reply.granted, wait, reply.turn, reply.use, reply.full
-        )
+        turn = min(reply.turn, MAX_FIGURE)
+        return QuotaGrant(ask.id, reply.granted, wait, turn, reply.use, reply.full)
 
     def _apply_newest_limit(self, ask: QuotaAsk) -> QuotaRequest:
         """Return the request under the newer of the two instances' configurations."""
--- a/walkcart/wire/codec.py
+++ b/walkcart/wire/codec.py
@@ -26,7 +26,7 @@
 
 
 class BadMessage(ValueError):
-    """Bytes that are not a valid envelope."""
+    """Bytes that are not a valid envelope, or a message that can't be meant."""
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
@@ -49,7 +49,7 @@
         data = _verify_checksum(data[1:])
     try:
         return _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise BadMessage(str(error)) from None
 
 
--- a/walkcart/wire/delegations.py
+++ b/walkcart/wire/delegations.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from walkcart.wire.figures import Figure, Name
 from walkcart.wire.messagebase import Message
 
 #: Seconds that stand for "never".
@@ -42,7 +43,7 @@
             first one the lowest.
     """
 
-    id: str
+    id: Name
     request: str
     kind: str
     method: str
@@ -51,15 +52,15 @@
     body: bytes
     services: tuple[str, ...]
     top: int
-    least_coverage: float
+    least_coverage: Figure
     most_attempts: int
-    remaining: float
-    objective: float
-    settle: float = NEVER
+    remaining: Figure
+    objective: Figure
+    settle: Figure = NEVER
     granted: bool = False
     traceparent: str | None = None
     regions: tuple[str, ...] | None = None
-    fair_coverage: float = 0.0
+    fair_coverage: Figure = 0.0
     lent: int = 0
 
 
@@ -72,8 +73,8 @@
             receiver, in seconds.
     """
 
-    id: str
-    usual_high: float
+    id: Name
+    usual_high: Figure
 
 
 class DelegatedMissing(msgspec.Struct, frozen=True, array_like=True):
@@ -111,7 +112,7 @@
             `DelegatedQuestion.lent`.
     """
 
-    id: str
+    id: Name
     body: bytes
     proofs: tuple[bytes, ...]
     missing: tuple[DelegatedMissing, ...]
@@ -133,7 +134,7 @@
         last: whether no more parts follow.
     """
 
-    id: str
+    id: Name
     service: str = ""
     body: bytes = b""
     proofs: tuple[bytes, ...] = ()
@@ -154,7 +155,7 @@
             `DelegatedQuestion.lent`.
     """
 
-    id: str
+    id: Name
     may_have_run: bool
     reason: str
     detail: str
@@ -171,7 +172,7 @@
         unheard: whether the receiver has sent nothing since the question was sent.
     """
 
-    id: str
+    id: Name
     unheard: bool = False
 
 
@@ -186,7 +187,7 @@
         id: id of the question.
     """
 
-    id: str
+    id: Name
 
 
 class Greeting(Message, frozen=True):
--- a/walkcart/wire/messages.py
+++ b/walkcart/wire/messages.py
@@ -10,7 +10,10 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 
 from walkcart.wire.delegations import (
     DelegatedAnswer,
@@ -22,6 +25,7 @@
     DelegatedTaken,
     Greeting,
 )
+from walkcart.wire.figures import Figure, Name
 from walkcart.wire.messagebase import Message
 from walkcart.wire.quarantines import QuarantineNews
 from walkcart.wire.quotas import (
@@ -39,6 +43,9 @@
     RelayUnserved,
 )
 
+#: Maximum number of messages in an envelope; instances send fewer.
+MAX_MESSAGES = 256
+
 
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
     """What is known of one instance.
@@ -144,7 +151,7 @@
 
     id: str
     leaf: str
-    remaining: float
+    remaining: Figure
     target: str
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
@@ -182,7 +189,7 @@
     body: bytes
     may_have_run: bool
     reason: str
-    elapsed: float
+    elapsed: Figure
 
 
 class ForwardReply(Message, frozen=True):
@@ -206,9 +213,9 @@
     token: str
     bucket: int
     key: bytes
-    issued: float
+    issued: Figure
     request: bytes
-    remaining: float
+    remaining: Figure
 
 
 class ClaimAnswer(Message, frozen=True):
@@ -301,12 +308,12 @@
         `walkcart.membership.messageages`, which uses the last four fields.
     """
 
-    sender: str
+    sender: Name
     incarnation: int
-    address: str
+    address: Name
     to_incarnation: int
-    messages: tuple[AnyMessage, ...]
-    life: str = ""
-    sent_at: float = 0.0
-    to_life: str = ""
-    least_reading: float = 0.0
+    messages: Annotated[tuple[AnyMessage, ...], Meta(max_length=MAX_MESSAGES)]
+    life: Name = ""
+    sent_at: Figure = 0.0
+    to_life: Name = ""
+    least_reading: Figure = 0.0
--- a/walkcart/wire/quarantines.py
+++ b/walkcart/wire/quarantines.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from walkcart.wire.figures import Figure
 from walkcart.wire.messagebase import Message
 
 #: Seconds that stand for "never".
@@ -22,8 +23,8 @@
 
     fingerprint: bytes
     strikes: tuple[int, ...]
-    struck_age: float
-    answered_age: float = NEVER
+    struck_age: Figure
+    answered_age: Figure = NEVER
 
 
 class QuarantineNews(Message, frozen=True):
--- a/walkcart/wire/quotas.py
+++ b/walkcart/wire/quotas.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from walkcart.wire.figures import Amount, Figure, Name
 from walkcart.wire.messagebase import Message
 
 
@@ -21,12 +22,12 @@
 
     id: int
     share: int
-    team: str
+    team: Name
     wanted: int
     version: int
-    rate: float
-    burst: float
-    full: tuple[tuple[int, float], ...] = ()
+    rate: Figure
+    burst: Figure
+    full: tuple[tuple[int, Figure], ...] = ()
 
 
 class QuotaGrant(Message, frozen=True):
@@ -44,10 +45,10 @@
 
     id: int
     granted: int
-    wait: float = 0.0
-    turn: float = 0.0
-    use: float = 0.0
-    full: tuple[tuple[int, float], ...] = ()
+    wait: Amount = 0.0
+    turn: Amount = 0.0
+    use: Amount = 0.0
+    full: tuple[tuple[int, Figure], ...] = ()
 
 
 class QuotaElsewhere(Message, frozen=True):
@@ -60,7 +61,7 @@
     """
 
     id: int
-    holder: str
+    holder: Name
     revision: int
 
 
@@ -76,7 +77,7 @@
     """
 
     share: int
-    holder: str
+    holder: Name
     revision: int
     weak: bool = False
 
--- a/walkcart/wire/relays.py
+++ b/walkcart/wire/relays.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from walkcart.wire.figures import Amount
 from walkcart.wire.messagebase import Message
 
 
@@ -49,8 +50,8 @@
         changed: seconds since it read the latest change.
     """
 
-    current: float
-    changed: float
+    current: Amount
+    changed: Amount
 
 
 class RelayChanges(Message, frozen=True):
@@ -99,7 +100,7 @@
 
     latest_change: int
     revision: int
-    current_age: float
+    current_age: Amount
 
 
 class RelayCurrent(Message, frozen=True):
