Quota grants: one of more requests than were asked for is dropped

A grant of 2**62 let an instance run any number of requests of a team until the grant expired; a negative one counted as an answer.

--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -215,6 +215,9 @@
                 aged_handler(sender, message, age)
             elif (handler := self._handlers.get(type(message))) is not None:
                 handler(sender, message)
+        except BadMessage as error:
+            detail = f"{type(message).__name__}: {error}"[:200]
+            self._events.emit(Events.PEER_BAD_MESSAGE, peer=sender, detail=detail)
         except Exception as error:
             task = f"{type(message).__name__} of {sender}"
             log_task_error(self._events, task, error)
--- a/walkcart/membership/quotaclient.py
+++ b/walkcart/membership/quotaclient.py
@@ -21,6 +21,7 @@
 from walkcart.membership.registration import Registration
 from walkcart.routing.allowances import ReplyTimeout
 from walkcart.routing.quotas import QuotaBounds, QuotaReply, QuotaRequest, ShareAccount
+from walkcart.wire.codec import BadMessage
 from walkcart.wire.delegations import Greeting
 from walkcart.wire.messagebase import Message
 from walkcart.wire.quotas import QuotaAsk, QuotaElsewhere, QuotaGrant
@@ -44,6 +45,7 @@
         asked: the name of the instance that was asked.
         share: the share whose tokens were requested.
         team: the team that the tokens are for.
+        amount: number of tokens requested.
         sent_at: when the request was sent, in seconds.
         done: set when an answer has come.
         reply: the accountant's reply; None if there is none or its grant has expired.
@@ -53,6 +55,7 @@
     asked: str
     share: int
     team: str
+    amount: int
     sent_at: float
     done: trio.Event = field(default_factory=trio.Event)
     reply: QuotaReply | None = None
@@ -196,7 +199,7 @@
         """Ask one instance; return None unless it answers as the accountant."""
         now = self._clock.monotonic()
         timeout = self._reply_timeouts.setdefault(name, ReplyTimeout()).find_timeout()
-        pending = _Pending(name, share, request.team, now)
+        pending = _Pending(name, share, request.team, request.amount, now)
         if not self._send(pending, request):
             self._record_silence(name)
             return None
@@ -248,6 +251,11 @@
 
     def _on_grant(self, sender: str, message: Message) -> None:
         assert isinstance(message, QuotaGrant)
+        asked = self._pending.get(message.id)
+        if asked is not None and not 0 <= message.granted <= asked.amount:
+            raise BadMessage(
+                f"{message.granted} requests granted, expected 0 to {asked.amount}"
+            )
         pending = self._complete(sender, message.id)
         if pending is None:
             return
