Peer links: a failed receive is tried again and doesn't end the process

The task that receives envelopes had no protection against an error of the socket library itself, such as one for lack of memory: it ended the instance's process with a traceback.

The transport reports such errors as OSError, as when it sends. The links log event 413, wait half a second and receive again; meanwhile the instance serves without peers. Other errors stay loud.

test_failing_receive_is_tried_again_and_does_not_end_the_links failed before.

--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -168,6 +168,11 @@
         "peer_slow",
         "A peer accepted no envelope in time; the link to it is replaced.",
     )
+    PEER_RECEIVE_FAILED = _warn(
+        413,
+        "peer_receive_failed",
+        "Receiving from peers failed; it is tried again. The instance serves without.",
+    )
     LATE_PARTS = _info(
         409, "late_parts", "Late shards are requested together in another region."
     )
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -24,6 +24,8 @@
 LIFE_ID_BYTES = 4
 #: Limit of stored addresses of senders, for replies to those outside the directory.
 MAX_UNKNOWN_SENDERS = 256
+#: Seconds from a failure of the listener until the next try.
+RECEIVE_RETRY_DELAY = 0.5
 #: Time for connecting to a peer and sending one envelope. After it the link is closed,
 #: and all its queued messages are lost.
 SEND_TIMEOUT = timedelta(seconds=2)
@@ -172,12 +174,22 @@
             async with trio.open_nursery() as self._nursery:
                 task_status.started()
                 while True:
-                    self._receive_safely(await self._listener.receive())
+                    await self._receive_next()
         finally:
             self._nursery = None
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
                 await self._listener.close()
 
+    async def _receive_next(self) -> None:
+        """Receive one envelope; wait a moment if the listener fails."""
+        try:
+            data = await self._listener.receive()
+        except OSError as error:
+            self._events.emit(Events.PEER_RECEIVE_FAILED, detail=str(error)[:200])
+            await trio.sleep(RECEIVE_RETRY_DELAY)
+            return
+        self._receive_safely(data)
+
     def _receive_safely(self, data: bytes) -> None:
         """Receive an envelope; an error in it must not end the instance."""
         try:
--- a/walkcart/membership/tests/test_hostile_peers.py
+++ b/walkcart/membership/tests/test_hostile_peers.py
@@ -19,6 +19,7 @@
 from walkcart.routing.quotas import QuotaBounds, QuotaRequest
 from walkcart.standins.memory import MemoryNetwork
 from walkcart.wire.codec import encode_envelope
+from walkcart.wire.delegations import Greeting
 from walkcart.wire.messages import Envelope
 from walkcart.wire.quotas import QuotaGrant
 
@@ -73,6 +74,19 @@
     network.deliver("north-a", ADDRESS, encode_envelope(envelope))
 
 
+def test_failing_receive_is_tried_again_and_does_not_end_the_links():
+    async def run():
+        async with open_links(failures=3) as (links, network, log):
+            received = []
+            links.on(Greeting, lambda sender, message: received.append(sender))
+            await trio.sleep(10)
+            deliver(network, "peer", Greeting())
+            await trio.sleep(1)
+            return received, log.getvalue().count("peer_receive_failed")
+
+    assert run_mocked(run) == (["peer"], 3)
+
+
 class Holders:
     """Names one accountant for all shares."""
 
--- a/walkcart/wire/peers.py
+++ b/walkcart/wire/peers.py
@@ -53,7 +53,11 @@
     address: HostPort
 
     async def receive(self) -> bytes:
-        """Wait for one envelope."""
+        """Wait for one envelope.
+
+        Raises:
+            OSError: the listener is closed or failed.
+        """
         ...
 
     async def close(self) -> None:
@@ -139,7 +143,10 @@
 
     async def receive(self) -> bytes:
         """Wait for one envelope."""
-        return await self._socket.arecv()
+        try:
+            return await self._socket.arecv()
+        except pynng.NNGException as error:
+            raise OSError(str(error)) from error
 
     async def close(self) -> None:
         """Close the socket."""
