Peer links: few links are opened to senders that no instance knows

An envelope names the address to answer at. Each unknown sender that asked for something got a link of its own, a socket with threads' work and up to a whole configuration queued: a program that sends under many names made an instance open any number of connections to addresses of its choice.

At most 64 links lead to instances outside the directory; further messages to such are dropped, counted and logged once as event 414. Links to known instances aren't affected.

test_unknown_senders_get_few_links_and_known_ones_keep_theirs failed before (200 links for 200 senders).

--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -173,6 +173,11 @@
         "peer_receive_failed",
         "Receiving from peers failed; it is tried again. The instance serves without.",
     )
+    PEER_LINKS_FULL = _warn(
+        414,
+        "peer_links_full",
+        "Too many senders outside the list of instances; messages to them are dropped.",
+    )
     LATE_PARTS = _info(
         409, "late_parts", "Late shards are requested together in another region."
     )
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -24,6 +24,8 @@
 LIFE_ID_BYTES = 4
 #: Limit of stored addresses of senders, for replies to those outside the directory.
 MAX_UNKNOWN_SENDERS = 256
+#: Limit of links to instances outside the directory: any program can name addresses.
+MAX_UNKNOWN_LINKS = 64
 #: Seconds from a failure of the listener until the next try.
 RECEIVE_RETRY_DELAY = 0.5
 #: Time for connecting to a peer and sending one envelope. After it the link is closed,
@@ -74,6 +76,8 @@
         #: may reject an instance for longer than its entry lasts.
         self._last_addresses: dict[str, str] = {}
         self._nursery: trio.Nursery | None = None
+        #: Whether links to unknown instances were refused since there was one to spare.
+        self._is_refusing_links = False
         #: When the last envelope meant for this process came, in seconds; at first the
         #: time of the start.
         self.last_received = trio.current_time()
@@ -144,6 +148,9 @@
             return False
         link = self._links.get((name, address))
         if link is None:
+            if not self._may_open_link(name):
+                self._metrics.count("peer.dropped")
+                return False
             link = Outbox(trio.current_time())
             try:
                 self._nursery.start_soon(self._run_link, name, address, link)
@@ -156,6 +163,17 @@
             return False
         return True
 
+    def _may_open_link(self, name: str) -> bool:
+        """Return whether a link may be opened; those to unknown instances are few."""
+        if self._view.find(name) is not None:
+            return True
+        unknown = sum(self._view.find(known) is None for known, _ in self._links)
+        is_refused = unknown >= MAX_UNKNOWN_LINKS
+        if is_refused and not self._is_refusing_links:
+            self._events.emit(Events.PEER_LINKS_FULL, peer=name, links=unknown)
+        self._is_refusing_links = is_refused
+        return not is_refused
+
     def reconnect(self, name: str) -> None:
         """Open a new connection to a silent peer with the next message.
 
--- a/walkcart/membership/tests/test_hostile_peers.py
+++ b/walkcart/membership/tests/test_hostile_peers.py
@@ -13,7 +13,7 @@
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.settings import HostPort
 from walkcart.membership.instancerecord import InstanceRecord
-from walkcart.membership.links import PeerLinks
+from walkcart.membership.links import MAX_UNKNOWN_LINKS, PeerLinks
 from walkcart.membership.quotaclient import QuotaClient
 from walkcart.membership.quotaholders import Holder
 from walkcart.routing.quotas import QuotaBounds, QuotaRequest
@@ -87,6 +87,22 @@
     assert run_mocked(run) == (["peer"], 3)
 
 
+def test_unknown_senders_get_few_links_and_known_ones_keep_theirs():
+    async def run():
+        async with open_links() as (links, network, log):
+            links.on(Greeting, lambda sender, message: links.send(sender, Greeting()))
+            for number in range(200):
+                address = f"127.0.0.1:{40000 + number}"
+                deliver(network, f"ghost-{number}", Greeting(), address=address)
+            await trio.sleep(0.5)
+            opened = len(links._links)
+            known = links.send("peer", Greeting())
+            await trio.sleep(60)
+            return opened, known, "peer_links_full" in log.getvalue()
+
+    assert run_mocked(run) == (MAX_UNKNOWN_LINKS, True, True)
+
+
 class Holders:
     """Names one accountant for all shares."""
 
