--- a/walkcart/wire/codec.py
+++ b/walkcart/wire/codec.py
@@ -27,7 +27,7 @@
 
 
 class BadMessage(ValueError):
-    """Bytes that are not a valid envelope."""
+    """Bytes that are not a valid envelope, or a message that can't be meant."""
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
