A store whose answers lead no further isn't called without a pause

Seen (unit tests): a watch that was answered at once with nothing, or with changes that were known, and a history that was lost again after each read, made a copy call the store all the time; only the budget of calls held it back, which the lease's renewals need too. A page that is cut off but has no further key was read for ever, and the list of its revisions grew.

Fix: a watch that brings nothing new within a second, or that loses the history twice in a row, is followed by the back-off. A page that is cut off must have a key after the one before. Leases are renewed once a second at most, however short the store grants them (read in the source, without a test).

--- a/walkcart/membership/registration.py
+++ b/walkcart/membership/registration.py
@@ -211,7 +211,7 @@
         if self._registered is None:
             return wanted
         granted = self._registered.lease.time_to_live.total_seconds()
-        return min(wanted, granted / RENEWALS_PER_LEASE)
+        return max(shortest, min(wanted, granted / RENEWALS_PER_LEASE))
 
     def _wanted_ttl(self) -> timedelta:
         interval = (len(self._others) + 1) / MAX_FLEET_RENEWAL_RATE
--- a/walkcart/platform/store.py
+++ b/walkcart/platform/store.py
@@ -142,6 +142,8 @@
         reply = await self._get(_RANGE, query)
         page = self._decode_success(reply, _PAGE)
         items = tuple(_read_item(item) for item in page.items)
+        if page.truncated and (not items or items[-1].key <= after):
+            raise self._calls.reject_reply(f"a page after {after!r} leads no further")
         return Page(items, page.as_of, not page.truncated)
 
     async def watch(
--- a/walkcart/platform/tests/test_store_replies.py
+++ b/walkcart/platform/tests/test_store_replies.py
@@ -14,6 +14,7 @@
 from walkcart.platform.store import PlatformStore
 from walkcart.store.calls import StoreUnavailable
 from walkcart.store.items import Lease, Put, Transaction
+from walkcart.store.reading import read_prefix
 from walkcart.wire.http import HttpReply
 
 DEEP = b'{"notes": ' + b"[" * 1500 + b"]" * 1500 + b"}"
@@ -108,3 +109,37 @@
 def test_grant_without_a_lease_is_rejected():
     # A key stored with it would never be removed.
     assert is_rejected("grant", {"ttlMs": 15000})
+
+
+def test_page_that_leads_no_further_is_rejected():
+    item = {"tlsKey": "op/a", "revision": 5, "value": ""}
+    for items, after, is_bad in [
+        ([item], "", False),
+        ([item], "op/Z", False),
+        ([item], "op/a", True),
+        ([item], "op/b", True),
+        ([], "", True),
+    ]:
+        content = {"items": items, "truncated": True, "asOf": 9}
+        store = PlatformStore(
+            PreparedCalls(HttpReply(200, body=msgspec.json.encode(content)))
+        )
+        if is_bad:
+            with pytest.raises(StoreUnavailable):
+                trio.run(store.list_items, "op/", after, True)
+        else:
+            assert not trio.run(store.list_items, "op/", after, True).last
+
+
+def test_endless_equal_pages_end_the_read():
+    item = {"tlsKey": "op/a", "revision": 5, "value": ""}
+    content = {"items": [item], "truncated": True, "asOf": 9}
+    body = msgspec.json.encode(content)
+    store = PlatformStore(PreparedCalls(HttpReply(200, body=body)))
+
+    async def read():
+        with trio.fail_after(5):
+            await read_prefix(store, "op/", True)
+
+    with pytest.raises(StoreUnavailable):
+        trio.run(read)
--- a/walkcart/store/follower.py
+++ b/walkcart/store/follower.py
@@ -39,6 +39,8 @@
 #: connection that went silent is detected by probes
 #: (`walkcart.store.calls.PROBE_INTERVAL`), not by the end of this wait.
 WATCH_WAIT = timedelta(seconds=20)
+#: Seconds after which a watch that brings nothing new has waited for changes.
+MIN_WATCH_TIME = 1.0
 #: Pause after a watch that brought changes, so that a burst of changes is applied
 #: together.
 BURST_PAUSE = timedelta(milliseconds=250)
@@ -123,6 +125,7 @@
         self._items: dict[str, Item] = {}
         self._history = ChangeHistory()
         self._needs_read = True
+        self._was_history_lost = False
         self._work_scope: trio.CancelScope | None = None
         self._freshness = CopyFreshness(calls, clock)
         self._fed = False
@@ -211,9 +214,15 @@
                     await self._watch_requested.wait()
             elif self._needs_read or self._is_behind():
                 await self._read_all(fresh=True)
+            started_at = self._clock.monotonic()
             result = await self._watch()
-            self._backoff.reset()
+            waited = self._clock.monotonic() - started_at
+            is_stuck = self._is_stuck(result, waited)
             await self._process_result(result)
+            if is_stuck:
+                await trio.sleep(self._backoff.next_delay().total_seconds())
+            else:
+                self._backoff.reset()
         except StoreUnavailable:
             # `StoreCalls` logs it, as it knows whether this is the first failure.
             await trio.sleep(self._backoff.next_delay().total_seconds())
@@ -227,6 +236,24 @@
             with trio.move_on_after(FEED_WAIT.total_seconds()):
                 await self._watch_requested.wait()
 
+    def _is_stuck(self, result: Changes | HistoryLost, waited: float) -> bool:
+        """Return whether a watch brought nothing new, so that the next one may neither.
+
+        Without a pause a store that answers at once would be called all the time.
+
+        Args:
+            result: the result of the watch.
+            waited: how long the watch took, in seconds.
+        """
+        match result:
+            case HistoryLost():
+                was_lost, self._was_history_lost = self._was_history_lost, True
+                return was_lost
+            case Changes(changes):
+                self._was_history_lost = False
+                is_new = any(change.revision > self.revision for change in changes)
+                return not is_new and waited < MIN_WATCH_TIME
+
     def _is_behind(self) -> bool:
         """Return whether the copy is so old that a full read is cheaper than a watch.
 
