Log: what libraries report becomes an event with few lines

With few descriptors (64) and a flood of silent connections on any port, the event loop logs each failed accept, ten a second for each listener, and the thread of the peer library its own. Nothing handled these records, so Python wrote them to standard error with tracebacks: 1,278 to 2,808 lines in 8 s that no reader of the JSON log understands, at a time when an operator needs the log.

A handler turns records of libraries into event 120, which like all events has at most 20 lines a second. The daemon serves again as soon as the flood has gone, on all four ports, with 64, 100 and 200 descriptors; that was so before.

test_connection_floods.py failed before on all four ports, at the first line that isn't JSON.

--- a/walkcart/daemon/platform.py
+++ b/walkcart/daemon/platform.py
@@ -32,6 +32,7 @@
 from walkcart.kernel.clock import BootClock, TrioClock
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
+from walkcart.kernel.librarylog import forward_library_logs
 from walkcart.kernel.logsink import LogSink
 from walkcart.kernel.numbers import read_number
 from walkcart.platform.settings import (
@@ -93,7 +94,11 @@
         print(f"walkcartd: can't listen on an address: {error}", file=sys.stderr)
         return EXIT_FAILED
     signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with trio.open_signal_receiver(*signals) as received:
+    events = tenant.kernel.find("events", EventLog)
+    with (
+        forward_library_logs(events),
+        trio.open_signal_receiver(*signals) as received,
+    ):
         async with trio.open_nursery() as nursery:
             await nursery.start(tenant.kernel.run)
             nursery.start_soon(_watch_file, tenant, path, file_state)
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -56,6 +56,12 @@
         "stop_bound_reached",
         "The time limit of a stop passed with requests still in progress.",
     )
+    LIBRARY_WARNING = _warn(
+        120,
+        "library_warning",
+        "A library reports a failure that it goes on after, such as too few "
+        "descriptors to accept a connection.",
+    )
     REQUEST_BAD = _info(201, "request_bad", "A caller's request can't be understood.")
     REQUEST_REFUSED = _info(
         202, "request_refused", "A request was refused before it ran."
