Starts: wait for addresses in use, and log why a process ends

An instance whose caller or readiness address, or whole range of peer ports, was held (by its predecessor, or another program) ended with 1 at each start, 9 to 13 times in 6 s. So did one whose metrics port was taken: of two instances on one address with ports of their own the second never started. A metrics port that isn't a number ended it with 2, an address that the machine doesn't have yet, or 12 descriptors, with 1.

Cause: each error of listening was taken for a wrong setting, and the metrics page for something that serving needs.

Errors that can pass (address in use or missing, descriptors, memory) are retried every half second, logged (109 address_busy) at growing intervals. The port for other instances comes first, as the registration names it; then callers and readiness, each by itself: while the callers' address is held the instance serves other instances, and its readiness check fails. The metrics page is retried after any error, every 10 s at the least often. Other errors of listening still end the process with 1. nng's errors carry the system's number.

A stop signal is heard from before the libraries are loaded, and ends a start that waits at once, with 0. Each end from within is one line now (106 process_ended, 107 process_failed, also for an error that escapes the event loop, which stays loud), and each start one (105 process_started), so that a kill shows as two starts in a row.

--- a/walkcart/daemon/platform.py
+++ b/walkcart/daemon/platform.py
@@ -5,25 +5,23 @@
 
 from __future__ import annotations
 
-import signal
-
 from walkcart.daemon.deferred import skip_unused_modules
+from walkcart.daemon.processsetup import ProcessSetup, prepare_process
 
 if __name__ == "__main__":
-    # By default this signal would end the process while it loads its modules. Settings
-    # that change meanwhile are noticed by the state of their file.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    _setup = prepare_process()
     skip_unused_modules()
 
 import os
 import sys
-from functools import partial
 from pathlib import Path
 from random import Random
 from typing import TextIO, cast
 
 import trio
 
+from walkcart.daemon.processlog import ProcessLog
+from walkcart.daemon.signalwatch import RECEIVED_SIGNALS, SignalWatch
 from walkcart.daemon.tenant import (
     Tenant,
     TenantEnvironment,
@@ -37,6 +35,7 @@
 from walkcart.platform.settings import (
     FILE_VARIABLE,
     BadSettings,
+    IncompleteSettings,
     PlatformSettings,
     read_settings,
 )
@@ -54,71 +53,166 @@
 #: Seconds between two checks of whether the settings file has changed, which can happen
 #: without a signal: half of the time within which a change must be in force.
 FILE_CHECK_INTERVAL = 1.0
+#: Seconds between two reads of an incomplete settings file at the start, and between
+#: two log lines about it.
+AWAIT_INTERVAL = 0.25
+AWAIT_LOG_INTERVAL = 5.0
+#: Least time between two reads of the settings file while the instance runs, in
+#: seconds, however many signals ask for it.
+MIN_RELOAD_INTERVAL = 0.1
 
 
-def main() -> None:
+def main(setup: ProcessSetup) -> None:
     """Run the daemon and exit the process."""
+    sink = LogSink(setup.log_descriptor)
+    log = ProcessLog(cast(TextIO, sink))
     path = os.environ.get(FILE_VARIABLE)
+    log.log_start(path or "")
     if not path:
-        print(f"walkcartd: {FILE_VARIABLE} isn't set", file=sys.stderr)
+        log.log_failure("settings", f"{FILE_VARIABLE} isn't set", EXIT_USAGE)
         sys.exit(EXIT_USAGE)
-    file_state = _read_file_state(Path(path))
+    program = _Program(setup, Path(path), log, cast(TextIO, sink))
     try:
-        settings = read_settings(Path(path))
-    except BadSettings as error:
-        print(f"walkcartd: {error}", file=sys.stderr)
-        sys.exit(EXIT_USAGE)
-    port = read_number(os.environ.get(METRICS_VARIABLE, "0"))
-    if port is None or port > MAX_PORT:
-        print(f"walkcartd: {METRICS_VARIABLE} must be a port number", file=sys.stderr)
-        sys.exit(EXIT_USAGE)
-    run = partial(_run, settings, Path(path), file_state, port)
-    sys.exit(trio.run(run, clock=BootClock()))
+        code = trio.run(program.run, clock=BootClock())
+    except BaseException as error:
+        log.log_error(error, EXIT_FAILED)
+        raise
+    finally:
+        sink.flush()
+    sys.exit(code)
 
 
-#: Modification time and size of a file, or None if it can't be read.
-FileState = tuple[int, int] | None
+class _Program:
+    """One run of the daemon.
 
+    Args:
+        setup: what is known from before the libraries were loaded.
+        path: path of the settings file.
+        log: log of the process's start and end.
+        stream: stream for log lines.
+    """
 
-async def _run(
-    settings: PlatformSettings, path: Path, file_state: FileState, port: int
-) -> int:
-    log = cast(TextIO, LogSink(sys.stdout.fileno()))
-    environment = TenantEnvironment(
-        TcpNetwork(), NngTransport(), TrioClock(), Random(), log, port
+    def __init__(
+        self, setup: ProcessSetup, path: Path, log: ProcessLog, stream: TextIO
+    ) -> None:
+        self._setup = setup
+        self._path = path
+        self._log = log
+        self._stream = stream
+
+    async def run(self) -> int:
+        """Run until a signal asks for a stop; return the exit code."""
+        with trio.open_signal_receiver(*RECEIVED_SIGNALS) as received:
+            watch = SignalWatch(self._setup.stop_signal)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch.run, received)
+                code = await self._start_and_serve(watch)
+                nursery.cancel_scope.cancel()
+        return code
+
+    async def _start_and_serve(self, watch: SignalWatch) -> int:
+        tenant, state = None, None
+        try:
+            with watch.start_scope:
+                settings, state = await wait_for_settings(
+                    self._path, watch, self._log.events
+                )
+                self._log.set_instance(settings.instance)
+                tenant = await self._assemble(settings)
+        except BadSettings as error:
+            self._log.log_failure("settings", str(error), EXIT_USAGE)
+            return EXIT_USAGE
+        except OSError as error:
+            detail = f"can't listen on an address: {error}"
+            self._log.log_failure("address", detail, EXIT_FAILED)
+            return EXIT_FAILED
+        if tenant is None:
+            self._log.log_end(watch.stop_reason, EXIT_OK, serving=False)
+            return EXIT_OK
+        code = await _serve(tenant, self._path, state, watch)
+        self._log.log_end(watch.stop_reason, code, serving=True)
+        return code
+
+    async def _assemble(self, settings: PlatformSettings) -> Tenant:
+        _log_invalid(self._log.events, settings)
+        environment = TenantEnvironment(
+            TcpNetwork(),
+            NngTransport(),
+            TrioClock(),
+            Random(),
+            self._stream,
+            find_metrics_port(self._log.events),
+        )
+        return await assemble_tenant(settings, environment)
+
+
+def find_metrics_port(events: EventLog) -> int:
+    """Return the port of the metrics page; 0, for none, if it's missing or invalid."""
+    text = os.environ.get(METRICS_VARIABLE, "0")
+    port = read_number(text)
+    if port is not None and port <= MAX_PORT:
+        return port
+    events.emit(
+        Events.SETTING_INVALID,
+        setting=METRICS_VARIABLE,
+        value=text,
+        expected=f"a port number up to {MAX_PORT}; no metrics page is served",
     )
-    try:
-        tenant = await assemble_tenant(settings, environment)
-    except OSError as error:
-        print(f"walkcartd: can't listen on an address: {error}", file=sys.stderr)
-        return EXIT_FAILED
-    _log_invalid(tenant.kernel.find("events", EventLog), settings)
-    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with trio.open_signal_receiver(*signals) as received:
-        async with trio.open_nursery() as nursery:
-            await nursery.start(tenant.kernel.run)
-            nursery.start_soon(_watch_file, tenant, path, file_state)
-            await _wait_for_stop(received, tenant, path)
-            ended = await tenant.stop.stop()
-            nursery.cancel_scope.cancel()
+    return 0
+
+
+async def _serve(
+    tenant: Tenant, path: Path, state: FileState, watch: SignalWatch
+) -> int:
+    """Serve until a signal asks for a stop; return the exit code."""
+    async with trio.open_nursery() as nursery:
+        await nursery.start(tenant.kernel.run)
+        nursery.start_soon(_follow_settings, tenant, path, state, watch)
+        await watch.stopped.wait()
+        ended = await tenant.stop.stop()
+        nursery.cancel_scope.cancel()
     return EXIT_OK if ended else EXIT_FAILED
 
 
-async def _wait_for_stop(received, tenant: Tenant, path: Path) -> None:
-    async for number in received:
-        if number != signal.SIGHUP:
-            return
-        reload_settings(tenant, path)
+#: Modification time and size of a file, or None if it can't be read.
+FileState = tuple[int, int] | None
+
 
+async def wait_for_settings(
+    path: Path, watch: SignalWatch, events: EventLog
+) -> tuple[PlatformSettings, FileState]:
+    """Read the settings file; wait until it's there and complete.
 
-async def _watch_file(tenant: Tenant, path: Path, seen: FileState) -> None:
-    """Reload the settings whenever the file differs from its state `seen`."""
+    Raises:
+        BadSettings: a required field has an invalid value.
+    """
+    logged = float("-inf")
     while True:
-        await trio.sleep(FILE_CHECK_INTERVAL)
         state = _read_file_state(path)
-        if state != seen:
+        try:
+            return read_settings(path), state
+        except IncompleteSettings as error:
+            if trio.current_time() >= logged + AWAIT_LOG_INTERVAL:
+                logged = trio.current_time()
+                events.emit(Events.SETTINGS_AWAITED, detail=str(error))
+        await watch.wait_reload(AWAIT_INTERVAL)
+
+
+async def _follow_settings(
+    tenant: Tenant, path: Path, seen: FileState, watch: SignalWatch
+) -> None:
+    """Reload the settings on request, and when the file differs from its state `seen`.
+
+    A file that can't be read is tried again, as its state may not change any more.
+    """
+    failure: str | None = None
+    while True:
+        requested = await watch.wait_reload(FILE_CHECK_INTERVAL)
+        state = _read_file_state(path)
+        if requested or failure or state != seen:
+            failure = reload_settings(tenant, path, None if requested else failure)
             seen = state
-            reload_settings(tenant, path)
+        await trio.sleep(MIN_RELOAD_INTERVAL)
 
 
 def _read_file_state(path: Path) -> FileState:
@@ -130,20 +224,32 @@
     return (status.st_mtime_ns, status.st_size)
 
 
-def reload_settings(tenant: Tenant, path: Path) -> None:
+def reload_settings(
+    tenant: Tenant, path: Path, logged: str | None = None
+) -> str | None:
     """Apply the settings that can change at run time: the address of the store.
 
     Invalid settings are logged, and those in force stay.
+
+    Args:
+        tenant: the running instance.
+        path: path of the settings file.
+        logged: a failure that was logged already.
+
+    Returns:
+        Why the settings are invalid; None if they were applied.
     """
     events = tenant.kernel.find("events", EventLog)
     try:
         settings = read_settings(path)
     except BadSettings as error:
-        events.emit(Events.SETTINGS_BAD, detail=str(error))
-        return
+        if str(error) != logged:
+            events.emit(Events.SETTINGS_BAD, detail=str(error))
+        return str(error)
     _log_invalid(events, settings)
     tenant.kernel.find("calls", StoreCalls).set_address(settings.store)
     events.emit(Events.SETTINGS_RELOADED, store=str(settings.store))
+    return None
 
 
 def _log_invalid(events: EventLog, settings: PlatformSettings) -> None:
@@ -158,4 +264,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    main(_setup)
--- a/walkcart/daemon/tenant.py
+++ b/walkcart/daemon/tenant.py
@@ -25,6 +25,14 @@
 from walkcart.platform.callerprotocol import PlatformCallerProtocol
 from walkcart.platform.settings import PlatformSettings
 from walkcart.routing.shutdown import ShutdownDeadline
+from walkcart.wire.listening import (
+    ListenTools,
+    Place,
+    listen_soon,
+    log_listening,
+    retry_listen,
+)
+from walkcart.wire.peers import PeerListener
 from walkcart.wire.server import HttpServer, ServerLimits
 
 
@@ -46,14 +54,27 @@
 ) -> Tenant:
     """Listen on the instance's addresses and assemble its services.
 
+    Waits for an address for other instances, as they are told which one it is. The
+    others may be busy: they are listened on as soon as they are free.
+
     Raises:
-        OSError: listening on an address failed.
+        OSError: an address can't be listened on, and waiting won't help.
     """
-    callers = await environment.network.listen(settings.callers)
-    readiness = await environment.network.listen(settings.readiness)
-    peers = await listen_for_peers(settings, environment.transport)
     kernel = Kernel()
     add_base(kernel, settings, environment)
+    tools = ListenTools(environment.clock, kernel.find("events", EventLog))
+    peers = await _wait_for_peer_address(settings, environment, tools)
+    network = environment.network
+    callers = await listen_soon(
+        partial(network.listen, settings.callers),
+        Place("callers", str(settings.callers)),
+        tools,
+    )
+    readiness = await listen_soon(
+        partial(network.listen, settings.readiness),
+        Place("readiness", str(settings.readiness)),
+        tools,
+    )
     add_store(kernel, settings, environment, peers)
     add_intent(kernel, settings, environment)
     add_leaves(kernel, settings, environment)
@@ -81,3 +102,16 @@
         kernel.find("shutdown", ShutdownDeadline),
     )
     return Tenant(kernel, stop)
+
+
+async def _wait_for_peer_address(
+    settings: PlatformSettings, environment: TenantEnvironment, tools: ListenTools
+) -> PeerListener:
+    first, last = settings.peer_ports
+    peers = await retry_listen(
+        partial(listen_for_peers, settings, environment.transport),
+        Place("other instances", f"{settings.host}, ports {first} to {last}"),
+        tools,
+    )
+    log_listening(Place("other instances", str(peers.address)), tools)
+    return peers
--- a/walkcart/daemon/tenantentry.py
+++ b/walkcart/daemon/tenantentry.py
@@ -33,6 +33,7 @@
 from walkcart.routing.shutdown import ShutdownDeadline
 from walkcart.store.follower import PrefixFollower
 from walkcart.wire.http import HttpReply, HttpRequest
+from walkcart.wire.listening import ListenTools, Place, listen_soon
 from walkcart.wire.server import HttpServer, ServerLimits
 
 
@@ -104,10 +105,14 @@
 async def add_metrics_page(
     kernel: Kernel, settings: PlatformSettings, environment: TenantEnvironment
 ) -> None:
-    """Add the metrics page."""
+    """Add the metrics page, which other programs may keep from being served."""
     metrics = kernel.find("metrics", Metrics)
     address = HostPort(settings.host, environment.metrics_port)
-    listener = await environment.network.listen(address)
+    listener = await listen_soon(
+        partial(environment.network.listen, address),
+        Place("metrics", str(address), required=False),
+        ListenTools(environment.clock, kernel.find("events", EventLog)),
+    )
 
     async def answer(request: HttpRequest) -> HttpReply:
         # Loaded on the first request, as most instances never get one.
--- a/walkcart/entry/routedservice.py
+++ b/walkcart/entry/routedservice.py
@@ -18,6 +18,7 @@
 from walkcart.kernel.taskerrors import log_task_error
 from walkcart.leaves.directory import LeafDirectory
 from walkcart.wire.http import HttpReply, HttpRequest
+from walkcart.wire.listening import is_listening
 from walkcart.wire.server import Fault, HttpServer, ServerLimits
 
 #: Factor on the configured idle time: a request that leaves the caller just before
@@ -68,7 +69,12 @@
     @property
     def ready(self) -> bool:
         """Whether the load balancer may send new connections."""
-        return not self.stopping and self._keeper.known and self._directory.known
+        return (
+            not self.stopping
+            and is_listening(self._listener)
+            and self._keeper.known
+            and self._directory.known
+        )
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Accept connections and serve them until cancelled."""
--- a/walkcart/wire/peers.py
+++ b/walkcart/wire/peers.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 from typing import Protocol
 
 import pynng
@@ -20,6 +21,21 @@
 #: Bounds of the time between two tries of nng to connect again, in milliseconds.
 NNG_RECONNECT_MIN_MS = 50
 NNG_RECONNECT_MAX_MS = 1000
+#: Errors of nng for which the system has numbers of its own. An invalid address is one
+#: that the machine doesn't have: addresses are parsed before.
+NNG_ERRORS = {
+    pynng.AddressInUse: errno.EADDRINUSE,
+    pynng.AddressInvalid: errno.EADDRNOTAVAIL,
+    pynng.NoMemory: errno.ENOMEM,
+    pynng.OutOfFiles: errno.EMFILE,
+    pynng.PermissionDenied: errno.EACCES,
+}
+
+
+def make_os_error(error: pynng.NNGException) -> OSError:
+    """Return an error of nng as an error of the system."""
+    number = NNG_ERRORS.get(type(error))
+    return OSError(str(error)) if number is None else OSError(number, str(error))
 
 
 class PeerSender(Protocol):
@@ -129,7 +145,11 @@
 
     def __init__(self, address: HostPort) -> None:
         self._socket = pynng.Pull0(recv_max_size=MAX_ENVELOPE_BYTES)
-        self._socket.listen(f"tcp://{address}")
+        try:
+            self._socket.listen(f"tcp://{address}")
+        except pynng.NNGException:
+            self._socket.close()
+            raise
         self.address = address
         if address.port == 0:
             port = self._socket.listeners[0].local_address.port
@@ -158,7 +178,7 @@
         try:
             return NngListener(address)
         except pynng.NNGException as error:
-            raise OSError(str(error)) from error
+            raise make_os_error(error) from error
 
     async def dial(self, address: HostPort) -> PeerSender:
         """Dial with a push socket.
