--- a/walkcart/platform/tests/test_bad_stored_values.py
+++ b/walkcart/platform/tests/test_bad_stored_values.py
@@ -76,21 +76,33 @@
             stored: values by key.
             configuration: a configuration that is stored until the instances read it.
         """
-        for shard in SHARDS:
-            await self.world.start_leaf(f"i-{shard}", shard, records=b"r" * 64)
+        await self.start_leaves()
         for key, value in stored.items():
             self.world.store.put(key, value)
         if configuration is None:
             self.configure()
         else:
             self.world.store.put("op/config", configuration)
+        self.start_processes()
+        if configuration is not None:
+            await self.wait_logged("routes_bad")
+            self.configure()
+        await self.wait_ready()
+
+    async def start_leaves(self) -> None:
+        """Start one leaf of each shard."""
+        for shard in SHARDS:
+            await self.world.start_leaf(f"i-{shard}", shard, records=b"r" * 64)
+
+    def start_processes(self) -> None:
+        """Start the processes of the instances."""
         for name, data_centre in (("one", "north-a"), ("two", "south-a")):
             machine = self.world.add_machine(name, data_centre)
             self.machines.append(machine)
             self.world.start(machine)
-        if configuration is not None:
-            await self.wait_logged("routes_bad")
-            self.configure()
+
+    async def wait_ready(self) -> None:
+        """Wait until all instances are ready."""
         for machine in self.machines:
             await self.world.wait_ready(machine)
 
@@ -109,10 +121,20 @@
         version = self.configure()
         await self.wait_logged("leaf_added", f'"leaf": "{id}"')
         await self.wait_logged("routes_in_force", f'"version": {version},')
+        await self.check_serving()
+
+    async def check_serving(self, cause: str = "") -> None:
+        """Check that no process has ended and requests are answered."""
         for machine in self.machines:
             reply = await self.world.ask(machine, "/all/x")
-            assert reply is not None and reply.status == 200, machine.read_log()[-2000:]
-            assert machine.ends == []
+            log = machine.read_log()[-2000:]
+            assert reply is not None and reply.status == 200, (cause, log)
+        self.check_no_ends()
+
+    def check_no_ends(self) -> None:
+        """Check that no process has ended."""
+        for machine in self.machines:
+            assert machine.ends == [], machine.read_log()[-2000:]
 
     async def wait_logged(self, event: str, *details: str, count: int = 1) -> None:
         """Wait until each instance has logged an event with some details."""
@@ -128,7 +150,7 @@
         with trio.move_on_after(LOG_SECONDS):
             while not any(count_logged(item, event, ()) for item in self.machines):
                 await trio.sleep(POLL_INTERVAL)
-        assert [machine.ends for machine in self.machines] == [[], []]
+        self.check_no_ends()
         assert any(count_logged(item, event, ()) for item in self.machines), event
 
 
@@ -266,9 +288,7 @@
         for fields in ODD_CONFIGURATIONS.values():
             version = fleet.configure(**fields)
             await fleet.wait_logged("routes_in_force", f'"version": {version},')
-            for machine in fleet.machines:
-                reply = await fleet.world.ask(machine, "/all/x")
-                assert reply is not None and reply.status == 200
+            await fleet.check_serving()
         await fleet.check_unharmed()
 
     with_fleet(tmp_path, action)
