A wait that never ends is told as a long one

Seen (unit test): draw_retry_after raised OverflowError for a wait of 1e19 s or more, infinite ones among them, and ValueError for nan; the caller got a 500 in place of its refusal. Accountants of a share state infinite waits.

Fix: waits are shortened to an hour before they are spread.

--- a/walkcart/routing/retryafter.py
+++ b/walkcart/routing/retryafter.py
@@ -17,6 +17,8 @@
 
 #: Longest time to retry after, as a multiple of the shortest one.
 MAX_SPREAD = 1.5
+#: Longest wait that is spread, in seconds; a longer or infinite one means never.
+MAX_WAIT = 3600.0
 
 
 def draw_retry_after(wait: float, random: Random) -> timedelta:
@@ -26,4 +28,5 @@
         wait: seconds until there is capacity again.
         random: source of randomness.
     """
-    return timedelta(seconds=wait * random.uniform(1.0, MAX_SPREAD))
+    spread = random.uniform(1.0, MAX_SPREAD)
+    return timedelta(seconds=min(MAX_WAIT, wait) * spread)
