Addresses that name no machine are not dialled

Seen (unit tests, and a record with the address [::1%\xe9]:1 in the process test): an instance or leaf with port 0, an unspecified or multicast address or one with a scope was taken for reachable. A scope that isn't ASCII raises UnicodeError from the resolver, which is no OSError.

Fix: addresses of instances, and of leaves of the instance list, are parsed as those of the leaves' entries.

--- a/walkcart/leaves/table.py
+++ b/walkcart/leaves/table.py
@@ -9,7 +9,7 @@
 from walkcart.intent.policy import Policy, apply_label_rules, resolve_policy
 from walkcart.intent.selectors import parse_selector
 from walkcart.kernel.numbers import read_number
-from walkcart.kernel.settings import BadValue, parse_host_port
+from walkcart.kernel.settings import BadValue, parse_peer_address
 from walkcart.leaves.leaf import Leaf
 from walkcart.membership.listing import ListedInstance
 
@@ -137,7 +137,7 @@
         self, row: ListedInstance, labels: dict[str, str], group: ShardGroup
     ) -> Leaf | None:
         try:
-            address = str(parse_host_port(row.address))
+            address = str(parse_peer_address(row.address))
         except BadValue:
             return None
         leaf = self._leaves.get(address)
--- a/walkcart/membership/peerdirectory.py
+++ b/walkcart/membership/peerdirectory.py
@@ -5,7 +5,7 @@
 from functools import lru_cache
 from typing import Protocol
 
-from walkcart.kernel.settings import BadValue, HostPort, parse_host_port
+from walkcart.kernel.settings import BadValue, HostPort, parse_peer_address
 
 #: Parsed addresses that are cached: those of the largest fleet and as many former ones.
 MAX_CACHED_ADDRESSES = 2048
@@ -51,6 +51,6 @@
     takes 18 us on a busy machine.
     """
     try:
-        return parse_host_port(text) if text else None
+        return parse_peer_address(text) if text else None
     except BadValue:
         return None
