A configuration document that can't be served isn't put in force

Seen (unit tests, the product's own interface): a stored document with a time of 1e300 s or infinity raised OverflowError from the service that keeps the configuration, which the kernel runs. One with 2**40 shards, a selector that can't be parsed or a service without its group was put in force, and failed each question that met it, the first by filling the memory. The tool ended with a traceback for such times, for long numbers and for deep nesting.

--- a/walkcart/intent/document.py
+++ b/walkcart/intent/document.py
@@ -13,6 +13,7 @@
 
 from walkcart.intent.loading import load_tables, to_tables
 from walkcart.intent.model import Configuration
+from walkcart.intent.validation import validate_configuration
 from walkcart.store.packing import BadValue, pack_value, unpack_value
 
 CONFIGURATION_KEY = "walkcart/configuration"
@@ -94,4 +95,7 @@
     loaded = load_tables(stored.tables)
     if loaded.faults:
         raise DocumentError("; ".join(str(fault) for fault in loaded.faults))
+    report = validate_configuration(loaded.configuration)
+    if report.faults:
+        raise DocumentError("; ".join(str(fault) for fault in report.faults))
     return Document(stored.revision, stored.changes, loaded.configuration, data)
--- a/walkcart/intent/loading.py
+++ b/walkcart/intent/loading.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import tomllib
 from dataclasses import dataclass, fields
 from datetime import timedelta
 from functools import cache
@@ -14,6 +13,8 @@
 import msgspec
 
 from walkcart.intent.model import KINDS, Configuration, Layout
+from walkcart.kernel.decoding import BadData, decode_toml
+from walkcart.kernel.durations import BadDuration, seconds_to_duration
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,8 +49,8 @@
         'Object missing required field `shard_group`'
     """
     try:
-        tables = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+        tables = decode_toml(text)
+    except BadData as error:
         fault = ConfigurationFault("file", f"TOML: {error}")
         return LoadedConfiguration(Configuration(), (fault,))
     return load_tables(tables)
@@ -80,7 +81,7 @@
         place = f"{kind} {name}"
         try:
             loaded.append(_load_object(KINDS[kind][0], row, place, faults))
-        except msgspec.ValidationError as error:
+        except (msgspec.ValidationError, BadDuration) as error:
             faults.append(ConfigurationFault(place, str(error)))
     return tuple(sorted(loaded, key=lambda item: item.name))
 
@@ -108,7 +109,11 @@
     """Convert a number of seconds to a `timedelta` if the field is a duration."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         return value
-    return timedelta(seconds=value) if key in _duration_fields(cls) else value
+    if key not in _duration_fields(cls):
+        return value
+    # The validation reports negative ones, together with the other faults.
+    duration = seconds_to_duration(abs(value))
+    return duration if value >= 0 else -duration
 
 
 @cache
--- a/walkcart/intent/tests/test_objects.py
+++ b/walkcart/intent/tests/test_objects.py
@@ -1,5 +1,6 @@
 """Tests of selectors, loading, validation, diffing and policies."""
 
+from math import inf
 from pathlib import Path
 
 import pytest
@@ -20,6 +21,7 @@
 from walkcart.intent.policy import apply_label_rules, find_intents, resolve_policy
 from walkcart.intent.selectors import SelectorError, parse_selector
 from walkcart.intent.validation import validate_configuration
+from walkcart.store.packing import pack_value
 
 EXAMPLES = Path(__file__).resolve().parents[3] / "examples"
 LABELS = {"region": "hobart", "tier": "search"}
@@ -156,3 +158,44 @@
         "partner c": "added",
     }
     assert merge_configurations(old, Configuration(), prune=True) == Configuration()
+
+
+INTENT = "[[routing_intent]]\nname = 'r'\nselector = ''\ndeadline = "
+
+
+@pytest.mark.parametrize("number", ["1e300", "-1e300", "inf", "nan", "9" * 5000])
+def test_file_with_an_extreme_time_has_a_fault(number):
+    loaded = load_toml(INTENT + number)
+    assert loaded.faults or validate_configuration(loaded.configuration).faults
+
+
+def test_file_that_nests_deeply_has_a_fault():
+    assert load_toml("a = " + "[" * 5000).faults
+
+
+@pytest.mark.parametrize(
+    "tables",
+    [
+        {"routing_intent": [{"name": "r", "selector": "", "deadline": 1e300}]},
+        {"routing_intent": [{"name": "r", "selector": "", "deadline": inf}]},
+        {"routing_intent": [{"name": "r", "selector": "=x"}]},
+        {
+            "shard_group": [
+                {
+                    "name": "g",
+                    "layouts": [{"epoch": 1, "shards": 2**40, "selector": ""}],
+                }
+            ]
+        },
+        {"service": [{"name": "s", "shard_group": "none"}]},
+        {"service": {}},
+        {"robot": []},
+        {"service": [7]},
+        {"service": [{1: 2}]},
+    ],
+)
+def test_stored_document_that_cannot_be_served_is_an_error(tables):
+    change = Change("id", 1, "a", "", ())
+    stored = {"revision": 1, "changes": [change], "tables": tables}
+    with pytest.raises(DocumentError):
+        read_document(pack_value(stored, 1))
--- a/walkcart/kernel/decoding.py
+++ b/walkcart/kernel/decoding.py
@@ -15,8 +15,9 @@
 
 from __future__ import annotations
 
+import tomllib
 from collections.abc import Callable
-from typing import Annotated, Generic, TypeVar
+from typing import Annotated, Any, Generic, TypeVar
 
 import msgspec
 
@@ -71,6 +72,21 @@
         return _decode(self._decode, data)
 
 
+def decode_toml(text: str) -> dict[str, Any]:
+    """Return the tables in a TOML text.
+
+    Raises:
+        BadData: the text isn't TOML.
+    """
+    try:
+        return tomllib.loads(text)
+    except ValueError as error:
+        # Besides errors of syntax, numbers with too many digits.
+        raise BadData(str(error)) from None
+    except RecursionError:
+        raise BadData("the value nests too deeply") from None
+
+
 def _decode(decode: Callable[[bytes], T], data: bytes) -> T:
     try:
         return decode(data)
--- a/walkcart/kernel/tests/test_decoding.py
+++ b/walkcart/kernel/tests/test_decoding.py
@@ -9,7 +9,14 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from walkcart.kernel.decoding import BadData, Count, Int64, JsonDecoder, MsgpackDecoder
+from walkcart.kernel.decoding import (
+    BadData,
+    Count,
+    Int64,
+    JsonDecoder,
+    MsgpackDecoder,
+    decode_toml,
+)
 
 DEPTH = 100_000
 DEEP_JSON = b'{"name": "a", "other": ' + b"[" * DEPTH + b"]" * DEPTH + b"}"
@@ -79,3 +86,14 @@
         return
     assert (found.size, found.shift) == (abs(number), number)
     assert MsgpackDecoder(Record).decode(msgspec.msgpack.encode(found)) == found
+
+
+@given(st.text())
+@example("a = " + "[" * 5000)
+@example("a = " + "9" * 5000)
+@example("a = \x00")
+def test_toml_is_decoded_or_refused(text):
+    try:
+        assert isinstance(decode_toml(text), dict)
+    except BadData as error:
+        assert str(error)
