A watch that ends at once is repeated after a pause

Seen (unit test, the product's own interface): a store that answers a watch with 204 at once was called without a pause, but for the budget of calls.

Fix: such a watch is followed by the back-off, as a failed one is.

Evidence: the test fails without the change.

--- a/walkcart/intent/distribution.py
+++ b/walkcart/intent/distribution.py
@@ -47,6 +47,8 @@
 #: Time after which a watch ends without a change. It is below `ISOLATION_TIMEOUT`, as
 #: the reply at its end shows that the store is reachable.
 WATCH_TIMEOUT = timedelta(seconds=3)
+#: Seconds after which a watch that brings nothing has waited for a change.
+MIN_WATCH_TIME = 1.0
 #: Interval at which an instance that doesn't watch checks whether it should.
 RECHECK_INTERVAL = timedelta(seconds=1)
 #: Seconds after which an unanswered pull is repeated, possibly at another peer.
@@ -156,6 +158,7 @@
 
     async def _watch_once(self) -> None:
         """Watch the store until it reports a change or the watch ends."""
+        started_at = self._clock.monotonic()
         try:
             entry = await self._store.watch(
                 CONFIGURATION_KEY, self._entry_revision, WATCH_TIMEOUT
@@ -163,6 +166,10 @@
         except StoreUnavailable:
             await self._clock.sleep(self._backoff.next_delay())
             return
+        if entry is None and self._clock.monotonic() - started_at < MIN_WATCH_TIME:
+            # A store that answers at once would be called all the time.
+            await self._clock.sleep(self._backoff.next_delay())
+            return
         self._backoff.reset()
         if entry is None:
             return
--- a/walkcart/intent/tests/test_propagation.py
+++ b/walkcart/intent/tests/test_propagation.py
@@ -7,6 +7,8 @@
 from walkcart.intent.distribution import ConfigurationKeeper
 from walkcart.membership.links import PeerLinks
 from walkcart.standins.memorypeers import MemoryPeerSender
+from walkcart.standins.store import StoreStandin
+from walkcart.wire.http import HttpReply
 from walkcart.wire.messages import ConfigurationPull, ConfigurationPush
 
 #: Seconds within which a change must be in force at every instance.
@@ -215,3 +217,20 @@
     waiting, newest = run_mocked(run)
     pushes = [item for item in waiting if isinstance(item, ConfigurationPush)]
     assert [item.revision for item in pushes] == [newest]
+
+
+def test_store_that_ends_each_watch_at_once_is_not_called_all_the_time(monkeypatch):
+    async def end_watch(store, key, query):
+        store.calls["watch"] += 1
+        return HttpReply(204)
+
+    monkeypatch.setattr(StoreStandin, "_watch", end_watch)
+
+    async def run():
+        async with open_estate(instances=1) as world:
+            await trio.sleep(5)
+            before = world.store.calls["watch"]
+            await trio.sleep(20)
+            return world.store.calls["watch"] - before
+
+    assert run_mocked(run) <= 100
