Keys of the store are quoted in targets

Seen (unit test, the product's own interface): a bucket of claims that names a segment with a line break, a space or a letter that isn't ASCII raised LocalProtocolError in place of a bad bucket; one with a question mark read another key.

Fix: keys are quoted. Ours consist of characters that stay as they are.

Evidence: five cases fail without the change.

--- a/walkcart/store/client.py
+++ b/walkcart/store/client.py
@@ -20,6 +20,7 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from urllib.parse import quote
 
 from walkcart.kernel.numbers import read_number
 from walkcart.store.calls import StoreCalls
@@ -81,7 +82,7 @@
         Raises:
             StoreUnavailable: the call had no usable reply.
         """
-        reply = await self._call(HttpRequest("GET", f"/kv/{key}"))
+        reply = await self._call(HttpRequest("GET", f"/kv/{quote(key)}"))
         if reply.status == 404:
             return None
         return self._read_entry(reply)
@@ -94,7 +95,7 @@
                 the write may have taken effect.
         """
         headers = ((b"if-revision", str(expected).encode()),)
-        request = HttpRequest("PUT", f"/kv/{key}", headers, value)
+        request = HttpRequest("PUT", f"/kv/{quote(key)}", headers, value)
         return self._read_write(await self._call(request), expected)
 
     async def delete(self, key: str, expected: int) -> Written | Conflict:
@@ -105,7 +106,7 @@
                 the removal may have taken effect.
         """
         headers = ((b"if-revision", str(expected).encode()),)
-        request = HttpRequest("DELETE", f"/kv/{key}", headers)
+        request = HttpRequest("DELETE", f"/kv/{quote(key)}", headers)
         return self._read_write(await self._call(request), expected)
 
     async def watch(self, key: str, after: int, wait: timedelta) -> Entry | None:
@@ -117,7 +118,7 @@
         Raises:
             StoreUnavailable: the call had no usable reply.
         """
-        target = f"/kv/{key}?after={after}&wait={wait.total_seconds():g}"
+        target = f"/kv/{quote(key)}?after={after}&wait={wait.total_seconds():g}"
         reply = await self._call(HttpRequest("GET", target), wait)
         if reply.status == 204:
             return None
--- a/walkcart/store/tests/test_client.py
+++ b/walkcart/store/tests/test_client.py
@@ -154,3 +154,12 @@
         return trio.current_time() - start
 
     assert 1.9 <= run_mocked(run) <= 2.1
+
+
+@pytest.mark.parametrize("key", ["a\r\nx-other: b", "a b", "\xe9", "a?after=1", "\x00"])
+def test_any_key_is_a_key_of_its_own(key):
+    async def act(world, client):
+        await client.put("a", b"1", 0)
+        return await client.get(key)
+
+    assert run_with_store(act) is None
