The test of watches that end at once begins after the start

As committed it broke the watches before the estate had its configuration, and failed with and without the change. Now it fails without it, with 2000 calls in 20 s, and passes with it.

--- a/walkcart/intent/tests/test_propagation.py
+++ b/walkcart/intent/tests/test_propagation.py
@@ -224,10 +224,9 @@
         store.calls["watch"] += 1
         return HttpReply(204)
 
-    monkeypatch.setattr(StoreStandin, "_watch", end_watch)
-
     async def run():
         async with open_estate(instances=1) as world:
+            monkeypatch.setattr(StoreStandin, "_watch", end_watch)
             await trio.sleep(5)
             before = world.store.calls["watch"]
             await trio.sleep(20)
