--- a/walkcart/daemon/tenantstore.py
+++ b/walkcart/daemon/tenantstore.py
@@ -31,14 +31,16 @@
 from walkcart.membership.registration import Registration
 from walkcart.platform.documents import (
     CONFIGURATION_KEY,
-    LEAF_PREFIX,
     OPERATOR_PREFIX,
-    LeafEntries,
-    leaf_entry_differs,
     read_configuration,
     read_evacuated,
 )
 from walkcart.platform.headers import TEAM
+from walkcart.platform.leafentries import (
+    LEAF_PREFIX,
+    LeafEntries,
+    leaf_entry_differs,
+)
 from walkcart.platform.leafprotocol import PlatformLeafProtocol
 from walkcart.platform.settings import PlatformSettings
 from walkcart.platform.store import PlatformStore
--- a/walkcart/platform/tests/test_documents.py
+++ b/walkcart/platform/tests/test_documents.py
@@ -15,11 +15,8 @@
 from walkcart.kernel.decoding import BadData
 from walkcart.kernel.durations import MAX_DURATION
 from walkcart.kernel.eventlog import EventLog
-from walkcart.platform.documents import (
-    LeafEntries,
-    leaf_entry_differs,
-    read_configuration,
-)
+from walkcart.platform.documents import read_configuration
+from walkcart.platform.leafentries import LeafEntries, leaf_entry_differs
 from walkcart.platform.records import RECORD_SIZE, merge_records
 from walkcart.platform.settings import BadSettings, read_settings
 from walkcart.store.items import Item
