Stored documents that can't be used, in a running estate

Seven documents of the product's own interface, among them one that inflates to 64 MiB: the one in force stays, questions are answered, and the next document is in force in time.

--- a/walkcart/intent/tests/test_propagation.py
+++ b/walkcart/intent/tests/test_propagation.py
@@ -1,13 +1,18 @@
 """Tests that an accepted configuration is in force everywhere and never reverts."""
 
+import zlib
+
+import pytest
 import trio
 
-from walkcart.bench.harness import open_estate, run_mocked
+from walkcart.bench.harness import make_caller, open_estate, run_mocked
 from walkcart.intent.applying import Accepted, ChangeConflict, Unknown
 from walkcart.intent.distribution import ConfigurationKeeper
+from walkcart.intent.document import CONFIGURATION_KEY
 from walkcart.membership.links import PeerLinks
 from walkcart.standins.memorypeers import MemoryPeerSender
 from walkcart.standins.store import StoreStandin
+from walkcart.store.packing import pack_value
 from walkcart.wire.http import HttpReply
 from walkcart.wire.messages import ConfigurationPull, ConfigurationPush
 
@@ -233,3 +238,59 @@
             return world.store.calls["watch"] - before
 
     assert run_mocked(run) <= 100
+
+
+def make_stored(tables):
+    return pack_value({"revision": 99, "changes": [], "tables": tables}, 1)
+
+
+BAD_DOCUMENTS = {
+    "no bytes": b"",
+    "no zlib": b"rubbish",
+    "nested": zlib.compress(b"\x91" * 5000 + b"\xc0"),
+    "nested tables": zlib.compress(
+        b"\x83\xa8revision\x63\xa7changes\x90\xa6tables\x81\xa1a"
+        + b"\x91" * 5000
+        + b"\xc0"
+    ),
+    "inflated": zlib.compress(bytes(64 << 20), 9),
+    "huge time": make_stored(
+        {"routing_intent": [{"name": "r", "selector": "", "deadline": 1e300}]}
+    ),
+    "huge group": make_stored(
+        {
+            "shard_group": [
+                {
+                    "name": "g",
+                    "layouts": [{"epoch": 1, "shards": 2**40, "selector": ""}],
+                }
+            ]
+        }
+    ),
+}
+
+
+@pytest.mark.parametrize("name", BAD_DOCUMENTS)
+def test_stored_document_that_cannot_be_used_leaves_the_one_in_force(name):
+    async def run():
+        async with open_estate(instances=2) as world:
+            before = revisions(world)
+            client = world.make_store_client()
+            entry = await client.get(CONFIGURATION_KEY)
+            written = await client.put(
+                CONFIGURATION_KEY, BAD_DOCUMENTS[name], entry.revision
+            )
+            await trio.sleep(5)
+            kept = revisions(world)
+            address = world.instances["instance-0"].address
+            asked = await make_caller(world).query(address, "parts", 1)
+            # The next document is in force again.
+            await client.put(CONFIGURATION_KEY, entry.value, written.revision)
+            outcome = await world.apply(make_intent(1.5))
+            delay = await world.wait_in_force(outcome.revision)
+            return before, kept, asked.status, delay
+
+    before, kept, status, delay = run_mocked(run)
+    assert kept == before
+    assert status == 200
+    assert delay <= BOUND
