An idempotency key from after the last date is refused

Seen (unit test): a version 7 UUID holds 48 bits of milliseconds, until the year 10889; one from after 9999 raised ValueError in place of BadKey, and its caller got a 500.

--- a/walkcart/entry/tests/test_bad_input.py
+++ b/walkcart/entry/tests/test_bad_input.py
@@ -1,10 +1,13 @@
 """Bad input from callers gets a definite answer and never blocks the instance."""
 
 import json
+from datetime import UTC, datetime
 
+import pytest
 import trio
 
 from walkcart.bench.harness import TOKENS, make_caller, open_estate, run_mocked
+from walkcart.once.keys import BadKey, parse_key
 
 HEAD = (
     b"POST /v1/services/parts/query HTTP/1.1\r\nhost: x\r\n"
@@ -153,6 +156,21 @@
     check_refused(asked, 400, "non-repeatable")
 
 
+@pytest.mark.parametrize(
+    "key",
+    [
+        "",
+        "x",
+        "ffffffff-ffff-7fff-bfff-ffffffffffff",
+        "00000000-0000-7000-8000-000000000000",
+        "e677d21f-db00-7000-8000-000000000000",
+    ],
+)
+def test_no_idempotency_key_raises_another_error(key):
+    with pytest.raises(BadKey):
+        parse_key(key, datetime.now(UTC))
+
+
 def test_operator_paths_need_the_operator_token():
     for path in ("/v1/status", "/v1/services/parts/explain"):
         check_refused(request(method="GET", path=path, body=b""), 401, "operators")
