Take an idle timeout of 0 for the end of one connection

Cause: the timeout is kept for all connections of the link, and a connection that was idle for at least that long isn't used. With 0 that is each connection, also one just opened, so the attempt went back to the queue and the next connection was opened, without end.

The leaf says that it closes this connection now; so it isn't used again, and the link's timeout stays as it was.

--- a/walkcart/leaves/exchange.py
+++ b/walkcart/leaves/exchange.py
@@ -169,9 +169,9 @@
                     )
                     detail = "the reply isn't this attempt's"
                     return False, Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
-                self._record_reply(found)
+                stays_open = self._record_reply(found)
                 outcome = tools.protocol.read_outcome(attempt, reply, found, elapsed)
-                return connection.prepare_next(), outcome
+                return stays_open and connection.prepare_next(), outcome
         if pending.abandoned:
             return False, Failed(MayHaveRun(Reason.CANCELLED))
         return False, timed_out
@@ -187,13 +187,21 @@
             request, lambda reply: protocol.is_reply_to(attempt, dict(reply.headers))
         )
 
-    def _record_reply(self, found: Mapping[bytes, bytes]) -> None:
-        """Record what the leaf states about itself in the headers of a reply."""
+    def _record_reply(self, found: Mapping[bytes, bytes]) -> bool:
+        """Record what the leaf states about itself in the headers of a reply.
+
+        Returns:
+            Whether the leaf keeps the connection open after this reply.
+        """
         protocol = self._tools.protocol
         self._tools.on_status(self._leaf, protocol.read_status(found))
         idle_timeout = protocol.read_idle_timeout(found)
+        if idle_timeout == 0:
+            # It says nothing about new connections, which must carry a request each.
+            return False
         if idle_timeout is not None:
             self.idle_timeout = min(idle_timeout, IDLE_TIMEOUT.total_seconds())
+        return True
 
     async def _classify_failure(
         self, error: ExchangeFailed, attempt: Attempt
