Limit the times that leafs state

Seen: a reply with a remaining warm-up of 18 digits is lost: its connection's task ends with an internal error (OverflowError), the request gets 502 or waits for its deadline.

Cause: the header's number is read with up to 18 digits, and a timedelta holds fewer milliseconds. The time to retry in the own interface is alike.

--- a/walkcart/leaves/protocol.py
+++ b/walkcart/leaves/protocol.py
@@ -53,6 +53,8 @@
 #: Checks that a body is a JSON object without decoding its values.
 _CHECK_JSON = msgspec.json.Decoder(dict[str, msgspec.Raw]).decode
 
+#: Longest time that a leaf can state; any number of digits may come in a header.
+MAX_STATED_TIME = timedelta(days=1)
 #: Largest body of a leaf's reply that is accepted, in bytes.
 MAX_REPLY_BYTES = 4 << 20
 
@@ -269,7 +271,12 @@
 
 def _read_retry_after(found: HeaderMap) -> timedelta | None:
     milliseconds = read_number(found.get(RETRY_AFTER_MS))
-    return None if milliseconds is None else timedelta(milliseconds=milliseconds)
+    return None if milliseconds is None else limit_duration(milliseconds / 1000)
+
+
+def limit_duration(seconds: float) -> timedelta:
+    """Return a time that a leaf states, but at most `MAX_STATED_TIME`."""
+    return timedelta(seconds=min(seconds, MAX_STATED_TIME.total_seconds()))
 
 
 def matches_pin(pin: Snapshot, snapshot: Snapshot) -> bool:
--- a/walkcart/platform/leafprotocol.py
+++ b/walkcart/platform/leafprotocol.py
@@ -6,7 +6,7 @@
 
 from walkcart.kernel.numbers import read_number
 from walkcart.leaves.attempts import Attempt, Failed, Outcome, Refused, Replied
-from walkcart.leaves.protocol import HeaderMap, LeafStatus
+from walkcart.leaves.protocol import HeaderMap, LeafStatus, limit_duration
 from walkcart.platform.headers import (
     COLD_MS,
     CONTENT_ENCODING,
@@ -80,7 +80,7 @@
             incarnation=0,
             leaving=False,
             pace=percent / 100 if percent else None,
-            cold_time=None if cold is None else timedelta(milliseconds=cold),
+            cold_time=None if cold is None else limit_duration(cold / 1000),
         )
 
     def read_outcome(
@@ -141,7 +141,7 @@
 def _read_retry_after(found: HeaderMap) -> timedelta | None:
     """Return the time to wait before a retry, or None if the leaf gave none."""
     try:
-        wait = timedelta(seconds=float(found[RETRY_AFTER]))
-    except (KeyError, ValueError, OverflowError):
+        seconds = float(found[RETRY_AFTER])
+    except (KeyError, ValueError):
         return None
-    return wait if wait >= timedelta() else None
+    return limit_duration(seconds) if 0 <= seconds < float("inf") else None
--- a/walkcart/platform/tests/test_odd_reply_headers.py
+++ b/walkcart/platform/tests/test_odd_reply_headers.py
@@ -57,3 +57,30 @@
     assert statuses == [200] * 3
     assert later == [b"r" * 16, b"r" * 16, b"r" * 32]
     assert "task_failed" not in log
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        b"x-warmup-ms: 999999999999999999",
+        b"x-warmup-ms: 1e400",
+        b"x-server-load: 999999999999999999,999999999999999999,1,999999999999999999",
+        b"x-server-load: nan,-1,,",
+        b"x-any: \x80\xff",
+        b"connection: \xff,,",
+    ],
+)
+def test_an_odd_value_doesnt_cost_the_reply(tmp_path, header):
+    statuses, later, log = trio.run(ask_around, tmp_path, header)
+    assert statuses == [200] * 3
+    assert later == [b"r" * 16, b"r" * 16, b"r" * 32]
+    assert "task_failed" not in log
+
+
+@pytest.mark.parametrize("value", [b"1e308", b"inf", b"nan", b"-1", b"1e400", b"\xff"])
+def test_an_odd_time_to_retry_is_a_refusal_like_any_other(tmp_path, value):
+    header = b"x-not-executed: 1\r\nretry-after: " + value
+    statuses, later, log = trio.run(ask_around, tmp_path, header)
+    assert statuses == [503] * 3
+    assert later == [b"r" * 16, b"r" * 16, b"r" * 32]
+    assert "task_failed" not in log
