Don't forward a success whose stamp isn't forwarded

Seen: a leaf's 200 with `Connection: x-response-stamp` reached the caller as a success without the stamp; over many shards the merge ended the request with an internal error (AssertionError, 502).

Cause: whether the reply has a stamp was decided before the headers of the one connection were taken out.

It is now decided on what would be forwarded. Evidence: the new test failed before (200, 200, 502). Real processes.

--- a/walkcart/platform/leafprotocol.py
+++ b/walkcart/platform/leafprotocol.py
@@ -103,13 +103,15 @@
                 return Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
             return Refused(Reason.LEAF_REFUSED, _read_retry_after(found))
         success = 200 <= reply.status < 300
-        if success and (STAMP not in found or CONTENT_ENCODING in found):
+        headers = strip_hop_headers(reply.headers, _LEAF_STATUS_HEADERS)
+        # The leaf may have declared its stamp a header of this connection only.
+        stamped = find_header(headers, STAMP) is not None
+        if success and (not stamped or CONTENT_ENCODING in found):
             detail = "a success without a stamp, or with an encoding"
             return Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
         if attempt.success_only and not success:
             detail = f"the leaf answered {reply.status}"
             return Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
-        headers = strip_hop_headers(reply.headers, _LEAF_STATUS_HEADERS)
         return Replied(
             attempt.pin,
             False,
--- a/walkcart/platform/tests/test_odd_reply_headers.py
+++ b/walkcart/platform/tests/test_odd_reply_headers.py
@@ -84,3 +84,11 @@
     assert statuses == [503] * 3
     assert later == [b"r" * 16, b"r" * 16, b"r" * 32]
     assert "task_failed" not in log
+
+
+def test_a_stamp_for_one_connection_only_is_none(tmp_path):
+    header = b"connection: x-response-stamp"
+    statuses, later, log = trio.run(ask_around, tmp_path, header)
+    assert 200 not in statuses
+    assert later == [b"r" * 16, b"r" * 16, b"r" * 32]
+    assert "request_failed" not in log
