Bound what a caller's connection can hold, and for how long

Seen, two faults of one kind: (1) a caller that never reads its reply keeps its connection's task, and the reply's share of the memory, for ever; a few with long replies use up the memory for all.

Cause: the send of a reply had no timeout. While a request is handled, up to 128 kB of what the client sends meanwhile were read and kept.

A client now has 30 s to take a reply, after which it counts as gone. What comes early is read up to 16 KiB for each connection; the rest waits in the kernel, which holds the client up.

--- a/walkcart/platform/tests/test_memory_bounds.py
+++ b/walkcart/platform/tests/test_memory_bounds.py
@@ -163,3 +163,29 @@
     assert refused
     assert all(b"retry-after: 1.000" in reply.lower() for reply in refused)
     assert peak < MAX_MEMORY
+
+
+def test_pipelined_requests_on_many_connections_take_little_memory(tmp_path):
+    connections = 500
+
+    async def start_leafs(world):
+        await world.start_leaf("i-slow", "slow", work=6.0)
+
+    async def run(world, machine):
+        before = machine.find_memory_peak()
+        head = b"GET /slow/x HTTP/1.1\r\nhost: %b\r\nx-deadline-ms: 5000\r\n\r\n"
+        data = head % HOST.encode() * 4000
+        async with trio.open_nursery() as nursery:
+            for _ in range(connections):
+                nursery.start_soon(world.send_bytes, machine.callers, data, 2.0)
+        return machine.find_memory_peak() - before
+
+    growth = trio.run(
+        open_world,
+        tmp_path,
+        start_leafs,
+        run,
+        make_route("slow", "/slow/", backend="slow", timeoutMs=6000),
+    )
+    # A connection may hold 16 kB that came early, and what a request takes anyway.
+    assert growth < connections * (80 << 10)
--- a/walkcart/wire/server.py
+++ b/walkcart/wire/server.py
@@ -38,6 +38,9 @@
 #: Statuses whose replies have neither a body nor a length (RFC 9110, 15.3.5, 15.4.5).
 _BODYLESS_STATUSES = frozenset({204, 304})
 
+#: Largest number of bytes that are read at once from an idle connection, or held of
+#: what a client sends while its request is handled. All connections may hold as much.
+MAX_EARLY_INPUT = 16384
 #: Maximum time for which the rest of a refused request is read.
 DISCARD_TIMEOUT = timedelta(seconds=1)
 #: Time after which a request may be sent again that found no memory for its body.
@@ -55,12 +58,14 @@
         read_time: time in which a request must be complete, from its first byte.
         idle_time: time after which a connection without a request is closed.
         head: largest head of a request, in bytes.
+        send_time: time in which the client must take a reply.
     """
 
     body: int = 1 << 20
     read_time: timedelta = timedelta(seconds=10)
     idle_time: timedelta = timedelta(seconds=120)
     head: int = MAX_HEADER_BYTES
+    send_time: timedelta = timedelta(seconds=30)
 
 
 class Fault(Enum):
@@ -173,6 +178,9 @@
                 await _discard_input(stream)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             self._on_disconnect()
+        except trio.TooSlowError:
+            # The client doesn't read. Its reply takes memory as long as it is sent.
+            self._on_disconnect()
         except h11.LocalProtocolError:
             # The reply is not valid HTTP; closing the connection is better than ending
             # the instance.
@@ -234,9 +242,9 @@
     ) -> None:
         """Cancel `scope` if the client disconnects; keep what it sends meanwhile."""
         read = 0
-        while read < RECEIVE_SIZE:
+        while read < MAX_EARLY_INPUT:
             try:
-                data = await connection.stream.receive_some(RECEIVE_SIZE)
+                data = await connection.stream.receive_some(MAX_EARLY_INPUT - read)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
@@ -254,7 +262,7 @@
         connection.idle_since = trio.current_time()
         limit = self.limits.idle_time.total_seconds()
         with trio.move_on_after(limit) as connection.idle_scope:
-            data = await connection.stream.receive_some(RECEIVE_SIZE)
+            data = await connection.stream.receive_some(MAX_EARLY_INPUT)
         connection.idle_scope = None
         if not data:
             return False
@@ -329,8 +337,9 @@
             if body:
                 http.send(h11.Data(data=body))
             http.send(h11.EndOfMessage())
-        for part in join_parts(data, body):
-            await connection.stream.send_all(part)
+        with trio.fail_after(self.limits.send_time.total_seconds()):
+            for part in join_parts(data, body):
+                await connection.stream.send_all(part)
 
     def _prepare_next(self, connection: _Connection) -> bool:
         http = connection.http
--- a/walkcart/wire/tests/test_server_errors.py
+++ b/walkcart/wire/tests/test_server_errors.py
@@ -2,7 +2,7 @@
 
 import pytest
 import trio
-from trio.testing import memory_stream_pair
+from trio.testing import lockstep_stream_pair, memory_stream_pair
 
 from walkcart.bench.harness import run_mocked
 from walkcart.wire.bodies import MAX_PIECES
@@ -102,3 +102,27 @@
             return await ours.receive_some()
 
     assert run_mocked(run).startswith(b"HTTP/1.1 413")
+
+
+def test_a_client_that_doesnt_read_its_reply_is_disconnected():
+    async def run():
+        gone = []
+
+        async def answer(request):
+            return HttpReply(200, body=b"body")
+
+        server = HttpServer(
+            answer,
+            ServerLimits(),
+            lambda fault: HttpReply(fault.value),
+            lambda: gone.append(True),
+        )
+        # A send over these streams waits until it is received.
+        ours, theirs = lockstep_stream_pair()
+        with trio.fail_after(120):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(server.serve, theirs)
+                await ours.send_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        return gone, server.connections
+
+    assert run_mocked(run) == ([True], 0)
