Keep descriptors for what serves when callers open many connections

Seen: with 200 or 400 descriptors, 600 idle connections of callers take an instance out of service until they close: it isn't ready, answers no new caller, and can't connect to leafs. trio logs a traceback ten times a second meanwhile (70 to 100 kB in the trial). Idle connections to the readiness address do so as well.

Cause: connections were accepted until accept failed.

Callers may now take 60 in 100 of the descriptors (of the process's limit, or of what the settings state if that is less); each further connection closes the one that has been idle longest, with the event connections_full, or is closed itself where none is idle: nothing of its request was read. The readiness check and the metrics page take 32 connections each.

--- a/walkcart/daemon/tenant.py
+++ b/walkcart/daemon/tenant.py
@@ -10,7 +10,11 @@
 from functools import partial
 
 from walkcart.daemon.environment import ListenerService, TenantEnvironment
-from walkcart.daemon.tenantentry import add_entry, add_metrics_page
+from walkcart.daemon.tenantentry import (
+    MAX_SERVICE_CONNECTIONS,
+    add_entry,
+    add_metrics_page,
+)
 from walkcart.daemon.tenantlimits import add_limits
 from walkcart.daemon.tenantserving import add_delegates, listen_for_peers
 from walkcart.daemon.tenantstore import add_base, add_intent, add_leaves, add_store
@@ -67,6 +71,7 @@
         ServerLimits(),
         PlatformCallerProtocol().render_fault,
         on_error=partial(log_task_error, events, "question of the balancer"),
+        max_connections=MAX_SERVICE_CONNECTIONS,
     )
     kernel.add("readiness", ListenerService(readiness, server))
     if environment.metrics_port:
--- a/walkcart/daemon/tenantentry.py
+++ b/walkcart/daemon/tenantentry.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from functools import partial
+from resource import RLIM_INFINITY, RLIMIT_NOFILE, getrlimit
 
 import trio
 
@@ -29,13 +30,18 @@
 from walkcart.leaves.directory import LeafDirectory
 from walkcart.membership.registration import Registration
 from walkcart.platform.callerprotocol import PlatformCallerProtocol
-from walkcart.platform.settings import PlatformSettings
+from walkcart.platform.settings import MAX_DESCRIPTORS, PlatformSettings
 from walkcart.routing.shutdown import ShutdownDeadline
 from walkcart.store.follower import PrefixFollower
 from walkcart.wire.bodies import MemoryBudget
 from walkcart.wire.http import HttpReply, HttpRequest
 from walkcart.wire.server import HttpServer, ServerLimits
 
+#: Part of the file descriptors that callers' connections may take, in percent.
+CALLER_PERCENT = 60
+#: Largest number of connections to the readiness check, and to the metrics page.
+MAX_SERVICE_CONNECTIONS = 32
+
 
 def add_entry(
     kernel: Kernel,
@@ -99,10 +105,23 @@
         directory,
         events,
         MemoryBudget(settings.memory.requests),
+        _find_max_connections(settings),
     )
     kernel.add("entry", service)
 
 
+def _find_max_connections(settings: PlatformSettings) -> int:
+    """Return how many callers may be connected.
+
+    The other descriptors are for leaves, instances, the store, the balancer and files.
+    """
+    limit, _ = getrlimit(RLIMIT_NOFILE)
+    limits = [MAX_DESCRIPTORS if limit == RLIM_INFINITY else limit]
+    if settings.descriptors:
+        limits.append(settings.descriptors)
+    return max(1, min(limits) * CALLER_PERCENT // 100)
+
+
 async def add_metrics_page(
     kernel: Kernel, settings: PlatformSettings, environment: TenantEnvironment
 ) -> None:
@@ -125,5 +144,6 @@
         on_error=partial(
             log_task_error, kernel.find("events", EventLog), "question for metrics"
         ),
+        max_connections=MAX_SERVICE_CONNECTIONS,
     )
     kernel.add("metrics_page", ListenerService(listener, server))
--- a/walkcart/entry/routedservice.py
+++ b/walkcart/entry/routedservice.py
@@ -26,6 +26,8 @@
 IDLE_TIME_FACTOR = 1.25
 #: Time to read a whole request, as a multiple of the time to read its head.
 BODY_TIME_FACTOR = 2
+#: Seconds between two log lines about too many connections.
+LOG_INTERVAL = 2.0
 
 
 class RoutedService:
@@ -39,6 +41,7 @@
         directory: holds the leaves; readiness depends on whether they are known.
         events: log for the start, bad requests and failures.
         budget: limits the memory of all requests' bodies together.
+        max_connections: largest number of callers' connections.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         directory: LeafDirectory,
         events: EventLog,
         budget: MemoryBudget | None = None,
+        max_connections: int | None = None,
     ) -> None:
         self._listener = listener
         self._render_fault = render_fault
@@ -57,6 +61,7 @@
         self._directory = directory
         self._events = events
         self._accepting = trio.CancelScope()
+        self._logged_full_at = float("-inf")
         self.stopping = False
         self.server = HttpServer(
             handler.handle,
@@ -66,6 +71,8 @@
             cancel_on_disconnect=True,
             on_error=self._log_error,
             budget=budget,
+            max_connections=max_connections,
+            on_full=self._log_full,
         )
         keeper.on_change(self._update_limits)
 
@@ -101,6 +108,14 @@
         self._events.emit(Events.REQUEST_BAD, detail=fault.name)
         return self._render_fault(fault)
 
+    def _log_full(self) -> None:
+        """Log that connections are displaced; at most one line per interval."""
+        now = trio.current_time()
+        if now >= self._logged_full_at + LOG_INTERVAL:
+            self._logged_full_at = now
+            connections = self.server.connections
+            self._events.emit(Events.CONNECTIONS_FULL, connections=connections)
+
     def _log_error(self, error: Exception) -> None:
         log_task_error(self._events, "connection of a caller", error)
 
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -68,6 +68,12 @@
         "caller_gone",
         "A caller closed its connection, or stalled, in the middle of a request.",
     )
+    CONNECTIONS_FULL = _warn(
+        230,
+        "connections_full",
+        "Callers opened more connections than the descriptors allow: the one that has "
+        "been idle longest is closed for each further one.",
+    )
     TASK_FAILED = _error(
         207,
         "task_failed",
--- a/walkcart/platform/settings.py
+++ b/walkcart/platform/settings.py
@@ -61,6 +61,8 @@
 
 #: Least and greatest size of a machine's memory that is taken for one, in MiB.
 MIN_MEMORY_MB, MAX_MEMORY_MB = 64, 2**20
+#: Greatest number of file descriptors that is taken for one.
+MAX_DESCRIPTORS = 2**20
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -72,6 +74,8 @@
     cores: float = 1.0
     # Memory of the process, in MiB; 0 if it isn't stated.
     memory_mb: float = 0.0
+    # File descriptors of the process; 0 if it isn't stated.
+    max_fds: float = 0.0
 
 
 class _Store(msgspec.Struct, rename="camel"):
@@ -123,6 +127,7 @@
         grace: time from the stop signal until the process is killed.
         cores: CPU capacity, in cores of the usual speed.
         memory: how much of the memory bodies may take.
+        descriptors: number of file descriptors; 0 if it isn't stated.
         cold_bound: limits on the requests to cold leaves.
         quota_bounds: by how much teams' rate limits may be exceeded.
     """
@@ -145,6 +150,7 @@
     cold_bound: ColdBound = ColdBound()
     quota_bounds: QuotaBounds = QuotaBounds()
     memory: MemoryPlan = MemoryPlan()
+    descriptors: int = 0
 
 
 def parse_duration_ms(milliseconds: float) -> timedelta:
@@ -192,6 +198,7 @@
             file.bounds.quota_slack,
         ),
         memory=_plan_memory(file.limits.memory_mb),
+        descriptors=int(min(max(0.0, file.limits.max_fds), MAX_DESCRIPTORS)),
     )
 
 
--- a/walkcart/wire/server.py
+++ b/walkcart/wire/server.py
@@ -122,6 +122,10 @@
             without it such an error ends the instance.
         budget: limits the memory of the bodies of all requests in progress together;
             None sets no limit.
+        max_connections: largest number of connections; each further one takes the place
+            of the one that has been idle longest, or is closed where none is idle. None
+            sets no limit.
+        on_full: called when a connection came beyond that number.
     """
 
     def __init__(
@@ -133,6 +137,8 @@
         cancel_on_disconnect: bool = False,
         on_error: Callable[[Exception], None] | None = None,
         budget: MemoryBudget | None = None,
+        max_connections: int | None = None,
+        on_full: Callable[[], None] = lambda: None,
     ) -> None:
         self._handler = handler
         self.limits = limits
@@ -141,6 +147,8 @@
         self._on_disconnect = on_disconnect
         self._on_error = on_error
         self._budget = budget
+        self._max_connections = max_connections
+        self._on_full = on_full
         self._connections: set[_Connection] = set()
         self._closing = False
         self.in_progress = 0
@@ -168,6 +176,9 @@
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until it ends."""
+        if not self._make_room():
+            await trio.aclose_forcefully(stream)
+            return
         http = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.head)
         connection = _Connection(stream, http)
         self._connections.add(connection)
@@ -193,6 +204,20 @@
             self._connections.discard(connection)
             await trio.aclose_forcefully(stream)
 
+    def _make_room(self) -> bool:
+        """Return whether one more connection can be served."""
+        if self._max_connections is None or self.connections < self._max_connections:
+            return True
+        self._on_full()
+        idle = [item for item in self._connections if item.idle_scope is not None]
+        if not idle:
+            return False
+        longest = min(idle, key=lambda item: item.idle_since)
+        assert longest.idle_scope is not None
+        longest.idle_scope.cancel()
+        longest.idle_scope = None
+        return True
+
     async def _serve_one(self, connection: _Connection) -> bool:
         """Serve one request; return whether another may follow."""
         if not await self._wait_for_bytes(connection):
