--- a/walkcart/entry/app.py
+++ b/walkcart/entry/app.py
@@ -19,14 +19,9 @@
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.taskerrors import log_task_error
 from walkcart.membership.listing import InstanceList
-from walkcart.wire.bodies import MemoryBudget, MemoryPlan
+from walkcart.wire.bodies import MEMORY_RETRY_DELAY, MemoryBudget, MemoryPlan
 from walkcart.wire.http import HttpReply, HttpRequest
-from walkcart.wire.server import (
-    MEMORY_RETRY_DELAY,
-    Fault,
-    HttpServer,
-    ServerLimits,
-)
+from walkcart.wire.server import Fault, HttpServer, ServerLimits
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
 _SERVICE_PATH = re.compile(r"/v1/services/([^/?]+)/(query|execute|explain)")
--- a/walkcart/platform/callerprotocol.py
+++ b/walkcart/platform/callerprotocol.py
@@ -24,8 +24,9 @@
     strip_hop_headers,
 )
 from walkcart.platform.records import merge_records
+from walkcart.wire.bodies import MEMORY_RETRY_DELAY
 from walkcart.wire.http import HttpReply, HttpRequest, find_header
-from walkcart.wire.server import MEMORY_RETRY_DELAY, Fault
+from walkcart.wire.server import Fault
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
 #: Headers that an instance sets anew for each leaf; the caller's values are dropped.
--- a/walkcart/wire/bodies.py
+++ b/walkcart/wire/bodies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from datetime import timedelta
 
 import trio
 
@@ -21,6 +22,8 @@
 #: What a parser holds, copies while a reply is put together, and unread bytes in the
 #: kernel take about as much again.
 REQUEST_DIVISOR, REPLY_DIVISOR = 8, 4
+#: Time after which a request may be sent again that found no memory for its body.
+MEMORY_RETRY_DELAY = timedelta(seconds=1)
 #: Size from which a body is sent apart from its head, in bytes: joining them copies it.
 MIN_SEPARATE_BODY = 16384
 
--- a/walkcart/wire/tests/test_server_errors.py
+++ b/walkcart/wire/tests/test_server_errors.py
@@ -126,3 +126,26 @@
         return gone, server.connections
 
     assert run_mocked(run) == ([True], 0)
+
+
+def test_a_fault_after_a_head_request_is_answered_with_its_body():
+    async def run():
+        async def answer(request):
+            return HttpReply(200)
+
+        server = HttpServer(
+            answer, ServerLimits(), lambda fault: HttpReply(fault.value, body=b"why")
+        )
+        ours, theirs = memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.serve, theirs)
+            await ours.send_all(b"HEAD / HTTP/1.1\r\nhost: x\r\n\r\n")
+            await ours.receive_some()
+            await ours.send_all(b"no request\r\n\r\n")
+            reply = await ours.receive_some()
+            await ours.aclose()
+        return reply
+
+    reply = run_mocked(run)
+    assert reply.startswith(b"HTTP/1.1 400")
+    assert reply.endswith(b"\r\n\r\nwhy")
