Close idle connections on which bytes have come

Seen: a leaf that sends bytes on an idle connection fills the instance's receive buffer, on each of its connections, for as long as they stay open; on the platform, unread bytes count as memory. Such a connection was never used again, but the last one of a leaf stays open without a limit.

Cause: input was looked at only before the next request. The periodic look at idle connections asked for their age alone.

It now closes those with input or an end as well.

--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -17,6 +17,7 @@
 from walkcart.leaves.leaf import Leaf
 from walkcart.leaves.linkconnection import LinkConnection, LinkConnector
 from walkcart.leaves.linkqueue import HasRoom, LinkQueue, always_has_room
+from walkcart.wire.http import HttpConnection
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
 
 #: Seconds between a failure to connect and the next try; doubles up to `MAX_BACKOFF`.
@@ -212,7 +213,7 @@
 
     async def _process_queue(self, connection: LinkConnection) -> None:
         while True:
-            pending = await self._wait_for_next()
+            pending = await self._wait_for_next(connection.http)
             if pending is None:
                 return
             try:
@@ -228,7 +229,7 @@
                 return
             connection.last_used = self._tools.clock.monotonic()
 
-    async def _wait_for_next(self) -> Pending | None:
+    async def _wait_for_next(self, http: HttpConnection) -> Pending | None:
         """Wait for the next entry to send; None if the connection should close."""
         since = self._tools.clock.monotonic()
         while True:
@@ -238,7 +239,10 @@
             if pending is not None:
                 return pending
             await self._idle.park()
-            if not self._queue and self._was_idle_too_long(since):
+            if not self._queue and (
+                self._was_idle_too_long(since) or not http.is_quiet()
+            ):
+                # Bytes that nobody asked for would fill the kernel's memory.
                 return None
 
     def close_idle(self) -> None:
--- a/walkcart/platform/tests/test_endless_replies.py
+++ b/walkcart/platform/tests/test_endless_replies.py
@@ -10,6 +10,7 @@
     HEAD,
     Endless,
     answer_endlessly,
+    make_stamped_head,
     start_raw_leaf,
 )
 
@@ -84,3 +85,33 @@
             assert statuses == [200, 200, 200], kind
 
     trio.run(open_world, tmp_path, run, True)
+
+
+def test_an_idle_connection_with_bytes_that_nobody_asked_for_is_closed(tmp_path):
+    closed = trio.Event()
+
+    async def answer(stream, request):
+        body = b"content-length: 16\r\n\r\n" + b"r" * 16
+        await stream.send_all(make_stamped_head(request) + body)
+        # The reply is read to its end before more comes.
+        await trio.sleep(0.5)
+        try:
+            for piece in REPLIES["garbage"].pieces():
+                await stream.send_all(piece)
+        except trio.BrokenResourceError:
+            closed.set()
+        return False
+
+    async def run():
+        async with open_processes(tmp_path) as world:
+            await start_raw_leaf(world, "i-one", "one", answer)
+            world.configure(make_route("one", "/one/", backend="one"))
+            machine = world.add_machine()
+            world.start(machine)
+            await world.wait_ready(machine)
+            reply = await world.ask(machine, "/one/x")
+            with trio.move_on_after(15):
+                await closed.wait()
+            return reply and reply.body, closed.is_set(), machine.ends
+
+    assert trio.run(run) == (b"r" * 16, True, [])
