--- a/walkcart/leaves/protocol.py
+++ b/walkcart/leaves/protocol.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from walkcart.kernel.decoding import BadData, JsonDecoder
-from walkcart.kernel.durations import milliseconds_to_duration
+from walkcart.kernel.durations import seconds_to_duration
 from walkcart.kernel.numbers import read_number
 from walkcart.leaves.attempts import Attempt, Failed, Outcome, Refused, Replied
 from walkcart.leaves.leaf import ANY_VERSION, BadSnapshot, Snapshot, parse_snapshot
@@ -55,6 +55,8 @@
 #: Checks that a body is a JSON object without decoding its values.
 _CHECK_JSON = JsonDecoder(dict[str, msgspec.Raw]).decode
 
+#: Longest time that a leaf can state; any number of digits may come in a header.
+MAX_STATED_TIME = timedelta(days=1)
 #: Largest body of a leaf's reply that is accepted, in bytes.
 MAX_REPLY_BYTES = 4 << 20
 
@@ -271,7 +273,16 @@
 
 def _read_retry_after(found: HeaderMap) -> timedelta | None:
     milliseconds = read_number(found.get(RETRY_AFTER_MS))
-    return None if milliseconds is None else milliseconds_to_duration(milliseconds)
+    return None if milliseconds is None else limit_duration(milliseconds / 1000)
+
+
+def limit_duration(seconds: float) -> timedelta:
+    """Return a time that a leaf states, but at most `MAX_STATED_TIME`.
+
+    Raises:
+        walkcart.kernel.durations.BadDuration: the number is no duration.
+    """
+    return min(seconds_to_duration(seconds), MAX_STATED_TIME)
 
 
 def matches_pin(pin: Snapshot, snapshot: Snapshot) -> bool:
--- a/walkcart/platform/leafprotocol.py
+++ b/walkcart/platform/leafprotocol.py
@@ -4,10 +4,9 @@
 
 from datetime import timedelta
 
-from walkcart.kernel.durations import milliseconds_to_duration, seconds_to_duration
 from walkcart.kernel.numbers import read_number
 from walkcart.leaves.attempts import Attempt, Failed, Outcome, Refused, Replied
-from walkcart.leaves.protocol import HeaderMap, LeafStatus
+from walkcart.leaves.protocol import HeaderMap, LeafStatus, limit_duration
 from walkcart.platform.headers import (
     COLD_MS,
     CONTENT_ENCODING,
@@ -81,7 +80,7 @@
             incarnation=0,
             leaving=False,
             pace=percent / 100 if percent else None,
-            cold_time=None if cold is None else milliseconds_to_duration(cold),
+            cold_time=None if cold is None else limit_duration(cold / 1000),
         )
 
     def read_outcome(
@@ -104,13 +103,15 @@
                 return Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
             return Refused(Reason.LEAF_REFUSED, _read_retry_after(found))
         success = 200 <= reply.status < 300
-        if success and (STAMP not in found or CONTENT_ENCODING in found):
+        headers = strip_hop_headers(reply.headers, _LEAF_STATUS_HEADERS)
+        # The leaf may have declared its stamp a header of this connection only.
+        stamped = find_header(headers, STAMP) is not None
+        if success and (not stamped or CONTENT_ENCODING in found):
             detail = "a success without a stamp, or with an encoding"
             return Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
         if attempt.success_only and not success:
             detail = f"the leaf answered {reply.status}"
             return Failed(MayHaveRun(Reason.LEAF_FAILED, detail))
-        headers = strip_hop_headers(reply.headers, _LEAF_STATUS_HEADERS)
         return Replied(
             attempt.pin,
             False,
@@ -142,6 +143,6 @@
 def _read_retry_after(found: HeaderMap) -> timedelta | None:
     """Return the time to wait before a retry, or None if the leaf gave none."""
     try:
-        return seconds_to_duration(float(found[RETRY_AFTER]))
+        return limit_duration(float(found[RETRY_AFTER]))
     except (KeyError, ValueError):
         return None
--- a/walkcart/platform/optionalfields.py
+++ b/walkcart/platform/optionalfields.py
@@ -53,6 +53,8 @@
 CORES = OptionalNumber("limits.cores", 1.0, _MIN_DIVISOR)
 #: Memory of the process, in MiB.
 MEMORY = OptionalNumber("limits.memoryMb", 300.0, 64.0, 2.0**20)
+#: File descriptors of the process; 0 if their number isn't stated.
+DESCRIPTORS = OptionalNumber("limits.maxFds", 0.0, 0.0, 2.0**20)
 #: Calls to the store per second, for all instances together.
 WRITE_RATE = OptionalNumber("platform.writesPerS", 100.0, _MIN_DIVISOR)
 READ_RATE = OptionalNumber("platform.readsPerS", 500.0, _MIN_DIVISOR)
--- a/walkcart/platform/settings.py
+++ b/walkcart/platform/settings.py
@@ -26,6 +26,7 @@
 from walkcart.platform.optionalfields import (
     CORES,
     CPU_SHARE,
+    DESCRIPTORS,
     GRACE,
     MEMORY,
     QUOTA_SLACK,
@@ -125,6 +126,7 @@
         grace: time from the stop signal until the process is killed.
         cores: CPU capacity, in cores of the usual speed.
         memory: how much of the memory bodies may take.
+        descriptors: number of file descriptors; 0 if it isn't stated.
         cold_bound: limits on the requests to cold leaves.
         quota_bounds: by how much teams' rate limits may be exceeded.
         invalid: optional settings that are invalid; their defaults are used.
@@ -149,6 +151,7 @@
     cold_bound: ColdBound = ColdBound()
     quota_bounds: QuotaBounds = QuotaBounds()
     memory: MemoryPlan = MemoryPlan()
+    descriptors: int = 0
     invalid: tuple[InvalidSetting, ...] = ()
     report_interval: float = 1.2
 
@@ -241,6 +244,7 @@
             optional.read_number(QUOTA_SLACK),
         ),
         memory=MemoryPlan(int(optional.read_number(MEMORY) * BYTES_PER_MIB)),
+        descriptors=int(optional.read_number(DESCRIPTORS)),
         report_interval=optional.read_number(REPORT_INTERVAL) / 1000,
         invalid=tuple(optional.invalid),
     )
