Floods of the readiness and metrics ports are logged like those of callers

Each of the three ports now logs connections_full with its purpose. Times that leafs state have one bound, MAX_STATED_TIME, in the test of both protocols.

--- a/walkcart/daemon/tenant.py
+++ b/walkcart/daemon/tenant.py
@@ -22,6 +22,7 @@
 from walkcart.entry.routedstop import RoutedStop
 from walkcart.fanout.delegationserver import DelegationServer
 from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
 from walkcart.kernel.registry import Kernel
 from walkcart.kernel.taskerrors import log_task_error
 from walkcart.membership.quotashares import QuotaShares
@@ -93,6 +94,12 @@
         PlatformCallerProtocol().render_fault,
         on_error=partial(log_task_error, events, "question of the balancer"),
         max_connections=MAX_SERVICE_CONNECTIONS,
+        on_full=partial(
+            events.emit,
+            Events.CONNECTIONS_FULL,
+            purpose="readiness",
+            connections=MAX_SERVICE_CONNECTIONS,
+        ),
     )
     kernel.add("readiness", ListenerService(readiness, server))
     if environment.metrics_port:
--- a/walkcart/daemon/tenantentry.py
+++ b/walkcart/daemon/tenantentry.py
@@ -22,6 +22,7 @@
 from walkcart.fanout.routedtools import RoutedTools
 from walkcart.intent.routekeeper import RouteKeeper
 from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.registry import Kernel
 from walkcart.kernel.settings import HostPort
@@ -30,7 +31,8 @@
 from walkcart.leaves.directory import LeafDirectory
 from walkcart.membership.registration import Registration
 from walkcart.platform.callerprotocol import PlatformCallerProtocol
-from walkcart.platform.settings import MAX_DESCRIPTORS, PlatformSettings
+from walkcart.platform.optionalfields import MAX_DESCRIPTORS
+from walkcart.platform.settings import PlatformSettings
 from walkcart.routing.shutdown import ShutdownDeadline
 from walkcart.store.follower import PrefixFollower
 from walkcart.wire.bodies import MemoryBudget
@@ -128,11 +130,12 @@
 ) -> None:
     """Add the metrics page, which other programs may keep from being served."""
     metrics = kernel.find("metrics", Metrics)
+    events = kernel.find("events", EventLog)
     address = HostPort(settings.host, environment.metrics_port)
     listener = await listen_soon(
         partial(environment.network.listen, address),
         Place("metrics", str(address), required=False),
-        ListenTools(environment.clock, kernel.find("events", EventLog)),
+        ListenTools(environment.clock, events),
     )
 
     async def answer(request: HttpRequest) -> HttpReply:
@@ -146,9 +149,13 @@
         answer,
         ServerLimits(),
         PlatformCallerProtocol().render_fault,
-        on_error=partial(
-            log_task_error, kernel.find("events", EventLog), "question for metrics"
-        ),
+        on_error=partial(log_task_error, events, "question for metrics"),
         max_connections=MAX_SERVICE_CONNECTIONS,
+        on_full=partial(
+            events.emit,
+            Events.CONNECTIONS_FULL,
+            purpose="metrics",
+            connections=MAX_SERVICE_CONNECTIONS,
+        ),
     )
     kernel.add("metrics_page", ListenerService(listener, server))
--- a/walkcart/entry/routedservice.py
+++ b/walkcart/entry/routedservice.py
@@ -120,7 +120,9 @@
         if now >= self._logged_full_at + LOG_INTERVAL:
             self._logged_full_at = now
             connections = self.server.connections
-            self._events.emit(Events.CONNECTIONS_FULL, connections=connections)
+            self._events.emit(
+                Events.CONNECTIONS_FULL, purpose="callers", connections=connections
+            )
 
     def _log_error(self, error: Exception) -> None:
         log_task_error(self._events, "connection of a caller", error)
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -107,8 +107,8 @@
     CONNECTIONS_FULL = _warn(
         230,
         "connections_full",
-        "Callers opened more connections than the descriptors allow: the one that has "
-        "been idle longest is closed for each further one.",
+        "More connections came to a port than it may have: the one that has been idle "
+        "longest is closed for each further one.",
     )
     TASK_FAILED = _error(
         207,
--- a/walkcart/platform/optionalfields.py
+++ b/walkcart/platform/optionalfields.py
@@ -17,6 +17,8 @@
 SHOWN_LENGTH = 100
 _MAX_SECONDS = MAX_DURATION.total_seconds()
 _MAX_NUMBER = 1e9
+#: Greatest number of file descriptors that is taken for one.
+MAX_DESCRIPTORS = 2**20
 #: Smallest number that other numbers are divided by.
 _MIN_DIVISOR = 0.001
 
@@ -54,7 +56,7 @@
 #: Memory of the process, in MiB.
 MEMORY = OptionalNumber("limits.memoryMb", 300.0, 64.0, 2.0**20)
 #: File descriptors of the process; 0 if their number isn't stated.
-DESCRIPTORS = OptionalNumber("limits.maxFds", 0.0, 0.0, 2.0**20)
+DESCRIPTORS = OptionalNumber("limits.maxFds", 0.0, 0.0, MAX_DESCRIPTORS)
 #: Calls to the store per second, for all instances together.
 WRITE_RATE = OptionalNumber("platform.writesPerS", 100.0, _MIN_DIVISOR)
 READ_RATE = OptionalNumber("platform.readsPerS", 500.0, _MIN_DIVISOR)
--- a/walkcart/platform/tests/test_leaf_replies.py
+++ b/walkcart/platform/tests/test_leaf_replies.py
@@ -5,9 +5,8 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from walkcart.kernel.durations import MAX_DURATION
 from walkcart.leaves.attempts import Attempt, Failed, Refused, Replied
-from walkcart.leaves.protocol import read_outcome
+from walkcart.leaves.protocol import MAX_STATED_TIME, read_outcome
 from walkcart.platform.leafprotocol import PlatformLeafProtocol
 from walkcart.wire.http import HttpReply, HttpRequest
 from walkcart.wire.verdicts import MayHaveRun, Reason
@@ -97,16 +96,16 @@
 
 def test_longest_times_that_a_leaf_can_state_are_shortened():
     found = {b"x-warmup-ms": b"9" * 18, b"x-not-executed": b"1", b"retry-after": b"1e9"}
-    assert PROTOCOL.read_status(found).cold_time == MAX_DURATION
+    assert PROTOCOL.read_status(found).cold_time == MAX_STATED_TIME
     reply = HttpReply(503, (*found.items(), (b"x-request-id", b"id")))
     outcome = PROTOCOL.read_outcome(
         make_attempt(False), reply, dict(reply.headers), 0.1
     )
-    assert outcome == Refused(Reason.LEAF_REFUSED, MAX_DURATION)
+    assert outcome == Refused(Reason.LEAF_REFUSED, MAX_STATED_TIME)
     own = read_outcome(
         make_attempt(False),
         HttpReply(503),
         {b"walkcart-ran": b"no", b"walkcart-retry-after-ms": b"9" * 18},
         0.1,
     )
-    assert own == Refused(Reason.LEAF_REFUSED, MAX_DURATION)
+    assert own == Refused(Reason.LEAF_REFUSED, MAX_STATED_TIME)
