--- a/walkcart/platform/tests/test_bad_stored_values.py
+++ b/walkcart/platform/tests/test_bad_stored_values.py
@@ -192,6 +192,7 @@
         await fleet.start()
         for name, value in BAD_ENTRIES.items():
             fleet.world.store.put(f"servers/{name}", value)
+        for name in BAD_ENTRIES:
             key = json.dumps(f"servers/{name}")
             await fleet.wait_logged("leaf_entry_bad", f'"key": {key}')
         await fleet.check_unharmed()
