--- a/walkcart/membership/quarantinekeys.py
+++ b/walkcart/membership/quarantinekeys.py
@@ -144,5 +144,7 @@
     strikes = {read_number(part) for part in value.split(b",", REFUSED_STRIKES)}
     found = frozenset(strike for strike in strikes if strike is not None)
     if len(found) != len(strikes) or len(found) > REFUSED_STRIKES:
-        raise ValueError(f"expected {REFUSED_STRIKES} numbers, got {value[:80]!r}")
+        raise ValueError(
+            f"expected up to {REFUSED_STRIKES} numbers, got {value[:80]!r}"
+        )
     return found
