A leaf's JSON that nests deeply is no answer

Seen (own interface): a reply whose body nests 100,000 arrays ends the task of its connection with an internal error, or the caller's request with 500.

Cause: the decoder raises RecursionError for it, which is no MsgspecError.

It is now taken like other JSON that can't be read: the leaf failed, or its rows are bad. Evidence: the tests failed before but for the one with a sort field, whose decoder stops earlier.

--- a/walkcart/entry/replies.py
+++ b/walkcart/entry/replies.py
@@ -92,7 +92,7 @@
             ]
         else:
             rows = _sort_rows(body, answer)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise BadRows(str(error)) from None
     return rows[: body.limit] if body.limit else rows
 
--- a/walkcart/leaves/protocol.py
+++ b/walkcart/leaves/protocol.py
@@ -251,7 +251,7 @@
         return Failed(MayHaveRun(Reason.LEAF_FAILED, "the leaf states no snapshot"))
     try:
         _CHECK_JSON(reply.body)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return Failed(MayHaveRun(Reason.LEAF_FAILED, "the leaf's body is no JSON"))
     partial = found.get(PARTIAL) == b"yes"
     return Replied(
