--- a/walkcart/platform/tests/test_endless_replies.py
+++ b/walkcart/platform/tests/test_endless_replies.py
@@ -1,6 +1,7 @@
 """Leafs whose bytes don't end cost their own requests only, and little memory."""
 
 import time
+from dataclasses import replace
 
 import trio
 
@@ -115,3 +116,37 @@
             return reply and reply.body, closed.is_set(), machine.ends
 
     assert trio.run(run) == (b"r" * 16, True, [])
+
+
+def test_replies_that_drip_end_at_the_deadline_and_harm_no_others(tmp_path):
+    kinds = ("head-line", "headers", "chunks", "no-length", "trailers")
+
+    async def run():
+        async with open_processes(tmp_path) as world:
+            await world.start_leaf("i-sound", "sound", records=b"r" * 16)
+            for kind in kinds:
+                answer = answer_endlessly(replace(REPLIES[kind], slow=True))
+                await start_raw_leaf(world, f"i-{kind}", kind, answer)
+            routes = [make_route(kind, f"/{kind}/", backend=kind) for kind in kinds]
+            world.configure(make_route("sound", "/sound/", backend="sound"), *routes)
+            machine = world.add_machine()
+            world.start(machine)
+            await world.wait_ready(machine)
+            found = {}
+
+            async def ask(kind):
+                reply = await world.ask(machine, f"/{kind}/x", deadline_ms=1000)
+                found[kind] = reply and reply.status
+
+            async with trio.open_nursery() as nursery:
+                for kind in kinds:
+                    for _ in range(10):
+                        nursery.start_soon(ask, kind)
+                sound = (await ask_timed(world, machine, "/sound/x"))[0]
+            return found, sound, machine.ends
+
+    found, sound, ends = trio.run(run)
+    # Each was answered, by a verdict of the instance.
+    assert set(found) == set(kinds)
+    assert set(found.values()) <= {502, 503, 504}
+    assert (sound, ends) == (200, [])
