--- a/walkcart/daemon/processsetup.py
+++ b/walkcart/daemon/processsetup.py
@@ -11,7 +11,7 @@
 from types import FrameType
 
 #: Signals that ask for a stop.
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 #: Signals that would end a process by default, but ask nothing of this one. For SIGHUP
 #: that holds until the event loop runs; settings that change meanwhile are noticed by
 #: the state of their file.
