Own interface: wait for addresses in use, log starts and ends

The daemon of the own interface had the same faults as that of the platform: an address in use ended it with 1 at each start, SIGHUP ended it at any time, an end left no line, and an error output that nobody read held up its event loop, as the log was written to it directly.

A second stop signal still aborts the stop.

The three tests of test_own_program.py failed before.

--- a/walkcart/daemon/assembly.py
+++ b/walkcart/daemon/assembly.py
@@ -9,6 +9,7 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from random import Random
 
 import trio
@@ -46,6 +47,7 @@
 from walkcart.store.budget import CallBudget
 from walkcart.store.calls import StoreCalls
 from walkcart.store.client import StoreClient
+from walkcart.wire.listening import ListenTools, Place, retry_listen
 from walkcart.wire.messages import MemberRecord
 from walkcart.wire.peers import PeerListener
 
@@ -76,19 +78,27 @@
 async def assemble_instance(settings: Settings, environment: Environment) -> Instance:
     """Listen on the instance's addresses and assemble its services.
 
+    Waits for addresses that are busy.
+
     Raises:
-        OSError: listening on an address failed.
+        OSError: an address can't be listened on, and waiting won't help.
     """
     network = environment.network
-    listener = await network.listen(settings.listen)
-    address = HostPort(settings.listen.host, network.port_of(listener))
-    try:
-        peers = await environment.transport.listen(settings.peer_listen)
-    except OSError:
-        await trio.aclose_forcefully(listener)
-        raise
     kernel = Kernel()
     _add_base(kernel, settings, environment)
+    tools = ListenTools(environment.clock, kernel.find("events", EventLog))
+    # Nobody is kept waiting at the callers' address while that for peers is busy.
+    peers = await retry_listen(
+        partial(environment.transport.listen, settings.peer_listen),
+        Place("other instances", str(settings.peer_listen)),
+        tools,
+    )
+    listener = await retry_listen(
+        partial(network.listen, settings.listen),
+        Place("callers", str(settings.listen)),
+        tools,
+    )
+    address = HostPort(settings.listen.host, network.port_of(listener))
     _add_membership(kernel, settings, environment, peers, address)
     _add_intent(kernel, environment)
     add_leaves(kernel, environment)
--- a/walkcart/daemon/main.py
+++ b/walkcart/daemon/main.py
@@ -3,16 +3,24 @@
 from __future__ import annotations
 
 import os
-import signal
 import sys
 from collections.abc import Sequence
 from random import Random
+from typing import TextIO, cast
 
 import trio
 
 from walkcart.daemon.assembly import Instance, assemble_instance
 from walkcart.daemon.environment import Environment
+from walkcart.daemon.processlog import ProcessLog
+from walkcart.daemon.processsetup import (
+    STDERR,
+    ProcessSetup,
+    prepare_process,
+)
+from walkcart.daemon.signalwatch import RECEIVED_SIGNALS, SignalWatch
 from walkcart.kernel.clock import BootClock, TrioClock
+from walkcart.kernel.logsink import LogSink
 from walkcart.kernel.settings import (
     LoadedSettings,
     Settings,
@@ -31,11 +39,12 @@
 
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run the daemon and exit the process."""
+    setup = prepare_process()
     given = list(sys.argv[1:] if arguments is None else arguments)
-    sys.exit(run_daemon(given, os.environ))
+    sys.exit(run_daemon(given, os.environ, setup))
 
 
-def run_daemon(arguments: list[str], environment) -> int:
+def run_daemon(arguments: list[str], environment, setup: ProcessSetup) -> int:
     """Run the daemon.
 
     Returns:
@@ -56,7 +65,16 @@
     if check:
         _print_settings(loaded)
         return EXIT_OK
-    return trio.run(_run_instance, loaded.settings, clock=BootClock())
+    sink = LogSink(STDERR)
+    log = ProcessLog(cast(TextIO, sink), loaded.settings.instance)
+    log.log_start(None)
+    try:
+        return trio.run(_run_instance, loaded.settings, setup, log, clock=BootClock())
+    except BaseException as error:
+        log.log_error(error, EXIT_FAILED)
+        raise
+    finally:
+        sink.flush()
 
 
 def _print_settings(loaded: LoadedSettings) -> None:
@@ -76,38 +94,60 @@
         print(f"    {item.metadata['help']} Default: {item.metadata['default']!r}.")
 
 
-async def _run_instance(settings: Settings) -> int:
-    environment = Environment(TcpNetwork(), NngTransport(), TrioClock(), Random())
+async def _run_instance(
+    settings: Settings, setup: ProcessSetup, log: ProcessLog
+) -> int:
+    watch = SignalWatch(setup.stop_signal)
+    with trio.open_signal_receiver(*RECEIVED_SIGNALS) as received:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch.run, received)
+            code = await _start_and_serve(settings, watch, log)
+            nursery.cancel_scope.cancel()
+    return code
+
+
+async def _start_and_serve(
+    settings: Settings, watch: SignalWatch, log: ProcessLog
+) -> int:
+    environment = Environment(
+        TcpNetwork(), NngTransport(), TrioClock(), Random(), log.stream
+    )
+    instance = None
     try:
-        instance = await assemble_instance(settings, environment)
+        with watch.start_scope:
+            instance = await assemble_instance(settings, environment)
     except OSError as error:
-        print(f"walkcartd: can't listen on an address: {error}", file=sys.stderr)
+        detail = f"can't listen on an address: {error}"
+        log.log_failure("address", detail, EXIT_FAILED)
         return EXIT_FAILED
-    return await run_until_signal(instance)
+    if instance is None:
+        log.log_end(watch.stop_reason, EXIT_OK, serving=False)
+        return EXIT_OK
+    code = await run_until_signal(instance, watch)
+    log.log_end(watch.stop_reason, code, serving=True)
+    return code
 
 
-async def run_until_signal(instance: Instance) -> int:
+async def run_until_signal(instance: Instance, watch: SignalWatch) -> int:
     """Run an instance until a signal, then stop it; a second signal aborts the stop.
 
     Returns:
         The exit code: 0 if all work in progress was done, else 1.
     """
     ended = True
-    signals = (signal.SIGTERM, signal.SIGINT)
-    with trio.open_signal_receiver(*signals) as received:
-        async with trio.open_nursery() as nursery:
-            await nursery.start(instance.kernel.run)
-            await received.__anext__()
-            async with trio.open_nursery() as stopping:
-                stopping.start_soon(_cancel_on_signal, received, stopping.cancel_scope)
-                ended = await instance.stop.stop()
-                stopping.cancel_scope.cancel()
-            nursery.cancel_scope.cancel()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(instance.kernel.run)
+        await watch.stopped.wait()
+        async with trio.open_nursery() as stopping:
+            stopping.start_soon(_cancel_on_signal, watch, stopping.cancel_scope)
+            ended = await instance.stop.stop()
+            stopping.cancel_scope.cancel()
+        nursery.cancel_scope.cancel()
     return EXIT_OK if ended else EXIT_FAILED
 
 
-async def _cancel_on_signal(received, scope: trio.CancelScope) -> None:
-    await received.__anext__()
+async def _cancel_on_signal(watch: SignalWatch, scope: trio.CancelScope) -> None:
+    await watch.stopped_again.wait()
     scope.cancel()
 
 
--- a/walkcart/daemon/platform.py
+++ b/walkcart/daemon/platform.py
@@ -67,7 +67,7 @@
     sink = LogSink(setup.log_descriptor)
     log = ProcessLog(cast(TextIO, sink))
     path = os.environ.get(FILE_VARIABLE)
-    log.log_start(path or "")
+    log.log_start(path)
     if not path:
         log.log_failure("settings", f"{FILE_VARIABLE} isn't set", EXIT_USAGE)
         sys.exit(EXIT_USAGE)
--- a/walkcart/daemon/processlog.py
+++ b/walkcart/daemon/processlog.py
@@ -44,17 +44,18 @@
 
     Args:
         stream: the stream for log lines.
+        instance: name of the instance, if it's known.
     """
 
-    def __init__(self, stream: TextIO) -> None:
-        self._stream = stream
-        self.events = EventLog("", SystemClock(), stream)
+    def __init__(self, stream: TextIO, instance: str = "") -> None:
+        self.stream = stream
+        self.events = EventLog(instance, SystemClock(), stream)
 
     def set_instance(self, name: str) -> None:
         """Name the instance, which isn't known before the settings are read."""
-        self.events = EventLog(name, SystemClock(), self._stream)
+        self.events = EventLog(name, SystemClock(), self.stream)
 
-    def log_start(self, settings_path: str) -> None:
+    def log_start(self, settings_path: str | None) -> None:
         """Log that the process began, and its limits."""
         self.events.emit(
             Events.PROCESS_STARTED,
--- a/walkcart/daemon/signalwatch.py
+++ b/walkcart/daemon/signalwatch.py
@@ -24,6 +24,8 @@
         #: The first signal that asked for a stop.
         self.stop_signal: int | None = None
         self.stopped = trio.Event()
+        #: Set by a further signal that asks for a stop.
+        self.stopped_again = trio.Event()
         #: Scope of the start, which a stop cancels.
         self.start_scope = trio.CancelScope()
         self._reload = trio.Event()
@@ -44,8 +46,10 @@
                 self._request_stop(number)
 
     def _request_stop(self, number: int) -> None:
-        if self.stop_signal is None:
-            self.stop_signal = number
+        if self.stop_signal is not None:
+            self.stopped_again.set()
+            return
+        self.stop_signal = number
         self.stopped.set()
         self.start_scope.cancel()
 
--- /dev/null
+++ b/walkcart/daemon/tests/test_own_program.py
@@ -0,0 +1,91 @@
+"""The program of the own interface as a process: busy addresses and signals."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from time import monotonic, sleep
+
+import pytest
+
+#: Maximum time that a step takes, in seconds.
+STEP_SECONDS = 20.0
+
+
+def start_program(log_path, callers, peers):
+    """Start the program; its log goes to a file."""
+    with log_path.open("wb") as log:
+        return subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "walkcart.daemon.main",
+                "--listen",
+                f"127.0.0.1:{callers}",
+                "--peer-listen",
+                f"127.0.0.1:{peers}",
+                "--store",
+                "127.0.0.1:9",
+                "--stop-grace",
+                "0",
+            ],
+            env={k: v for k, v in os.environ.items() if "WALKCART" not in k},
+            stderr=log,
+        )
+
+
+def wait_event(process, log_path, name):
+    """Wait until the program logs an event."""
+    end = monotonic() + STEP_SECONDS
+    while f'"event": "{name}"' not in log_path.read_text(encoding="utf-8"):
+        assert process.poll() is None, log_path.read_text(encoding="utf-8")
+        assert monotonic() < end
+        sleep(0.02)
+
+
+def hold_port():
+    """Return a socket that listens on some port, and the port."""
+    sock = socket.create_server(("127.0.0.1", 0))
+    return sock, sock.getsockname()[1]
+
+
+@pytest.mark.parametrize("busy", ["callers", "peers"])
+def test_start_waits_for_an_address_in_use(tmp_path, busy):
+    log_path = tmp_path / "log"
+    callers, callers_port = hold_port()
+    peers, peers_port = hold_port()
+    (peers if busy == "callers" else callers).close()
+    process = start_program(log_path, callers_port, peers_port)
+    try:
+        wait_event(process, log_path, "address_busy")
+        callers.close()
+        peers.close()
+        wait_event(process, log_path, "started")
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(STEP_SECONDS) == 0
+    finally:
+        process.kill()
+        process.wait()
+    lines = [json.loads(line) for line in log_path.read_text().splitlines()]
+    assert [lines[0]["event"], lines[-1]["event"]] == [
+        "process_started",
+        "process_ended",
+    ]
+
+
+def test_stop_while_waiting_for_an_address_ends_the_process(tmp_path):
+    log_path = tmp_path / "log"
+    callers, port = hold_port()
+    with callers:
+        process = start_program(log_path, port, 0)
+        try:
+            wait_event(process, log_path, "address_busy")
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(STEP_SECONDS) == 0
+        finally:
+            process.kill()
+            process.wait()
+    assert '"serving": false' in log_path.read_text(encoding="utf-8")
