Gathering for others: few ended questions are remembered

The instance remembers for 5 s which questions were cancelled or have ended.

At most 16,384 are remembered, the latest, in an ordered dict, from whose front entries are removed at a constant price.

test_flood_of_cancellations_fills_no_memory failed before (49,152 remembered).

--- a/walkcart/fanout/delegationserver.py
+++ b/walkcart/fanout/delegationserver.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from functools import partial
@@ -54,7 +55,9 @@
 #: recognize a copy that arrives later. Past `MAX_AGE` a copy would be rejected as "not
 #: run", which its sender may rely on for as long as it waits.
 HISTORY_TTL = 5.0
-
+#: Maximum number of questions that are remembered in this way: those of 5 s at 3,000 a
+#: second. Beyond it the oldest are forgotten.
+MAX_HISTORY = 1 << 14
 
 #: Key of a question: its sender, and the id that the sender gave it. Two senders may
 #: use the same id, and a sender can't cancel or renew a question of another.
@@ -97,9 +100,9 @@
         self._events = events
         self._active: dict[QuestionKey, ActiveQuestion] = {}
         #: When questions were cancelled or ended, for copies that may arrive later.
-        self._closed_at: dict[QuestionKey, float] = {}
+        self._closed_at: OrderedDict[QuestionKey, float] = OrderedDict()
         #: When questions arrived, by id and request id, whoever sent them.
-        self._begun_at: dict[tuple[str, str], float] = {}
+        self._begun_at: OrderedDict[tuple[str, str], float] = OrderedDict()
         self._nursery: trio.Nursery | None = None
         self._stopping = False
         links.on_with_age(DelegatedQuestion, self._on_question)
@@ -261,13 +264,13 @@
 
 
 def _record_time(
-    known: dict[tuple[str, str], float], key: tuple[str, str], now: float
+    known: OrderedDict[tuple[str, str], float], key: tuple[str, str], now: float
 ) -> None:
     """Record that `key` was seen now, and drop entries older than `HISTORY_TTL`."""
-    known.pop(key, None)
     known[key] = now
+    known.move_to_end(key)
     while known:
-        first = next(iter(known))
-        if known[first] > now - HISTORY_TTL:
+        first, seen_at = next(iter(known.items()))
+        if seen_at > now - HISTORY_TTL and len(known) <= MAX_HISTORY:
             break
         del known[first]
--- a/walkcart/fanout/tests/test_foreign_messages.py
+++ b/walkcart/fanout/tests/test_foreign_messages.py
@@ -16,7 +16,11 @@
 from returns.result import Success
 
 from walkcart.bench.harness import run_mocked
-from walkcart.fanout.delegationserver import RENEWAL_TIMEOUT, DelegationServer
+from walkcart.fanout.delegationserver import (
+    MAX_HISTORY,
+    RENEWAL_TIMEOUT,
+    DelegationServer,
+)
 from walkcart.fanout.mergedanswer import MergedAnswer
 from walkcart.fanout.origins import RequestOrigins
 from walkcart.intent.routekeeper import RouteKeeper
@@ -169,6 +173,18 @@
     assert run_harness(act) == (["/x"], [("a", "q", b"/x")])
 
 
+def test_flood_of_cancellations_fills_no_memory():
+    async def act(harness):
+        for number in range(3 * MAX_HISTORY):
+            harness.receive("a", DelegatedCancel(f"q-{number}"))
+        remembered = len(harness.carrier._closed_at)
+        harness.receive("a", make_question("q"))
+        await trio.sleep(GATHER_TIME * 2)
+        return remembered, harness.answers()
+
+    assert run_harness(act) == (MAX_HISTORY, [("a", "q", b"/x")])
+
+
 def test_two_senders_may_use_the_same_id():
     async def act(harness):
         harness.receive("a", make_question("q", "/a", "of a"))
