nng: threads as on a machine with one core

Under a limit on the address space of 200 MB an instance ended by SIGABRT or with "can't listen on an address: Out of memory", in turn, at each start.

Cause: nng starts threads by the number of cores, 30 of them with 8, each with a stack of 8 MB: 311 MB of address space at its first socket, against 1 MB of memory that is in use. When a thread can't be created, nng aborts. An instance has about one core.

The bounds of nng's own start are set to what a machine with one core gets.

--- a/walkcart/wire/peers.py
+++ b/walkcart/wire/peers.py
@@ -21,6 +21,14 @@
 #: Bounds of the time between two tries of nng to connect again, in milliseconds.
 NNG_RECONNECT_MIN_MS = 50
 NNG_RECONNECT_MAX_MS = 1000
+#: Parameters of nng that bound its threads, by their numbers in nng's header, and their
+#: values: those of a machine with one core, since an instance has about one. By default
+#: they grow with the cores, and each thread takes address space.
+NNG_THREAD_BOUNDS = {
+    5: 2,  # NNG_INIT_MAX_TASK_THREADS
+    6: 1,  # NNG_INIT_MAX_EXPIRE_THREADS
+    7: 1,  # NNG_INIT_MAX_POLLER_THREADS
+}
 #: Errors of nng for which the system has numbers of its own. An invalid address is one
 #: that the machine doesn't have: addresses are parsed before.
 NNG_ERRORS = {
@@ -32,6 +40,12 @@
 }
 
 
+def bound_threads() -> None:
+    """Bound nng's threads; has an effect only before the first socket."""
+    for parameter, bound in NNG_THREAD_BOUNDS.items():
+        pynng.lib.nng_init_set_parameter(parameter, bound)
+
+
 def make_os_error(error: pynng.NNGException) -> OSError:
     """Return an error of nng as an error of the system."""
     number = NNG_ERRORS.get(type(error))
@@ -169,6 +183,9 @@
 class NngTransport:
     """Peer transport by nng over TCP, with pynng."""
 
+    def __init__(self) -> None:
+        bound_threads()
+
     async def listen(self, address: HostPort) -> PeerListener:
         """Listen with a pull socket.
 
