Stop: answer what is accepted while the listener closes

With callers that keep opening connections an instance's stop now and then ended with exit code 1: 104 stop_bound_reached with in_progress 1 and first_read_ms 2604, seconds before its grace time was over. The caller's connection was closed without an answer, though its request had been read.

Cause: once no connection was left the stop closed the listener, which takes a turn of the event loop, and then ended. A connection that came in that turn was accepted and its request read and passed on, and the end cut it.

After the listener is closed the stop waits for what was accepted meanwhile, as it does for all others.

--- a/walkcart/entry/routedstop.py
+++ b/walkcart/entry/routedstop.py
@@ -113,6 +113,13 @@
         )
 
     async def _drain(self) -> None:
+        await self._end_connections()
+        await self._service.stop_accepting()
+        # A connection may have been accepted while the listener was being closed.
+        await trio.sleep(POLL_INTERVAL)
+        await self._end_connections()
+
+    async def _end_connections(self) -> None:
         server = self._service.server
         while server.connections or self._delegation_server.active_count:
             if trio.current_time() >= self._deadline.at:
@@ -121,4 +128,3 @@
                 await self._service.stop_accepting()
             server.close_idle(MIN_IDLE_TIME)
             await trio.sleep(POLL_INTERVAL)
-        await self._service.stop_accepting()
