Lost replies of watches are found within three seconds

A route is added and acknowledged, the store loses its reply to one instance's watch and serves all its other calls. The instance refuses the route with 404 for up to 20 s; in a fleet where few watch, so do those that it feeds.

Cause: a watch waits for 20 s and nothing but its reply shows that it works. Renewals of the lease were even taken to show that the copy is complete.

Fix: an instance whose watch was answered tells the others that watch its latest change; who lacks it asks the store. A copy that nobody confirmed for 1.5 to 2.5 s is checked by a call, whose result is told as well, so that one check serves the fleet. Renewals vouch for a copy for 5 s after a confirmation at most, and not while a change is known to be missing. Heartbeats of feeds go with renewals instead of with any call: a check right before a renewal suppressed the heartbeat of the renewal.

Tests that bound the number of watches counted every call to the watch endpoint. They keep their bounds for watches and have a bound of their own for checks, which the required limit on missed changes makes necessary.

--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 from walkcart.daemon.environment import TenantEnvironment
 from walkcart.daemon.tenantlimits import add_cold_shares
 from walkcart.daemon.tenantstore import make_store_backoff
@@ -174,6 +176,8 @@
         environment.clock,
         kernel.find("events", EventLog),
         kernel.find("metrics", Metrics),
+        # Instances may have the same random source, but their delays must differ.
+        Random(f"{registration.own.name} {environment.random.random()}"),
     )
     registration.set_watching_check(lambda: relay.is_watching)
     kernel.add("relay", relay)
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -202,6 +202,11 @@
         "The store no longer has the changes since a revision; everything is read "
         "again.",
     )
+    STORE_WATCH_SILENT = _warn(
+        540,
+        "store_watch_silent",
+        "A waiting watch didn't bring changes that the store has; it is made anew.",
+    )
     STORE_READ = _info(
         526,
         "store_read",
--- a/walkcart/membership/feeding.py
+++ b/walkcart/membership/feeding.py
@@ -41,8 +41,8 @@
 #: KB to each of 12 subscribers takes 1.6 s on a link of 10 Mbit/s if it doesn't
 #: compress.
 RESEND_TIMEOUT = timedelta(seconds=2)
-#: Shortest time between two heartbeats. One is due after each successful call to the
-#: store, about once a second, so that it carries a recent confirmation.
+#: Shortest time between two heartbeats. One is due after each renewal of the lease,
+#: about once a second, so that it carries a recent confirmation.
 HEARTBEAT_INTERVAL = timedelta(seconds=0.5)
 #: A copy that was last confirmed complete longer ago is not sent to subscribers.
 MAX_COPY_AGE = timedelta(seconds=1.6)
@@ -139,7 +139,7 @@
         self._subscribers.clear()
 
     def send_heartbeats_if_due(self) -> None:
-        """Send heartbeats if they are due; called after a successful store call."""
+        """Send heartbeats if they are due; called after a renewal of the lease."""
         now = self._clock.monotonic()
         oldest = min(follower.current_at for follower in self._followers.values())
         # While a watch is paused there is no newer confirmation to send.
--- a/walkcart/membership/registration.py
+++ b/walkcart/membership/registration.py
@@ -112,6 +112,7 @@
         calls.on_unreachable(self.renew_soon)
         self._is_watching: Callable[[], bool] = lambda: True
         self._listeners: list[Callable[[], None]] = []
+        self._renewal_listeners: list[Callable[[], None]] = []
         self._keys = KeyReader(store, own.name, events)
 
     def add_prefix_reader(self, prefix: str, reader: Callable[[Item], None]) -> None:
@@ -135,6 +136,10 @@
         """Call `listener` after instances appeared or disappeared."""
         self._listeners.append(listener)
 
+    def on_renewed(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each renewal of the lease, also of a new one."""
+        self._renewal_listeners.append(listener)
+
     def others(self) -> tuple[InstanceRecord, ...]:
         """Return the other instances as of the latest read."""
         return tuple(self._others.values())
@@ -225,12 +230,18 @@
             previous = await self._read_others()
             lease = await self._reuse_lease(previous) or await self._grant()
             self._registered = await self._register(lease)
+            self._notify_renewed()
         else:
             await self._renew(self._registered.lease)
+            self._notify_renewed()
             if self._cycles % RENEWALS_PER_READ == 0 or self._cycles == 1:
                 await self._check_key()
         self._cycles += 1
 
+    def _notify_renewed(self) -> None:
+        for listener in self._renewal_listeners:
+            listener()
+
     async def _renew(self, lease: Lease) -> None:
         """Renew the lease; replace it by a longer one when the fleet has grown."""
         if isinstance(await self._store.renew_lease(lease), LeaseNotFound):
--- a/walkcart/membership/relaying.py
+++ b/walkcart/membership/relaying.py
@@ -20,6 +20,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 from math import isfinite
+from random import Random
 
 import trio
 
@@ -30,6 +31,7 @@
 from walkcart.membership.feeding import Feeder, unpack_changes
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.registration import Registration
+from walkcart.membership.watchchecks import WatchChecks
 from walkcart.membership.watchers import SUSPECT, FeederChoice, Watchers
 from walkcart.store.calls import StoreCalls
 from walkcart.store.follower import PrefixFollower
@@ -78,6 +80,7 @@
         clock: source of time.
         events: log of feeds that begin and end.
         metrics: reports the age of the copies.
+        random: source of delays.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
         clock: Clock,
         events: EventLog,
         metrics: Metrics,
+        random: Random,
     ) -> None:
         self._followers = {follower.prefix: follower for follower in followers}
         self._calls = calls
@@ -111,7 +115,16 @@
             self._followers, links, clock, self._may_feed, self._on_refused
         )
         self._feeder = own_feeder
-        calls.on_success(own_feeder.send_heartbeats_if_due)
+        self._checks = WatchChecks(
+            self._followers.values(),
+            calls,
+            links,
+            self._watchers,
+            lambda: self.is_watching,
+            clock,
+            random,
+        )
+        registration.on_renewed(own_feeder.send_heartbeats_if_due)
         for follower in self._followers.values():
             follower.on_watch_resumed = self._refresh_soon
         links.on(RelayUnserved, self._on_unserved)
@@ -138,8 +151,13 @@
         return not self._is_fed and self._feeder.has_subscribers()
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
-        """Keep the subscription and check the feed, until cancelled."""
-        task_status.started()
+        """Keep the subscription, and check the feed and watches, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._checks.run)
+            task_status.started()
+            await self._keep_subscription()
+
+    async def _keep_subscription(self) -> None:
         await trio.sleep(FIRST_READ_DELAY.total_seconds())
         checks = 0
         while True:
@@ -284,6 +302,9 @@
 
     def _on_current(self, sender: str, message: Message, delay: float) -> None:
         assert isinstance(message, RelayCurrent)
+        if sender != self._feeder_choice.feeder:
+            self._checks.record_states(message.states, delay)
+            return
         for prefix, state in message.states.items():
             follower = self._find_fed_copy(sender, prefix)
             if follower is None or not follower.known:
--- a/walkcart/membership/watchers.py
+++ b/walkcart/membership/watchers.py
@@ -58,6 +58,14 @@
             in self._rank_candidates()[:WATCHERS_PER_DATA_CENTRE]
         )
 
+    def list_others(self) -> list[str]:
+        """Return the other instances that should watch the store."""
+        if self._all_watch():
+            return self._list_near()
+        own = self._registration.own.name
+        near = self._rank_candidates()[:WATCHERS_PER_DATA_CENTRE]
+        return [name for name in near if name != own] + self._list_far()
+
     def choose_feeder(
         self, silent: Mapping[str, float], far_since: float = float("inf")
     ) -> str | None:
--- a/walkcart/platform/tests/storestandin.py
+++ b/walkcart/platform/tests/storestandin.py
@@ -32,6 +32,8 @@
         silent: never reply to any call.
         refusal: status of the reply to every call, if not 0.
         lose_writes: let transactions take effect, but never reply to them.
+        lose_watches: number of replies with changes to watches that are lost next;
+            their connections stay open.
         stale_by: number of revisions by which reads that may be stale lag behind.
         draw_lag: returns by how many revisions the next page that may be stale lags
             behind; such a page also shows what was removed since.
@@ -40,6 +42,7 @@
     silent: bool = False
     refusal: int = 0
     lose_writes: bool = False
+    lose_watches: int = 0
     stale_by: int = 0
     draw_lag: Callable[[], int] | None = None
 
@@ -171,7 +174,7 @@
 
     async def _watch(self, query: dict[str, str]) -> HttpReply:
         prefix, after = query["pathPrefix"], int(query["after"])
-        with trio.move_on_after(int(query["waitMs"]) / 1000):
+        with trio.move_on_after(int(query["waitMs"]) / 1000) as scope:
             while True:
                 if after < self._compacted:
                     return HttpReply(410)
@@ -181,6 +184,10 @@
                     if event["revision"] > after and event["tlsKey"].startswith(prefix)
                 ]
                 if events:
+                    if self.faults.lose_watches:
+                        self.faults.lose_watches -= 1
+                        scope.deadline = float("inf")
+                        await trio.sleep_forever()
                     return reply_json(self._limit_events(events))
                 changed = self._changed
                 await changed.wait()
--- a/walkcart/platform/tests/test_changes_in_force.py
+++ b/walkcart/platform/tests/test_changes_in_force.py
@@ -30,6 +30,7 @@
 import trio
 
 from walkcart.bench.harness import run_mocked
+from walkcart.membership.watchchecks import WATCHER_CHECK_TIMES
 from walkcart.platform.tests.changedelays import (
     DATA_CENTRES,
     SLOW_LAG,
@@ -37,6 +38,7 @@
     Fleet,
 )
 from walkcart.platform.tests.platformworld import open_platform
+from walkcart.platform.tests.test_start_calls import is_watch_check
 
 #: Seconds from the acknowledgement of a change until it is in force at every connected
 #: instance: the shortest bound that any of the users allows.
@@ -178,17 +180,22 @@
     async def scenario(fleet):
         ended = fleet.find_feeders()[0]
         fleet.world.tenants[ended].scope.cancel()
-        before = len(fleet.world.store.calls)
+        before = len(fleet.world.store.targets)
         await trio.sleep(1)
         fleet.change()
         await trio.sleep(4)
-        watches = [call for call in fleet.world.store.calls[before:] if "watch" in call]
-        return len(watches), fleet.find_max_delay(without=(ended,))
+        calls = fleet.world.store.targets[before:]
+        watches = [call for call in calls if "watch" in call]
+        checks = sum(1 for call in watches if is_watch_check(call))
+        delay = fleet.find_max_delay(without=(ended,))
+        return len(watches) - checks, checks, delay
 
-    watches, max_delay = with_fleet(ONE_DATA_CENTRE, scenario, DATA_CENTRES[:1])
+    watches, checks, max_delay = with_fleet(ONE_DATA_CENTRE, scenario, DATA_CENTRES[:1])
     assert max_delay <= MAX_DELAY
     # The watches of the other feeder, after the change and after its lease renewals.
     assert watches <= 4
+    # That feeder checks two prefixes, at most so often.
+    assert checks <= 2 * 5 / WATCHER_CHECK_TIMES[0]
 
 
 @pytest.mark.parametrize("seed", range(4))
--- a/walkcart/platform/tests/test_relay.py
+++ b/walkcart/platform/tests/test_relay.py
@@ -9,7 +9,9 @@
 from walkcart.kernel.metrics import Metrics
 from walkcart.membership import relaying, watchers
 from walkcart.membership.links import PeerLinks
+from walkcart.membership.watchchecks import WATCHER_CHECK_TIMES
 from walkcart.platform.tests.platformworld import make_route, open_platform
+from walkcart.platform.tests.test_start_calls import is_watch_check
 from walkcart.wire.relays import RelayChanges, RelayCopy
 
 
@@ -90,18 +92,21 @@
 
     async def scenario(world):
         await trio.sleep(30)
-        before = count_calls(world, "watch")
+        before = len(world.store.targets)
         await trio.sleep(60)
-        watches = count_calls(world, "watch") - before
+        watches = [call for call in world.store.targets[before:] if "watch" in call]
+        checks = sum(1 for call in watches if is_watch_check(call))
         world.configure(make_route("two", "/two/", backend="plain"))
         world.drain_leaf("p-0")
         await trio.sleep(1.5)
         statuses = [(await world.ask("/two/x", f"w{n}")).status for n in range(6)]
-        return watches, statuses, world.leafs["p-0"].arrived
+        return len(watches) - checks, checks, statuses, world.leafs["p-0"].arrived
 
-    watches, statuses, arrived = with_instances(scenario, 6)
+    watches, checks, statuses, arrived = with_instances(scenario, 6)
     # Two instances watch two prefixes, for 20 seconds at a time.
     assert watches <= 2 * 2 * 4
+    # One of them checks each prefix, and tells the other one.
+    assert checks <= 2 * 60 / WATCHER_CHECK_TIMES[0]
     assert statuses == [200] * 6
     assert arrived == []
 
--- a/walkcart/platform/tests/test_start_calls.py
+++ b/walkcart/platform/tests/test_start_calls.py
@@ -10,6 +10,7 @@
 from walkcart.bench.harness import run_mocked
 from walkcart.leaves.directory import LeafDirectory
 from walkcart.membership.relaying import Relay
+from walkcart.membership.watchchecks import WATCHER_CHECK_TIMES
 from walkcart.platform.tests.platformworld import make_route, open_platform
 
 ALL_DATA_CENTRES = ("north-a", "south-a", "north-b", "south-b", "east-a", "east-b")
@@ -18,6 +19,11 @@
 CHEAP_CALL_COST = 0.1
 
 
+def is_watch_check(target):
+    """Return whether a call checks a waiting watch; see `membership.watchchecks`."""
+    return "kv-watch" in target and target.endswith("&waitMs=1")
+
+
 def sum_costs(targets):
     """Return the total cost of calls to the store."""
     cheap = sum(
@@ -70,6 +76,10 @@
             return [call for call in targets[before:] if sum_costs([call]) == 1.0]
 
     calls = run_mocked(run)
+    checks = [call for call in calls if is_watch_check(call)]
+    calls = [call for call in calls if not is_watch_check(call)]
+    # The watchers check one of two prefixes at a time, whoever starts.
+    assert len(checks) <= 2 * 4 / WATCHER_CHECK_TIMES[0]
     assert len([call for call in calls if "kv-watch" not in call]) <= 3
     assert len(calls) <= 4
 
--- a/walkcart/platform/tests/test_store_calls.py
+++ b/walkcart/platform/tests/test_store_calls.py
@@ -14,10 +14,12 @@
 from walkcart.membership.instancerecord import INSTANCE_PREFIX
 from walkcart.membership.registration import Registration
 from walkcart.membership.relaying import Relay
+from walkcart.membership.watchchecks import WATCHER_CHECK_TIMES
 from walkcart.platform.tests.changedelays import DATA_CENTRES, STORE, Fleet
 from walkcart.platform.tests.platformworld import make_route, open_platform
 from walkcart.platform.tests.test_start_calls import (
     ALL_DATA_CENTRES,
+    is_watch_check,
     start_fleet,
     sum_costs,
 )
@@ -133,12 +135,16 @@
             world.store.put(f"servers/x-{step % 7}", {**entry, "state": state})
             await trio.sleep(0.1)
         calls = world.store.targets[before:]
-        return len(watchers), sum(1 for call in calls if "kv-watch" in call)
+        watches = [call for call in calls if "kv-watch" in call]
+        checks = sum(1 for call in watches if is_watch_check(call))
+        return len(watchers), len(watches) - checks, checks
 
-    watchers, watches = with_fleet(act)
+    watchers, watches, checks = with_fleet(act)
     assert watchers == 2 * len(ALL_DATA_CENTRES)
     # Each watcher watches two prefixes; a watch of the quiet one ends every 20 s.
     assert watches <= watchers * (10 + 2)
+    # All watchers together check only the quiet prefix, at most so often.
+    assert checks <= 2 * 10 / WATCHER_CHECK_TIMES[0]
 
 
 def test_fleet_keeps_its_leases_over_a_power_loss():
@@ -250,11 +256,16 @@
                     await trio.sleep(1)
                     fleet.change()
             await trio.sleep(20)
-            return sum_costs(world.store.targets[before:]), fleet.find_max_delay()
+            calls = world.store.targets[before:]
+            checks = [call for call in calls if is_watch_check(call)]
+            cost = sum_costs(calls) - len(checks)
+            return cost, len(checks), fleet.find_max_delay()
 
-    cost, max_delay = run_mocked(run)
+    cost, checks, max_delay = run_mocked(run)
     assert max_delay <= MAX_DELAY
     assert cost <= 6.5 * DATA_CENTRE_SIZE
+    # All watchers together check each of two prefixes, at most so often.
+    assert checks <= 2 * 28 / WATCHER_CHECK_TIMES[0]
 
 
 def test_feed_stays_up_while_leaves_change_without_effect():
--- a/walkcart/store/calls.py
+++ b/walkcart/store/calls.py
@@ -97,7 +97,6 @@
         self._returned_at = self.last_success
         self._unreachable_since = self.last_success
         self._recovery_listeners: list[Callable[[], None]] = []
-        self._success_listeners: list[Callable[[], None]] = []
         self._outage_listeners: list[Callable[[], None]] = []
         self._recovered = trio.Event()
         self._recovered.set()
@@ -115,10 +114,6 @@
         """Call `listener` whenever a call fails after calls had succeeded."""
         self._outage_listeners.append(listener)
 
-    def on_success(self, listener: Callable[[], None]) -> None:
-        """Call `listener` after each call that the service has served."""
-        self._success_listeners.append(listener)
-
     def find_outage_time(self) -> float:
         """Return the seconds since calls began to fail, or 0 while they succeed."""
         if self.reachable:
@@ -233,5 +228,3 @@
             self._recovered.set()
             for listener in self._recovery_listeners:
                 listener()
-        for listener in self._success_listeners:
-            listener()
--- a/walkcart/store/follower.py
+++ b/walkcart/store/follower.py
@@ -36,9 +36,14 @@
 from walkcart.store.updates import STORE, Origin, Update, UpdateListener
 
 #: Time that one watch waits. A long wait is cheap, since each watch costs one call. A
-#: connection that went silent is detected by probes
-#: (`walkcart.store.calls.PROBE_INTERVAL`), not by the end of this wait.
+#: lost reply is detected by `PrefixFollower.check_watch`, and a connection that went
+#: silent by probes as well (`walkcart.store.calls.PROBE_INTERVAL`), not by the end of
+#: this wait.
 WATCH_WAIT = timedelta(seconds=20)
+#: Time that a check of a watch waits; the store replies at once to what is missing.
+CHECK_WAIT = timedelta(milliseconds=1)
+#: Seconds in which a waiting watch must bring the changes that its check has shown.
+CHECK_GRACE = 0.2
 #: Pause after a watch that brought changes, so that a burst of changes is applied
 #: together.
 BURST_PAUSE = timedelta(milliseconds=250)
@@ -135,6 +140,10 @@
         self.on_change: Callable[[PrefixFollower], None] = lambda follower: None
         #: Called after a watch that made the copy complete.
         self.on_current: Callable[[], None] = lambda: None
+        #: Called likewise, with the copy.
+        self.on_confirmed: Callable[[PrefixFollower], None] = lambda follower: None
+        #: Revision of the latest change that another instance told of.
+        self._told_change = 0
         #: Called when the pause after a watch ends, just before the next watch.
         self.on_watch_resumed: Callable[[], None] = lambda: None
         calls.on_recovered(self.restart_watch)
@@ -151,8 +160,25 @@
     @property
     def current_at(self) -> float:
         """Latest time at which the copy is known to have been complete."""
+        if self.lacks_told_change:
+            return self._freshness.confirmed_at
         return self._freshness.find_complete_time()
 
+    @property
+    def confirmed_at(self) -> float:
+        """Latest time at which a reply showed that the copy was complete."""
+        return self._freshness.confirmed_at
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a watch is waiting for changes."""
+        return self._freshness.waiting
+
+    @property
+    def lacks_told_change(self) -> bool:
+        """Whether another instance told of a change that the copy lacks."""
+        return self._told_change > self.revision
+
     def find_age(self) -> float:
         """Return the seconds since `current_at`; infinite before the first read."""
         return self._clock.monotonic() - self.current_at
@@ -162,6 +188,49 @@
         self.revision = max(self.revision, revision)
         self._freshness.record_complete(at)
 
+    def record_told(self, latest_change: int, complete_at: float) -> bool:
+        """Record until when the copy of another instance was complete.
+
+        Args:
+            latest_change: revision of the latest change of that copy.
+            complete_at: time at which it was complete.
+
+        Returns:
+            Whether this copy has that change, so that it was complete as well.
+        """
+        self._told_change = max(self._told_change, latest_change)
+        if not self.known or self._fed:
+            return True
+        if self.lacks_told_change:
+            return False
+        self._freshness.record_complete(complete_at)
+        return True
+
+    async def check_watch(self) -> bool:
+        """Ask the store for changes that the waiting watch should have brought.
+
+        A watch that doesn't bring them is made anew.
+
+        Returns:
+            Whether the store has no further changes.
+
+        Raises:
+            StoreUnavailable: the store didn't reply.
+        """
+        started_at, revision = self._clock.monotonic(), self.revision
+        result = await self._store.watch(self.prefix, revision, CHECK_WAIT)
+        if isinstance(result, Changes) and not result.changes:
+            self._told_change = 0
+            self.record_current(result.revision, started_at)
+            return True
+        await trio.sleep(CHECK_GRACE)
+        if self.revision == revision and self.is_waiting:
+            self._events.emit(
+                Events.STORE_WATCH_SILENT, prefix=self.prefix, revision=revision
+            )
+            self.restart_watch()
+        return False
+
     def changes_after(self, revision: int) -> tuple[Change, ...] | None:
         """Return the latest change of each key after a revision, or None if unknown."""
         return self._history.changes_after(revision) if self.known else None
@@ -317,6 +386,7 @@
                     pause *= IDLE_PAUSE_FACTOR
                 if is_complete:
                     self.on_current()
+                    self.on_confirmed(self)
                 if changes and is_complete:
                     await trio.sleep(pause)
                     self.on_watch_resumed()
--- a/walkcart/store/freshness.py
+++ b/walkcart/store/freshness.py
@@ -18,6 +18,9 @@
 #: the store's own limits.
 FULL_CHANGES = 400
 FULL_BYTES = 512 << 10
+#: Seconds for which a watch is taken to work after it began, or after the copy was last
+#: confirmed. The store may lose the reply of a watch and serve all other calls.
+MAX_UNCONFIRMED_TIME = 5.0
 #: Seconds after which a watch that still waits shows that the reply of the watch before
 #: it was not cut off.
 CUT_OFF_TIME = 0.5
@@ -47,15 +50,24 @@
         #: Whether a watch is waiting for changes.
         self.waiting = False
 
+    @property
+    def confirmed_at(self) -> float:
+        """Latest time at which a reply showed that the copy was complete."""
+        return self._complete_at
+
     def find_complete_time(self) -> float:
         """Return the latest time at which the copy is known to have been complete."""
         if not self.waiting:
             return self._complete_at
-        # While a watch waits without changes, the copy was complete whenever the store
-        # served some call.
-        if self._calls.last_success <= self._find_min_call_time():
+        # While a watch works and waits without changes, the copy was complete whenever
+        # the store served some call.
+        served_at = self._calls.last_success
+        confirmed_at = max(self._complete_at, self._watch_started_at)
+        if served_at > confirmed_at + MAX_UNCONFIRMED_TIME:
+            return self._complete_at
+        if served_at <= self._find_min_call_time():
             return self._complete_at
-        return max(self._complete_at, self._calls.last_success)
+        return max(self._complete_at, served_at)
 
     def _find_min_call_time(self) -> float:
         """Return the time after which a served call proves that the copy is complete.
