--- a/walkcart/platform/tests/soakfaults.py
+++ b/walkcart/platform/tests/soakfaults.py
@@ -8,6 +8,7 @@
 from walkcart.platform.tests.soaked import Soaked
 from walkcart.platform.tests.soakinputfaults import (
     add_bad_leaf,
+    list_closing_peers,
     send_bad_requests,
     send_peer_bytes,
     store_bad_document,
@@ -96,6 +97,7 @@
     "bad leaf": FaultKind(add_bad_leaf, ("leaf_bad_reply", "leaf_unreachable")),
     "requests": FaultKind(send_bad_requests, ("request_bad",)),
     "peers": FaultKind(send_peer_bytes, ("peer_bad_message",)),
+    "closing peers": FaultKind(list_closing_peers),
     "flood": FaultKind(flood),
     "descriptors": FaultKind(limit_descriptors),
     "ports": FaultKind(hold_port),
--- a/walkcart/platform/tests/soakinput.py
+++ b/walkcart/platform/tests/soakinput.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from random import Random
 from zlib import crc32
 
@@ -240,3 +241,19 @@
     async with trio.open_nursery() as nursery:
         task_status.started(HostPort("127.0.0.1", network.port_of(listener)))
         await trio.serve_listeners(reply, [listener], handler_nursery=nursery)
+
+
+async def serve_closing_peer(*, task_status: trio.TaskStatus[HostPort]) -> None:
+    """Serve as a peer that greets and then closes each connection."""
+    network = TcpNetwork()
+    listener = await network.listen(HostPort("127.0.0.1", 0))
+
+    async def greet(stream: trio.SocketStream) -> None:
+        async with stream:
+            with suppress(OSError, trio.BrokenResourceError):
+                await stream.send_all(PEER_HANDSHAKE.replace(b"\x50", b"\x51"))
+                await stream.receive_some(len(PEER_HANDSHAKE))
+
+    async with trio.open_nursery() as nursery:
+        task_status.started(HostPort("127.0.0.1", network.port_of(listener)))
+        await trio.serve_listeners(greet, [listener], handler_nursery=nursery)
--- a/walkcart/platform/tests/soakinputfaults.py
+++ b/walkcart/platform/tests/soakinputfaults.py
@@ -26,9 +26,13 @@
     send_bytes,
     send_endless,
     serve_bad_replies,
+    serve_closing_peer,
 )
 from walkcart.wire.network import TcpNetwork
 
+#: Instances that are listed at an address that closes each connection.
+CLOSING_PEERS = 10
+
 
 async def store_bad_entries(soaked: Soaked, name: str, duration: float) -> None:
     """Store entries of leaves that can't be read."""
@@ -61,6 +65,25 @@
         await trio.sleep(duration)
 
 
+async def list_closing_peers(soaked: Soaked, name: str, duration: float) -> None:
+    """Store keys of instances whose address closes each connection that comes up."""
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(serve_closing_peer)
+        records = {
+            f"{INSTANCE_PREFIX}closing-{number}": {
+                "name": f"closing-{number}",
+                "started": "1",
+                "data_centre": "north-a",
+                "region": "north",
+                "peer_address": str(address),
+            }
+            for number in range(CLOSING_PEERS)
+        }
+        with soaked.environment.store_values(records):
+            await trio.sleep(duration)
+        nursery.cancel_scope.cancel()
+
+
 async def add_bad_leaf(soaked: Soaked, name: str, duration: float) -> None:
     """Add a leaf that sends bytes without end, or no HTTP."""
     async with trio.open_nursery() as nursery:
