--- a/walkcart/platform/tests/soakinput.py
+++ b/walkcart/platform/tests/soakinput.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from random import Random
 from zlib import crc32
 
@@ -18,8 +19,10 @@
 #: Nesting that no decoder follows.
 DEPTH = 2000
 DEEP = b"[" * DEPTH + b"]" * DEPTH
-#: The first bytes of a connection to a peer's port: the handshake of nng for "push".
-PEER_HANDSHAKE = b"\x00SP\x00\x00\x50\x00\x00"
+#: The first bytes of a connection to a peer's port: the handshake of nng for "pair".
+PEER_HANDSHAKE = b"\x00SP\x00\x00\x11\x00\x00"
+#: What precedes each message of a pair: the number of sockets that it passed.
+PAIR_HEADER = b"\x00\x00\x00\x01"
 #: Seconds for which bytes are sent on one connection at most.
 SEND_SECONDS = 1.5
 #: Maximum number of bytes sent on one connection.
@@ -122,7 +125,8 @@
 
 def frame(data: bytes, length: int | None = None) -> bytes:
     """Return a frame of nng; its stated length may differ from the actual one."""
-    return (len(data) if length is None else length).to_bytes(8, "big") + data
+    message = PAIR_HEADER + data
+    return (len(message) if length is None else length).to_bytes(8, "big") + message
 
 
 def _envelope(
@@ -154,7 +158,9 @@
     b"GET / HTTP/1.1\r\n\r\n",
     b"\x00" * 5000,
     b"\x00SP\x00",
-    PEER_HANDSHAKE.replace(b"\x50", b"\x51") + frame(b"x"),
+    PEER_HANDSHAKE.replace(b"\x11", b"\x50") + frame(b"x"),
+    PEER_HANDSHAKE + (2).to_bytes(8, "big") + b"xx",
+    PEER_HANDSHAKE + (8).to_bytes(8, "big") + b"\xff" * 8,
     PEER_HANDSHAKE + frame(b""),
     PEER_HANDSHAKE + frame(b"", 1 << 63),
     PEER_HANDSHAKE + frame(b"x" * 100, (4 << 20) + 1),
@@ -240,3 +246,19 @@
     async with trio.open_nursery() as nursery:
         task_status.started(HostPort("127.0.0.1", network.port_of(listener)))
         await trio.serve_listeners(reply, [listener], handler_nursery=nursery)
+
+
+async def serve_closing_peer(*, task_status: trio.TaskStatus[HostPort]) -> None:
+    """Serve as a peer that greets and then closes each connection."""
+    network = TcpNetwork()
+    listener = await network.listen(HostPort("127.0.0.1", 0))
+
+    async def greet(stream: trio.SocketStream) -> None:
+        async with stream:
+            with suppress(OSError, trio.BrokenResourceError):
+                await stream.send_all(PEER_HANDSHAKE)
+                await stream.receive_some(len(PEER_HANDSHAKE))
+
+    async with trio.open_nursery() as nursery:
+        task_status.started(HostPort("127.0.0.1", network.port_of(listener)))
+        await trio.serve_listeners(greet, [listener], handler_nursery=nursery)
--- a/walkcart/wire/peers.py
+++ b/walkcart/wire/peers.py
@@ -1,7 +1,11 @@
 """Datagram-like transport of envelopes between instances.
 
-An instance listens on one nng pull socket and opens one push socket to each peer. The
-answering side sends answers over its own push socket, so no socket waits for a reply.
+An instance listens on one nng pair socket, on which any number of peers send, and opens
+one pair socket to each peer. The answering side sends answers over its own socket, so
+no socket waits for a reply.
+
+nng's push sockets aren't used: they corrupt the memory of the process when a peer
+closes a connection just as it comes up.
 """
 
 from __future__ import annotations
@@ -18,6 +22,8 @@
 #: Number of envelopes that nng buffers for a slow or unreachable peer. They wait in the
 #: instance's own outbox instead, from which they can be withdrawn.
 NNG_BUFFER = 0
+#: Largest message that a sender accepts from its peer, in bytes: none is expected.
+MAX_ANSWER_BYTES = 1024
 #: Bounds of the time between two tries of nng to connect again, in milliseconds.
 NNG_RECONNECT_MIN_MS = 50
 NNG_RECONNECT_MAX_MS = 1000
@@ -108,13 +114,15 @@
 
 
 class NngSender:
-    """A sender on an nng push socket."""
+    """A sender on an nng pair socket, which has one peer."""
 
     def __init__(self, address: HostPort) -> None:
         self._token = trio.lowlevel.current_trio_token()
         self._pipes = 0
         self._connected = trio.Event()
-        self._socket = pynng.Push0(send_buffer_size=NNG_BUFFER)
+        self._socket = pynng.Pair1(
+            send_buffer_size=NNG_BUFFER, recv_max_size=MAX_ANSWER_BYTES
+        )
         self._socket.add_post_pipe_connect_cb(lambda pipe: self._schedule_update(1))
         self._socket.add_post_pipe_remove_cb(lambda pipe: self._schedule_update(-1))
         self._socket.reconnect_time_min = NNG_RECONNECT_MIN_MS
@@ -159,10 +167,10 @@
 
 
 class NngListener:
-    """A listener on an nng pull socket."""
+    """A listener on an nng pair socket, which receives from any number of peers."""
 
     def __init__(self, address: HostPort) -> None:
-        self._socket = pynng.Pull0(recv_max_size=MAX_ENVELOPE_BYTES)
+        self._socket = pynng.Pair1(polyamorous=True, recv_max_size=MAX_ENVELOPE_BYTES)
         try:
             self._socket.listen(f"tcp://{address}")
         except pynng.NNGException:
@@ -194,7 +202,7 @@
         bound_threads()
 
     async def listen(self, address: HostPort) -> PeerListener:
-        """Listen with a pull socket.
+        """Listen with a pair socket.
 
         Raises:
             OSError: the address isn't available.
@@ -205,7 +213,7 @@
             raise make_os_error(error) from error
 
     async def dial(self, address: HostPort) -> PeerSender:
-        """Dial with a push socket.
+        """Dial with a pair socket.
 
         Raises:
             OSError: the address is invalid.
