A restart of all instances doesn't prolong a refusal

A request that was refused as one that crashes leafs is refused for five minutes after its last strike; after each restart of all instances the five minutes began anew, up to the ten minutes for which the refusal is stored.

Cause: the stored refusal had no time, and who read it at a start dated it by that start.

Fix: the stored value names the time of day of the last strike, and who reads it dates it so, but not later than the present. In tests the clocks of restarted instances now agree with the others.

--- a/walkcart/membership/quarantinekeys.py
+++ b/walkcart/membership/quarantinekeys.py
@@ -37,6 +37,8 @@
 KEY_TTL = timedelta(minutes=10)
 #: Limit of keys queued to be stored; further ones are only exchanged among instances.
 MAX_QUEUED = 32
+#: Separates the strikes in a stored value from the time of the last one.
+TIME_MARK = b"@"
 #: Time between two keys that one instance stores, so that a burst doesn't load the
 #: store.
 STORE_INTERVAL = timedelta(seconds=1)
@@ -104,7 +106,7 @@
         """Store a request; return whether that succeeded."""
         held = self._quarantine.find(fingerprint)
         assert held is not None
-        value = b",".join(b"%d" % strike for strike in sorted(held.strikes))
+        value = self._encode(held)
         key = QUARANTINE_PREFIX + fingerprint.hex()
         try:
             lease = await self._store.grant_lease(KEY_TTL)
@@ -115,12 +117,30 @@
             return False
         return isinstance(outcome, Committed)
 
+    def _encode(self, held: StrikeRecord) -> bytes:
+        """Return the stored form: the strikes, and the time of day of the last one."""
+        strikes = b",".join(b"%d" % strike for strike in sorted(held.strikes))
+        age = self._clock.monotonic() - held.struck_at
+        return b"%s%s%d" % (strikes, TIME_MARK, self._clock.now().timestamp() - age)
+
+    def _find_strike_time(self, stored: bytes) -> float:
+        """Return the monotonic time of a stored time of day; the present without one.
+
+        A later time is the present: the clocks of two machines may differ.
+        """
+        now = self._clock.monotonic()
+        if not stored:
+            return now
+        return now - max(0.0, self._clock.now().timestamp() - int(stored))
+
     def merge_item(self, item: Item) -> None:
-        """Merge a stored key, whose age is unknown, unless its request is known."""
+        """Merge a stored key, unless its request is known."""
+        numbers, _, stored_time = item.value.partition(TIME_MARK)
         try:
             fingerprint = bytes.fromhex(item.key.removeprefix(QUARANTINE_PREFIX))
-            strikes = frozenset(int(part) for part in item.value.split(b","))
-        except ValueError as error:
+            strikes = frozenset(int(part) for part in numbers.split(b","))
+            struck_at = self._find_strike_time(stored_time)
+        except (ValueError, OverflowError) as error:
             self._events.emit(
                 Events.PEER_BAD_MESSAGE, key=item.key, detail=str(error)[:200]
             )
@@ -130,5 +150,5 @@
         if self._quarantine.find(fingerprint) is not None:
             return
         now = self._clock.monotonic()
-        if self._quarantine.merge(fingerprint, StrikeRecord(strikes, now), now):
+        if self._quarantine.merge(fingerprint, StrikeRecord(strikes, struck_at), now):
             self._on_news(fingerprint)
--- a/walkcart/platform/tests/platformworld.py
+++ b/walkcart/platform/tests/platformworld.py
@@ -4,7 +4,7 @@
 
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 from io import StringIO
 from random import Random
 from typing import Any, TextIO
@@ -76,6 +76,15 @@
     #: requests.
     repeat_allowance: float = 54.0
     _requests: int = 0
+    #: Time of day and trio's time when the platform was opened.
+    _opened_at: tuple[datetime, float] = field(
+        default_factory=lambda: (datetime.now(UTC), trio.current_time())
+    )
+
+    def make_clock(self) -> TrioClock:
+        """Return a clock that agrees with those of all other machines."""
+        opened_at, start = self._opened_at
+        return TrioClock(opened_at + timedelta(seconds=trio.current_time() - start))
 
     async def start_store(self) -> None:
         """Start the store."""
@@ -188,7 +197,7 @@
         )
         site = self.network.at(site_name or data_centre, link)
         environment = TenantEnvironment(
-            site, site.transport(), TrioClock(), Random(7), self.log
+            site, site.transport(), self.make_clock(), Random(7), self.log
         )
         tenant = await assemble_tenant(settings, environment)
         scope = await self.nursery.start(_run_tenant, tenant)
--- a/walkcart/platform/tests/test_quarantined_requests.py
+++ b/walkcart/platform/tests/test_quarantined_requests.py
@@ -16,6 +16,7 @@
 )
 from walkcart.platform.tests.crashingworld import SPREAD_TIME, make_sharded_route
 from walkcart.platform.tests.platformworld import make_route
+from walkcart.routing.quarantine import REFUSAL_TIME
 
 
 def test_groups_gathered_in_other_regions_are_kept_from_leaves_too():
@@ -136,6 +137,30 @@
     assert run_with_crashes(scenario) == ([503] * 3, 0)
 
 
+def test_restarts_of_all_instances_do_not_prolong_a_refusal():
+    async def scenario(crashing):
+        world = crashing.world
+        for _ in range(3):
+            await world.ask(CRASHING_TARGET, "one")
+            await trio.sleep(4)
+        struck_at = trio.current_time()
+        await trio.sleep(100)
+        for running in list(world.tenants.values()):
+            running.scope.cancel()
+        await trio.sleep(1)
+        for name in list(world.tenants):
+            await world.start_instance(name)
+            await world.wait_ready(name)
+        await trio.sleep(1)
+        reply = await world.ask(CRASHING_TARGET, "one")
+        ends_at = trio.current_time() + float(reply.header(b"retry-after"))
+        return reply.status, ends_at - struck_at
+
+    status, refused_for = run_with_crashes(scenario)
+    assert status == 503
+    assert 0 < refused_for <= REFUSAL_TIME
+
+
 def test_quarantine_spreads_among_instances_while_the_store_is_unreachable():
     async def scenario(crashing):
         world = crashing.world
