--- a/walkcart/platform/tests/soak.py
+++ b/walkcart/platform/tests/soak.py
@@ -166,7 +166,8 @@
         """Send requests to a daemon for some seconds."""
         with trio.move_on_after(seconds):
             while True:
-                await self.callers.ask_status(name, "/one/x")
+                for path in ("/one/x", "/all/x"):
+                    await self.callers.ask_status(name, path)
 
     async def _check_keys(self, names: list[str]) -> None:
         """Check that a removed key is refused, and that it works once it is back."""
