--- a/walkcart/platform/settings.py
+++ b/walkcart/platform/settings.py
@@ -1,9 +1,4 @@
-"""Reads the settings file that the platform puts on each machine.
-
-Examples:
-    >>> parse_duration_ms(250)
-    datetime.timedelta(microseconds=250000)
-"""
+"""Reads the settings file that the platform puts on each machine."""
 
 from __future__ import annotations
 
@@ -156,11 +151,6 @@
     report_interval: float = 1.2
 
 
-def parse_duration_ms(milliseconds: float) -> timedelta:
-    """Convert milliseconds to a timedelta."""
-    return timedelta(milliseconds=milliseconds)
-
-
 def read_settings(path: Path) -> PlatformSettings:
     """Read the settings file.
 
