A lack of memory for replies is no failure of the leaf

Cause: an exchange that is given up for want of memory was classified like a reply that can't be read.

The request may have run, so its caller still gets 502.

--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -151,6 +151,11 @@
     LEAF_CROWDED = _info(
         320, "leaf_crowded", "Requests wait in this instance, since a leaf is busy."
     )
+    REPLY_MEMORY_FULL = _warn(
+        321,
+        "reply_memory_full",
+        "A leaf's reply was given up: others have used up the memory for replies.",
+    )
     LEAF_WRONG_ATTEMPT = _warn(
         302,
         "leaf_wrong_attempt",
--- a/walkcart/leaves/exchange.py
+++ b/walkcart/leaves/exchange.py
@@ -219,11 +219,14 @@
                 question=attempt.fingerprint.hex(),
             )
             return Failed(MayHaveRun(Reason.LEAF_ENDED, "the leaf ended"))
+        # A lack of memory here is no failure of the leaf.
+        is_own = error.kind is FailureKind.NO_MEMORY
         self._tools.events.emit(
-            Events.LEAF_BAD_REPLY,
+            Events.REPLY_MEMORY_FULL if is_own else Events.LEAF_BAD_REPLY,
             leaf=self._leaf.address,
             leaf_id=self._leaf.id,
             question=attempt.fingerprint.hex(),
             detail=str(error),
         )
-        return Failed(MayHaveRun(Reason.LEAF_FAILED, str(error)))
+        reason = Reason.OVERLOADED if is_own else Reason.LEAF_FAILED
+        return Failed(MayHaveRun(reason, str(error)))
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -273,7 +273,7 @@
                 leaf.replies.record(now, good=False)
             case Failed(NotRun(reason)) if reason in UNINFORMATIVE_REASONS:
                 pass
-            case Failed(MayHaveRun(Reason.CANCELLED)):
+            case Failed(MayHaveRun(Reason.CANCELLED | Reason.OVERLOADED)):
                 pass
             case Failed(MayHaveRun(Reason.LEAF_FAILED)):
                 self._note_failure(leaf, now, lost=True)
--- a/walkcart/platform/tests/test_ended_questions.py
+++ b/walkcart/platform/tests/test_ended_questions.py
@@ -8,8 +8,9 @@
 
 from walkcart.bench.harness import run_mocked
 from walkcart.fanout.routed import RoutedGathering
+from walkcart.leaves.pool import LeafPool
 from walkcart.platform.tests.platformworld import make_route, open_platform
-from walkcart.wire.bodies import MemoryShare
+from walkcart.wire.bodies import MemoryPlan, MemoryShare
 
 SHARDS = [f"shard-{number}" for number in range(3)]
 ROUTES = (
@@ -63,3 +64,27 @@
                 return len(find_objects(RoutedGathering)), taken
 
     assert run_mocked(run) == (0, 0)
+
+
+def test_lack_of_memory_for_replies_is_no_failure_of_the_leafs():
+    async def run():
+        async with open_platform() as world:
+            for number in range(3):
+                await world.start_leaf(f"i-{number}", "plain", records=b"r" * 50_000)
+            world.configure(ROUTES[1])
+            tenant = (await world.start_instance()).tenant
+            await world.wait_ready()
+            budget = tenant.kernel.find("pool", LeafPool)._tools.link.budget
+            free = MemoryPlan().replies - budget.used
+            assert budget.try_take(free)
+            refused = [(await world.ask("/one/x")).status for _ in range(10)]
+            budget.give_back(free)
+            served = [(await world.ask("/one/x")).status for _ in range(10)]
+            return refused, served, world.log.getvalue()
+
+    refused, served, log = run_mocked(run)
+    assert refused == [502] * 10
+    assert served == [200] * 10
+    assert "reply_memory_full" in log
+    assert "leaf_ejected" not in log
+    assert "leaf_bad_reply" not in log
