An error output that nobody reads doesn't hold up the end of a process

Cause: the write blocks. Fix: the descriptor is set to non-blocking before that last write; the log has the reason as well.

--- a/walkcart/daemon/processlog.py
+++ b/walkcart/daemon/processlog.py
@@ -116,6 +116,8 @@
 def write_error(text: str) -> None:
     """Write a text to the error output, if anyone reads it."""
     try:
+        # A process that ends must not wait for the reader of a full pipe.
+        os.set_blocking(STDERR, False)
         os.write(STDERR, text.encode("utf-8", "replace"))
     except OSError:
         # Closed, full or without a reader. The log has the text as well.
