--- a/walkcart/daemon/tenantentry.py
+++ b/walkcart/daemon/tenantentry.py
@@ -40,8 +40,10 @@
 from walkcart.wire.listening import ListenTools, Place, listen_soon
 from walkcart.wire.server import HttpServer, ServerLimits
 
-#: Part of the file descriptors that callers' connections may take, in percent.
+#: Part of the descriptors for sockets that callers' connections may take, in percent.
 CALLER_PERCENT = 60
+#: Descriptors that the platform reserves for files; at most half of a small limit.
+RESERVED_DESCRIPTORS = 200
 #: Largest number of connections to the readiness check, and to the metrics page.
 MAX_SERVICE_CONNECTIONS = 32
 
@@ -122,7 +124,9 @@
     limits = [MAX_DESCRIPTORS if limit == RLIM_INFINITY else limit]
     if settings.descriptors:
         limits.append(settings.descriptors)
-    return max(1, min(limits) * CALLER_PERCENT // 100)
+    limit = min(limits)
+    sockets = limit - min(RESERVED_DESCRIPTORS, limit // 2)
+    return max(1, sockets * CALLER_PERCENT // 100)
 
 
 async def add_metrics_page(
