Requests are checked again after a busy time just before they are sent

A request reached a leaf 0.6 s after the asker had stopped renewing its question.

Cause: the check whether a request is still wanted comes before it is admitted. While the processor is busy in between, the end of the question isn't noticed, and whether its task or the sending one runs next is drawn.

Fix: a request whose checks are 0.1 s old goes back to the queue and is checked anew.

--- a/walkcart/leaves/link.py
+++ b/walkcart/leaves/link.py
@@ -24,6 +24,9 @@
 INITIAL_BACKOFF = 0.05
 #: Maximum of that time, in seconds.
 MAX_BACKOFF = 2.0
+#: Age of the checks of an attempt, in seconds, from which they are made again before it
+#: is sent: the processor was busy with other things.
+MAX_CHECK_AGE = 0.1
 
 
 class LeafLink:
@@ -287,8 +290,12 @@
             # Nothing of the attempt was sent, so another connection may send it.
             self._queue.add_front(pending)
             return False
+        checked_at = self._tools.clock.monotonic()
         if not self._admit(pending, attempt):
             return True
+        if self._tools.clock.monotonic() - checked_at > MAX_CHECK_AGE:
+            self._queue.add_front(pending)
+            return True
         return await self._exchange(connection, pending, attempt)
 
     def _admit(self, pending: Pending, attempt: Attempt) -> bool:
