Soak: only bytes that are no reply have to be logged as such

Cause, by reading the list of replies: three of twelve are HTTP or none at all, a 999, a 200 without a stamp, and silence. None of them is logged as a bad reply, and requests that meet them are told by their own lines. They are a fault of their own now, without that check; the others keep it.

--- a/walkcart/platform/tests/soakfaults.py
+++ b/walkcart/platform/tests/soakfaults.py
@@ -8,6 +8,7 @@
 from walkcart.platform.tests.soaked import Soaked
 from walkcart.platform.tests.soakinputfaults import (
     add_bad_leaf,
+    add_useless_leaf,
     list_closing_peers,
     send_bad_requests,
     send_peer_bytes,
@@ -95,6 +96,7 @@
     "documents": FaultKind(store_bad_document, ("routes_bad",)),
     "shared": FaultKind(store_bad_shared, ("peer_bad_message",)),
     "bad leaf": FaultKind(add_bad_leaf, ("leaf_bad_reply", "leaf_unreachable")),
+    "useless leaf": FaultKind(add_useless_leaf),
     "requests": FaultKind(send_bad_requests, ("request_bad",)),
     "peers": FaultKind(send_peer_bytes, ("peer_bad_message",)),
     "closing peers": FaultKind(list_closing_peers),
