--- a/walkcart/daemon/platform.py
+++ b/walkcart/daemon/platform.py
@@ -28,9 +28,9 @@
     assemble_tenant,
 )
 from walkcart.kernel.clock import BootClock, TrioClock
+from walkcart.kernel.dependencylog import forward_library_logs
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
-from walkcart.kernel.librarylog import forward_library_logs
 from walkcart.kernel.logsink import LogSink
 from walkcart.kernel.numbers import read_number
 from walkcart.platform.settings import (
--- a/walkcart/platform/tests/deploymentsettings.py
+++ b/walkcart/platform/tests/deploymentsettings.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from walkcart.kernel.settings import HostPort
-from walkcart.platform.tests.processworld import (
+from walkcart.platform.tests.processmachine import (
     CALLERS_PORT,
     PEER_PORTS,
     READINESS_PORT,
--- a/walkcart/platform/tests/soakdaemons.py
+++ b/walkcart/platform/tests/soakdaemons.py
@@ -13,12 +13,11 @@
 
 import trio
 
+from walkcart.platform.tests.processmachine import Machine, make_address
 from walkcart.platform.tests.processworld import (
     POLL_INTERVAL,
     RESTART_DELAY,
-    Machine,
     ProcessWorld,
-    make_address,
 )
 from walkcart.wire.http import HttpRequest
 
--- a/walkcart/platform/tests/soakenvironment.py
+++ b/walkcart/platform/tests/soakenvironment.py
@@ -21,7 +21,7 @@
     make_configuration,
     make_route,
 )
-from walkcart.platform.tests.processworld import Machine, make_settings_file
+from walkcart.platform.tests.processmachine import Machine, make_settings_file
 from walkcart.platform.tests.soakproxy import Proxy, ProxyFault
 from walkcart.platform.tests.soakteams import SoakTeams
 from walkcart.platform.tests.storestandin import (
--- a/walkcart/platform/tests/soakinputfaults.py
+++ b/walkcart/platform/tests/soakinputfaults.py
@@ -9,7 +9,7 @@
 
 from walkcart.kernel.settings import HostPort
 from walkcart.membership.instancerecord import INSTANCE_PREFIX
-from walkcart.platform.tests.processworld import METRICS_PORT
+from walkcart.platform.tests.processmachine import METRICS_PORT
 from walkcart.platform.tests.soaked import Soaked
 from walkcart.platform.tests.soakenvironment import SHARDS, make_entry
 from walkcart.platform.tests.soakinput import (
--- a/walkcart/platform/tests/soakprocessfaults.py
+++ b/walkcart/platform/tests/soakprocessfaults.py
@@ -14,7 +14,7 @@
 import trio
 
 from walkcart.kernel.settings import HostPort
-from walkcart.platform.tests.processworld import METRICS_PORT
+from walkcart.platform.tests.processmachine import METRICS_PORT
 from walkcart.platform.tests.soaked import Soaked
 from walkcart.platform.tests.soakinputfaults import find_peer_port
 from walkcart.wire.network import TcpNetwork
--- a/walkcart/platform/tests/test_bad_stored_values.py
+++ b/walkcart/platform/tests/test_bad_stored_values.py
@@ -18,9 +18,9 @@
     make_route,
     make_team,
 )
+from walkcart.platform.tests.processmachine import Machine
 from walkcart.platform.tests.processworld import (
     POLL_INTERVAL,
-    Machine,
     ProcessWorld,
     open_processes,
 )
--- a/walkcart/platform/tests/test_busy_addresses.py
+++ b/walkcart/platform/tests/test_busy_addresses.py
@@ -9,12 +9,14 @@
 import trio
 
 from walkcart.platform.tests.platformworld import make_route
-from walkcart.platform.tests.processworld import (
+from walkcart.platform.tests.processmachine import (
     CALLERS_PORT,
     METRICS_PORT,
     PEER_PORTS,
-    POLL_INTERVAL,
     READINESS_PORT,
+)
+from walkcart.platform.tests.processworld import (
+    POLL_INTERVAL,
     START_SECONDS,
     open_processes,
 )
--- a/walkcart/platform/tests/test_connection_floods.py
+++ b/walkcart/platform/tests/test_connection_floods.py
@@ -10,7 +10,8 @@
 
 from walkcart.kernel.settings import HostPort
 from walkcart.platform.tests.platformworld import make_route
-from walkcart.platform.tests.processworld import METRICS_PORT, open_processes
+from walkcart.platform.tests.processmachine import METRICS_PORT
+from walkcart.platform.tests.processworld import open_processes
 
 #: Descriptors of the process, and connections of the flood.
 DESCRIPTORS = 64
--- a/walkcart/platform/tests/test_deployment_starts.py
+++ b/walkcart/platform/tests/test_deployment_starts.py
@@ -14,10 +14,9 @@
     make_deployment_settings,
 )
 from walkcart.platform.tests.platformworld import make_route
+from walkcart.platform.tests.processmachine import CALLERS_PORT, READINESS_PORT
 from walkcart.platform.tests.processworld import (
-    CALLERS_PORT,
     POLL_INTERVAL,
-    READINESS_PORT,
     START_SECONDS,
     open_processes,
 )
