Soak: the leaf whose replies have to be logged is surely asked

The check adds a leaf that sends bytes without end to a service with sound leaves, and asks for 3 s. Which leaf of a service is asked is the instance's choice, and nothing obliges it to try the new one.

The events that are asked for, and the time, are the same.

--- a/walkcart/platform/tests/soak.py
+++ b/walkcart/platform/tests/soak.py
@@ -29,7 +29,7 @@
 from walkcart.platform.tests.soakcalls import SoakCallers
 from walkcart.platform.tests.soakdaemons import START_SECONDS, Daemons
 from walkcart.platform.tests.soaked import Soaked
-from walkcart.platform.tests.soakenvironment import SoakEnvironment
+from walkcart.platform.tests.soakenvironment import BAD_TARGET, SoakEnvironment
 from walkcart.platform.tests.soakfaults import KINDS
 from walkcart.platform.tests.soakteams import SHARED_KEY, TEAMS, SoakTeams
 
@@ -166,7 +166,7 @@
         """Send requests to a daemon for some seconds."""
         with trio.move_on_after(seconds):
             while True:
-                for path in ("/one/x", "/all/x"):
+                for path in ("/one/x", "/all/x", BAD_TARGET):
                     await self.callers.ask_status(name, path)
 
     async def _check_keys(self, names: list[str]) -> None:
--- a/walkcart/platform/tests/soakenvironment.py
+++ b/walkcart/platform/tests/soakenvironment.py
@@ -36,6 +36,9 @@
 TOP = 4
 MIN_COVERAGE = 0.6
 LOOPBACK = HostPort("127.0.0.1", 0)
+#: The service that bad leaves alone serve, and the target of its requests.
+BAD_SERVICE = "unsound"
+BAD_TARGET = "/unsound/x"
 #: The only region in which requests of the route "home" may be served.
 HOME_REGION = "south"
 #: Requests per second that a cold leaf can serve; callers send each leaf about 40.
@@ -204,6 +207,7 @@
             make_route("one", "/one/", backend="plain"),
             make_route("once", "/once/", backend="plain", routeType="non_idempotent"),
             make_route("home", "/home/", backend="plain", allowedRegions=[HOME_REGION]),
+            make_route("unsound", "/unsound/", backend=BAD_SERVICE),
         )
         content = make_configuration(
             self._version, [*routes, *single], warmupS=1, warmupPerS=COLD_RATE
--- a/walkcart/platform/tests/soakinputfaults.py
+++ b/walkcart/platform/tests/soakinputfaults.py
@@ -11,7 +11,7 @@
 from walkcart.membership.instancerecord import INSTANCE_PREFIX
 from walkcart.platform.tests.processmachine import METRICS_PORT
 from walkcart.platform.tests.soaked import Soaked
-from walkcart.platform.tests.soakenvironment import SHARDS, make_entry
+from walkcart.platform.tests.soakenvironment import BAD_SERVICE, SHARDS, make_entry
 from walkcart.platform.tests.soakinput import (
     BAD_DOCUMENTS,
     BAD_ENTRIES,
@@ -102,8 +102,11 @@
     async with trio.open_nursery() as nursery:
         address = await nursery.start(serve_bad_replies, soaked.random, replies)
         service = soaked.random.choice(("plain", f"shard-{SHARDS - 1}"))
-        entry = make_entry(service, str(address), "north-a")
-        with soaked.environment.store_values({"servers/bad-leaf": entry}):
+        entries = {
+            f"servers/bad-{name}": make_entry(name, str(address), "north-a")
+            for name in (service, BAD_SERVICE)
+        }
+        with soaked.environment.store_values(entries):
             await trio.sleep(duration)
         nursery.cancel_scope.cancel()
 
