Wait out any error of listening on an address

A process whose address for callers, for the readiness check or for other instances gave an error beside those of a fixed list (a port that needs privileges, an address that is invalid on the machine, a family that it lacks, an error of nng without a number) ended with 1 at each start: 3 to 5 ends in 6 s on real processes (a trial with fe80::1). Callers were served by nobody there, although the other addresses could be had.

Cause: the list of errors that pass was taken to be whole.

--- a/walkcart/daemon/assembly.py
+++ b/walkcart/daemon/assembly.py
@@ -79,9 +79,6 @@
     """Listen on the instance's addresses and assemble its services.
 
     Waits for addresses that are busy.
-
-    Raises:
-        OSError: an address can't be listened on, and waiting won't help.
     """
     network = environment.network
     kernel = Kernel()
--- a/walkcart/daemon/main.py
+++ b/walkcart/daemon/main.py
@@ -113,13 +113,8 @@
         TcpNetwork(), NngTransport(), TrioClock(), Random(), log.stream
     )
     instance = None
-    try:
-        with watch.start_scope:
-            instance = await assemble_instance(settings, environment)
-    except OSError as error:
-        detail = f"can't listen on an address: {error}"
-        log.log_failure("address", detail, EXIT_FAILED)
-        return EXIT_FAILED
+    with watch.start_scope:
+        instance = await assemble_instance(settings, environment)
     if instance is None:
         log.log_end(watch.stop_reason, EXIT_OK, serving=False)
         return EXIT_OK
--- a/walkcart/daemon/platform.py
+++ b/walkcart/daemon/platform.py
@@ -123,10 +123,6 @@
         except BadSettings as error:
             self._log.log_failure("settings", str(error), EXIT_USAGE)
             return EXIT_USAGE
-        except OSError as error:
-            detail = f"can't listen on an address: {error}"
-            self._log.log_failure("address", detail, EXIT_FAILED)
-            return EXIT_FAILED
         if tenant is None:
             self._log.log_end(watch.stop_reason, EXIT_OK, serving=False)
             return EXIT_OK
--- a/walkcart/daemon/tenant.py
+++ b/walkcart/daemon/tenant.py
@@ -61,9 +61,6 @@
 
     Waits for an address for other instances, as they are told which one it is. The
     others may be busy: they are listened on as soon as they are free.
-
-    Raises:
-        OSError: an address can't be listened on, and waiting won't help.
     """
     kernel = Kernel()
     add_base(kernel, settings, environment)
--- a/walkcart/platform/tests/test_busy_addresses.py
+++ b/walkcart/platform/tests/test_busy_addresses.py
@@ -192,3 +192,31 @@
         return await world.end(machine), machine.ends
 
     assert run_processes(tmp_path, act) == (0, [])
+
+
+@pytest.mark.parametrize("address", ["listen.front", "listen.ready", "ip"])
+def test_address_that_is_invalid_on_the_machine_does_not_end_the_start(
+    tmp_path, address
+):
+    # A link-local address without an interface: EINVAL.
+    replaced = {
+        "listen.front": ('front = "{ip}:7000"', 'front = "[fe80::1]:7000"'),
+        "listen.ready": ('ready = "{ip}:7001"', 'ready = "[fe80::1]:7001"'),
+        "ip": ('\nip = "{ip}"', '\nip = "fe80::1"'),
+    }
+
+    async def act(world, machine):
+        old, new = replaced[address]
+        old = old.format(ip=machine.ip)
+        assert old in machine.settings
+        machine.settings = machine.settings.replace(old, new)
+        world.start(machine)
+        await wait_event(machine, "address_busy")
+        await trio.sleep(1.0)
+        ends = list(machine.ends)
+        return ends, await world.end(machine), find_events(machine, "address_busy")
+
+    ends, code, busy = run_processes(tmp_path, act)
+    assert (ends, code) == ([], 0)
+    assert "fe80::1" in busy[0]["address"]
+    assert "Invalid argument" in busy[0]["detail"]
--- a/walkcart/wire/listening.py
+++ b/walkcart/wire/listening.py
@@ -1,12 +1,13 @@
-"""Listens on addresses that another process may hold for a while.
+"""Listens on addresses that may not be available yet.
 
 The previous process of an instance may still be ending, a port may be in use by another
-program, and the machine's address may come up late. None of these is a reason to end.
+program, and the machine's address may come up late. None of these is a reason to end,
+and neither is any other error: a process that ended would be started again, and fail
+again, without a chance to serve what it can.
 """
 
 from __future__ import annotations
 
-import errno
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -20,17 +21,6 @@
 
 T = TypeVar("T")
 
-#: Errors that can pass without a change of the settings.
-PASSING_ERRORS = frozenset(
-    {
-        errno.EADDRINUSE,
-        errno.EADDRNOTAVAIL,
-        errno.EMFILE,
-        errno.ENFILE,
-        errno.ENOBUFS,
-        errno.ENOMEM,
-    }
-)
 #: Delay of the first retry, which doubles with each further one.
 MIN_DELAY = timedelta(seconds=0.1)
 #: Longest delay for an address that the instance needs to serve: short against the
@@ -66,7 +56,7 @@
         purpose: who connects there.
         address: the address or addresses, for log lines.
         required: whether the instance can't serve without it. If not, it's tried again
-            after any error, and less often.
+            less often.
     """
 
     purpose: str
@@ -77,11 +67,7 @@
 async def retry_listen(
     listen: Callable[[], Awaitable[T]], place: Place, tools: ListenTools
 ) -> T:
-    """Listen, and try again until it succeeds.
-
-    Raises:
-        OSError: an error that won't pass, at a place that is required.
-    """
+    """Listen, and try again after each error until it succeeds."""
     clock = tools.clock
     start = clock.monotonic()
     delay, log_interval, log_at = MIN_DELAY, MIN_LOG_INTERVAL, start
@@ -89,8 +75,6 @@
         try:
             return await listen()
         except OSError as error:
-            if place.required and error.errno not in PASSING_ERRORS:
-                raise
             if clock.monotonic() >= log_at:
                 _log_busy(place, tools, error, clock.monotonic() - start)
                 log_at = clock.monotonic() + log_interval.total_seconds()
@@ -161,16 +145,11 @@
 async def listen_soon(
     listen: Callable[[], Awaitable[Listener]], place: Place, tools: ListenTools
 ) -> Listener:
-    """Listen at once if possible, or else return a listener that does so later.
-
-    Raises:
-        OSError: an error that won't pass, at a place that is required.
-    """
+    """Listen at once if possible, or else return a listener that does so later."""
     try:
         listener = await listen()
-    except OSError as error:
-        if place.required and error.errno not in PASSING_ERRORS:
-            raise
+    except OSError:
+        # The listener tries again and logs the error.
         return PendingListener(listen, place, tools)
     log_listening(place, tools)
     return listener
