Wait for settings that are invalid, and for the file without its variable

A settings file with an invalid value in a required field, or no WALKCART_NODE_FILE, ended the process with 2 at each start; a file that begins with a byte order mark was waited for without end. The platform starts the process again each time, and counts an end each time, though the file may be being written or about to change.

Cause: only an incomplete file was seen as something that passes. Now an invalid one is waited for in the same way (110 names field, value and what was expected), the file has the platform's default path (111 tells that the variable is missing), and a byte order mark is skipped.

With that no end is left that wrote its line to the error output itself. What is left, an error that escapes the event loop, is written there by the interpreter, which waited for the reader of a full pipe and never ended: the error output is now made non-blocking first.

--- a/walkcart/daemon/platform.py
+++ b/walkcart/daemon/platform.py
@@ -34,9 +34,9 @@
 from walkcart.kernel.logsink import LogSink
 from walkcart.kernel.numbers import read_number
 from walkcart.platform.settings import (
+    DEFAULT_FILE,
     FILE_VARIABLE,
     BadSettings,
-    IncompleteSettings,
     PlatformSettings,
     read_settings,
 )
@@ -50,11 +50,10 @@
 MAX_PORT = 65535
 EXIT_OK = 0
 EXIT_FAILED = 1
-EXIT_USAGE = 2
 #: Seconds between two checks of whether the settings file has changed, which can happen
 #: without a signal: half of the time within which a change must be in force.
 FILE_CHECK_INTERVAL = 1.0
-#: Seconds between two reads of an incomplete settings file at the start, and between
+#: Seconds between two reads of an unusable settings file at the start, and between
 #: two log lines about it.
 AWAIT_INTERVAL = 0.25
 AWAIT_LOG_INTERVAL = 5.0
@@ -67,12 +66,8 @@
     """Run the daemon and exit the process."""
     sink = LogSink(setup.log_descriptor)
     log = ProcessLog(cast(TextIO, sink))
-    path = os.environ.get(FILE_VARIABLE)
-    log.log_start(path)
-    if not path:
-        log.log_failure("settings", f"{FILE_VARIABLE} isn't set", EXIT_USAGE)
-        sys.exit(EXIT_USAGE)
-    program = _Program(setup, Path(path), log, cast(TextIO, sink))
+    path = find_settings_path(log)
+    program = _Program(setup, path, log, cast(TextIO, sink))
     try:
         code = trio.run(program.run, clock=BootClock())
     except BaseException as error:
@@ -83,6 +78,20 @@
     sys.exit(code)
 
 
+def find_settings_path(log: ProcessLog) -> Path:
+    """Return the path of the settings file, after logging the process's start."""
+    text = os.environ.get(FILE_VARIABLE, "")
+    log.log_start(text or DEFAULT_FILE)
+    if not text:
+        log.events.emit(
+            Events.SETTING_INVALID,
+            setting=FILE_VARIABLE,
+            value=text,
+            expected=f"the path of the settings file; {DEFAULT_FILE} is used",
+        )
+    return Path(text or DEFAULT_FILE)
+
+
 class _Program:
     """One run of the daemon.
 
@@ -113,16 +122,12 @@
 
     async def _start_and_serve(self, watch: SignalWatch) -> int:
         tenant, state = None, None
-        try:
-            with watch.start_scope:
-                settings, state = await wait_for_settings(
-                    self._path, watch, self._log.events
-                )
-                self._log.set_instance(settings.instance)
-                tenant = await self._assemble(settings)
-        except BadSettings as error:
-            self._log.log_failure("settings", str(error), EXIT_USAGE)
-            return EXIT_USAGE
+        with watch.start_scope:
+            settings, state = await wait_for_settings(
+                self._path, watch, self._log.events
+            )
+            self._log.set_instance(settings.instance)
+            tenant = await self._assemble(settings)
         if tenant is None:
             self._log.log_end(watch.stop_reason, EXIT_OK, serving=False)
             return EXIT_OK
@@ -179,17 +184,13 @@
 async def wait_for_settings(
     path: Path, watch: SignalWatch, events: EventLog
 ) -> tuple[PlatformSettings, FileState]:
-    """Read the settings file; wait until it's there and complete.
-
-    Raises:
-        BadSettings: a required field has an invalid value.
-    """
+    """Read the settings file; wait until it's there, complete and valid."""
     logged = float("-inf")
     while True:
         state = _read_file_state(path)
         try:
             return read_settings(path), state
-        except IncompleteSettings as error:
+        except BadSettings as error:
             if trio.current_time() >= logged + AWAIT_LOG_INTERVAL:
                 logged = trio.current_time()
                 events.emit(Events.SETTINGS_AWAITED, detail=str(error))
--- a/walkcart/daemon/processlog.py
+++ b/walkcart/daemon/processlog.py
@@ -83,44 +83,28 @@
             serving=serving,
         )
 
-    def log_failure(self, reason: str, detail: str, exit_code: int) -> None:
-        """Log that the process ends, or doesn't start, for a reason that is known.
-
-        The detail is written to the error output also.
-        """
-        self._log_failure(reason, detail, exit_code)
-        write_error(f"walkcartd: {detail}\n")
-
     def log_error(self, error: BaseException, exit_code: int) -> None:
-        """Log an error that escaped the event loop, with the end of its traceback."""
-        self._log_failure(
-            "error",
-            repr(error)[:DETAIL_LIMIT],
-            exit_code,
-            traceback="".join(format_exception(error))[-TRACEBACK_LIMIT:],
-        )
+        """Log an error that escaped the event loop, with the end of its traceback.
 
-    def _log_failure(
-        self, reason: str, detail: str, exit_code: int, **fields: str
-    ) -> None:
+        The interpreter may then write the traceback to the error output.
+        """
         self.events.emit(
             Events.PROCESS_FAILED,
             pid=os.getpid(),
-            reason=reason,
-            detail=detail,
+            reason="error",
+            detail=repr(error)[:DETAIL_LIMIT],
             exit_code=exit_code,
-            **fields,
+            traceback="".join(format_exception(error))[-TRACEBACK_LIMIT:],
         )
+        unblock_error_output()
 
 
-def write_error(text: str) -> None:
-    """Write a text to the error output, if anyone reads it."""
+def unblock_error_output() -> None:
+    """Keep a process that ends from waiting for the reader of a full pipe."""
     try:
-        # A process that ends must not wait for the reader of a full pipe.
         os.set_blocking(STDERR, False)
-        os.write(STDERR, text.encode("utf-8", "replace"))
     except OSError:
-        # Closed, full or without a reader. The log has the text as well.
+        # It is closed, so that nothing is written to it.
         return
 
 
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -79,7 +79,7 @@
     SETTINGS_AWAITED = _warn(
         110,
         "settings_awaited",
-        "The settings file is missing or incomplete; the start waits for it.",
+        "The settings file is missing, incomplete or invalid; the start waits for it.",
     )
     SETTING_INVALID = _warn(
         111,
--- a/walkcart/platform/settings.py
+++ b/walkcart/platform/settings.py
@@ -44,6 +44,8 @@
 
 #: Environment variable with the path of the file.
 FILE_VARIABLE = "WALKCART_NODE_FILE"
+#: Where the platform puts the file; used if the variable isn't set.
+DEFAULT_FILE = "/etc/walkcart/settings.toml"
 #: Maximum size of the file, in bytes.
 MAX_FILE_BYTES = 256 * 1024
 MAX_PORT = 65535
@@ -193,7 +195,8 @@
 
 def _parse_file(data: bytes) -> dict[str, Any]:
     try:
-        return tomllib.loads(data.decode("utf-8"))
+        # Editors may put a byte order mark in front.
+        return tomllib.loads(data.decode("utf-8-sig"))
     except UnicodeDecodeError as error:
         raise IncompleteSettings(f"the settings file can't be read: {error}") from error
     except RecursionError as error:
--- a/walkcart/platform/tests/test_settings_file.py
+++ b/walkcart/platform/tests/test_settings_file.py
@@ -109,6 +109,38 @@
     assert run_processes(tmp_path, act) == (0, 1)
 
 
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        ('front = "{ip}:7000"', 'front = "{ip}:"'),
+        ('\nip = "{ip}"', '\nip = "{ip}.1"'),
+        ("portRange = [7010, 7025]", "portRange = [0, 7025]"),
+        ('nodeName = "one"', "nodeName = 1"),
+    ],
+)
+def test_start_waits_for_a_required_setting_to_become_valid(tmp_path, old, new):
+    async def act(world, machine):
+        whole, path = machine.settings, machine.settings_path
+        replaced = old.format(ip=machine.ip)
+        assert replaced in whole
+        machine.settings = whole.replace(replaced, new.format(ip=machine.ip))
+        world.start(machine)
+        await wait_event(machine, "settings_awaited")
+        await trio.sleep(0.5)
+        path.write_text(whole, encoding="utf-8")
+        await world.wait_ready(machine)
+        reply = await world.ask(machine, "/one/x")
+        return reply.status, machine.starts, machine.ends
+
+    assert run_processes(tmp_path, act) == (200, 1, [])
+
+
+def test_byte_order_mark_in_front_of_the_settings_is_ignored(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS, encoding="utf-8-sig")
+    assert read_settings(path).instance == "entry-7"
+
+
 def replace_file(path, kind):
     """Put something that isn't a settings file in place of one."""
     path.unlink()
