Pass over ports of the instance's own in the range for other instances

A range that contains the port for callers, of the readiness check or of the metrics page made the instance listen for its peers on that port, as the first free one; it then waited for its own address without end: no caller was served, or the balancer's checks failed (on real processes: not ready after 6 s, 109 each time).

Cause: the range is listened on first, and was taken to be free of the instance's other ports. They are now passed over.

Before the change all 3 cases of the new test failed; after it all tests of test_busy_addresses, test_starting and test_start_calls pass.

--- a/walkcart/daemon/tenant.py
+++ b/walkcart/daemon/tenant.py
@@ -118,7 +118,12 @@
 ) -> PeerListener:
     first, last = settings.peer_ports
     peers = await retry_listen(
-        partial(listen_for_peers, settings, environment.transport),
+        partial(
+            listen_for_peers,
+            settings,
+            environment.transport,
+            environment.metrics_port,
+        ),
         Place("other instances", f"{settings.host}, ports {first} to {last}"),
         tools,
     )
--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 from random import Random
 
 from walkcart.daemon.environment import TenantEnvironment
@@ -52,21 +53,27 @@
 
 
 async def listen_for_peers(
-    settings: PlatformSettings, transport: PeerTransport
+    settings: PlatformSettings, transport: PeerTransport, metrics_port: int = 0
 ) -> PeerListener:
     """Listen for other instances on the first free port of the configured range.
 
+    Ports of the range that the instance needs otherwise are passed over.
+
     Raises:
         OSError: no port of the range is free.
     """
     first, last = settings.peer_ports
-    for port in range(first, last):
+    own = {settings.callers.port, settings.readiness.port, metrics_port}
+    failure = OSError(errno.EADDRINUSE, "all ports have another use in this instance")
+    for port in range(first, last + 1):
+        if port in own:
+            continue
         try:
             return await transport.listen(HostPort(settings.host, port))
-        except OSError:
+        except OSError as error:
             # Another role on this machine, or the previous process, uses this port.
-            continue
-    return await transport.listen(HostPort(settings.host, last))
+            failure = error
+    raise failure
 
 
 def add_delegates(
--- a/walkcart/platform/tests/test_busy_addresses.py
+++ b/walkcart/platform/tests/test_busy_addresses.py
@@ -220,3 +220,22 @@
     assert (ends, code) == ([], 0)
     assert "fe80::1" in busy[0]["address"]
     assert "Invalid argument" in busy[0]["detail"]
+
+
+@pytest.mark.parametrize("port", [CALLERS_PORT, READINESS_PORT, METRICS_PORT])
+def test_other_port_of_the_instance_in_the_range_for_peers_is_passed_over(
+    tmp_path, port
+):
+    async def act(world, machine):
+        machine.settings = machine.settings.replace(
+            f"[{PEER_PORTS[0]}, {PEER_PORTS[1]}]", f"[{port}, {port + 3}]"
+        )
+        world.start(machine)
+        await world.wait_ready(machine)
+        reply = await world.ask(machine, "/one/x")
+        busy = find_events(machine, "address_busy")
+        return reply.status, machine.ends, busy, find_events(machine, "listening")
+
+    status, ends, busy, listening = run_processes(tmp_path, act)
+    assert (status, ends, busy) == (200, [], [])
+    assert len({line["address"] for line in listening}) == 4
