--- a/walkcart/daemon/tenant.py
+++ b/walkcart/daemon/tenant.py
@@ -61,9 +61,6 @@
 
     Waits for an address for other instances, as they are told which one it is. The
     others may be busy: they are listened on as soon as they are free.
-
-    Raises:
-        OSError: an address can't be listened on, and waiting won't help.
     """
     kernel = Kernel()
     add_base(kernel, settings, environment)
@@ -121,7 +118,12 @@
 ) -> PeerListener:
     first, last = settings.peer_ports
     peers = await retry_listen(
-        partial(listen_for_peers, settings, environment.transport),
+        partial(
+            listen_for_peers,
+            settings,
+            environment.transport,
+            environment.metrics_port,
+        ),
         Place("other instances", f"{settings.host}, ports {first} to {last}"),
         tools,
     )
