Bound the memory of messages to the port for peers that are held back

What would be seen: 150 connections to the port for peers that announce a message of 4 MB and hold back its last byte take a process past the memory of its machine, and it is killed.

Cause: nng reserves the stated length of a message for each connection, up to the length of the longest envelope, and nothing bounded the connections.

Of more the oldest are closed, so programs that hold connections don't keep instances away; event 230 says so. Longer messages go in pieces, which the receiver joins within a bound for all senders together. Each piece has the time that an envelope had, so that slow links still carry long ones. Messages that together are too long for one envelope go in several; before, the receiver dropped all of them, also short ones beside a long one.

--- a/walkcart/daemon/platform.py
+++ b/walkcart/daemon/platform.py
@@ -14,6 +14,7 @@
 
 import os
 import sys
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import TextIO, cast
@@ -42,7 +43,7 @@
 )
 from walkcart.store.calls import StoreCalls
 from walkcart.wire.network import TcpNetwork
-from walkcart.wire.peers import NngTransport
+from walkcart.wire.peers import MAX_CONNECTIONS, NngTransport
 
 #: Environment variable with the port of the metrics page. The deploy file sets it, and
 #: its `metrics` entry states the same port to the platform.
@@ -138,7 +139,7 @@
         _log_invalid(self._log.events, settings)
         environment = TenantEnvironment(
             TcpNetwork(),
-            NngTransport(),
+            NngTransport(on_full=partial(_log_full_peers, self._log.events)),
             TrioClock(),
             Random(),
             self._stream,
@@ -147,6 +148,10 @@
         return await assemble_tenant(settings, environment)
 
 
+def _log_full_peers(events: EventLog) -> None:
+    events.emit(Events.CONNECTIONS_FULL, purpose="peers", connections=MAX_CONNECTIONS)
+
+
 def find_metrics_port(events: EventLog) -> int:
     """Return the port of the metrics page; 0, for none, if it's missing or invalid."""
     text = os.environ.get(METRICS_VARIABLE, "0")
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -108,7 +108,7 @@
         230,
         "connections_full",
         "More connections came to a port than it may have: the one that has been idle "
-        "longest is closed for each further one.",
+        "longest is closed for each further one, or the oldest of those of peers.",
     )
     TASK_FAILED = _error(
         207,
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from datetime import timedelta
 
 import trio
@@ -16,9 +16,15 @@
 from walkcart.membership.messageages import ClockReadings, Stamp
 from walkcart.membership.outbox import Outbox
 from walkcart.membership.peerdirectory import PeerDirectory, parse_address
-from walkcart.wire.codec import BadMessage, decode_envelope, encode_envelope
+from walkcart.wire.codec import (
+    MAX_ENVELOPE_BYTES,
+    BadMessage,
+    decode_envelope,
+    encode_envelope,
+)
 from walkcart.wire.messages import Envelope, Message
-from walkcart.wire.peers import PeerListener, PeerTransport
+from walkcart.wire.peers import PeerListener, PeerSender, PeerTransport
+from walkcart.wire.pieces import PieceJoiner, split_message
 
 #: Random bytes that identify a process.
 LIFE_ID_BYTES = 4
@@ -28,7 +34,8 @@
 MAX_UNKNOWN_LINKS = 64
 #: Seconds from a failure of the listener until the next try.
 RECEIVE_RETRY_DELAY = 0.5
-#: Time for connecting to a peer and sending one envelope. After it the link is closed,
+#: Time for connecting to a peer and sending one envelope, or one piece of a long one.
+#: After it the link is closed,
 #: and all its queued messages are lost.
 SEND_TIMEOUT = timedelta(seconds=2)
 #: Shortest time between two new connections to a peer that doesn't answer, since a
@@ -71,6 +78,7 @@
         self._aged_handlers: dict[type[Message], AgedMessageHandler] = {}
         self._clock_readings = ClockReadings(secrets.token_hex(LIFE_ID_BYTES))
         self._links: dict[tuple[str, HostPort], Outbox] = {}
+        self._joiner = PieceJoiner()
         #: The last known address of each instance, from its envelopes or the directory,
         #: for replies to those that aren't in the directory yet or any more: the store
         #: may reject an instance for longer than its entry lasts.
@@ -218,7 +226,10 @@
     def _receive(self, data: bytes) -> None:
         self._metrics.count("peer.bytes", len(data))
         try:
-            envelope = decode_envelope(data)
+            message = self._joiner.add(data)
+            if message is None:
+                return
+            envelope = decode_envelope(message)
         except BadMessage as error:
             self._events.emit(Events.PEER_BAD_MESSAGE, detail=str(error)[:200])
             return
@@ -278,8 +289,8 @@
                     # weren't sent.
                     await sender.wait_connected()
                     messages = link.take_batch()
-                    if messages:
-                        await sender.send(self._pack_envelope(name, messages))
+                    for data in self._pack_envelopes(name, messages):
+                        await _send_pieces(sender, data, scope)
                 if scope.cancelled_caught:
                     lost = len(messages) + len(link)
                     self._metrics.count("peer.dropped", lost)
@@ -302,6 +313,26 @@
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
                 await sender.close()
 
+    def _pack_envelopes(
+        self, name: str, messages: tuple[Message, ...]
+    ) -> Iterator[bytes]:
+        """Yield envelopes with the messages: one, unless it would be too long."""
+        if not messages:
+            return
+        data = self._pack_envelope(name, messages)
+        if len(data) <= MAX_ENVELOPE_BYTES:
+            self._metrics.count("peer.sent", len(messages))
+            self._metrics.count("peer.bytes", len(data))
+            yield data
+        elif len(messages) > 1:
+            middle = len(messages) // 2
+            yield from self._pack_envelopes(name, messages[:middle])
+            yield from self._pack_envelopes(name, messages[middle:])
+        else:
+            self._metrics.count("peer.dropped")
+            detail = f"{type(messages[0]).__name__} of {len(data)} bytes is too long"
+            self._events.emit(Events.PEER_BAD_MESSAGE, peer=name, detail=detail)
+
     def _pack_envelope(self, name: str, messages: tuple[Message, ...]) -> bytes:
         record = self._view.find(name)
         own = self._view.own
@@ -317,7 +348,13 @@
             stamp.to_life,
             stamp.least_reading,
         )
-        data = encode_envelope(envelope)
-        self._metrics.count("peer.sent", len(messages))
-        self._metrics.count("peer.bytes", len(data))
-        return data
+        return encode_envelope(envelope)
+
+
+async def _send_pieces(
+    sender: PeerSender, data: bytes, scope: trio.CancelScope
+) -> None:
+    """Send an envelope; each of its pieces has the time that a short one has."""
+    for piece in split_message(data):
+        await sender.send(piece)
+        scope.deadline = trio.current_time() + SEND_TIMEOUT.total_seconds()
--- a/walkcart/platform/tests/soakfaults.py
+++ b/walkcart/platform/tests/soakfaults.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from walkcart.platform.tests.soakboundaryfaults import hold_back_messages
 from walkcart.platform.tests.soaked import Soaked
 from walkcart.platform.tests.soakinputfaults import (
     add_bad_leaf,
@@ -99,6 +100,7 @@
     "useless leaf": FaultKind(add_useless_leaf),
     "requests": FaultKind(send_bad_requests, ("request_bad",)),
     "peers": FaultKind(send_peer_bytes, ("peer_bad_message",)),
+    "held messages": FaultKind(hold_back_messages),
     "closing peers": FaultKind(list_closing_peers),
     "flood": FaultKind(flood),
     "descriptors": FaultKind(limit_descriptors),
--- a/walkcart/wire/peers.py
+++ b/walkcart/wire/peers.py
@@ -11,19 +11,29 @@
 from __future__ import annotations
 
 import errno
+from collections.abc import Callable
+from contextlib import suppress
 from typing import Protocol
 
 import pynng
 import trio
 
 from walkcart.kernel.settings import HostPort
-from walkcart.wire.codec import MAX_ENVELOPE_BYTES
+from walkcart.wire.pieces import MAX_PIECE_BYTES
 
 #: Number of envelopes that nng buffers for a slow or unreachable peer. They wait in the
 #: instance's own outbox instead, from which they can be withdrawn.
 NNG_BUFFER = 0
 #: Largest message that a sender accepts from its peer, in bytes: none is expected.
 MAX_ANSWER_BYTES = 1024
+#: Largest message that a listener accepts, in bytes. nng reserves it for each
+#: connection that states this length, and adds a header of its own.
+MAX_RECEIVED_BYTES = MAX_PIECE_BYTES + 64
+#: Maximum number of connections to a listener: two from each of 620 instances, as one
+#: that is replaced stays open for a while, and some to spare.
+MAX_CONNECTIONS = 1280
+#: Seconds between two reports that there are more connections than allowed.
+FULL_REPORT_INTERVAL = 5.0
 #: Bounds of the time between two tries of nng to connect again, in milliseconds.
 NNG_RECONNECT_MIN_MS = 50
 NNG_RECONNECT_MAX_MS = 1000
@@ -58,6 +68,17 @@
     return OSError(str(error)) if number is None else OSError(number, str(error))
 
 
+def run_soon(
+    token: trio.lowlevel.TrioToken, change: Callable[..., None], *arguments: object
+) -> None:
+    """Pass a change of the connections from nng's thread to the event loop."""
+    try:
+        token.run_sync_soon(change, *arguments)
+    except trio.RunFinishedError:
+        # The event loop has ended; no task needs the change.
+        return
+
+
 class PeerSender(Protocol):
     """Sends to one peer."""
 
@@ -123,8 +144,12 @@
         self._socket = pynng.Pair1(
             send_buffer_size=NNG_BUFFER, recv_max_size=MAX_ANSWER_BYTES
         )
-        self._socket.add_post_pipe_connect_cb(lambda pipe: self._schedule_update(1))
-        self._socket.add_post_pipe_remove_cb(lambda pipe: self._schedule_update(-1))
+        self._socket.add_post_pipe_connect_cb(
+            lambda pipe: run_soon(self._token, self._update_pipes, 1)
+        )
+        self._socket.add_post_pipe_remove_cb(
+            lambda pipe: run_soon(self._token, self._update_pipes, -1)
+        )
         self._socket.reconnect_time_min = NNG_RECONNECT_MIN_MS
         self._socket.reconnect_time_max = NNG_RECONNECT_MAX_MS
         self._socket.dial(f"tcp://{address}", block=False)
@@ -139,14 +164,6 @@
         while not self.is_connected:
             await self._connected.wait()
 
-    def _schedule_update(self, change: int) -> None:
-        """Pass a change of the connections from nng's thread to the event loop."""
-        try:
-            self._token.run_sync_soon(self._update_pipes, change)
-        except trio.RunFinishedError:
-            # The event loop has ended; no task needs the change.
-            return
-
     def _update_pipes(self, change: int) -> None:
         self._pipes += change
         if self.is_connected:
@@ -167,10 +184,30 @@
 
 
 class NngListener:
-    """A listener on an nng pair socket, which receives from any number of peers."""
+    """A listener on an nng pair socket, which receives from any number of peers.
 
-    def __init__(self, address: HostPort) -> None:
-        self._socket = pynng.Pair1(polyamorous=True, recv_max_size=MAX_ENVELOPE_BYTES)
+    Of more than `MAX_CONNECTIONS` connections the oldest are closed: instances connect
+    again when they have a message, and programs that hold connections open can't keep
+    them away.
+
+    Args:
+        address: where to listen.
+        on_full: called when connections are closed for their number.
+    """
+
+    def __init__(self, address: HostPort, on_full: Callable[[], None]) -> None:
+        self._token = trio.lowlevel.current_trio_token()
+        self._on_full = on_full
+        self._reported_at = float("-inf")
+        #: The open connections by their id, the oldest first.
+        self._pipes: dict[int, pynng.Pipe] = {}
+        self._socket = pynng.Pair1(polyamorous=True, recv_max_size=MAX_RECEIVED_BYTES)
+        self._socket.add_post_pipe_connect_cb(
+            lambda pipe: run_soon(self._token, self._add_pipe, pipe.id, pipe)
+        )
+        self._socket.add_post_pipe_remove_cb(
+            lambda pipe: run_soon(self._token, self._remove_pipe, pipe.id)
+        )
         try:
             self._socket.listen(f"tcp://{address}")
         except pynng.NNGException:
@@ -183,6 +220,25 @@
             swapped = int.from_bytes(port.to_bytes(2, "little"), "big")
             self.address = HostPort(address.host, swapped)
 
+    def _add_pipe(self, id: int, pipe: pynng.Pipe) -> None:
+        self._pipes[id] = pipe
+        if len(self._pipes) <= MAX_CONNECTIONS:
+            return
+        self._close_oldest()
+        now = trio.current_time()
+        if now - self._reported_at >= FULL_REPORT_INTERVAL:
+            self._reported_at = now
+            self._on_full()
+
+    def _close_oldest(self) -> None:
+        pipe = self._pipes.pop(next(iter(self._pipes)))
+        # It may have closed just now, and its removal is still to be processed.
+        with suppress(pynng.Closed, pynng.NoEntry):
+            pipe.close()
+
+    def _remove_pipe(self, id: int) -> None:
+        self._pipes.pop(id, None)
+
     async def receive(self) -> bytes:
         """Wait for one envelope."""
         try:
@@ -196,9 +252,14 @@
 
 
 class NngTransport:
-    """Peer transport by nng over TCP, with pynng."""
+    """Peer transport by nng over TCP, with pynng.
+
+    Args:
+        on_full: called when a listener closes connections for their number.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, on_full: Callable[[], None] = lambda: None) -> None:
+        self._on_full = on_full
         bound_threads()
 
     async def listen(self, address: HostPort) -> PeerListener:
@@ -208,7 +269,7 @@
             OSError: the address isn't available.
         """
         try:
-            return NngListener(address)
+            return NngListener(address, self._on_full)
         except pynng.NNGException as error:
             raise make_os_error(error) from error
 
