Take a small memory setting as it is stated, and no more than there is

What would be seen: a machine with less than 64 MB, or one whose settings state more memory than it has, lets bodies take more than its memory holds, and its process is killed.

Cause: a `memoryMb` below 64 counted as invalid, so its default took its place, the plan for 300 MB; nothing compared it with the machine's memory.

Now values from 1 MB are taken, and the plan is for no more than the memory that the system reports; event 111 says so where that is less than stated.

--- a/walkcart/platform/optionalfields.py
+++ b/walkcart/platform/optionalfields.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -17,6 +18,7 @@
 SHOWN_LENGTH = 100
 _MAX_SECONDS = MAX_DURATION.total_seconds()
 _MAX_NUMBER = 1e9
+BYTES_PER_MIB = 2**20
 #: Greatest number of file descriptors that is taken for one.
 MAX_DESCRIPTORS = 2**20
 #: Smallest number that other numbers are divided by.
@@ -54,7 +56,7 @@
 CPU_SHARE = OptionalNumber("limits.cpuShare", 1.0, _MIN_DIVISOR)
 CORES = OptionalNumber("limits.cores", 1.0, _MIN_DIVISOR)
 #: Memory of the process, in MiB.
-MEMORY = OptionalNumber("limits.memoryMb", 300.0, 64.0, 2.0**20)
+MEMORY = OptionalNumber("limits.memoryMb", 300.0, 1.0, 2.0**20)
 #: File descriptors of the process; 0 if their number isn't stated.
 DESCRIPTORS = OptionalNumber("limits.maxFds", 0.0, 0.0, MAX_DESCRIPTORS)
 #: Calls to the store per second, for all instances together.
@@ -114,6 +116,17 @@
                 self._report(f"zones.{name}", region, "the name of a region")
         return regions
 
+    def read_memory(self) -> int:
+        """Return the bytes of memory for the process: no more than the machine has."""
+        stated = int(self.read_number(MEMORY) * BYTES_PER_MIB)
+        existing = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+        if 0 < existing < stated:
+            limit = existing / BYTES_PER_MIB
+            expected = f"at most the machine's memory; {limit:g} is used"
+            self._report(MEMORY.field, stated / BYTES_PER_MIB, expected)
+            return existing
+        return stated
+
     def _report(self, name: str, value: object, expected: str) -> None:
         shown = repr(value)[:SHOWN_LENGTH]
         self.invalid.append(InvalidSetting(name, shown, "the settings file", expected))
--- a/walkcart/platform/settings.py
+++ b/walkcart/platform/settings.py
@@ -23,7 +23,6 @@
     CPU_SHARE,
     DESCRIPTORS,
     GRACE,
-    MEMORY,
     QUOTA_SLACK,
     QUOTA_TOLERANCE,
     QUOTA_WINDOW,
@@ -47,7 +46,6 @@
 #: Maximum size of the file, in bytes.
 MAX_FILE_BYTES = 256 * 1024
 MAX_PORT = 65535
-BYTES_PER_MIB = 2**20
 
 
 class BadSettings(ValueError):
@@ -233,7 +231,7 @@
             optional.read_number(QUOTA_TOLERANCE),
             optional.read_number(QUOTA_SLACK),
         ),
-        memory=MemoryPlan(int(optional.read_number(MEMORY) * BYTES_PER_MIB)),
+        memory=MemoryPlan(optional.read_memory()),
         descriptors=int(optional.read_number(DESCRIPTORS)),
         report_interval=optional.read_number(REPORT_INTERVAL) / 1000,
         invalid=tuple(optional.invalid),
--- a/walkcart/platform/tests/test_optional_settings.py
+++ b/walkcart/platform/tests/test_optional_settings.py
@@ -51,6 +51,23 @@
     assert settings.store_rate > 0
 
 
+@pytest.mark.parametrize("stated", ["63.9", "64", "16", "1"])
+def test_small_machine_does_not_get_the_memory_plan_of_a_large_one(tmp_path, stated):
+    settings, invalid = read_with(
+        tmp_path, "cores = 3", f"cores = 3\nmemoryMb = {stated}"
+    )
+    assert invalid == []
+    assert settings.memory.total == int(float(stated) * 2**20)
+
+
+def test_bodies_get_no_more_memory_than_the_machine_has(tmp_path, monkeypatch):
+    sizes = {"SC_PHYS_PAGES": 10_000, "SC_PAGE_SIZE": 4096}
+    monkeypatch.setattr("os.sysconf", sizes.__getitem__)
+    settings, invalid = read_with(tmp_path, "cores = 3", "cores = 3\nmemoryMb = 300")
+    assert invalid == ["limits.memoryMb"]
+    assert settings.memory.total == 10_000 * 4096
+
+
 def test_table_of_regions_of_another_type_is_reported(tmp_path):
     settings, invalid = read_with(tmp_path, "[zones]", "[elsewhere]")
     assert (settings.regions, invalid) == ({}, [])
