Bound callers' heads and bodies by the memory for requests

What callers would see: with a `maxHeaderBytes` beyond a machine's memory, callers that send heads without end fill it, and the process is killed. A body longer than all memory for bodies got 503 with a time to come back, for ever, as it can never be read.

Cause: limits of a configuration were used as stated, and heads took of no budget.

A head over 16 KiB now takes of the memory for requests, as a body does. The limits are bounded by that memory: a body by all of it, which is answered 413 at once, a head by a 64th, since nothing else runs while it is parsed. Event 527 tells of values that aren't used as stated.

--- a/walkcart/entry/routedservice.py
+++ b/walkcart/entry/routedservice.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import trio
 
@@ -18,7 +19,7 @@
 from walkcart.kernel.taskerrors import log_task_error
 from walkcart.leaves.directory import LeafDirectory
 from walkcart.wire.bodies import MemoryBudget
-from walkcart.wire.http import HttpReply, HttpRequest
+from walkcart.wire.http import MAX_HEADER_BYTES, HttpReply, HttpRequest
 from walkcart.wire.listening import is_listening
 from walkcart.wire.server import Fault, HttpServer, ServerLimits
 
@@ -27,6 +28,9 @@
 IDLE_TIME_FACTOR = 1.25
 #: Time to read a whole request, as a multiple of the time to read its head.
 BODY_TIME_FACTOR = 2
+#: Part of the memory for requests that one head may take: all other requests wait while
+#: it is parsed. A limit that is shorter than the usual one isn't set.
+HEAD_DIVISOR = 64
 #: Seconds between two log lines about too many connections.
 LOG_INTERVAL = 2.0
 
@@ -61,6 +65,7 @@
         self._keeper = keeper
         self._directory = directory
         self._events = events
+        self._budget = budget
         self._accepting = trio.CancelScope()
         self._logged_full_at = float("-inf")
         self.stopping = False
@@ -108,7 +113,18 @@
         return HttpReply(200 if self.ready else 503)
 
     def _update_limits(self, table: RouteTable) -> None:
-        self.server.limits = _make_limits(table.document.limits)
+        stated = table.document.limits
+        used = stated if self._budget is None else bound_limits(stated, self._budget)
+        if used != stated:
+            self._events.emit(
+                Events.CALLER_LIMITS_BOUNDED,
+                version=table.document.version,
+                stated_header_bytes=stated.header_bytes,
+                header_bytes=used.header_bytes,
+                stated_body_bytes=stated.body_bytes,
+                body_bytes=used.body_bytes,
+            )
+        self.server.limits = _make_limits(used)
 
     def _answer_fault(self, fault: Fault) -> HttpReply:
         self._events.emit(Events.REQUEST_BAD, detail=fault.name)
@@ -131,6 +147,21 @@
         self._events.emit(Events.CALLER_GONE)
 
 
+def bound_limits(limits: CallerLimits, budget: MemoryBudget) -> CallerLimits:
+    """Return limits on requests that fit into the memory for all of them.
+
+    A body or head beyond it can never be read, so a caller is told that it is too long,
+    and not to come back when others are done.
+    """
+    return replace(
+        limits,
+        header_bytes=min(
+            limits.header_bytes, max(MAX_HEADER_BYTES, budget.limit // HEAD_DIVISOR)
+        ),
+        body_bytes=min(limits.body_bytes, budget.limit),
+    )
+
+
 def _make_limits(limits: CallerLimits) -> ServerLimits:
     return ServerLimits(
         body=limits.body_bytes,
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -276,6 +276,12 @@
         "A routing document was ignored: it isn't newer than the one in force.",
     )
     ROUTES_BAD = _error(511, "routes_bad", "A routing document can't be read.")
+    CALLER_LIMITS_BOUNDED = _warn(
+        527,
+        "caller_limits_bounded",
+        "A routing document allows longer requests than there is memory for; lower "
+        "limits are used.",
+    )
     ROUTE_REGION_UNKNOWN = _warn(
         518, "route_region_unknown", "No data centre is in a region that a route names."
     )
--- a/walkcart/wire/bodies.py
+++ b/walkcart/wire/bodies.py
@@ -53,12 +53,12 @@
     """
 
     def __init__(self, limit: int) -> None:
-        self._limit = limit
+        self.limit = limit
         self.used = 0
 
     def try_take(self, size: int) -> bool:
         """Take `size` bytes; return False, and take none, if there aren't as many."""
-        if self.used + size > self._limit:
+        if self.used + size > self.limit:
             return False
         self.used += size
         return True
@@ -164,6 +164,15 @@
         if self._pieces % PIECES_PER_TURN == 0:
             await trio.lowlevel.checkpoint()
 
+    def record_head(self, size: int) -> None:
+        """Record how much has come of the head, which takes of the same budget.
+
+        Raises:
+            NoMemory: the budget has no memory for it.
+        """
+        if size > SMALL_BODY and self.share and not self.share.try_grow_to(size):
+            raise NoMemory
+
     def discard(self) -> None:
         """Keep nothing of the body, and give its memory back."""
         self._data = bytearray()
--- a/walkcart/wire/serverconnection.py
+++ b/walkcart/wire/serverconnection.py
@@ -123,6 +123,7 @@
     async def _collect(self, body: BodyBuffer) -> HttpRequest | None:
         """Collect the parts of one request; None if the client disconnected."""
         head: h11.Request | None = None
+        head_size = 0
         self.share = body.share
         while True:
             event = self.http.next_event()
@@ -133,6 +134,9 @@
                 if not data:
                     return None
                 self.http.receive_data(data)
+                if head is None:
+                    head_size += len(data)
+                    body.record_head(head_size)
             elif type(event) is h11.Request:
                 head = event
                 self.method = head.method.decode("ascii")
