--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -108,7 +108,7 @@
         230,
         "connections_full",
         "More connections came to a port than it may have: the one that has been idle "
-        "longest is closed for each further one.",
+        "longest is closed for each further one, or the oldest of those of peers.",
     )
     TASK_FAILED = _error(
         207,
@@ -276,6 +276,12 @@
         "A routing document was ignored: it isn't newer than the one in force.",
     )
     ROUTES_BAD = _error(511, "routes_bad", "A routing document can't be read.")
+    CALLER_LIMITS_BOUNDED = _warn(
+        527,
+        "caller_limits_bounded",
+        "A routing document allows longer requests than there is memory for; lower "
+        "limits are used.",
+    )
     ROUTE_REGION_UNKNOWN = _warn(
         518, "route_region_unknown", "No data centre is in a region that a route names."
     )
