Bound what a relayed message unpacks to by the machine's memory

What would be seen: a message of some kilobytes from a peer that this instance is fed by takes hundreds of megabytes, and the process is killed.

Cause: a relayed copy might unpack to 64 MB on any machine, and each of its rows becomes objects of some 200 bytes however short it is.

Now it unpacks to at most a 16th of the machine's memory (19 MB of 300), and to 50,000 rows; the longest that is expected has 4,000 leafs. What is longer is dropped with event 405, as other bad messages are.

Evidence: a million empty rows in less than 200,000 bytes were unpacked by the code before (test failed), and are rejected now with a peak of less than 40 MB of Python's memory.

--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -155,14 +155,19 @@
         kernel.find("origins", RequestOrigins),
     )
     kernel.add("links", links)
-    add_relay(kernel, environment, links)
+    add_relay(kernel, settings, environment, links)
     kernel.add("delegates", delegates)
     kernel.add("carrier", carrier)
     kernel.add("shutdown", shutdown)
     kernel.add("gathering", gathering)
 
 
-def add_relay(kernel: Kernel, environment: TenantEnvironment, links: PeerLinks) -> None:
+def add_relay(
+    kernel: Kernel,
+    settings: PlatformSettings,
+    environment: TenantEnvironment,
+    links: PeerLinks,
+) -> None:
     """Add the relay that forwards stored changes between instances."""
     registration = kernel.find("registration", Registration)
     relay = Relay(
@@ -178,6 +183,7 @@
         kernel.find("metrics", Metrics),
         # Instances may have the same random source, but their delays must differ.
         Random(f"{registration.own.name} {environment.random.random()}"),
+        settings.memory.relays,
     )
     registration.set_watching_check(lambda: relay.is_watching)
     kernel.add("relay", relay)
--- a/walkcart/membership/feeding.py
+++ b/walkcart/membership/feeding.py
@@ -17,6 +17,9 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import Annotated
+
+from msgspec import Meta
 
 from walkcart.kernel.clock import Clock
 from walkcart.membership.links import PeerLinks
@@ -49,9 +52,11 @@
 #: Compression level of zlib. Level 1 packs a configuration of 21,676 bytes into 2,627
 #: in 0.15 ms of CPU time; level 6 packs it into 2,539 in 0.41 ms.
 ZLIB_LEVEL = 1
-#: Size limit for an unpacked message in bytes, so that a small message can't exhaust
-#: the memory.
-MAX_UNPACKED_BYTES = 64 << 20
+#: Limits for an unpacked message, so that a small message can't exhaust the memory: its
+#: size in bytes on a machine of unknown memory, and the number of changes, since even
+#: an empty one takes some 200 bytes as an object.
+MAX_UNPACKED_BYTES = 16 << 20
+MAX_UNPACKED_CHANGES = 50_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -258,13 +263,20 @@
     return pack_value(tuple(_encode(change) for change in changes), ZLIB_LEVEL)
 
 
-def unpack_changes(packed: bytes) -> list[Change]:
+_Rows = Annotated[tuple[RelayedItem, ...], Meta(max_length=MAX_UNPACKED_CHANGES)]
+
+
+def unpack_changes(packed: bytes, limit: int = MAX_UNPACKED_BYTES) -> list[Change]:
     """Return the changes from the compressed bytes of a message.
 
+    Args:
+        packed: the compressed bytes.
+        limit: largest number of bytes that are decompressed.
+
     Raises:
         walkcart.store.packing.BadValue: the bytes can't be decoded.
     """
-    rows = unpack_value(packed, tuple[RelayedItem, ...], MAX_UNPACKED_BYTES)
+    rows = unpack_value(packed, _Rows, limit)
     return [_decode(row) for row in rows]
 
 
--- a/walkcart/membership/relaying.py
+++ b/walkcart/membership/relaying.py
@@ -28,7 +28,7 @@
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
-from walkcart.membership.feeding import Feeder, unpack_changes
+from walkcart.membership.feeding import MAX_UNPACKED_BYTES, Feeder, unpack_changes
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.registration import Registration
 from walkcart.membership.watchchecks import WatchChecks
@@ -81,6 +81,7 @@
         events: log of feeds that begin and end.
         metrics: reports the age of the copies.
         random: source of delays.
+        max_unpacked: largest number of bytes that one message is unpacked to.
     """
 
     def __init__(
@@ -93,7 +94,9 @@
         events: EventLog,
         metrics: Metrics,
         random: Random,
+        max_unpacked: int = MAX_UNPACKED_BYTES,
     ) -> None:
+        self._max_unpacked = max_unpacked
         self._followers = {follower.prefix: follower for follower in followers}
         self._calls = calls
         self._links = links
@@ -270,7 +273,7 @@
             return
         if follower.known and follower.revision >= message.base:
             try:
-                changes = unpack_changes(message.packed)
+                changes = unpack_changes(message.packed, self._max_unpacked)
             except BadValue as error:
                 self._report_bad_message(sender, error)
                 return
@@ -288,7 +291,7 @@
             return
         if not follower.known or message.revision >= follower.revision:
             try:
-                items = unpack_changes(message.packed)
+                items = unpack_changes(message.packed, self._max_unpacked)
             except BadValue as error:
                 self._report_bad_message(sender, error)
                 return
--- a/walkcart/membership/tests/test_feeding.py
+++ b/walkcart/membership/tests/test_feeding.py
@@ -1,8 +1,10 @@
 """The messages of a feeder and their effect on a receiver, without a network."""
 
+import tracemalloc
 from datetime import timedelta
 from types import SimpleNamespace
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -19,6 +21,7 @@
 from walkcart.store.follower import PrefixFollower, differ
 from walkcart.store.items import Item, Removal
 from walkcart.store.packing import BadValue
+from walkcart.wire.bodies import MemoryPlan
 from walkcart.wire.relays import RelayChanges, RelayCurrent, RelaySubscribe
 
 PREFIX = "routes"
@@ -171,6 +174,26 @@
     assert fixture.links.pop_sent() == []
 
 
+def test_message_that_unpacks_to_much_more_than_its_length_is_rejected():
+    many = pack_changes([Removal("", 1)] * 1_000_000)
+    long = pack_changes([Item("a", b"x" * 20_000_000, 1)])
+    assert max(len(many), len(long)) < 200_000
+    for packed in (many, long):
+        tracemalloc.start()
+        with pytest.raises(BadValue):
+            unpack_changes(packed)
+        _, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert peak < 40_000_000
+
+
+def test_small_machine_unpacks_less():
+    packed = pack_changes([Item("a", b"x" * 5_000_000, 1)])
+    assert len(unpack_changes(packed)) == 1
+    with pytest.raises(BadValue):
+        unpack_changes(packed, MemoryPlan(64 << 20).relays)
+
+
 def test_undecodable_changes_raise():
     packed = pack_changes([Item("a", b"1", 1), Removal("b", 2)])
     assert unpack_changes(packed) == [Item("a", b"1", 1), Removal("b", 2)]
--- a/walkcart/wire/bodies.py
+++ b/walkcart/wire/bodies.py
@@ -22,6 +22,9 @@
 #: What a parser holds, copies while a reply is put together, and unread bytes in the
 #: kernel take about as much again.
 REQUEST_DIVISOR, REPLY_DIVISOR = 8, 4
+#: Part of the memory for what one message of another instance is unpacked to. Several
+#: times as much is taken while it is decoded.
+RELAY_DIVISOR = 16
 #: Time after which a request may be sent again that found no memory for its body.
 MEMORY_RETRY_DELAY = timedelta(seconds=1)
 #: Size from which a body is sent apart from its head, in bytes: joining them copies it.
@@ -88,6 +91,11 @@
         """Bytes for the bodies of leaves' replies."""
         return self.total // REPLY_DIVISOR
 
+    @property
+    def relays(self) -> int:
+        """Bytes that one message with relayed values is unpacked to at most."""
+        return self.total // RELAY_DIVISOR
+
 
 class MemoryShare:
     """The part of a budget that one body takes, for as long as this object lives.
