Encode lent repeats of groups with more than 64 services

Cause: the services of lent repeats are sent as a bit set in a number. The codec can't encode numbers of more than 64 bits; the error ended the link with all messages of its envelope.

Such a set is sent as bytes now; smaller ones stay numbers, so that messages between versions stay the same.

--- a/walkcart/fanout/delegatedgroup.py
+++ b/walkcart/fanout/delegatedgroup.py
@@ -13,6 +13,7 @@
 from walkcart.fanout.mergedanswer import MergedAnswer, MissingPart
 from walkcart.fanout.routedquestion import RoutedFailure
 from walkcart.routing.distance import Location
+from walkcart.wire.delegations import ServiceBits
 from walkcart.wire.verdicts import MayHaveRun, Reason
 
 Outcome = Result[MergedAnswer, RoutedFailure]
@@ -161,7 +162,7 @@
         self.parts.append((service, part))
         self._on_update()
 
-    def return_unspent(self, bits: int) -> None:
+    def return_unspent(self, bits: ServiceBits) -> None:
         """Take back the repeats that the other instance states it won't send.
 
         Args:
--- a/walkcart/fanout/delegationclient.py
+++ b/walkcart/fanout/delegationclient.py
@@ -41,6 +41,7 @@
     DelegatedQuestion,
     DelegatedRenewal,
     DelegatedTaken,
+    ServiceBits,
 )
 from walkcart.wire.messagebase import Message
 from walkcart.wire.verdicts import MayHaveRun, NotRun, Reason
@@ -284,7 +285,7 @@
         else:
             self._finish(sender, message.id, Success(answer))
 
-    def _return_unspent(self, sender: str, id: str, bits: int) -> None:
+    def _return_unspent(self, sender: str, id: str, bits: ServiceBits) -> None:
         group = self._asked.get(id)
         if group is not None and group.peer == sender:
             group.return_unspent(bits)
--- a/walkcart/fanout/delegationcodec.py
+++ b/walkcart/fanout/delegationcodec.py
@@ -24,6 +24,7 @@
     DelegatedFailure,
     DelegatedMissing,
     DelegatedQuestion,
+    ServiceBits,
 )
 from walkcart.wire.http import HttpRequest
 from walkcart.wire.messagebase import Message
@@ -144,7 +145,7 @@
     )
 
 
-def encode_outcome(id: str, outcome: Outcome, unspent: int = 0) -> Message:
+def encode_outcome(id: str, outcome: Outcome, unspent: ServiceBits = 0) -> Message:
     """Return the message that reports the outcome of a question.
 
     Args:
@@ -170,7 +171,7 @@
 
 
 def encode_answer(
-    id: str, answer: MergedAnswer, more: bool = False, unspent: int = 0
+    id: str, answer: MergedAnswer, more: bool = False, unspent: ServiceBits = 0
 ) -> DelegatedAnswer:
     """Return the message that holds merged parts.
 
--- a/walkcart/fanout/lentrepeats.py
+++ b/walkcart/fanout/lentrepeats.py
@@ -8,6 +8,11 @@
 
 from collections.abc import Collection, Sequence
 
+from walkcart.wire.delegations import ServiceBits
+
+#: Bits of the largest number that the codec of messages can represent.
+MAX_NUMBER_BITS = 64
+
 
 class LentRepeats:
     """The lent repeats that haven't been used.
@@ -44,21 +49,27 @@
         return released
 
 
-def encode_services(services: Sequence[str], chosen: Collection[str]) -> int:
+def encode_services(services: Sequence[str], chosen: Collection[str]) -> ServiceBits:
     """Return the chosen services of a group as a bit set.
 
     Examples:
         >>> encode_services(("a", "b", "c"), {"a", "c"})
         5
+        >>> len(encode_services([f"s{number}" for number in range(72)], {"s71"}))
+        9
     """
-    return sum(1 << place for place, name in enumerate(services) if name in chosen)
+    bits = sum(1 << place for place, name in enumerate(services) if name in chosen)
+    if bits.bit_length() <= MAX_NUMBER_BITS:
+        return bits
+    return bits.to_bytes((bits.bit_length() + 7) // 8, "little")
 
 
-def decode_services(services: Sequence[str], bits: int) -> frozenset[str]:
+def decode_services(services: Sequence[str], bits: ServiceBits) -> frozenset[str]:
     """Return the services of a group whose bits are set.
 
     Examples:
         >>> sorted(decode_services(("a", "b", "c"), 5))
         ['a', 'c']
     """
-    return frozenset(name for place, name in enumerate(services) if bits >> place & 1)
+    number = bits if isinstance(bits, int) else int.from_bytes(bits, "little")
+    return frozenset(name for place, name in enumerate(services) if number >> place & 1)
--- a/walkcart/fanout/tests/test_repeat_loans.py
+++ b/walkcart/fanout/tests/test_repeat_loans.py
@@ -8,6 +8,9 @@
 from walkcart.fanout.repeatloans import RepeatLoan
 from walkcart.routing.distance import Location
 from walkcart.routing.repeats import RepeatBudget, RepeatLimits
+from walkcart.wire.codec import decode_envelope, encode_envelope
+from walkcart.wire.delegations import DelegatedFailure
+from walkcart.wire.messages import Envelope
 
 NAMES = ("a", "b", "c")
 #: Limits that give each instance one repeat for each service, as in a large fleet.
@@ -76,3 +79,15 @@
     services = tuple(f"shard-{number}" for number in range(24))
     chosen = {services[place] for place in places}
     assert decode_services(services, encode_services(services, chosen)) == chosen
+
+
+@given(st.integers(1, 300), st.data())
+def test_services_of_large_groups_pass_the_codec(count, data):
+    """A number of more than 64 bits can't be encoded, and ended the link."""
+    services = tuple(f"shard-{number}" for number in range(count))
+    chosen = data.draw(st.sets(st.sampled_from(services)))
+    bits = encode_services(services, chosen)
+    message = DelegatedFailure("id", False, "reason", "", 0, (), bits)
+    envelope = Envelope("one", 1, "", 0, (message,))
+    (received,) = decode_envelope(encode_envelope(envelope)).messages
+    assert decode_services(services, received.unspent) == chosen
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -16,12 +16,7 @@
 from walkcart.membership.messageages import ClockReadings, Stamp
 from walkcart.membership.outbox import Outbox
 from walkcart.membership.peerdirectory import PeerDirectory, parse_address
-from walkcart.wire.codec import (
-    MAX_ENVELOPE_BYTES,
-    BadMessage,
-    decode_envelope,
-    encode_envelope,
-)
+from walkcart.wire.codec import BadMessage, decode_envelope, encode_envelope
 from walkcart.wire.messages import Envelope, Message
 from walkcart.wire.peers import PeerListener, PeerSender, PeerTransport
 from walkcart.wire.pieces import PieceJoiner, split_message
@@ -316,22 +311,27 @@
     def _pack_envelopes(
         self, name: str, messages: tuple[Message, ...]
     ) -> Iterator[bytes]:
-        """Yield envelopes with the messages: one, unless it would be too long."""
+        """Yield envelopes with the messages: one, unless they don't go together.
+
+        A message that can't be sent at all costs none of the others.
+        """
         if not messages:
             return
-        data = self._pack_envelope(name, messages)
-        if len(data) <= MAX_ENVELOPE_BYTES:
-            self._metrics.count("peer.sent", len(messages))
-            self._metrics.count("peer.bytes", len(data))
-            yield data
-        elif len(messages) > 1:
-            middle = len(messages) // 2
-            yield from self._pack_envelopes(name, messages[:middle])
-            yield from self._pack_envelopes(name, messages[middle:])
-        else:
+        try:
+            data = self._pack_envelope(name, messages)
+        except BadMessage as error:
+            if len(messages) > 1:
+                middle = len(messages) // 2
+                yield from self._pack_envelopes(name, messages[:middle])
+                yield from self._pack_envelopes(name, messages[middle:])
+                return
             self._metrics.count("peer.dropped")
-            detail = f"{type(messages[0]).__name__} of {len(data)} bytes is too long"
+            detail = f"{type(messages[0]).__name__} isn't sent: {error}"[:200]
             self._events.emit(Events.PEER_BAD_MESSAGE, peer=name, detail=detail)
+            return
+        self._metrics.count("peer.sent", len(messages))
+        self._metrics.count("peer.bytes", len(data))
+        yield data
 
     def _pack_envelope(self, name: str, messages: tuple[Message, ...]) -> bytes:
         record = self._view.find(name)
--- a/walkcart/membership/tests/test_long_messages.py
+++ b/walkcart/membership/tests/test_long_messages.py
@@ -1,4 +1,4 @@
-"""Messages that together, or alone, are too long for one envelope."""
+"""Messages that can't be sent together, or not at all."""
 
 import trio
 
@@ -7,8 +7,13 @@
 from walkcart.wire.messages import ConfigurationPush
 
 
-async def send_all(lengths):
-    """Send one message of each length at once; return the lengths that arrive."""
+async def send_all(lengths, revision=1):
+    """Send one message of each length at once; return the lengths that arrive.
+
+    Args:
+        lengths: lengths of the messages.
+        revision: a number in the message of the least length.
+    """
     received = []
     async with open_estate() as world:
         receiver = world.instances["instance-1"].find("links", PeerLinks)
@@ -17,8 +22,9 @@
             lambda sender, message: received.append(len(message.document)),
         )
         sender = world.instances["instance-0"].find("links", PeerLinks)
-        for revision, length in enumerate(lengths):
-            sender.send("instance-1", ConfigurationPush(revision, b"x" * length))
+        for length in lengths:
+            number = revision if length == min(lengths) else 1
+            sender.send("instance-1", ConfigurationPush(number, b"x" * length))
         await trio.sleep(3)
     return received
 
@@ -31,3 +37,8 @@
 def test_message_longer_than_any_envelope_costs_only_itself():
     lengths = [100, 5_000_000, 200]
     assert run_mocked(lambda: send_all(lengths)) == [100, 200]
+
+
+def test_message_that_cannot_be_encoded_costs_only_itself():
+    lengths = [30, 10, 20]
+    assert run_mocked(lambda: send_all(lengths, revision=1 << 64)) == [30, 20]
--- a/walkcart/wire/codec.py
+++ b/walkcart/wire/codec.py
@@ -31,8 +31,19 @@
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
-    """Return the bytes of `envelope`."""
-    data = _ENCODER.encode(envelope)
+    """Return the bytes of `envelope`.
+
+    Raises:
+        BadMessage: they would be more than `MAX_ENVELOPE_BYTES`, or a number or text in
+            it can't be encoded.
+    """
+    try:
+        data = _ENCODER.encode(envelope)
+    except (OverflowError, UnicodeEncodeError) as error:
+        raise BadMessage(f"it can't be encoded: {error}") from None
+    size = len(CHECKSUM_MARK) + _CHECKSUM_BYTES + len(data)
+    if size > MAX_ENVELOPE_BYTES:
+        raise BadMessage(f"it has {size} bytes, more than {MAX_ENVELOPE_BYTES}")
     return CHECKSUM_MARK + crc32(data).to_bytes(_CHECKSUM_BYTES, "big") + data
 
 
--- a/walkcart/wire/delegations.py
+++ b/walkcart/wire/delegations.py
@@ -5,7 +5,10 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 
 from walkcart.wire.figures import Figure, Name
 from walkcart.wire.messagebase import Message
@@ -14,6 +17,15 @@
 NEVER = 1e6
 
 
+#: Largest number of bytes of a set of services: of 10,000.
+MAX_SET_BYTES = 1250
+#: A set of services of a group: one bit for each service, the first one the lowest. As
+#: bytes, of which the first is the lowest, where a number would be too large.
+ServiceBits = (
+    Annotated[int, Meta(ge=0)] | Annotated[bytes, Meta(max_length=MAX_SET_BYTES)]
+)
+
+
 class DelegatedQuestion(Message, frozen=True):
     """Asks the receiver to gather the parts of a question and merge them.
 
@@ -39,8 +51,7 @@
         fair_coverage: share of the services that suffices if the other groups reach a
             similar one.
         lent: services for which the receiver may send a repeat from the sender's
-            budget, after the first `DelegatedRenewal`; one bit for each service, the
-            first one the lowest.
+            budget, after the first `DelegatedRenewal`.
     """
 
     id: Name
@@ -61,7 +72,7 @@
     traceparent: str | None = None
     regions: tuple[str, ...] | None = None
     fair_coverage: Figure = 0.0
-    lent: int = 0
+    lent: ServiceBits = 0
 
 
 class DelegatedTaken(Message, frozen=True):
@@ -108,8 +119,7 @@
         repeats: number of those that weren't the first to their service.
         more: whether late parts may follow, which the receiver of the question still
             gathers.
-        unspent: services for which a lent repeat is returned, encoded like
-            `DelegatedQuestion.lent`.
+        unspent: services for which a lent repeat is returned.
     """
 
     id: Name
@@ -119,7 +129,7 @@
     sent: int
     repeats: int
     more: bool = False
-    unspent: int = 0
+    unspent: ServiceBits = 0
 
 
 class DelegatedPart(Message, frozen=True):
@@ -151,8 +161,7 @@
         detail: one sentence for people.
         sent: number of requests that were sent to leaves.
         missing: services without a part.
-        unspent: services for which a lent repeat is returned, encoded like
-            `DelegatedQuestion.lent`.
+        unspent: services for which a lent repeat is returned.
     """
 
     id: Name
@@ -161,7 +170,7 @@
     detail: str
     sent: int
     missing: tuple[DelegatedMissing, ...] = ()
-    unspent: int = 0
+    unspent: ServiceBits = 0
 
 
 class DelegatedCancel(Message, frozen=True):
--- a/walkcart/wire/pieces.py
+++ b/walkcart/wire/pieces.py
@@ -32,13 +32,9 @@
 def split_message(data: bytes) -> Iterator[bytes]:
     """Yield what is sent for a message: itself, or its pieces in order.
 
-    Raises:
-        BadMessage: the message is longer than `MAX_ENVELOPE_BYTES`.
+    Args:
+        data: the message, of at most `MAX_ENVELOPE_BYTES`.
     """
-    if len(data) > MAX_ENVELOPE_BYTES:
-        raise BadMessage(
-            f"the message has {len(data)} bytes, more than {MAX_ENVELOPE_BYTES}"
-        )
     if len(data) <= MAX_PIECE_BYTES:
         yield data
         return
--- a/walkcart/wire/tests/test_pieces.py
+++ b/walkcart/wire/tests/test_pieces.py
@@ -26,11 +26,6 @@
     assert last == message
 
 
-def test_too_long_message_is_not_split():
-    with pytest.raises(BadMessage):
-        list(split_message(b"x" * (MAX_ENVELOPE_BYTES + 1)))
-
-
 def test_pieces_of_several_messages_may_alternate():
     messages = [bytes([number]) * 200_000 for number in range(3)]
     joiner = PieceJoiner()
