Keep a lack of descriptors from ending a start, and signals from cutting an end

With 5 to 7 descriptors, or while the machine had none left, the event loop raised an error before the program ran: the process ended with 1 and a traceback of trio, 5 to 7 times in 6 s. It now logs that (120) each 5 s, tries again, and can be stopped meanwhile.

A second SIGTERM or SIGINT after 106 'process_ended', while the interpreter ends, made the exit code -15 in 4 of 4 trials, though the log says 0: Python puts the default actions back before it takes its modules apart. Handlers that ignore a signal stay, so that the signals are ignored from the end of the event loop on. Both programs of the project use the same function for it.

--- a/walkcart/daemon/main.py
+++ b/walkcart/daemon/main.py
@@ -5,6 +5,7 @@
 import os
 import sys
 from collections.abc import Sequence
+from functools import partial
 from random import Random
 from typing import TextIO, cast
 
@@ -12,6 +13,7 @@
 
 from walkcart.daemon.assembly import Instance, assemble_instance
 from walkcart.daemon.environment import Environment
+from walkcart.daemon.eventloop import EXIT_FAILED, EXIT_OK, run_event_loop
 from walkcart.daemon.processlog import ProcessLog
 from walkcart.daemon.processsetup import (
     STDERR,
@@ -19,7 +21,7 @@
     prepare_process,
 )
 from walkcart.daemon.signalwatch import RECEIVED_SIGNALS, SignalWatch
-from walkcart.kernel.clock import BootClock, TrioClock
+from walkcart.kernel.clock import TrioClock
 from walkcart.kernel.logsink import LogSink
 from walkcart.kernel.settings import (
     LoadedSettings,
@@ -30,8 +32,6 @@
 from walkcart.wire.network import TcpNetwork
 from walkcart.wire.peers import NngTransport
 
-EXIT_OK = 0
-EXIT_FAILED = 1
 EXIT_USAGE = 2
 CHECK_FLAG = "--check-settings"
 HELP_FLAGS = ("--help", "-h")
@@ -68,11 +68,9 @@
     sink = LogSink(STDERR)
     log = ProcessLog(cast(TextIO, sink), loaded.settings.instance)
     log.log_start(None)
+    run = partial(_run_instance, loaded.settings, setup, log)
     try:
-        return trio.run(_run_instance, loaded.settings, setup, log, clock=BootClock())
-    except BaseException as error:
-        log.log_error(error, EXIT_FAILED)
-        raise
+        return run_event_loop(run, setup, log)
     finally:
         sink.flush()
 
--- a/walkcart/daemon/platform.py
+++ b/walkcart/daemon/platform.py
@@ -20,6 +20,7 @@
 
 import trio
 
+from walkcart.daemon.eventloop import EXIT_FAILED, EXIT_OK, run_event_loop
 from walkcart.daemon.processlog import ProcessLog
 from walkcart.daemon.signalwatch import RECEIVED_SIGNALS, SignalWatch
 from walkcart.daemon.tenant import (
@@ -27,7 +28,7 @@
     TenantEnvironment,
     assemble_tenant,
 )
-from walkcart.kernel.clock import BootClock, TrioClock
+from walkcart.kernel.clock import TrioClock
 from walkcart.kernel.dependencylog import forward_library_logs
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
@@ -48,8 +49,6 @@
 #: its `metrics` entry states the same port to the platform.
 METRICS_VARIABLE = "WALKCART_METRICS_PORT"
 MAX_PORT = 65535
-EXIT_OK = 0
-EXIT_FAILED = 1
 #: Seconds between two checks of whether the settings file has changed, which can happen
 #: without a signal: half of the time within which a change must be in force.
 FILE_CHECK_INTERVAL = 1.0
@@ -69,10 +68,7 @@
     path = find_settings_path(log)
     program = _Program(setup, path, log, cast(TextIO, sink))
     try:
-        code = trio.run(program.run, clock=BootClock())
-    except BaseException as error:
-        log.log_error(error, EXIT_FAILED)
-        raise
+        code = run_event_loop(program.run, setup, log)
     finally:
         sink.flush()
     sys.exit(code)
--- a/walkcart/platform/tests/test_process_limits.py
+++ b/walkcart/platform/tests/test_process_limits.py
@@ -3,9 +3,14 @@
 import resource
 from pathlib import Path
 
+import pytest
 import trio
 
-from walkcart.platform.tests.test_busy_addresses import run_processes
+from walkcart.platform.tests.test_busy_addresses import (
+    find_events,
+    run_processes,
+    wait_event,
+)
 
 #: Threads of nng on a machine with one core, with some room for trio's.
 MAX_THREADS = 16
@@ -33,3 +38,33 @@
         return reply.status, machine.ends
 
     assert run_processes(tmp_path, act) == (200, [])
+
+
+@pytest.mark.parametrize("descriptors", [5, 6, 7, 8, 10, 12])
+def test_start_waits_for_descriptors_and_then_serves(tmp_path, descriptors):
+    async def act(world, machine):
+        _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        world.start_once(machine)
+        process = machine.process
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (descriptors, hard))
+        await wait_event(machine, "process_started")
+        await trio.sleep(1.0)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (hard, hard))
+        await world.wait_ready(machine)
+        reply = await world.ask(machine, "/one/x")
+        return reply.status, process.poll(), await world.end(machine)
+
+    assert run_processes(tmp_path, act) == (200, None, 0)
+
+
+def test_stop_while_waiting_for_descriptors_of_the_event_loop_ends_it(tmp_path):
+    async def act(world, machine):
+        machine.limits[resource.RLIMIT_NOFILE] = 6
+        world.start_once(machine)
+        await wait_event(machine, "library_warning")
+        code = await world.end(machine)
+        return code, find_events(machine, "process_ended")
+
+    code, ended = run_processes(tmp_path, act)
+    assert code == 0
+    assert [(line["reason"], line["serving"]) for line in ended] == [("SIGTERM", False)]
--- a/walkcart/platform/tests/test_process_signals.py
+++ b/walkcart/platform/tests/test_process_signals.py
@@ -15,7 +15,11 @@
     START_SECONDS,
     open_processes,
 )
-from walkcart.platform.tests.test_busy_addresses import find_events, run_processes
+from walkcart.platform.tests.test_busy_addresses import (
+    find_events,
+    run_processes,
+    wait_event,
+)
 
 #: Runs the program, in which an error escapes the event loop.
 FAILING_PROGRAM = """
@@ -89,6 +93,25 @@
     assert [(line["reason"], line["exit_code"]) for line in ended] == [("SIGTERM", 0)]
 
 
+def test_stop_signals_while_the_interpreter_ends_do_not_change_the_exit_code(tmp_path):
+    async def act(world, machine):
+        machine.environment["WALKCART_METRICS_PORT"] = "0"
+        world.start_once(machine)
+        await world.wait_ready(machine)
+        machine.process.send_signal(signal.SIGTERM)
+        await wait_event(machine, "process_ended")
+        with trio.fail_after(START_SECONDS):
+            while machine.process.poll() is None:
+                machine.process.send_signal(signal.SIGTERM)
+                machine.process.send_signal(signal.SIGINT)
+                await trio.sleep(0.001)
+        return machine.process.returncode, find_events(machine, "process_ended")
+
+    code, ended = run_processes(tmp_path, act)
+    assert code == 0
+    assert [line["exit_code"] for line in ended] == [0]
+
+
 def test_killed_process_shows_as_two_starts_in_a_row(tmp_path):
     async def act(world, machine):
         world.start(machine)
