Clock readings of peers: an extreme one leaves envelopes to that peer readable

What callers would see: after one envelope of a foreign program, or one that was garbled without a checksum, with a reading of the clock near the bound of figures, this instance's envelopes to the instance named in it are rejected whole by that instance: questions, feeds and grants in one direction are lost. With the right process id it lasts until one of the two restarts, as only later readings replace a reading.

Cause: the bound of the figures was checked where a reading comes in, not where it is sent back with the elapsed time added, so 1e12 became more than 1e12.

Why it works: what is sent back is limited to the range that peers accept.

--- a/walkcart/membership/messageages.py
+++ b/walkcart/membership/messageages.py
@@ -28,6 +28,8 @@
 
 from dataclasses import dataclass
 
+from walkcart.wire.figures import MAX_FIGURE
+
 #: Upper bound on the relative drift between the monotonic clocks of two machines: ten
 #: times the usual drift of quartz oscillators.
 MAX_CLOCK_DRIFT = 2e-4
@@ -102,7 +104,9 @@
         held = self._offset_bounds.get(peer)
         if held is None:
             return Stamp(self.life, now)
-        return Stamp(self.life, now, held.life, now + held.find_min_offset(now))
+        # The peer rejects a whole envelope whose figures are out of bounds.
+        least = max(-MAX_FIGURE, min(MAX_FIGURE, now + held.find_min_offset(now)))
+        return Stamp(self.life, now, held.life, least)
 
     def find_age(self, stamp: Stamp, now: float) -> float:
         """Return an envelope's maximum age in seconds; infinite if unknown."""
--- a/walkcart/membership/tests/test_message_ages.py
+++ b/walkcart/membership/tests/test_message_ages.py
@@ -3,7 +3,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from walkcart.membership.messageages import ClockReadings
+from walkcart.membership.messageages import ClockReadings, Stamp
+from walkcart.wire.codec import decode_envelope, encode_envelope
+from walkcart.wire.figures import MAX_FIGURE
+from walkcart.wire.messages import Envelope
 
 DELAYS = st.floats(0.0, 5.0)
 
@@ -52,3 +55,27 @@
     assert new.find_age(own.make_stamp("other", 12.0), 0.5) == float("inf")
     own.record_stamp("other", new.make_stamp("own", 0.6), 12.5)
     assert new.find_age(own.make_stamp("other", 13.0), 1.2) < 0.2
+
+
+@given(st.floats(-MAX_FIGURE, MAX_FIGURE), st.floats(0.0, 1e9), st.booleans())
+def test_extreme_reading_of_a_peer_leaves_envelopes_to_it_readable(
+    sent_at, elapsed, is_known
+):
+    """Any program can send a reading at the bound; it was sent back beyond it."""
+    own = ClockReadings("own")
+    if is_known:
+        own.record_stamp("other", Stamp("other", 500.0), 10.0)
+    own.record_stamp("other", Stamp("other", sent_at), 11.0)
+    stamp = own.make_stamp("other", 12.0 + elapsed)
+    envelope = Envelope(
+        "own",
+        0,
+        "",
+        0,
+        (),
+        stamp.life,
+        stamp.sent_at,
+        stamp.to_life,
+        stamp.least_reading,
+    )
+    assert decode_envelope(encode_envelope(envelope)) == envelope
