Split the packing of envelopes from the links to peers

It is now a class of its own, unchanged but for its place; the tests of membership, wire and fanout pass.

--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from datetime import timedelta
 
 import trio
@@ -13,10 +13,11 @@
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.settings import HostPort
 from walkcart.kernel.taskerrors import log_task_error
+from walkcart.membership.envelopes import EnvelopePacker
 from walkcart.membership.messageages import ClockReadings, Stamp
 from walkcart.membership.outbox import Outbox
 from walkcart.membership.peerdirectory import PeerDirectory, parse_address
-from walkcart.wire.codec import BadMessage, decode_envelope, encode_envelope
+from walkcart.wire.codec import BadMessage, decode_envelope
 from walkcart.wire.messages import Envelope, Message
 from walkcart.wire.peers import PeerListener, PeerSender, PeerTransport
 from walkcart.wire.pieces import PieceJoiner, split_message
@@ -30,8 +31,7 @@
 #: Seconds from a failure of the listener until the next try.
 RECEIVE_RETRY_DELAY = 0.5
 #: Time for connecting to a peer and sending one envelope, or one piece of a long one.
-#: After it the link is closed,
-#: and all its queued messages are lost.
+#: After it the link is closed, and all its queued messages are lost.
 SEND_TIMEOUT = timedelta(seconds=2)
 #: Shortest time between two new connections to a peer that doesn't answer, since a
 #: connection may be dead without having been closed. The old connection is kept open
@@ -72,6 +72,7 @@
         self._handlers: dict[type[Message], MessageHandler] = {}
         self._aged_handlers: dict[type[Message], AgedMessageHandler] = {}
         self._clock_readings = ClockReadings(secrets.token_hex(LIFE_ID_BYTES))
+        self._packer = EnvelopePacker(view, self._clock_readings, events, metrics)
         self._links: dict[tuple[str, HostPort], Outbox] = {}
         self._joiner = PieceJoiner()
         #: The last known address of each instance, from its envelopes or the directory,
@@ -284,7 +285,7 @@
                     # weren't sent.
                     await sender.wait_connected()
                     messages = link.take_batch()
-                    for data in self._pack_envelopes(name, messages):
+                    for data in self._packer.pack(name, messages):
                         await _send_pieces(sender, data, scope)
                 if scope.cancelled_caught:
                     lost = len(messages) + len(link)
@@ -308,48 +309,6 @@
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
                 await sender.close()
 
-    def _pack_envelopes(
-        self, name: str, messages: tuple[Message, ...]
-    ) -> Iterator[bytes]:
-        """Yield envelopes with the messages: one, unless they don't go together.
-
-        A message that can't be sent at all costs none of the others.
-        """
-        if not messages:
-            return
-        try:
-            data = self._pack_envelope(name, messages)
-        except BadMessage as error:
-            if len(messages) > 1:
-                middle = len(messages) // 2
-                yield from self._pack_envelopes(name, messages[:middle])
-                yield from self._pack_envelopes(name, messages[middle:])
-                return
-            self._metrics.count("peer.dropped")
-            detail = f"{type(messages[0]).__name__} isn't sent: {error}"[:200]
-            self._events.emit(Events.PEER_BAD_MESSAGE, peer=name, detail=detail)
-            return
-        self._metrics.count("peer.sent", len(messages))
-        self._metrics.count("peer.bytes", len(data))
-        yield data
-
-    def _pack_envelope(self, name: str, messages: tuple[Message, ...]) -> bytes:
-        record = self._view.find(name)
-        own = self._view.own
-        stamp = self._clock_readings.make_stamp(name, trio.current_time())
-        envelope = Envelope(
-            own.name,
-            own.incarnation,
-            "" if stamp.to_life else own.peer_address,
-            record.incarnation if record else 0,
-            messages,
-            stamp.life,
-            stamp.sent_at,
-            stamp.to_life,
-            stamp.least_reading,
-        )
-        return encode_envelope(envelope)
-
 
 async def _send_pieces(
     sender: PeerSender, data: bytes, scope: trio.CancelScope
