Bound the cold phase that one report of a leaf begins

What operators would see: a leaf whose entry or reply once states a huge cold time gets only the few requests of a cold leaf for up to a year, as the end of a cold phase is never moved to an earlier time.

A report now begins at most ten minutes; event 312 says so for an entry. A leaf that really is cold for longer states what is left with each reply, and each extends the phase.

--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -189,6 +189,12 @@
         "leaf_ended",
         "A leaf's process ended while it had a request; the event says which.",
     )
+    LEAF_COLD_BOUNDED = _warn(
+        312,
+        "leaf_cold_bounded",
+        "A leaf's entry states a longer cold phase than is credible; a shorter one is "
+        "used.",
+    )
     MEMBER_SUSPECTED = _info(401, "member_suspected", "A peer misses heartbeats.")
     MEMBER_DEAD = _warn(402, "member_dead", "A suspected peer didn't answer in time.")
     MEMBER_JOINED = _info(403, "member_joined", "A peer is live.")
--- a/walkcart/leaves/coldlimiter.py
+++ b/walkcart/leaves/coldlimiter.py
@@ -99,7 +99,7 @@
         for leaf in self._directory.leaves():
             spec = self._spec_of(leaf)
             if spec is not None and leaf.data_centre in data_centres:
-                leaf.extend_cold(now + spec.cold_time.total_seconds())
+                leaf.extend_cold(now, spec.cold_time)
 
     def find_bounded(self) -> frozenset[str]:
         """Return the data centres with leaves that are limited while they are cold."""
--- a/walkcart/leaves/directory.py
+++ b/walkcart/leaves/directory.py
@@ -18,7 +18,7 @@
 from walkcart.kernel.clock import Clock
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
-from walkcart.leaves.leaf import Leaf
+from walkcart.leaves.leaf import MAX_COLD_TIME, Leaf
 from walkcart.routing.distance import Location
 from walkcart.routing.eligibility import (
     NO_DATA_CENTRES,
@@ -183,8 +183,17 @@
         for id, entry in found.items():
             if before.get(id) is not entry and entry.cold_time:
                 # A leaf may become cold again at any time.
-                until = now + entry.cold_time.total_seconds()
-                self._leaves[id].extend_cold(until)
+                self._extend_cold(id, now, entry.cold_time)
+
+    def _extend_cold(self, id: str, now: float, cold_time: timedelta) -> None:
+        if cold_time > MAX_COLD_TIME:
+            self._events.emit(
+                Events.LEAF_COLD_BOUNDED,
+                leaf=id,
+                stated_s=cold_time.total_seconds(),
+                used_s=MAX_COLD_TIME.total_seconds(),
+            )
+        self._leaves[id].extend_cold(now, cold_time)
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Remove entries that stay lapsed, until cancelled."""
@@ -258,7 +267,7 @@
         }
         leaf = Leaf(entry.address, labels, entry.slots, id=entry.id)
         if entry.cold_time:
-            leaf.extend_cold(now + entry.cold_time.total_seconds())
+            leaf.extend_cold(now, entry.cold_time)
         leaf.incarnation = entry.incarnation
         return leaf
 
--- a/walkcart/leaves/leaf.py
+++ b/walkcart/leaves/leaf.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from datetime import timedelta
 
 from walkcart.kernel.numbers import read_number
 from walkcart.routing.distance import Location
@@ -13,6 +14,9 @@
 
 #: Seconds after which a leaf's reported load counts for half.
 LOAD_HALF_LIFE = 0.1
+#: Longest cold phase that one report of a leaf, or one configuration, can begin: cold
+#: leaves take some seconds. A leaf that is cold for longer reports it with each reply.
+MAX_COLD_TIME = timedelta(minutes=10)
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -118,8 +122,9 @@
         """Return the estimated number of requests of other instances at the leaf."""
         return self._reported * 0.5 ** ((now - self._reported_at) / LOAD_HALF_LIFE)
 
-    def extend_cold(self, until: float) -> None:
+    def extend_cold(self, now: float, cold_time: timedelta) -> None:
         """Set the end of its cold phase, which is never moved to an earlier time."""
+        until = now + min(cold_time, MAX_COLD_TIME).total_seconds()
         self.cold_until = max(self.cold_until, until)
 
     def age(self, now: float) -> float:
--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -187,7 +187,7 @@
         if status.load is not None:
             leaf.record_load(now, status.load, self.room.count_waiting(leaf))
         if status.cold_time:
-            leaf.extend_cold(now + status.cold_time.total_seconds())
+            leaf.extend_cold(now, status.cold_time)
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Run the connections of the pool until cancelled."""
--- a/walkcart/leaves/tests/test_directory.py
+++ b/walkcart/leaves/tests/test_directory.py
@@ -1,7 +1,10 @@
-"""Leaves whose entries vanish from the store."""
+"""Leaves whose entries vanish from the store, or state extreme times."""
 
+from dataclasses import replace
+from datetime import timedelta
 from io import StringIO
 
+import pytest
 import trio
 
 from walkcart.bench.harness import run_mocked
@@ -61,3 +64,34 @@
 
 def test_long_outage_does_not_end_the_grace_of_a_lapsed_entry():
     assert run_mocked(run_outages, 60.0, 1.0) > LAPSE_GRACE.total_seconds()
+
+
+@pytest.mark.parametrize("is_known", [False, True])
+def test_one_report_of_a_huge_cold_time_does_not_keep_a_leaf_cold_for_days(is_known):
+    log = StringIO()
+
+    async def run():
+        clock = TrioClock()
+        await trio.sleep(100)
+        directory = LeafDirectory(clock, EventLog("one", clock, log), lambda: 0.0)
+        if is_known:
+            directory.set_entries([ENTRY])
+        directory.set_entries([replace(ENTRY, cold_time=timedelta(days=365))])
+        (leaf,) = directory.leaves_of("plain")
+        return leaf.cold_until - clock.monotonic()
+
+    assert run_mocked(run) == pytest.approx(600)
+    assert log.getvalue().count("leaf_cold_bounded") == 1
+
+
+def test_usual_cold_time_is_used_as_reported():
+    async def run():
+        clock = TrioClock()
+        await trio.sleep(100)
+        events = EventLog("one", clock, StringIO())
+        directory = LeafDirectory(clock, events, lambda: 0.0)
+        directory.set_entries([replace(ENTRY, cold_time=timedelta(seconds=9))])
+        (leaf,) = directory.leaves_of("plain")
+        return leaf.cold_until - clock.monotonic()
+
+    assert run_mocked(run) == pytest.approx(9)
