Keep times of a bounded number of kinds of requests

What would be seen: the memory of an instance grows for as long as peers name kinds that it doesn't know, by the length of each name and its times.

Cause: the pool of links kept an entry for each kind and distance for ever; kinds come from the configuration, but also in questions of other instances.

The 2,048 entries that were used last are kept, under the first 256 characters of their names. What has been dropped is learned anew.

Evidence: a test that named 6,144 kinds found as many entries on the code before (as a test of the pool; the times have a module of their own now).

--- a/walkcart/leaves/pool.py
+++ b/walkcart/leaves/pool.py
@@ -18,6 +18,7 @@
 from walkcart.leaves.attempts import Attempt, Deliver, Failed, Outcome, Refused, Replied
 from walkcart.leaves.leaf import Leaf
 from walkcart.leaves.link import LeafLink
+from walkcart.leaves.observedtimes import ObservedTimes
 from walkcart.leaves.poolcapacity import PoolCapacity
 from walkcart.leaves.pooltools import Gathering, PoolTools
 from walkcart.leaves.protocol import LeafStatus
@@ -41,12 +42,6 @@
 UNINFORMATIVE_REASONS = frozenset(
     (Reason.CANCELLED, Reason.DEADLINE, Reason.NO_LEAF, Reason.NO_ROOM)
 )
-#: Seconds that a request is assumed to take until one was observed, by distance.
-INITIAL_TIMES = {
-    Distance.SAME_DATA_CENTRE: 0.03,
-    Distance.SAME_REGION: 0.032,
-    Distance.OTHER_REGION: 0.05,
-}
 
 
 class LeafPool:
@@ -63,16 +58,13 @@
         #: Number of instances that gather, or 0 if this one doesn't; set each round.
         self._gatherers = 0
         self._links: dict[str, LeafLink] = {}
-        self._times: dict[tuple[str, Distance], RequestTimes] = {}
+        self._times = ObservedTimes()
         self._nursery: trio.Nursery | None = None
         self.room = PoolCapacity(self._links, self.median_time, tools.link.clock)
 
     def times_of(self, kind: str, distance: Distance) -> RequestTimes:
         """Return the observed times of a kind of request at leaves at a distance."""
-        key = (kind, distance)
-        if key not in self._times:
-            self._times[key] = RequestTimes(INITIAL_TIMES[distance])
-        return self._times[key]
+        return self._times.find(kind, distance)
 
     def distance_to(self, leaf: Leaf) -> Distance:
         """Return the distance class of a leaf from this instance."""
