--- a/walkcart/daemon/assembly.py
+++ b/walkcart/daemon/assembly.py
@@ -27,11 +27,12 @@
 from walkcart.fanout.singlesender import SingleSender
 from walkcart.intent.distribution import ConfigurationKeeper
 from walkcart.kernel.eventlog import EventLog
+from walkcart.kernel.events import Events
 from walkcart.kernel.invariants import Invariants
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.registry import Kernel
 from walkcart.kernel.settings import HostPort, Settings
-from walkcart.kernel.spans import Tracer
+from walkcart.kernel.spans import OUTPUT_NONE, Tracer
 from walkcart.leaves.forwarding import Forwarder
 from walkcart.leaves.gateway import LeafGateway
 from walkcart.leaves.table import LeafTable
@@ -109,7 +110,7 @@
     clock = environment.clock
     events = EventLog(settings.instance, clock, environment.log, settings.log_level)
     metrics = Metrics(settings.statsd, settings.instance)
-    tracer = Tracer(settings.instance, settings.span_output, settings.span_ratio)
+    tracer = _make_tracer(settings, events)
     budget = CallBudget(STORE_RATE, STORE_BURST, clock)
     kernel.add("events", events)
     kernel.add("metrics", metrics)
@@ -123,6 +124,20 @@
     kernel.add("store", store)
 
 
+def _make_tracer(settings: Settings, events: EventLog) -> Tracer:
+    """Return a tracer, which writes no spans if their file can't be opened."""
+    try:
+        return Tracer(settings.instance, settings.span_output, settings.span_ratio)
+    except OSError as error:
+        events.emit(
+            Events.SETTING_INVALID,
+            setting="span_output",
+            value=settings.span_output,
+            expected=f"a file that can be written; no spans are written: {error}",
+        )
+        return Tracer(settings.instance, OUTPUT_NONE, settings.span_ratio)
+
+
 def _add_membership(
     kernel: Kernel,
     settings: Settings,
--- a/walkcart/daemon/tests/test_own_program.py
+++ b/walkcart/daemon/tests/test_own_program.py
@@ -14,7 +14,7 @@
 STEP_SECONDS = 20.0
 
 
-def start_program(log_path, callers, peers):
+def start_program(log_path, callers, peers, *more):
     """Start the program; its log goes to a file."""
     with log_path.open("wb") as log:
         return subprocess.Popen(
@@ -30,6 +30,7 @@
                 "127.0.0.1:9",
                 "--stop-grace",
                 "0",
+                *more,
             ],
             env={k: v for k, v in os.environ.items() if "WALKCART" not in k},
             stderr=log,
@@ -89,3 +90,37 @@
             process.kill()
             process.wait()
     assert '"serving": false' in log_path.read_text(encoding="utf-8")
+
+
+@pytest.mark.parametrize("place", ["missing/spans", "", "/dev/full"])
+def test_start_does_not_need_the_file_of_spans(tmp_path, place):
+    log_path = tmp_path / "log"
+    output = str(tmp_path / place)
+    process = start_program(
+        log_path, 0, 0, "--span-output", output, "--span-ratio", "1"
+    )
+    try:
+        wait_event(process, log_path, "started")
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(STEP_SECONDS) == 0
+    finally:
+        process.kill()
+        process.wait()
+    invalid = '"setting_invalid"' in log_path.read_text(encoding="utf-8")
+    assert invalid == (place != "/dev/full")
+
+
+def test_further_stop_signals_end_the_program_with_its_exit_code(tmp_path):
+    log_path = tmp_path / "log"
+    process = start_program(log_path, 0, 0)
+    try:
+        wait_event(process, log_path, "started")
+        process.send_signal(signal.SIGTERM)
+        while process.poll() is None:
+            if '"event": "process_ended"' in log_path.read_text(encoding="utf-8"):
+                process.send_signal(signal.SIGTERM)
+            sleep(0.001)
+    finally:
+        process.kill()
+        process.wait()
+    assert process.returncode == 0
