Soak: ends by turns, stops signalled again, late settings and descriptors

Five kinds of faults while a process starts and ends join the table: ends by SIGKILL and SIGTERM in series with SIGHUPs between, further stop signals until the end, settings that become valid later, descriptors that come later, pauses in the start and in the stop.

Kinds without events, since the check of events at the end injects all kinds with events into one daemon at once, and these end it.

--- a/walkcart/platform/tests/soakfaults.py
+++ b/walkcart/platform/tests/soakfaults.py
@@ -29,6 +29,13 @@
     restart_quickly,
     stop,
 )
+from walkcart.platform.tests.soakstartfaults import (
+    end_by_turns,
+    pause_start_and_stop,
+    start_before_settings,
+    start_without_descriptors,
+    stop_again,
+)
 
 #: Injects a fault into a daemon, or into what surrounds it, for some seconds.
 Inject = Callable[[Soaked, str, float], Awaitable[None]]
@@ -105,4 +112,9 @@
     "ports": FaultKind(hold_port),
     "metrics": FaultKind(hold_metrics_port),
     "settings": FaultKind(break_settings, ("settings_bad",)),
+    "ends by turns": FaultKind(end_by_turns),
+    "stops again": FaultKind(stop_again),
+    "late settings": FaultKind(start_before_settings),
+    "late descriptors": FaultKind(start_without_descriptors),
+    "paused starts": FaultKind(pause_start_and_stop),
 }
