Store: a revision far above the copy's is confirmed before it is used

What callers would see: after one reply of the store with a wrong, very high revision, this instance never again gets a change of the configuration (new routes get 404) or of leafs' entries, and counts as up to date; only a restart ends it. In a fleet with feeds its subscribers take the revision over.

Cause: a copy goes on from the revision of the latest reply, and an item is replaced by a later revision only; the revision was checked for its type alone.

Why it works: a revision more than 2^32 above that of the copy is held against a page that is read at once. A store that is really there confirms it, at the cost of one call; otherwise the reply is logged as a bad one and dropped. The revision of a sound store never rises by so much between two replies, so nothing changes for it.

--- a/walkcart/store/follower.py
+++ b/walkcart/store/follower.py
@@ -33,6 +33,7 @@
     SharedStore,
 )
 from walkcart.store.reading import read_prefix
+from walkcart.store.revisions import confirm_revision, find_latest
 from walkcart.store.updates import STORE, Origin, Update, UpdateListener
 
 #: Time that one watch waits. A long wait is cheap, since each watch costs one call. A
@@ -222,6 +223,7 @@
         """
         started_at, revision = self._clock.monotonic(), self.revision
         result = await self._store.watch(self.prefix, revision, CHECK_WAIT)
+        await self._confirm(result)
         if isinstance(result, Changes) and not result.changes:
             self._told_change = 0
             self.record_current(result.revision, started_at)
@@ -286,6 +288,7 @@
             started_at = self._clock.monotonic()
             result = await self._watch()
             waited = self._clock.monotonic() - started_at
+            await self._confirm(result)
             is_stuck = self._is_stuck(result, waited)
             await self._process_result(result)
             if is_stuck:
@@ -337,10 +340,23 @@
         with self._freshness.watch():
             return await self._store.watch(self.prefix, self.revision, WATCH_WAIT)
 
+    async def _confirm(self, result: Changes | HistoryLost) -> None:
+        """Raise an error if a watch brought a revision that the store hasn't."""
+        if isinstance(result, Changes):
+            latest = find_latest(result.revision, result.changes)
+            await self._confirm_revision(latest)
+
+    async def _confirm_revision(self, revision: int) -> None:
+        await confirm_revision(
+            self._store, self._calls, self.prefix, revision, self.revision
+        )
+
     async def _read_all(self, fresh: bool) -> None:
         """Read everything and replace the copy with it."""
         started_at = self._clock.monotonic()
         reading = await read_prefix(self._store, self.prefix, fresh)
+        latest = find_latest(reading.revision, reading.items.values())
+        await self._confirm_revision(latest)
         self._events.emit(
             Events.STORE_READ,
             prefix=self.prefix,
