Store: a copy whose revision the store hasn't reached is read again

What callers would see: after one reply of the store with a revision that is a little too high, changes of the configuration and of leafs' entries don't come into force at this instance until the store has made as many changes.

Cause: a copy goes on from the revision of the latest reply, and a watch from a revision ahead of the store's waits and brings nothing. That such a watch states a lower revision was ignored.

Evidence: the new tests spoil one page or one watch by 50; both failed before, and pass now.

Why it works: a watch that states a revision below the one it began from shows a wrong one. Everything is read again; if that confirms it, the copy is replaced by what is stored, and its history begins anew. A sound store never states such a revision, and if one did, it would cost a read for each watch.

--- a/walkcart/platform/tests/test_wrong_revisions.py
+++ b/walkcart/platform/tests/test_wrong_revisions.py
@@ -12,9 +12,12 @@
 from walkcart.bench.harness import run_mocked
 from walkcart.platform.tests.platformworld import make_route, open_platform
 from walkcart.platform.tests.storestandin import PlatformStoreStandin
+from walkcart.store.follower import WATCH_WAIT
 from walkcart.wire.http import HttpReply
 
 HIGHEST = 2**63 - 1
+#: More changes than the test makes.
+SOME_CHANGES = 50
 #: Seconds in which a change is in force, with a watch that has to be repeated.
 CHANGE_SECONDS = 5
 
@@ -25,6 +28,12 @@
     return True
 
 
+def raise_revision_a_little(content: dict[str, Any]) -> bool:
+    """Set a revision that the store reaches after some more changes."""
+    content["asOf"] += SOME_CHANGES
+    return True
+
+
 def raise_item(content: dict[str, Any]) -> bool:
     """Set the revision of the first item in a reply; return whether there is one."""
     rows = content.get("events") or content.get("items") or []
@@ -53,6 +62,34 @@
     return spoiled
 
 
+@pytest.mark.parametrize("call", ["kv-range", "kv-watch"])
+def test_changes_come_again_after_a_revision_that_is_a_little_too_high(
+    monkeypatch, call
+):
+    """Until the store reached that revision, no change came."""
+    spoiled = spoil_one_reply(monkeypatch, call, raise_revision_a_little)
+
+    async def run():
+        async with open_platform() as world:
+            await world.start_leaf("a1", "a")
+            world.configure(make_route("r", "/r/", backend="a"))
+            await world.start_instance()
+            await world.wait_ready()
+            await trio.sleep(5)
+            world.configure(make_route("r", "/r1/", backend="a"))
+            await trio.sleep(WATCH_WAIT.total_seconds() + CHANGE_SECONDS)
+            assert len(spoiled) == 1
+            assert (await world.ask("/r1/1")).status == 200
+            calls = len(world.store.calls)
+            world.configure(make_route("r", "/r2/", backend="a"))
+            await trio.sleep(CHANGE_SECONDS)
+            assert (await world.ask("/r2/1")).status == 200
+            assert len(world.store.calls) < calls + 10 * CHANGE_SECONDS
+            assert "store_bad_reply" in world.log.getvalue()
+
+    run_mocked(run)
+
+
 @pytest.mark.parametrize("call", ["kv-range", "kv-watch"])
 @pytest.mark.parametrize("change", [raise_revision, raise_item])
 def test_one_wrong_revision_does_not_end_the_updates_of_a_copy(
--- a/walkcart/store/follower.py
+++ b/walkcart/store/follower.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 
@@ -285,10 +286,12 @@
                     await self._watch_requested.wait()
             elif self._needs_read or self._is_behind():
                 await self._read_all(fresh=True)
-            started_at = self._clock.monotonic()
+            started_at, watched_from = self._clock.monotonic(), self.revision
             result = await self._watch()
             waited = self._clock.monotonic() - started_at
             await self._confirm(result)
+            if isinstance(result, Changes) and result.revision < watched_from:
+                await self._check_revision(watched_from)
             is_stuck = self._is_stuck(result, waited)
             await self._process_result(result)
             if is_stuck:
@@ -351,6 +354,28 @@
             self._store, self._calls, self.prefix, revision, self.revision
         )
 
+    async def _check_revision(self, revision: int) -> None:
+        """Replace the copy by what is stored if the store hasn't reached its revision.
+
+        Such a revision comes from a wrong reply. A watch from it would bring no changes
+        until the store reaches it.
+        """
+        reading = await read_prefix(self._store, self.prefix, fresh=True)
+        if reading.revision >= revision or self.revision != revision:
+            return
+        self._events.emit(
+            Events.STORE_BAD_REPLY,
+            detail=f"revision {revision}, and then {reading.revision}",
+        )
+        self._items = {
+            key: dataclasses.replace(item, revision=0)
+            for key, item in self._items.items()
+        }
+        self._history = ChangeHistory()
+        self._history.start_at(reading.revision)
+        self.revision = self._told_change = 0
+        self.replace(reading.items, reading.revision)
+
     async def _read_all(self, fresh: bool) -> None:
         """Read everything and replace the copy with it."""
         started_at = self._clock.monotonic()
