--- a/walkcart/store/follower.py
+++ b/walkcart/store/follower.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 
@@ -33,6 +34,7 @@
     SharedStore,
 )
 from walkcart.store.reading import read_prefix
+from walkcart.store.revisions import confirm_revision, find_latest
 from walkcart.store.updates import STORE, Origin, Update, UpdateListener
 
 #: Time that one watch waits. A long wait is cheap, since each watch costs one call. A
@@ -222,6 +224,7 @@
         """
         started_at, revision = self._clock.monotonic(), self.revision
         result = await self._store.watch(self.prefix, revision, CHECK_WAIT)
+        await self._confirm(result)
         if isinstance(result, Changes) and not result.changes:
             self._told_change = 0
             self.record_current(result.revision, started_at)
@@ -283,9 +286,12 @@
                     await self._watch_requested.wait()
             elif self._needs_read or self._is_behind():
                 await self._read_all(fresh=True)
-            started_at = self._clock.monotonic()
+            started_at, watched_from = self._clock.monotonic(), self.revision
             result = await self._watch()
             waited = self._clock.monotonic() - started_at
+            await self._confirm(result)
+            if isinstance(result, Changes) and result.revision < watched_from:
+                await self._check_revision(watched_from)
             is_stuck = self._is_stuck(result, waited)
             await self._process_result(result)
             if is_stuck:
@@ -337,10 +343,45 @@
         with self._freshness.watch():
             return await self._store.watch(self.prefix, self.revision, WATCH_WAIT)
 
+    async def _confirm(self, result: Changes | HistoryLost) -> None:
+        """Raise an error if a watch brought a revision that the store hasn't."""
+        if isinstance(result, Changes):
+            latest = find_latest(result.revision, result.changes)
+            await self._confirm_revision(latest)
+
+    async def _confirm_revision(self, revision: int) -> None:
+        await confirm_revision(
+            self._store, self._calls, self.prefix, revision, self.revision
+        )
+
+    async def _check_revision(self, revision: int) -> None:
+        """Replace the copy by what is stored if the store hasn't reached its revision.
+
+        Such a revision comes from a wrong reply. A watch from it would bring no changes
+        until the store reaches it.
+        """
+        reading = await read_prefix(self._store, self.prefix, fresh=True)
+        if reading.revision >= revision or self.revision != revision:
+            return
+        self._events.emit(
+            Events.STORE_BAD_REPLY,
+            detail=f"revision {revision}, and then {reading.revision}",
+        )
+        self._items = {
+            key: dataclasses.replace(item, revision=0)
+            for key, item in self._items.items()
+        }
+        self._history = ChangeHistory()
+        self._history.start_at(reading.revision)
+        self.revision = self._told_change = 0
+        self.replace(reading.items, reading.revision)
+
     async def _read_all(self, fresh: bool) -> None:
         """Read everything and replace the copy with it."""
         started_at = self._clock.monotonic()
         reading = await read_prefix(self._store, self.prefix, fresh)
+        latest = find_latest(reading.revision, reading.items.values())
+        await self._confirm_revision(latest)
         self._events.emit(
             Events.STORE_READ,
             prefix=self.prefix,
