--- a/walkcart/bench/routed/instances.py
+++ b/walkcart/bench/routed/instances.py
@@ -238,7 +238,6 @@
             Quarantine(),
             self._clock,
             record.name,
-            self._random,
             self.events,
             self.metrics,
         )
--- a/walkcart/daemon/instanceleaves.py
+++ b/walkcart/daemon/instanceleaves.py
@@ -10,7 +10,7 @@
 from walkcart.fanout.gatherer import Gatherer
 from walkcart.fanout.gathering import GatherTools
 from walkcart.fanout.ids import IdSource
-from walkcart.fanout.quarantines import Quarantines
+from walkcart.fanout.quarantines import Quarantines, find_trial_delay
 from walkcart.fanout.selection import LeafSelector
 from walkcart.fanout.singlesender import SingleSender
 from walkcart.intent.distribution import ConfigurationKeeper
@@ -91,12 +91,11 @@
 def _add_quarantines(kernel: Kernel, environment: Environment) -> Quarantines:
     """Add the quarantine of requests that crashed leaves, and its gossip."""
     view = kernel.find("view", MembershipView)
-    quarantine = Quarantine()
+    quarantine = Quarantine(find_trial_delay(view.own.name))
     quarantines = Quarantines(
         quarantine,
         environment.clock,
         view.own.name,
-        environment.random,
         kernel.find("events", EventLog),
         kernel.find("metrics", Metrics),
     )
--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -22,7 +22,7 @@
 from walkcart.fanout.merginghandover import MergingHandover
 from walkcart.fanout.origins import RequestOrigins
 from walkcart.fanout.quarantinepeers import QuarantinePeers
-from walkcart.fanout.quarantines import Quarantines
+from walkcart.fanout.quarantines import Quarantines, find_trial_delay
 from walkcart.fanout.routed import RoutedGathering
 from walkcart.fanout.routedquestion import RoutedAnswer, RoutedQuestion
 from walkcart.fanout.routedtools import RoutedTools
@@ -192,12 +192,11 @@
     """Add the quarantine of requests that crashed leaves, its gossip and its store."""
     events = kernel.find("events", EventLog)
     registration = kernel.find("registration", Registration)
-    quarantine = Quarantine()
+    quarantine = Quarantine(find_trial_delay(registration.own.name))
     quarantines = Quarantines(
         quarantine,
         environment.clock,
         registration.own.name,
-        environment.random,
         events,
         kernel.find("metrics", Metrics),
     )
--- a/walkcart/entry/routed.py
+++ b/walkcart/entry/routed.py
@@ -237,7 +237,8 @@
     ) -> Result[RoutedAnswer, RoutedFailure]:
         """Send a question to the leaves, and record whether they crashed under it."""
         tools = self._tools.gathering
-        watch = CrashWatch(len(question.services), question.careful)
+        known = tools.quarantines.find_strikes(question.fingerprint)
+        watch = CrashWatch(len(question.services), question.careful, known)
         try:
             span = self._tools.tracer.start(
                 "routed.request",
--- a/walkcart/fanout/crashwatch.py
+++ b/walkcart/fanout/crashwatch.py
@@ -22,11 +22,29 @@
     Args:
         services: number of services that the question goes to.
         careful: whether one leaf must answer before the others are asked.
+        known_strikes: the strikes that were known of the question when it was admitted.
     """
 
-    def __init__(self, services: int, careful: bool = False) -> None:
-        self._has_several_services = services > 1
+    def __init__(
+        self,
+        services: int,
+        careful: bool = False,
+        known_strikes: frozenset[int] = frozenset(),
+    ) -> None:
+        self.has_several_services = services > 1
         self._careful = careful
+        self.known_strikes = known_strikes
+        #: Crashes of leaves that were asked after the crash before.
+        self._successive = 0
+        #: Time of the last of these, in seconds.
+        self._successive_at = float("-inf")
+        #: Whether a leaf crashed that was asked alone.
+        self._has_crashed_alone = False
+        #: Id of the leaf of the last strike.
+        self.last_leaf = ""
+        #: Times of the first and the last crash, in seconds; infinite if unknown.
+        self.first_ended_at = float("inf")
+        self.last_ended_at = float("inf")
         #: The service with the only attempt under way in sequential mode, or None.
         self._sole_service: str | None = None
         self.ended = 0
@@ -40,7 +58,7 @@
         """Whether leaves are asked one at a time, until one answers."""
         if self.answered:
             return False
-        many = self._has_several_services and self.ended >= ENDED_THRESHOLD
+        many = self.has_several_services and self.ended >= ENDED_THRESHOLD
         return self._careful or self.is_stopped or many
 
     @property
@@ -70,22 +88,56 @@
         self.answered = True
         self.is_stopped = False
 
-    def record_ended(self, service: str, count: int = 1) -> None:
-        """Record that `count` leaves of `service` crashed under the question."""
+    def record_ended(
+        self,
+        service: str,
+        count: int = 1,
+        sent_at: float = float("inf"),
+        now: float = float("inf"),
+        leaf: str = "",
+    ) -> None:
+        """Record that leaves crashed under the question.
+
+        Args:
+            service: their service.
+            count: number of leaves.
+            sent_at: when the attempt was sent, in seconds. Of attempts that were under
+                way together only one counts for a single service.
+            now: the current time, in seconds; infinite if unknown.
+            leaf: id of the leaf, if a single one crashed.
+        """
         was_sole = self._sole_service == service
         self.ended += count
+        is_successive = sent_at >= self._successive_at
+        if is_successive:
+            self._successive += 1
+            self._successive_at = now
+            self.first_ended_at = min(self.first_ended_at, now)
+            self.last_ended_at = now
+        if was_sole or (is_successive and not self.has_several_services):
+            self.last_leaf = leaf
         self._clear_sole_service(service)
         if was_sole and not self.answered:
-            self.is_stopped = True
+            self.is_stopped = self._has_crashed_alone = True
 
     def record_failed(self, service: str) -> None:
         """Record that an attempt failed in another way, without an answer."""
         self._clear_sole_service(service)
 
-    def record_refused(self) -> None:
-        """Record that another instance reports that the question crashes leaves."""
-        if not self.answered:
-            self.is_stopped = True
+    def record_refused(self, has_crashed: bool, peer: str) -> None:
+        """Record that another instance reports that the question crashes leaves.
+
+        Args:
+            has_crashed: whether a leaf that it asked alone crashed; otherwise it didn't
+                run the question, because of strikes that it knows.
+            peer: name of the other instance.
+        """
+        if self.answered:
+            return
+        self.is_stopped = True
+        if has_crashed:
+            self._has_crashed_alone = True
+            self.last_leaf = peer
 
     def count_strikes(self) -> int:
         """Return how many independent crashes this run counts for the quarantine."""
@@ -93,9 +145,9 @@
             return 0
         if self._careful:
             return 1
-        if not self._has_several_services:
-            return min(self.ended, ENDED_THRESHOLD)
-        return 2 if self.is_stopped else 1
+        if not self.has_several_services:
+            return min(self._successive, ENDED_THRESHOLD)
+        return 2 if self._has_crashed_alone else 1
 
     def _clear_sole_service(self, service: str) -> None:
         if self._sole_service == service:
--- a/walkcart/fanout/gatherer.py
+++ b/walkcart/fanout/gatherer.py
@@ -51,7 +51,8 @@
             return Failure(admitted)
         careful = admitted is QuarantineLevel.CAREFUL
         _, layout = self.choose(question)
-        watch = CrashWatch(len(layout.shards), careful)
+        known = self._tools.quarantines.find_strikes(question.fingerprint)
+        watch = CrashWatch(len(layout.shards), careful, known)
         try:
             return await self._gather(question, watch)
         finally:
--- a/walkcart/fanout/gathering.py
+++ b/walkcart/fanout/gathering.py
@@ -258,7 +258,11 @@
                 self._plan_retry(item, free=free)
             case Failed(verdict=verdict):
                 if verdict.reason is Reason.LEAF_ENDED:
-                    self._watch.record_ended(str(item.shard))
+                    now = self._tools.clock.monotonic()
+                    leaf = sent.leaf.id or sent.leaf.address
+                    self._watch.record_ended(
+                        str(item.shard), sent_at=sent.at, now=now, leaf=leaf
+                    )
                 else:
                     self._watch.record_failed(str(item.shard))
                 self._may_have_run |= isinstance(verdict, MayHaveRun)
--- a/walkcart/fanout/quarantines.py
+++ b/walkcart/fanout/quarantines.py
@@ -9,7 +9,6 @@
 
 from collections.abc import Callable
 from datetime import timedelta
-from random import Random
 
 import trio
 
@@ -20,14 +19,19 @@
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.metrics import Metrics
-from walkcart.routing.quarantine import Quarantine, QuarantineLevel
+from walkcart.routing.quarantine import (
+    STRIKE_BYTES,
+    Quarantine,
+    QuarantineLevel,
+    make_strike,
+)
 from walkcart.wire.delegations import DelegatedQuestion
 from walkcart.wire.fingerprint import make_fingerprint
 from walkcart.wire.verdicts import NotRun, Reason
 
-#: Bytes of the id of a strike: any two of a thousand strikes have the same id with a
-#: probability below 1e-8.
-STRIKE_BYTES = 6
+#: Seconds over which the instances' first trials after a refusal are spread. All know
+#: of a strike within 0.2 s, so of seven instances mostly one tries a request.
+MAX_TRIAL_DELAY = 4.0
 #: Maximum number of seconds for which a request waits while the same one is tried at
 #: one leaf. Most leaves answer within that time; a caller that would have to wait
 #: longer is told to retry.
@@ -45,9 +49,7 @@
     Args:
         quarantine: the records of requests under which leaves crashed.
         clock: source of time.
-        instance: name of this instance; it makes the ids of strikes differ between
-            instances with the same random source.
-        random: source of ids of strikes.
+        instance: name of this instance.
         events: log of decisions.
         metrics: counters of decisions.
     """
@@ -57,14 +59,12 @@
         quarantine: Quarantine,
         clock: Clock,
         instance: str,
-        random: Random,
         events: EventLog,
         metrics: Metrics,
     ) -> None:
         self._quarantine = quarantine
         self._clock = clock
-        self._instance = instance.encode()
-        self._random = random
+        self._instance = instance
         self._events = events
         self._metrics = metrics
         self._trials: dict[bytes, trio.Event] = {}
@@ -76,7 +76,8 @@
 
         Args:
             notify: tells the other instances of a changed record.
-            store_refused: stores a request that is refused from now on.
+            store_refused: stores a request that is refused from now on, by strikes of
+                more than one crash.
         """
         self._notify = notify
         self._store_refused = store_refused
@@ -85,6 +86,10 @@
         """Return how a request is handled at present."""
         return self._quarantine.find_level(fingerprint, self._clock.monotonic())
 
+    def find_strikes(self, fingerprint: bytes) -> frozenset[int]:
+        """Return the strikes that are known of a request at present."""
+        return self._quarantine.find_strikes(fingerprint)
+
     def is_restricted(
         self, question: DelegatedQuestion, origins: RequestOrigins
     ) -> bool:
@@ -138,8 +143,17 @@
         """
         if watch.answered:
             self._record_answer(fingerprint)
-        for _ in range(watch.count_strikes()):
-            self._record_strike(fingerprint)
+        known = watch.known_strikes
+        for number in range(watch.count_strikes()):
+            source = self._instance if watch.has_several_services else ""
+            struck_at = watch.first_ended_at
+            if careful or number:
+                # This leaf was seen to live.
+                source = watch.last_leaf
+                struck_at = watch.last_ended_at
+            strike = make_strike(fingerprint, known, source)
+            known |= {strike}
+            self._record_strike(fingerprint, strike, struck_at)
         if careful and (trial := self._trials.pop(fingerprint, None)) is not None:
             trial.set()
 
@@ -152,13 +166,15 @@
             self._events.emit(Events.QUARANTINE_LIFTED, question=fingerprint.hex())
             self._notify(fingerprint)
 
-    def _record_strike(self, fingerprint: bytes) -> None:
-        name = make_fingerprint(self._instance, self._random.randbytes(STRIKE_BYTES))
-        strike = int.from_bytes(name[:STRIKE_BYTES], "big")
-        now = self._clock.monotonic()
-        self._quarantine.record_strike(fingerprint, strike, now)
+    def _record_strike(self, fingerprint: bytes, strike: int, struck_at: float) -> None:
+        # A run may end seconds after the crash; strikes of one crash have one time.
+        at = min(struck_at, self._clock.monotonic())
+        self._quarantine.record_strike(fingerprint, strike, at, began_at=at)
         self._log_standing(fingerprint, "seen")
         self._notify(fingerprint)
+        held = self._quarantine.find(fingerprint)
+        if held is None or held.may_be_one_crash:
+            return
         if self.find_level(fingerprint) is QuarantineLevel.REFUSED:
             self._store_refused(fingerprint)
 
@@ -172,3 +188,13 @@
                 standing=standing.name.lower(),
                 source=source,
             )
+
+
+def find_trial_delay(instance: str) -> float:
+    """Return the delay of an instance's first trials; it differs between instances.
+
+    Args:
+        instance: name of the instance.
+    """
+    digest = int.from_bytes(make_fingerprint(instance.encode())[:STRIKE_BYTES], "big")
+    return MAX_TRIAL_DELAY * digest / 256**STRIKE_BYTES
--- a/walkcart/fanout/remoteparts.py
+++ b/walkcart/fanout/remoteparts.py
@@ -202,14 +202,16 @@
         self, group: DelegatedGroup, missing: Mapping[str, MissingPart]
     ) -> None:
         """Record whether leaves answered or crashed under a group."""
+        now = self._tools.clock.monotonic()
         if len(missing) < len(group.services):
             self._watch.record_answer()
         for name, part in missing.items():
             if part.reason is Reason.LEAF_ENDED:
                 self._progress[name].ended += part.ran
-                self._watch.record_ended(name, part.ran)
+                self._watch.record_ended(name, part.ran, now=now)
         if group.reason in (Reason.LEAF_ENDED, Reason.QUARANTINED):
-            self._watch.record_refused()
+            has_crashed = group.reason is Reason.LEAF_ENDED
+            self._watch.record_refused(has_crashed, group.peer)
 
     def _reassign_missing(
         self, group: DelegatedGroup, missing: list[ServiceProgress], now: float
--- a/walkcart/fanout/routed.py
+++ b/walkcart/fanout/routed.py
@@ -343,12 +343,13 @@
         while self._inbox:
             attempt, outcome = self._inbox.popleft()
             item = self._sends.find_progress(attempt)
-            item.under_way.pop(attempt.id, None)
-            self._process_outcome(item, attempt.leaf_id, outcome)
+            sent = item.under_way.pop(attempt.id, None)
+            sent_at = sent.at if sent else float("-inf")
+            self._process_outcome(item, attempt.leaf_id, sent_at, outcome)
         self._covered_count += self._remote.process_updates()
 
     def _process_outcome(
-        self, item: ServiceProgress, leaf_id: str, outcome: Outcome
+        self, item: ServiceProgress, leaf_id: str, sent_at: float, outcome: Outcome
     ) -> None:
         now = self._tools.clock.monotonic()
         match outcome:
@@ -377,7 +378,9 @@
             case Failed(MayHaveRun(reason=Reason.LEAF_ENDED)):
                 item.record_run(leaf_id)
                 item.ended += 1
-                self._watch.record_ended(item.service)
+                self._watch.record_ended(
+                    item.service, sent_at=sent_at, now=now, leaf=leaf_id
+                )
             case Failed(MayHaveRun() as verdict):
                 self._watch.record_failed(item.service)
                 item.record_run(leaf_id)
--- a/walkcart/fanout/singlesender.py
+++ b/walkcart/fanout/singlesender.py
@@ -65,7 +65,8 @@
         if isinstance(admitted, NotRun):
             return Failure(admitted)
         careful = admitted is QuarantineLevel.CAREFUL
-        watch = CrashWatch(1, careful)
+        known = self._tools.quarantines.find_strikes(fingerprint)
+        watch = CrashWatch(1, careful, known)
         try:
             return await self._send(request, watch)
         finally:
@@ -90,14 +91,16 @@
                 break
             leaves.remove(leaf)
             match await self._send_attempt(
-                request, shard, Snapshot(pin.layout, 0), leaf
+                request, shard, Snapshot(pin.layout, 0), leaf, watch.checks_liveness
             ):
                 case Replied() as reply:
                     watch.record_answer()
                     return Success(reply)
                 case Failed(verdict=MayHaveRun() as uncertain):
                     if uncertain.reason is Reason.LEAF_ENDED:
-                        watch.record_ended("")
+                        now = self._tools.clock.monotonic()
+                        name = leaf.id or leaf.address
+                        watch.record_ended("", now=now, leaf=name)
                     return Failure(uncertain)
                 case Failed(verdict=NotRun() as failed):
                     verdict = failed
@@ -106,7 +109,12 @@
         return Failure(verdict)
 
     async def _send_attempt(
-        self, request: OnceRequest, shard: int, pin: Snapshot, leaf: Leaf
+        self,
+        request: OnceRequest,
+        shard: int,
+        pin: Snapshot,
+        leaf: Leaf,
+        check_alive: bool,
     ) -> Outcome:
         """Send one attempt and wait for its outcome."""
         assert pin.version == ANY_VERSION
@@ -122,6 +130,7 @@
             expires=request.expires,
             traceparent=question.traceparent,
             fingerprint=question.fingerprint,
+            check_alive=check_alive,
         )
         slot = _OutcomeSlot()
         self._tools.gateway.submit(leaf, attempt, question.group, slot.deliver)
--- a/walkcart/fanout/tests/test_crash_watch.py
+++ b/walkcart/fanout/tests/test_crash_watch.py
@@ -64,3 +64,24 @@
     assert not watch.is_sequential
     watch.record_ended("a")
     assert watch.count_strikes() == 2
+
+
+def test_attempts_under_way_together_count_as_one_crash():
+    """Both leaves of a request and of its hedge crash at the same moment."""
+    watch = CrashWatch(services=1)
+    watch.record_ended("a", sent_at=1.0, now=2.0, leaf="one")
+    watch.record_ended("a", sent_at=1.5, now=2.0, leaf="two")
+    assert watch.count_strikes() == 1
+    watch.record_ended("a", sent_at=2.0, now=2.1, leaf="three")
+    assert watch.count_strikes() == 2
+    assert watch.last_leaf == "three"
+
+
+def test_a_group_that_another_instance_refused_counts_no_further_crash():
+    watch = CrashWatch(services=20)
+    watch.record_ended("a")
+    watch.record_refused(has_crashed=False, peer="other")
+    assert watch.is_stopped
+    assert watch.count_strikes() == 1
+    watch.record_refused(has_crashed=True, peer="other")
+    assert watch.count_strikes() == 2
--- a/walkcart/fanout/tests/test_origins.py
+++ b/walkcart/fanout/tests/test_origins.py
@@ -1,7 +1,6 @@
 """The team of a question, at the instance that asks and at the one that gathers."""
 
 from dataclasses import replace
-from random import Random
 from types import SimpleNamespace
 
 import msgspec
@@ -119,9 +118,7 @@
     other = make_question(origins, make_request((NAME, b"others")), "others")
     clock = ManualClock()
     quarantine = Quarantine()
-    quarantines = Quarantines(
-        quarantine, clock, "one", Random(1), NO_EVENTS, Metrics(None, "one")
-    )
+    quarantines = Quarantines(quarantine, clock, "one", NO_EVENTS, Metrics(None, "one"))
     for strike in range(3):
         quarantine.record_strike(question.fingerprint, strike, 10.0)
     kept = [
--- a/walkcart/membership/quarantinegossip.py
+++ b/walkcart/membership/quarantinegossip.py
@@ -31,7 +31,7 @@
 #: fleet of seven, an instance that was cut off hears from the six others within 3 s;
 #: operators allow four.
 GOSSIP_INTERVAL = timedelta(seconds=0.5)
-#: Entries in one message. Each takes 40 bytes, so a message has at most 1.3 KB.
+#: Entries in one message. Each takes 70 bytes, so a message has at most 2.3 KB.
 MAX_ENTRIES = 32
 
 
@@ -102,6 +102,7 @@
             tuple(sorted(held.strikes)),
             now - held.struck_at,
             min(NEVER, answered),
+            min(NEVER, now - held.began_at),
         )
 
     def _on_message(self, sender: str, message: Message, age: float) -> None:
@@ -122,7 +123,9 @@
 ) -> Iterable[tuple[bytes, StrikeRecord]]:
     """Yield the entries of a message, without invalid ones."""
     for entry in entries[:MAX_ENTRIES]:
-        ages = (entry.struck_age, entry.answered_age)
+        # Strikes that older instances tell may all be of one crash.
+        began_age = entry.struck_age if entry.began_age is None else entry.began_age
+        ages = (entry.struck_age, entry.answered_age, began_age)
         if (
             len(entry.fingerprint) != FINGERPRINT_BYTES
             or len(entry.strikes) > REFUSED_STRIKES
@@ -130,11 +133,11 @@
             continue
         if not all(isfinite(age) and age >= 0.0 for age in ages):
             continue
-        answered = float("-inf")
-        if entry.answered_age < NEVER:
-            answered = sent_at - entry.answered_age
-        struck_at = sent_at - entry.struck_age
+        struck_at, answered_at, began_at = (
+            sent_at - age if age < NEVER else float("-inf") for age in ages
+        )
+        strikes = frozenset(entry.strikes)
         yield (
             entry.fingerprint,
-            StrikeRecord(frozenset(entry.strikes), struck_at, answered),
+            StrikeRecord(strikes, struck_at, answered_at, began_at),
         )
--- a/walkcart/membership/quarantinekeys.py
+++ b/walkcart/membership/quarantinekeys.py
@@ -1,7 +1,8 @@
 """Refused requests in the shared store, which survive a restart of all instances.
 
 Instances exchange their quarantine entries, but these are lost if all instances stop at
-once. So the instance that refuses a request first stores its fingerprint, on a lease.
+once. So the instance that refuses a request first stores its fingerprint, on a lease,
+unless the strikes may be of one crash of many leaves: such a refusal is short.
 This takes two calls and no extra read, since the keys are read together with those of
 the instances.
 
--- a/walkcart/membership/tests/test_quarantine_news.py
+++ b/walkcart/membership/tests/test_quarantine_news.py
@@ -12,8 +12,14 @@
 from walkcart.kernel.settings import HostPort
 from walkcart.membership.links import PeerLinks
 from walkcart.membership.quarantinegossip import QuarantineGossip
-from walkcart.routing.quarantine import Quarantine, QuarantineLevel
+from walkcart.routing.quarantine import (
+    FIRST_REFUSAL_TIME,
+    REFUSAL_TIME,
+    Quarantine,
+    QuarantineLevel,
+)
 from walkcart.standins.memory import MemoryNetwork
+from walkcart.wire.quarantines import QuarantineEntry, QuarantineNews
 
 FINGERPRINT = b"requestprint"
 #: Seconds within which all instances must know; the platform's bounds by fleet size.
@@ -170,3 +176,24 @@
         )
 
     assert run_fleet(195, scenario) <= run_fleet(7, scenario) + 1
+
+
+def test_strikes_of_older_instances_are_refused_shortly_and_those_of_newer_as_told():
+    """An older instance doesn't tell when the strikes began: it may be one crash."""
+
+    async def scenario(network, members):
+        waits = []
+        for began in ((), (1e9, 0.1), (1e9, 200.0)):
+            sender, receiver = members[:2]
+            receiver.quarantine.__init__()
+            entry = QuarantineEntry(FINGERPRINT, (1, 2, 3), 0.0, *began)
+            sender.links.send(receiver.name, QuarantineNews((entry,)))
+            await trio.sleep(0.1)
+            now = trio.current_time()
+            waits.append(receiver.quarantine.find_wait(FINGERPRINT, now))
+        return waits
+
+    short, also_short, long = run_fleet(2, scenario)
+    assert 0 < short <= FIRST_REFUSAL_TIME
+    assert 0 < also_short <= FIRST_REFUSAL_TIME
+    assert REFUSAL_TIME - 1 < long <= REFUSAL_TIME
--- a/walkcart/routing/tests/test_quarantine.py
+++ b/walkcart/routing/tests/test_quarantine.py
@@ -4,12 +4,15 @@
 from hypothesis import strategies as st
 
 from walkcart.routing.quarantine import (
+    FIRST_REFUSAL_TIME,
     MAX_ENTRIES,
     MEMORY_TIME,
+    ONE_CRASH_TIME,
     REFUSAL_TIME,
     Quarantine,
     QuarantineLevel,
     StrikeRecord,
+    make_strike,
 )
 
 REQUEST = b"request"
@@ -112,3 +115,37 @@
     for fingerprint, item in one.entries(1.0):
         other.merge(fingerprint, item, 1.0)
     assert other.find_level(REQUEST, 1.0) is QuarantineLevel.REFUSED
+
+
+def test_strikes_of_one_moment_are_tried_soon_and_refused_for_long_if_one_follows():
+    """Leaves that crashed for one reason of their own are back within seconds."""
+    quarantine = Quarantine(trial_delay=2.0)
+    for number in range(3):
+        quarantine.record_strike(REQUEST, number, number * 0.1, began_at=number * 0.1)
+    trial_at = 0.2 + FIRST_REFUSAL_TIME + 2.0
+    assert quarantine.find_level(REQUEST, trial_at - 0.1) is QuarantineLevel.REFUSED
+    assert quarantine.find_level(REQUEST, trial_at) is QuarantineLevel.CAREFUL
+    quarantine.record_strike(REQUEST, 4, trial_at, began_at=trial_at)
+    late = trial_at + REFUSAL_TIME - 1
+    assert quarantine.find_level(REQUEST, late) is QuarantineLevel.REFUSED
+
+
+def test_strikes_of_several_moments_are_refused_for_long_at_once():
+    quarantine = Quarantine()
+    for number in range(3):
+        at = number * ONE_CRASH_TIME
+        quarantine.record_strike(REQUEST, number, at, began_at=at)
+    late = 2 * ONE_CRASH_TIME + REFUSAL_TIME - 1
+    assert quarantine.find_level(REQUEST, late) is QuarantineLevel.REFUSED
+
+
+def test_requests_sent_with_the_same_knowledge_give_one_strike():
+    """Equal requests of two instances that crashing leaves had at one moment."""
+    first = make_strike(REQUEST, frozenset())
+    after = make_strike(REQUEST, frozenset((first,)))
+    quarantine = Quarantine()
+    strike(quarantine, first, first, first)
+    assert quarantine.find_strikes(REQUEST) == {first}
+    strike(quarantine, after)
+    assert quarantine.find_strikes(REQUEST) == {first, after}
+    assert make_strike(REQUEST, frozenset(), "leaf") != first
