Pause and bound reads of a store whose pages or watches never end

What operators would see: an instance uses its whole budget of calls for a store whose pages go on for ever, or whose watch always brings a full reply, be it the same one, and it keeps what the pages bring until its memory is full.

Cause: a full reply is followed by the next call at once, since the rest is wanted soon, and nothing counted them.

After 40 pages, or 100 full watches in a row, a pause follows each; event 528 tells of the watches. The largest fleet needs about ten pages and 20 watches.

--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -275,6 +275,11 @@
         "store_read",
         "All items of a prefix were read; changes after a revision are watched next.",
     )
+    STORE_ENDLESS = _warn(
+        528,
+        "store_endless",
+        "A watch of the store brings full replies without end; a pause follows each.",
+    )
     ROUTES_IN_FORCE = _info(509, "routes_in_force", "A routing document is applied.")
     ROUTES_IGNORED = _info(
         510,
--- a/walkcart/platform/store.py
+++ b/walkcart/platform/store.py
@@ -200,6 +200,10 @@
         """End a lease; do nothing if it has ended already."""
         await self._call(HttpRequest("DELETE", f"{_END}{lease.id}"))
 
+    def reject_reply(self, detail: str) -> StoreUnavailable:
+        """Log replies that can't be used, and return the error to raise."""
+        return self._calls.reject_reply(detail)
+
     async def _get(
         self, path: str, query: dict[str, str], wait: timedelta = timedelta()
     ) -> HttpReply:
--- a/walkcart/store/follower.py
+++ b/walkcart/store/follower.py
@@ -46,6 +46,9 @@
 CHECK_WAIT = timedelta(milliseconds=1)
 #: Seconds in which a waiting watch must bring the changes that its check has shown.
 CHECK_GRACE = 0.2
+#: Watches in a row whose replies may have been cut off and that follow each other at
+#: once; after them a pause follows each. In the largest fleet about 20 catch up.
+MAX_FULL_WATCHES = 100
 #: Pause after a watch that brought changes, so that a burst of changes is applied
 #: together.
 BURST_PAUSE = timedelta(milliseconds=250)
@@ -131,6 +134,7 @@
         self._history = ChangeHistory()
         self._needs_read = True
         self._was_history_lost = False
+        self._full_watches = 0
         self._work_scope: trio.CancelScope | None = None
         self._freshness = CopyFreshness(calls, clock)
         self._fed = False
@@ -414,9 +418,23 @@
                 if is_complete:
                     self.on_current()
                     self.on_confirmed(self)
-                if changes and is_complete:
+                if changes and (is_complete or self._is_endless(revision)):
                     await trio.sleep(pause)
                     self.on_watch_resumed()
+                if is_complete:
+                    self._full_watches = 0
+
+    def _is_endless(self, revision: int) -> bool:
+        """Count a watch that may have been cut off; return whether there are too many.
+
+        The store's replies may never end, or may all be the same.
+        """
+        self._full_watches += 1
+        if self._full_watches == MAX_FULL_WATCHES:
+            self._events.emit(
+                Events.STORE_ENDLESS, prefix=self.prefix, revision=revision
+            )
+        return self._full_watches >= MAX_FULL_WATCHES
 
     def apply(
         self, changes: Iterable[Change], revision: int, origin: Origin = Origin()
--- a/walkcart/store/items.py
+++ b/walkcart/store/items.py
@@ -13,6 +13,8 @@
 from datetime import timedelta
 from typing import Protocol
 
+from walkcart.store.calls import StoreUnavailable
+
 #: `Item.lease` of an item without a lease, which only an explicit removal removes.
 NO_LEASE = 0
 #: Revision that a transaction expects of a key that must be absent.
@@ -179,3 +181,7 @@
     async def end_lease(self, lease: Lease) -> None:
         """End a lease, which removes the items attached to it."""
         ...
+
+    def reject_reply(self, detail: str) -> StoreUnavailable:
+        """Log replies that can't be used, and return the error to raise."""
+        ...
--- a/walkcart/store/reading.py
+++ b/walkcart/store/reading.py
@@ -4,8 +4,20 @@
 
 from dataclasses import dataclass
 
+import trio
+
 from walkcart.store.items import Item, Page, SharedStore
 
+#: Pages of one reading that are read at once. The largest fleet, of 4,000 leaves, has
+#: ten; between further ones there is a pause, in seconds.
+MAX_QUICK_PAGES = 40
+PAGE_PAUSE = 0.25
+#: Limits of one reading: pages, items, and bytes of keys and values. A store whose
+#: pages go on would fill the memory.
+MAX_PAGES = 200
+MAX_ITEMS = 50_000
+MAX_BYTES = 16 << 20
+
 
 @dataclass(frozen=True, slots=True)
 class Reading:
@@ -36,11 +48,12 @@
         fresh: whether the newest state is read; otherwise it may be seconds old.
 
     Raises:
-        StoreUnavailable: a page couldn't be read.
+        StoreUnavailable: a page couldn't be read, or there are too many.
     """
     found: dict[str, Item] = {}
     revisions: list[int] = []
     after = ""
+    size = 0
     while True:
         page = await store.list_items(prefix, after, fresh)
         revisions.append(page.revision if fresh else _find_latest(page))
@@ -48,6 +61,13 @@
         if page.last or not page.items:
             return Reading(found, min(revisions), tuple(revisions))
         after = page.items[-1].key
+        size += sum(len(item.key) + len(item.value) for item in page.items)
+        pages, items = len(revisions), len(found)
+        if pages >= MAX_PAGES or items > MAX_ITEMS or size > MAX_BYTES:
+            detail = f"{pages} pages of {prefix!r} with {items} items are not all"
+            raise store.reject_reply(detail)
+        if pages >= MAX_QUICK_PAGES:
+            await trio.sleep(PAGE_PAUSE)
 
 
 def _find_latest(page: Page) -> int:
--- a/walkcart/store/tests/test_stuck_store.py
+++ b/walkcart/store/tests/test_stuck_store.py
@@ -14,8 +14,10 @@
 from walkcart.kernel.clock import TrioClock
 from walkcart.kernel.eventlog import EventLog
 from walkcart.store.backoff import Backoff
+from walkcart.store.calls import StoreUnavailable
 from walkcart.store.follower import PrefixFollower
 from walkcart.store.items import Changes, HistoryLost, Item, Page, Removal
+from walkcart.store.reading import read_prefix
 
 #: Seconds that the copy is kept, and the calls that are few enough in them.
 RUN_SECONDS = 20
@@ -40,7 +42,7 @@
         return self.make_result(self.calls)
 
 
-def count_calls(make_result, seconds=RUN_SECONDS):
+def count_calls(make_result, seconds=RUN_SECONDS, log=None):
     """Return how many calls a copy makes while its store answers in one way."""
     store = RepeatingStore(make_result)
 
@@ -55,7 +57,7 @@
             "",
             clock,
             Backoff(timedelta(seconds=0.1), timedelta(seconds=0.8), Random(1)),
-            EventLog("one", clock, StringIO()),
+            EventLog("one", clock, log or StringIO()),
             lambda update: None,
         )
         with trio.move_on_after(seconds):
@@ -100,3 +102,63 @@
         return Changes(items, 10 + call)
 
     assert count_calls(make_full_page, seconds=4) > MAX_CALLS
+
+
+def make_endless_changes(call):
+    return Changes(tuple(Item(f"k{n}", b"", 10 + call) for n in range(500)), 10 + call)
+
+
+def make_same_changes(call):
+    """Changes that are later than the revision that the reply states."""
+    return Changes(tuple(Item(f"k{n}", b"", 10) for n in range(500)), 9)
+
+
+@pytest.mark.parametrize("make_result", [make_endless_changes, make_same_changes])
+def test_full_replies_without_end_are_read_with_pauses(make_result):
+    log = StringIO()
+    few = count_calls(make_result, seconds=RUN_SECONDS, log=log)
+    assert few < 100 + MAX_CALLS
+    assert log.getvalue().count("store_endless") == 1
+
+
+class EndlessPages:
+    """A store whose pages of a prefix never end.
+
+    Args:
+        size: number of items of each page.
+        value: value of each item.
+    """
+
+    def __init__(self, size, value):
+        self.size, self.value = size, value
+        self.pages = self.rejected = 0
+
+    async def list_items(self, prefix, after, fresh):
+        await trio.sleep(0.001)
+        first = self.pages * self.size
+        self.pages += 1
+        keys = (f"{first + number:09}" for number in range(self.size))
+        return Page(tuple(Item(key, self.value, 1) for key in keys), 9, False)
+
+    def reject_reply(self, detail):
+        self.rejected += 1
+        return StoreUnavailable(True, detail)
+
+
+@pytest.mark.parametrize(
+    ("size", "value"), [(1, b""), (500, b""), (500, b"x" * 1000), (1, b"x" * 1_000_000)]
+)
+def test_pages_without_end_are_given_up(size, value):
+    store = EndlessPages(size, value)
+
+    async def run():
+        started_at = trio.current_time()
+        with trio.move_on_after(1000), pytest.raises(StoreUnavailable):
+            await read_prefix(store, "", False)
+        return trio.current_time() - started_at
+
+    seconds = run_mocked(run)
+    assert store.rejected == 1
+    assert store.pages <= 200
+    assert store.pages * size * (9 + len(value)) <= 20 << 20
+    assert store.pages / (seconds + 10) < 5
