Log a lack of descriptors of the own program in lines of the log

When the own program had no descriptors to accept connections, trio's logger wrote a traceback to the error output ten times a second, between the lines of the log, of which there the program uses the same output. The platform's program passes such records on as event 120; so does this one now, with the same function.

Before the change the 4 cases of the new test failed (no such line within 20 s); after it all tests of test_own_program pass.

--- a/walkcart/daemon/main.py
+++ b/walkcart/daemon/main.py
@@ -22,6 +22,8 @@
 )
 from walkcart.daemon.signalwatch import RECEIVED_SIGNALS, SignalWatch
 from walkcart.kernel.clock import TrioClock
+from walkcart.kernel.dependencylog import forward_library_logs
+from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.logsink import LogSink
 from walkcart.kernel.settings import (
     LoadedSettings,
@@ -128,14 +130,15 @@
         The exit code: 0 if all work in progress was done, else 1.
     """
     ended = True
-    async with trio.open_nursery() as nursery:
-        await nursery.start(instance.kernel.run)
-        await watch.stopped.wait()
-        async with trio.open_nursery() as stopping:
-            stopping.start_soon(_cancel_on_signal, watch, stopping.cancel_scope)
-            ended = await instance.stop.stop()
-            stopping.cancel_scope.cancel()
-        nursery.cancel_scope.cancel()
+    with forward_library_logs(instance.kernel.find("events", EventLog)):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(instance.kernel.run)
+            await watch.stopped.wait()
+            async with trio.open_nursery() as stopping:
+                stopping.start_soon(_cancel_on_signal, watch, stopping.cancel_scope)
+                ended = await instance.stop.stop()
+                stopping.cancel_scope.cancel()
+            nursery.cancel_scope.cancel()
     return EXIT_OK if ended else EXIT_FAILED
 
 
--- a/walkcart/daemon/tests/test_own_program.py
+++ b/walkcart/daemon/tests/test_own_program.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -124,3 +125,28 @@
         process.kill()
         process.wait()
     assert process.returncode == 0
+
+
+@pytest.mark.parametrize("descriptors", [20, 24, 32, 48])
+def test_lack_of_descriptors_is_logged_in_lines_and_ends_nothing(tmp_path, descriptors):
+    log_path = tmp_path / "log"
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        port = server.getsockname()[1]
+    process = start_program(log_path, port, 0)
+    connections = []
+    try:
+        wait_event(process, log_path, "started")
+        _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (descriptors, hard))
+        for _ in range(descriptors):
+            connections.append(socket.create_connection(("127.0.0.1", port)))
+        wait_event(process, log_path, "library_warning")
+        for connection in connections:
+            connection.close()
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(STEP_SECONDS) == 0
+    finally:
+        process.kill()
+        process.wait()
+    for line in log_path.read_text(encoding="utf-8").splitlines():
+        json.loads(line)
