Store: a reply with an item later than the store is confirmed before it is used

What callers would see: after one reply of the store in which an item has a revision that is a little too high, changes of that item, such as the whole configuration, don't come into force at this instance until the store has made as many changes.

Cause: an item is replaced by a later revision only, and only leaps of more than 2^32 were checked.

Evidence: the new cases of the test raise the revision of one item by 50, in a page and in a watch; both failed before, and pass now.

Why it works: no item in a reply of a sound store is later than the store's own revision in it. One that is, is held against a page that is read at once, as a leap is. Not covered: reads that may be old, as those state no revision of their own that is kept; and a second wrong reply that confirms the first.

--- a/walkcart/platform/tests/test_wrong_revisions.py
+++ b/walkcart/platform/tests/test_wrong_revisions.py
@@ -34,6 +34,14 @@
     return True
 
 
+def raise_item_a_little(content: dict[str, Any]) -> bool:
+    """Set a revision of an item that the store reaches after some more changes."""
+    rows = content.get("events") or content.get("items") or []
+    for row in rows[:1]:
+        row["revision"] += SOME_CHANGES
+    return bool(rows)
+
+
 def raise_item(content: dict[str, Any]) -> bool:
     """Set the revision of the first item in a reply; return whether there is one."""
     rows = content.get("events") or content.get("items") or []
@@ -91,7 +99,7 @@
 
 
 @pytest.mark.parametrize("call", ["kv-range", "kv-watch"])
-@pytest.mark.parametrize("change", [raise_revision, raise_item])
+@pytest.mark.parametrize("change", [raise_revision, raise_item, raise_item_a_little])
 def test_one_wrong_revision_does_not_end_the_updates_of_a_copy(
     monkeypatch, call, change
 ):
--- a/walkcart/store/follower.py
+++ b/walkcart/store/follower.py
@@ -34,7 +34,7 @@
     SharedStore,
 )
 from walkcart.store.reading import read_prefix
-from walkcart.store.revisions import confirm_revision, find_latest
+from walkcart.store.revisions import confirm_revision
 from walkcart.store.updates import STORE, Origin, Update, UpdateListener
 
 #: Time that one watch waits. A long wait is cheap, since each watch costs one call. A
@@ -346,12 +346,14 @@
     async def _confirm(self, result: Changes | HistoryLost) -> None:
         """Raise an error if a watch brought a revision that the store hasn't."""
         if isinstance(result, Changes):
-            latest = find_latest(result.revision, result.changes)
-            await self._confirm_revision(latest)
+            await self._confirm_revisions(result.revision, result.changes)
 
-    async def _confirm_revision(self, revision: int) -> None:
+    async def _confirm_revisions(
+        self, revision: int, changes: Iterable[Change]
+    ) -> None:
+        reply = revision, changes
         await confirm_revision(
-            self._store, self._calls, self.prefix, revision, self.revision
+            self._store, self._calls, self.prefix, reply, self.revision
         )
 
     async def _check_revision(self, revision: int) -> None:
@@ -380,8 +382,7 @@
         """Read everything and replace the copy with it."""
         started_at = self._clock.monotonic()
         reading = await read_prefix(self._store, self.prefix, fresh)
-        latest = find_latest(reading.revision, reading.items.values())
-        await self._confirm_revision(latest)
+        await self._confirm_revisions(max(reading.pages), reading.items.values())
         self._events.emit(
             Events.STORE_READ,
             prefix=self.prefix,
--- a/walkcart/store/revisions.py
+++ b/walkcart/store/revisions.py
@@ -27,21 +27,26 @@
 
 
 async def confirm_revision(
-    store: SharedStore, calls: StoreCalls, prefix: str, found: int, held: int
+    store: SharedStore,
+    calls: StoreCalls,
+    prefix: str,
+    reply: tuple[int, Iterable[Change]],
+    held: int,
 ) -> None:
-    """Ask the store for its revision if the one of a reply is far too high.
+    """Ask the store for its revision if one in a reply is far too high.
 
     Args:
         store: the store.
         calls: logs a wrong reply.
         prefix: prefix of the keys of the copy.
-        found: highest revision in the reply.
+        reply: revision of the store, and items or changes, in the reply.
         held: revision of the copy.
 
     Raises:
         StoreUnavailable: the revision is wrong, or the store didn't reply.
     """
-    if found <= held + MAX_LEAP:
+    found = find_latest(*reply)
+    if found <= reply[0] and found <= held + MAX_LEAP:
         return
     page = await store.list_items(prefix, "", True)
     if page.revision < found:
