--- a/walkcart/daemon/platform.py
+++ b/walkcart/daemon/platform.py
@@ -14,12 +14,14 @@
 
 import os
 import sys
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import TextIO, cast
 
 import trio
 
+from walkcart.daemon.eventloop import EXIT_FAILED, EXIT_OK, run_event_loop
 from walkcart.daemon.processlog import ProcessLog
 from walkcart.daemon.signalwatch import RECEIVED_SIGNALS, SignalWatch
 from walkcart.daemon.tenant import (
@@ -27,34 +29,31 @@
     TenantEnvironment,
     assemble_tenant,
 )
-from walkcart.kernel.clock import BootClock, TrioClock
+from walkcart.kernel.clock import TrioClock
 from walkcart.kernel.dependencylog import forward_library_logs
 from walkcart.kernel.eventlog import EventLog
 from walkcart.kernel.events import Events
 from walkcart.kernel.logsink import LogSink
 from walkcart.kernel.numbers import read_number
 from walkcart.platform.settings import (
+    DEFAULT_FILE,
     FILE_VARIABLE,
     BadSettings,
-    IncompleteSettings,
     PlatformSettings,
     read_settings,
 )
 from walkcart.store.calls import StoreCalls
 from walkcart.wire.network import TcpNetwork
-from walkcart.wire.peers import NngTransport
+from walkcart.wire.peers import MAX_CONNECTIONS, NngTransport
 
 #: Environment variable with the port of the metrics page. The deploy file sets it, and
 #: its `metrics` entry states the same port to the platform.
 METRICS_VARIABLE = "WALKCART_METRICS_PORT"
 MAX_PORT = 65535
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
 #: Seconds between two checks of whether the settings file has changed, which can happen
 #: without a signal: half of the time within which a change must be in force.
 FILE_CHECK_INTERVAL = 1.0
-#: Seconds between two reads of an incomplete settings file at the start, and between
+#: Seconds between two reads of an unusable settings file at the start, and between
 #: two log lines about it.
 AWAIT_INTERVAL = 0.25
 AWAIT_LOG_INTERVAL = 5.0
@@ -67,22 +66,29 @@
     """Run the daemon and exit the process."""
     sink = LogSink(setup.log_descriptor)
     log = ProcessLog(cast(TextIO, sink))
-    path = os.environ.get(FILE_VARIABLE)
-    log.log_start(path)
-    if not path:
-        log.log_failure("settings", f"{FILE_VARIABLE} isn't set", EXIT_USAGE)
-        sys.exit(EXIT_USAGE)
-    program = _Program(setup, Path(path), log, cast(TextIO, sink))
+    path = find_settings_path(log)
+    program = _Program(setup, path, log, cast(TextIO, sink))
     try:
-        code = trio.run(program.run, clock=BootClock())
-    except BaseException as error:
-        log.log_error(error, EXIT_FAILED)
-        raise
+        code = run_event_loop(program.run, setup, log)
     finally:
         sink.flush()
     sys.exit(code)
 
 
+def find_settings_path(log: ProcessLog) -> Path:
+    """Return the path of the settings file, after logging the process's start."""
+    text = os.environ.get(FILE_VARIABLE, "")
+    log.log_start(text or DEFAULT_FILE)
+    if not text:
+        log.events.emit(
+            Events.SETTING_INVALID,
+            setting=FILE_VARIABLE,
+            value=text,
+            expected=f"the path of the settings file; {DEFAULT_FILE} is used",
+        )
+    return Path(text or DEFAULT_FILE)
+
+
 class _Program:
     """One run of the daemon.
 
@@ -113,20 +119,12 @@
 
     async def _start_and_serve(self, watch: SignalWatch) -> int:
         tenant, state = None, None
-        try:
-            with watch.start_scope:
-                settings, state = await wait_for_settings(
-                    self._path, watch, self._log.events
-                )
-                self._log.set_instance(settings.instance)
-                tenant = await self._assemble(settings)
-        except BadSettings as error:
-            self._log.log_failure("settings", str(error), EXIT_USAGE)
-            return EXIT_USAGE
-        except OSError as error:
-            detail = f"can't listen on an address: {error}"
-            self._log.log_failure("address", detail, EXIT_FAILED)
-            return EXIT_FAILED
+        with watch.start_scope:
+            settings, state = await wait_for_settings(
+                self._path, watch, self._log.events
+            )
+            self._log.set_instance(settings.instance)
+            tenant = await self._assemble(settings)
         if tenant is None:
             self._log.log_end(watch.stop_reason, EXIT_OK, serving=False)
             return EXIT_OK
@@ -138,7 +136,7 @@
         _log_invalid(self._log.events, settings)
         environment = TenantEnvironment(
             TcpNetwork(),
-            NngTransport(),
+            NngTransport(on_full=partial(_log_full_peers, self._log.events)),
             TrioClock(),
             Random(),
             self._stream,
@@ -147,6 +145,10 @@
         return await assemble_tenant(settings, environment)
 
 
+def _log_full_peers(events: EventLog) -> None:
+    events.emit(Events.CONNECTIONS_FULL, purpose="peers", connections=MAX_CONNECTIONS)
+
+
 def find_metrics_port(events: EventLog) -> int:
     """Return the port of the metrics page; 0, for none, if it's missing or invalid."""
     text = os.environ.get(METRICS_VARIABLE, "0")
@@ -183,17 +185,13 @@
 async def wait_for_settings(
     path: Path, watch: SignalWatch, events: EventLog
 ) -> tuple[PlatformSettings, FileState]:
-    """Read the settings file; wait until it's there and complete.
-
-    Raises:
-        BadSettings: a required field has an invalid value.
-    """
+    """Read the settings file; wait until it's there, complete and valid."""
     logged = float("-inf")
     while True:
         state = _read_file_state(path)
         try:
             return read_settings(path), state
-        except IncompleteSettings as error:
+        except BadSettings as error:
             if trio.current_time() >= logged + AWAIT_LOG_INTERVAL:
                 logged = trio.current_time()
                 events.emit(Events.SETTINGS_AWAITED, detail=str(error))
--- a/walkcart/daemon/tenantserving.py
+++ b/walkcart/daemon/tenantserving.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 from random import Random
 
 from walkcart.daemon.environment import TenantEnvironment
@@ -52,21 +53,27 @@
 
 
 async def listen_for_peers(
-    settings: PlatformSettings, transport: PeerTransport
+    settings: PlatformSettings, transport: PeerTransport, metrics_port: int = 0
 ) -> PeerListener:
     """Listen for other instances on the first free port of the configured range.
 
+    Ports of the range that the instance needs otherwise are passed over.
+
     Raises:
         OSError: no port of the range is free.
     """
     first, last = settings.peer_ports
-    for port in range(first, last):
+    own = {settings.callers.port, settings.readiness.port, metrics_port}
+    failure = OSError(errno.EADDRINUSE, "all ports have another use in this instance")
+    for port in range(first, last + 1):
+        if port in own:
+            continue
         try:
             return await transport.listen(HostPort(settings.host, port))
-        except OSError:
+        except OSError as error:
             # Another role on this machine, or the previous process, uses this port.
-            continue
-    return await transport.listen(HostPort(settings.host, last))
+            failure = error
+    raise failure
 
 
 def add_delegates(
@@ -155,14 +162,19 @@
         kernel.find("origins", RequestOrigins),
     )
     kernel.add("links", links)
-    add_relay(kernel, environment, links)
+    add_relay(kernel, settings, environment, links)
     kernel.add("delegates", delegates)
     kernel.add("carrier", carrier)
     kernel.add("shutdown", shutdown)
     kernel.add("gathering", gathering)
 
 
-def add_relay(kernel: Kernel, environment: TenantEnvironment, links: PeerLinks) -> None:
+def add_relay(
+    kernel: Kernel,
+    settings: PlatformSettings,
+    environment: TenantEnvironment,
+    links: PeerLinks,
+) -> None:
     """Add the relay that forwards stored changes between instances."""
     registration = kernel.find("registration", Registration)
     relay = Relay(
@@ -178,6 +190,7 @@
         kernel.find("metrics", Metrics),
         # Instances may have the same random source, but their delays must differ.
         Random(f"{registration.own.name} {environment.random.random()}"),
+        settings.memory.relays,
     )
     registration.set_watching_check(lambda: relay.is_watching)
     kernel.add("relay", relay)
--- a/walkcart/kernel/events.py
+++ b/walkcart/kernel/events.py
@@ -79,7 +79,7 @@
     SETTINGS_AWAITED = _warn(
         110,
         "settings_awaited",
-        "The settings file is missing or incomplete; the start waits for it.",
+        "The settings file is missing, incomplete or invalid; the start waits for it.",
     )
     SETTING_INVALID = _warn(
         111,
@@ -108,7 +108,7 @@
         230,
         "connections_full",
         "More connections came to a port than it may have: the one that has been idle "
-        "longest is closed for each further one.",
+        "longest is closed for each further one, or the oldest of those of peers.",
     )
     TASK_FAILED = _error(
         207,
@@ -189,6 +189,12 @@
         "leaf_ended",
         "A leaf's process ended while it had a request; the event says which.",
     )
+    LEAF_COLD_BOUNDED = _warn(
+        312,
+        "leaf_cold_bounded",
+        "A leaf's entry states a longer cold phase than is credible; a shorter one is "
+        "used.",
+    )
     MEMBER_SUSPECTED = _info(401, "member_suspected", "A peer misses heartbeats.")
     MEMBER_DEAD = _warn(402, "member_dead", "A suspected peer didn't answer in time.")
     MEMBER_JOINED = _info(403, "member_joined", "A peer is live.")
@@ -276,6 +282,12 @@
         "A routing document was ignored: it isn't newer than the one in force.",
     )
     ROUTES_BAD = _error(511, "routes_bad", "A routing document can't be read.")
+    CALLER_LIMITS_BOUNDED = _warn(
+        527,
+        "caller_limits_bounded",
+        "A routing document allows longer requests than there is memory for; lower "
+        "limits are used.",
+    )
     ROUTE_REGION_UNKNOWN = _warn(
         518, "route_region_unknown", "No data centre is in a region that a route names."
     )
--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -13,12 +13,14 @@
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.settings import HostPort
 from walkcart.kernel.taskerrors import log_task_error
+from walkcart.membership.envelopes import EnvelopePacker
 from walkcart.membership.messageages import ClockReadings, Stamp
 from walkcart.membership.outbox import Outbox
 from walkcart.membership.peerdirectory import PeerDirectory, parse_address
-from walkcart.wire.codec import BadMessage, decode_envelope, encode_envelope
+from walkcart.wire.codec import BadMessage, decode_envelope
 from walkcart.wire.messages import Envelope, Message
-from walkcart.wire.peers import PeerListener, PeerTransport
+from walkcart.wire.peers import PeerListener, PeerSender, PeerTransport
+from walkcart.wire.pieces import PieceJoiner, split_message
 
 #: Random bytes that identify a process.
 LIFE_ID_BYTES = 4
@@ -28,8 +30,8 @@
 MAX_UNKNOWN_LINKS = 64
 #: Seconds from a failure of the listener until the next try.
 RECEIVE_RETRY_DELAY = 0.5
-#: Time for connecting to a peer and sending one envelope. After it the link is closed,
-#: and all its queued messages are lost.
+#: Time for connecting to a peer and sending one envelope, or one piece of a long one.
+#: After it the link is closed, and all its queued messages are lost.
 SEND_TIMEOUT = timedelta(seconds=2)
 #: Shortest time between two new connections to a peer that doesn't answer, since a
 #: connection may be dead without having been closed. The old connection is kept open
@@ -70,7 +72,9 @@
         self._handlers: dict[type[Message], MessageHandler] = {}
         self._aged_handlers: dict[type[Message], AgedMessageHandler] = {}
         self._clock_readings = ClockReadings(secrets.token_hex(LIFE_ID_BYTES))
+        self._packer = EnvelopePacker(view, self._clock_readings, events, metrics)
         self._links: dict[tuple[str, HostPort], Outbox] = {}
+        self._joiner = PieceJoiner()
         #: The last known address of each instance, from its envelopes or the directory,
         #: for replies to those that aren't in the directory yet or any more: the store
         #: may reject an instance for longer than its entry lasts.
@@ -218,7 +222,10 @@
     def _receive(self, data: bytes) -> None:
         self._metrics.count("peer.bytes", len(data))
         try:
-            envelope = decode_envelope(data)
+            message = self._joiner.add(data)
+            if message is None:
+                return
+            envelope = decode_envelope(message)
         except BadMessage as error:
             self._events.emit(Events.PEER_BAD_MESSAGE, detail=str(error)[:200])
             return
@@ -278,8 +285,8 @@
                     # weren't sent.
                     await sender.wait_connected()
                     messages = link.take_batch()
-                    if messages:
-                        await sender.send(self._pack_envelope(name, messages))
+                    for data in self._packer.pack(name, messages):
+                        await _send_pieces(sender, data, scope)
                 if scope.cancelled_caught:
                     lost = len(messages) + len(link)
                     self._metrics.count("peer.dropped", lost)
@@ -302,22 +309,11 @@
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
                 await sender.close()
 
-    def _pack_envelope(self, name: str, messages: tuple[Message, ...]) -> bytes:
-        record = self._view.find(name)
-        own = self._view.own
-        stamp = self._clock_readings.make_stamp(name, trio.current_time())
-        envelope = Envelope(
-            own.name,
-            own.incarnation,
-            "" if stamp.to_life else own.peer_address,
-            record.incarnation if record else 0,
-            messages,
-            stamp.life,
-            stamp.sent_at,
-            stamp.to_life,
-            stamp.least_reading,
-        )
-        data = encode_envelope(envelope)
-        self._metrics.count("peer.sent", len(messages))
-        self._metrics.count("peer.bytes", len(data))
-        return data
+
+async def _send_pieces(
+    sender: PeerSender, data: bytes, scope: trio.CancelScope
+) -> None:
+    """Send an envelope; each of its pieces has the time that a short one has."""
+    for piece in split_message(data):
+        await sender.send(piece)
+        scope.deadline = trio.current_time() + SEND_TIMEOUT.total_seconds()
--- a/walkcart/platform/settings.py
+++ b/walkcart/platform/settings.py
@@ -23,7 +23,6 @@
     CPU_SHARE,
     DESCRIPTORS,
     GRACE,
-    MEMORY,
     QUOTA_SLACK,
     QUOTA_TOLERANCE,
     QUOTA_WINDOW,
@@ -44,10 +43,11 @@
 
 #: Environment variable with the path of the file.
 FILE_VARIABLE = "WALKCART_NODE_FILE"
+#: Where the platform puts the file; used if the variable isn't set.
+DEFAULT_FILE = "/etc/walkcart/settings.toml"
 #: Maximum size of the file, in bytes.
 MAX_FILE_BYTES = 256 * 1024
 MAX_PORT = 65535
-BYTES_PER_MIB = 2**20
 
 
 class BadSettings(ValueError):
@@ -193,7 +193,8 @@
 
 def _parse_file(data: bytes) -> dict[str, Any]:
     try:
-        return tomllib.loads(data.decode("utf-8"))
+        # Editors may put a byte order mark in front.
+        return tomllib.loads(data.decode("utf-8-sig"))
     except UnicodeDecodeError as error:
         raise IncompleteSettings(f"the settings file can't be read: {error}") from error
     except RecursionError as error:
@@ -233,7 +234,7 @@
             optional.read_number(QUOTA_TOLERANCE),
             optional.read_number(QUOTA_SLACK),
         ),
-        memory=MemoryPlan(int(optional.read_number(MEMORY) * BYTES_PER_MIB)),
+        memory=MemoryPlan(optional.read_memory()),
         descriptors=int(optional.read_number(DESCRIPTORS)),
         report_interval=optional.read_number(REPORT_INTERVAL) / 1000,
         invalid=tuple(optional.invalid),
--- a/walkcart/platform/tests/soakfaults.py
+++ b/walkcart/platform/tests/soakfaults.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from walkcart.platform.tests.soakboundaryfaults import hold_back_messages
 from walkcart.platform.tests.soaked import Soaked
 from walkcart.platform.tests.soakinputfaults import (
     add_bad_leaf,
@@ -29,6 +30,13 @@
     restart_quickly,
     stop,
 )
+from walkcart.platform.tests.soakstartfaults import (
+    end_by_turns,
+    pause_start_and_stop,
+    start_before_settings,
+    start_without_descriptors,
+    stop_again,
+)
 
 #: Injects a fault into a daemon, or into what surrounds it, for some seconds.
 Inject = Callable[[Soaked, str, float], Awaitable[None]]
@@ -99,10 +107,16 @@
     "useless leaf": FaultKind(add_useless_leaf),
     "requests": FaultKind(send_bad_requests, ("request_bad",)),
     "peers": FaultKind(send_peer_bytes, ("peer_bad_message",)),
+    "held messages": FaultKind(hold_back_messages),
     "closing peers": FaultKind(list_closing_peers),
     "flood": FaultKind(flood),
     "descriptors": FaultKind(limit_descriptors),
     "ports": FaultKind(hold_port),
     "metrics": FaultKind(hold_metrics_port),
     "settings": FaultKind(break_settings, ("settings_bad",)),
+    "ends by turns": FaultKind(end_by_turns),
+    "stops again": FaultKind(stop_again),
+    "late settings": FaultKind(start_before_settings),
+    "late descriptors": FaultKind(start_without_descriptors),
+    "paused starts": FaultKind(pause_start_and_stop),
 }
