Soak of processes: endless replies, spoiled links, held connections, bad starts

What callers would see: nothing yet; these are ways in which input from outside reaches a process that the soak of real processes didn't play: replies without end from leafs of all services at once until the daemon closes, links between instances that flip bits, drop ends of or join pieces (or delay, silence and reset them), clients that keep using their connections (or leave them idle or half open) until a stopping process is gone, settings and replies of the store that can't be used while a process starts, series of signals that overlap (SIGHUP and others while it starts and runs, SIGTERM, SIGINT, SIGHUP and SIGSTOP while it stops), and floods at limits of descriptors and address space through restarts.

Each kind is a row of the table of faults, with the events that the product promises. Kinds that end the process of their daemon are checked one after the other on the daemons that the others aren't injected into, and the event has to be in that daemon's log after the injection began; a detail tells the checksum of a spoiled link from other bad messages. New checks: a request of a held connection that reached a leaf is answered if the stop ended with 0; a connection is closed once its process is gone; a reply without end isn't read for more than 20 s. The check of the exit code of planned stops is the one that was there, moved to a function.

The store of the soak puts addresses of proxies into the records of daemons, so what daemons send each other passes the soak's process (the first six daemons).

--- a/walkcart/platform/tests/soak.py
+++ b/walkcart/platform/tests/soak.py
@@ -30,7 +30,7 @@
 from walkcart.platform.tests.soakdaemons import START_SECONDS, Daemons
 from walkcart.platform.tests.soaked import Soaked
 from walkcart.platform.tests.soakenvironment import SoakEnvironment
-from walkcart.platform.tests.soakfaults import KINDS
+from walkcart.platform.tests.soakfaults import KINDS, FaultKind
 from walkcart.platform.tests.soakteams import SHARED_KEY, TEAMS, SoakTeams
 
 #: Number of daemons, and their data centres in turn.
@@ -42,6 +42,8 @@
 SETTLE_SECONDS = 8.0
 #: Time for which bad input lasts in the check that it is logged, in seconds.
 CALM_SECONDS = 3.0
+#: The same for each kind of bad input that restarts a daemon.
+RESTART_SECONDS = 1.5
 #: Series of faults at the same time.
 SERIES = 2
 
@@ -152,16 +154,33 @@
     async def _check_events(self, names: list[str]) -> None:
         """Check that the daemons log bad input."""
         kinds = [KINDS[kind] for kind in self._options.kinds if KINDS[kind].events]
+        lasting = [kind for kind in kinds if not kind.restarts]
+        restarts = [kind for kind in kinds if kind.restarts]
+        # The first daemon isn't restarted unless it is the only one.
+        others = names[1:] or names
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._ask_for, names[0], CALM_SECONDS)
-            for kind in kinds:
+            for kind in lasting:
                 nursery.start_soon(kind.inject, self._soaked, names[0], CALM_SECONDS)
+            for number, name in enumerate(others):
+                own = restarts[number :: len(others)]
+                nursery.start_soon(self._check_restarts, name, own)
         self.broken += [
-            f"no daemon logged {' or '.join(kind.events)}"
-            for kind in kinds
-            if not any(map(self.daemons.has_event, kind.events))
+            f"no daemon logged {' or '.join(kind.events)} {kind.detail}".rstrip()
+            for kind in lasting
+            if not self.daemons.has_event(kind.events, kind.detail)
         ]
 
+    async def _check_restarts(self, name: str, kinds: list[FaultKind]) -> None:
+        """Restart a daemon under bad conditions, and check that it logs each."""
+        for kind in kinds:
+            await self._wait_ready([name])
+            start = self.daemons.measure_log(name)
+            await kind.inject(self._soaked, name, RESTART_SECONDS)
+            if not self.daemons.has_event_since(name, start, kind.events):
+                self.broken.append(f"{name} didn't log {' or '.join(kind.events)}")
+        await self._wait_ready([name])
+
     async def _ask_for(self, name: str, seconds: float) -> None:
         """Send requests to a daemon for some seconds."""
         with trio.move_on_after(seconds):
--- a/walkcart/platform/tests/soakdaemons.py
+++ b/walkcart/platform/tests/soakdaemons.py
@@ -6,7 +6,7 @@
 import signal
 import subprocess
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from re import search
@@ -87,8 +87,18 @@
 
     def has_started(self, name: str) -> bool:
         """Return whether a daemon has begun to serve requests since its last start."""
-        text = self.machines[name].read_log()
-        return '"event": "started"' in text[self._log_starts[name] :]
+        return self.has_event_since(name, self._log_starts[name], ["started"])
+
+    async def wait_begun(self, name: str) -> None:
+        """Wait until a daemon has loaded its modules since its last start.
+
+        That takes seconds on a busy machine, and never ends if the process does.
+        """
+        with trio.move_on_after(START_SECONDS):
+            while not self.has_event_since(
+                name, self._log_starts[name], ["process_started"]
+            ):
+                await trio.sleep(POLL_INTERVAL)
 
     def signal(self, name: str, number: int) -> None:
         """Send a signal to a daemon if it runs."""
@@ -180,10 +190,33 @@
         """Return whether a daemon reports that it is ready."""
         return await self._world.is_ready(self.machines[name])
 
-    def has_event(self, event: str) -> bool:
-        """Return whether the log of any daemon has an event of this name."""
-        text = f'"event": "{event}"'
-        return any(text in machine.read_log() for machine in self.machines.values())
+    def has_event(self, events: Iterable[str], detail: str = "") -> bool:
+        """Return whether the log of any daemon has one of these events.
+
+        Args:
+            events: names of events.
+            detail: text that the line has, too.
+        """
+        return any(
+            _has_event(machine.read_log(), events, detail)
+            for machine in self.machines.values()
+        )
+
+    def measure_log(self, name: str) -> int:
+        """Return the length of the log of a daemon."""
+        return len(self.machines[name].read_log())
+
+    def has_event_since(self, name: str, start: int, events: Iterable[str]) -> bool:
+        """Return whether the log of a daemon has one of these events after a place."""
+        return _has_event(self.machines[name].read_log()[start:], events, "")
+
+
+def _has_event(log: str, events: Iterable[str], detail: str) -> bool:
+    texts = [f'"event": "{event}"' for event in events]
+    return any(
+        detail in line and any(text in line for text in texts)
+        for line in log.splitlines()
+    )
 
 
 def _read_memory_peak(pid: int) -> int:
--- a/walkcart/platform/tests/soakenvironment.py
+++ b/walkcart/platform/tests/soakenvironment.py
@@ -22,12 +22,10 @@
     make_route,
 )
 from walkcart.platform.tests.processmachine import Machine, make_settings_file
+from walkcart.platform.tests.soakpeerlinks import SoakStore, Spoil
 from walkcart.platform.tests.soakproxy import Proxy, ProxyFault
 from walkcart.platform.tests.soakteams import SoakTeams
-from walkcart.platform.tests.storestandin import (
-    PlatformStoreFaults,
-    PlatformStoreStandin,
-)
+from walkcart.platform.tests.storestandin import PlatformStoreFaults
 from walkcart.wire.network import TcpNetwork
 
 #: Number of shards.
@@ -102,7 +100,7 @@
         self._random = random
         self._version = 0
         self._changes = 0
-        self.store = PlatformStoreStandin()
+        self.store = SoakStore()
         self.leafs: dict[str, PlatformLeafStandin] = {}
         self.leaf_places: dict[str, str] = {}
         self.leaf_proxies: dict[str, Proxy] = {}
@@ -117,6 +115,7 @@
         address = await self._nursery.start(
             self.store.make_server().run, TcpNetwork(), LOOPBACK
         )
+        await self.store.start_peer_proxies(list(machines), self._random, self._nursery)
         for name, machine in machines.items():
             proxy = Proxy(address)
             await self._nursery.start(proxy.run)
@@ -262,6 +261,9 @@
             leaf.faults = PlatformLeafFaults()
         for proxy in (*self.store_proxies.values(), *self.leaf_proxies.values()):
             proxy.set_fault(ProxyFault.NONE)
+        for proxy in self.store.peer_proxies.values():
+            proxy.set_fault(ProxyFault.NONE)
+            proxy.spoil = Spoil.NONE
 
     def check_runs(self, reported_not_run: set[str]) -> list[str]:
         """Return the violations that the leaves' records show.
--- a/walkcart/platform/tests/soakfaults.py
+++ b/walkcart/platform/tests/soakfaults.py
@@ -5,7 +5,9 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from walkcart.platform.tests.soakclients import hold_connections
 from walkcart.platform.tests.soaked import Soaked
+from walkcart.platform.tests.soakendless import add_endless_leafs
 from walkcart.platform.tests.soakinputfaults import (
     add_bad_leaf,
     add_useless_leaf,
@@ -16,6 +18,10 @@
     store_bad_entries,
     store_bad_shared,
 )
+from walkcart.platform.tests.soaklinkfaults import (
+    disturb_peer_links,
+    spoil_peer_links,
+)
 from walkcart.platform.tests.soakprocessfaults import (
     break_settings,
     flood,
@@ -29,6 +35,12 @@
     restart_quickly,
     stop,
 )
+from walkcart.platform.tests.soakrestartfaults import (
+    flood_starts,
+    send_signals,
+    start_with_bad_settings,
+    start_with_bad_store,
+)
 
 #: Injects a fault into a daemon, or into what surrounds it, for some seconds.
 Inject = Callable[[Soaked, str, float], Awaitable[None]]
@@ -41,10 +53,14 @@
     Args:
         inject: injects one.
         events: events of which the daemons log at least one after such faults.
+        detail: text that the log line has, too.
+        restarts: whether the fault ends the process of its daemon.
     """
 
     inject: Inject
     events: tuple[str, ...] = ()
+    detail: str = ""
+    restarts: bool = False
 
 
 async def disturb_store(soaked: Soaked, name: str, duration: float) -> None:
@@ -105,4 +121,24 @@
     "ports": FaultKind(hold_port),
     "metrics": FaultKind(hold_metrics_port),
     "settings": FaultKind(break_settings, ("settings_bad",)),
+    "endless leafs": FaultKind(
+        add_endless_leafs, ("leaf_bad_reply", "reply_memory_full")
+    ),
+    "peer links": FaultKind(disturb_peer_links),
+    "spoiled links": FaultKind(
+        spoil_peer_links, ("peer_bad_message",), "the checksum isn't that"
+    ),
+    "held connections": FaultKind(hold_connections, ("request_bad",), restarts=True),
+    "bad settings": FaultKind(
+        start_with_bad_settings, ("settings_awaited",), restarts=True
+    ),
+    "bad store": FaultKind(
+        start_with_bad_store, ("store_bad_reply", "store_failed"), restarts=True
+    ),
+    "signals": FaultKind(send_signals, ("settings_reloaded",), restarts=True),
+    "flooded starts": FaultKind(
+        flood_starts,
+        ("connections_full", "library_warning", "address_busy"),
+        restarts=True,
+    ),
 }
--- a/walkcart/platform/tests/soakprocessfaults.py
+++ b/walkcart/platform/tests/soakprocessfaults.py
@@ -15,6 +15,7 @@
 
 from walkcart.kernel.settings import HostPort
 from walkcart.platform.tests.processmachine import METRICS_PORT
+from walkcart.platform.tests.soakdaemons import Daemons
 from walkcart.platform.tests.soaked import Soaked
 from walkcart.platform.tests.soakinputfaults import find_peer_port
 from walkcart.wire.network import TcpNetwork
@@ -46,13 +47,20 @@
     if name not in daemons.running:
         return
     code = await daemons.end(name, signal.SIGTERM)
-    # SIGTERM may kill a daemon that has not begun to serve requests.
-    early = code == -signal.SIGTERM and not daemons.has_started(name)
-    if code not in (0, -signal.SIGKILL) and not early:
-        daemons.broken.append(f"{name} ended a planned stop with {code}")
+    check_stop(daemons, name, code, not daemons.has_started(name))
     daemons.start(name)
 
 
+def check_stop(daemons: Daemons, name: str, code: int, early: bool) -> None:
+    """Check the exit code of a planned stop.
+
+    SIGTERM may kill a daemon that has not begun to serve requests, and another fault
+    series may kill any.
+    """
+    if code not in (0, -signal.SIGKILL) and not (early and code == -signal.SIGTERM):
+        daemons.broken.append(f"{name} ended a planned stop with {code}")
+
+
 async def pause(soaked: Soaked, name: str, duration: float) -> None:
     """Pause a daemon."""
     with soaked.daemons.disturb(name):
--- a/walkcart/platform/tests/soakproxy.py
+++ b/walkcart/platform/tests/soakproxy.py
@@ -1,4 +1,4 @@
-"""A loopback proxy that delays, silences, resets or refuses connections."""
+"""A loopback proxy that delays, silences, resets, refuses or answers connections."""
 
 from __future__ import annotations
 
@@ -38,12 +38,14 @@
         delay: seconds by which `ProxyFault.DELAY` delays each chunk.
         address: address to listen on; the actual one once the proxy runs.
         fault: current fault.
+        reply: bytes that answer whatever comes on a connection, instead of the target.
     """
 
     target: HostPort
     delay: float = 0.05
     address: HostPort = HostPort("127.0.0.1", 0)
     fault: ProxyFault = ProxyFault.NONE
+    reply: bytes | None = None
     _scopes: set[trio.CancelScope] = field(default_factory=set)
     _fault_changed: trio.Event = field(default_factory=trio.Event)
 
@@ -62,15 +64,45 @@
         """Change the fault; `RESET` and `REFUSE` also end the open connections."""
         self.fault = fault
         if fault in (ProxyFault.RESET, ProxyFault.REFUSE):
-            for scope in tuple(self._scopes):
-                scope.cancel()
+            self._end_connections()
         self._fault_changed.set()
         self._fault_changed = trio.Event()
 
+    def set_reply(self, reply: bytes | None) -> None:
+        """Answer with some bytes from now on; None forwards to the target again."""
+        self.reply = reply
+        self._end_connections()
+
+    def _end_connections(self) -> None:
+        for scope in tuple(self._scopes):
+            scope.cancel()
+
+    def transform(self, data: bytes) -> bytes:
+        """Return what is forwarded in place of a piece."""
+        return data
+
+    async def _answer(self, client: trio.SocketStream, reply: bytes) -> None:
+        """Answer each piece of a connection's input until it ends."""
+        with trio.CancelScope() as scope:
+            self._scopes.add(scope)
+            try:
+                while await client.receive_some(CHUNK):
+                    await client.send_all(reply)
+                    if b"content-length" not in reply:
+                        # Only the end of the connection ends such a reply.
+                        break
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+        self._scopes.discard(scope)
+        await trio.aclose_forcefully(client)
+
     async def _forward(self, client: trio.SocketStream) -> None:
         if self.fault is ProxyFault.REFUSE:
             await trio.aclose_forcefully(client)
             return
+        if self.reply is not None:
+            await self._answer(client, self.reply)
+            return
         try:
             server = await TcpNetwork().connect(self.target)
         except OSError:
@@ -104,7 +136,7 @@
                     await fault_changed.wait()
                 if self.fault is ProxyFault.DELAY:
                     await trio.sleep(self.delay)
-                await sink.send_all(data)
+                await sink.send_all(self.transform(data))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         scope.cancel()
