Split the copy of a prefix from the follower that keeps it up to date

What the copy is and how changes are applied to it is now a base class in a module of its own; its logic is unchanged.

--- a/walkcart/store/follower.py
+++ b/walkcart/store/follower.py
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 
@@ -24,18 +23,17 @@
 from walkcart.store.backoff import Backoff
 from walkcart.store.calls import StoreCalls, StoreUnavailable
 from walkcart.store.freshness import CopyFreshness
-from walkcart.store.history import ChangeHistory
 from walkcart.store.items import (
     Change,
     Changes,
     HistoryLost,
     Item,
-    Removal,
     SharedStore,
 )
+from walkcart.store.prefixcopy import DifferenceTest, PrefixCopy, differ
 from walkcart.store.reading import read_prefix
 from walkcart.store.revisions import confirm_revision
-from walkcart.store.updates import STORE, Origin, Update, UpdateListener
+from walkcart.store.updates import Origin, UpdateListener
 
 #: Time that one watch waits. A long wait is cheap, since each watch costs one call. A
 #: lost reply is detected by `PrefixFollower.check_watch`, and a connection that went
@@ -75,18 +73,9 @@
 #: Maximum number of pages whose revisions are logged.
 MAX_LOGGED_PAGES = 20
 
-#: Given the old and the new value of an item, returns whether the change is
-#: significant.
-DifferenceTest = Callable[[bytes, bytes], bool]
 
-
-def differ(old: bytes, new: bytes) -> bool:
-    """Return whether two values differ: every difference is significant."""
-    return old != new
-
-
-class PrefixFollower:
-    """Keeps a copy of all items under a prefix.
+class PrefixFollower(PrefixCopy):
+    """Keeps a copy of all items under a prefix up to date.
 
     Args:
         store: the service.
@@ -122,18 +111,15 @@
         reread_after: timedelta | None = None,
         fresh_first_read: bool = True,
     ) -> None:
+        super().__init__(prefix, listener, is_significant)
         self._store = store
         self._calls = calls
         self._clock = clock
         self._backoff = backoff
         self._events = events
-        self._listener = listener
         self._pause = pause
-        self._is_significant = is_significant
         self._reread_after = reread_after
         self._fresh_first_read = fresh_first_read
-        self._items: dict[str, Item] = {}
-        self._history = ChangeHistory()
         self._needs_read = True
         self._was_history_lost = False
         self._full_watches = 0
@@ -142,11 +128,6 @@
         self._fed = False
         self._feed_lost = trio.Event()
         self._watch_requested = trio.Event()
-        self.prefix = prefix
-        self.revision = 0
-        #: Whether the copy was read or fed in full at least once.
-        self.known = False
-        self.on_change: Callable[[PrefixFollower], None] = lambda follower: None
         #: Called after a watch that made the copy complete.
         self.on_current: Callable[[], None] = lambda: None
         #: Called likewise, with the copy.
@@ -157,15 +138,6 @@
         self.on_watch_resumed: Callable[[], None] = lambda: None
         calls.on_recovered(self.restart_watch)
 
-    def items(self) -> Iterable[Item]:
-        """Return all items of the copy."""
-        return self._items.values()
-
-    @property
-    def latest_change(self) -> int:
-        """Revision of the latest change: a copy at this revision lacks nothing."""
-        return self._history.latest
-
     @property
     def current_at(self) -> float:
         """Latest time at which the copy is known to have been complete."""
@@ -241,10 +213,6 @@
             self.restart_watch()
         return False
 
-    def changes_after(self, revision: int) -> tuple[Change, ...] | None:
-        """Return the latest change of each key after a revision, or None if unknown."""
-        return self._history.changes_after(revision) if self.known else None
-
     def restart_watch(self) -> None:
         """Cancel and repeat the current watch: its connection may have gone silent.
 
@@ -373,14 +341,8 @@
             Events.STORE_BAD_REPLY,
             detail=f"revision {revision}, and then {reading.revision}",
         )
-        self._items = {
-            key: dataclasses.replace(item, revision=0)
-            for key, item in self._items.items()
-        }
-        self._history = ChangeHistory()
-        self._history.start_at(reading.revision)
-        self.revision = self._told_change = 0
-        self.replace(reading.items, reading.revision)
+        self._told_change = 0
+        self.start_anew(reading.items, reading.revision)
 
     async def _read_all(self, fresh: bool) -> None:
         """Read everything and replace the copy with it."""
@@ -406,42 +368,11 @@
     ) -> None:
         """Replace the copy with a full one, except for items of a later revision.
 
-        The differences from the copy so far are kept as changes, to be passed on.
-
-        Args:
-            found: all items of the prefix, by key.
-            revision: the revision of the full copy.
-            origin: where the full copy came from.
+        See Also:
+            `PrefixCopy.replace`.
         """
-        changes: list[Change] = [
-            item for item in found.values() if self._is_newer(item)
-        ]
-        for key, item in self._items.items():
-            if key not in found and item.revision <= revision:
-                # The revision of the removal isn't known; this is the latest possible.
-                changes.append(Removal(key, revision))
-        self._record_full_copy(revision)
         self._needs_read = False
-        newly_known = not self.known
-        self.known = True
-        self._apply_changes(changes, revision, origin, always_notify=newly_known)
-
-    def _record_full_copy(self, revision: int) -> None:
-        """Record in the history that a full copy of a revision was taken over."""
-        if not self.known:
-            self._history.start_at(revision)
-        elif revision > self.revision:
-            self._history.add_gap(self.revision, revision)
-
-    def _is_newer(self, item: Item) -> bool:
-        """Return whether an item is later than what the copy has at its key.
-
-        A copy that lacks an item from before its own revision has seen the removal.
-        """
-        held = self._items.get(item.key)
-        if held is None:
-            return not self.known or item.revision > self.revision
-        return held.revision < item.revision
+        super().replace(found, revision, origin)
 
     async def _process_result(self, result: Changes | HistoryLost) -> None:
         match result:
@@ -477,70 +408,3 @@
                 Events.STORE_ENDLESS, prefix=self.prefix, revision=revision
             )
         return self._full_watches >= MAX_FULL_WATCHES
-
-    def apply(
-        self, changes: Iterable[Change], revision: int, origin: Origin = Origin()
-    ) -> bool:
-        """Apply changes in order; return whether any of them was significant.
-
-        Args:
-            changes: all changes since the copy's revision.
-            revision: the revision of the copy afterwards.
-            origin: where the changes came from.
-        """
-        if origin.source != STORE:
-            # The copy already contains all changes up to its revision. Items from
-            # before it may have been removed since, and a feeder that is behind must
-            # not bring them back.
-            changes = [item for item in changes if item.revision > self.revision]
-        return self._apply_changes(changes, revision, origin, always_notify=False)
-
-    def _apply_changes(
-        self,
-        changes: Iterable[Change],
-        revision: int,
-        origin: Origin,
-        always_notify: bool,
-    ) -> bool:
-        """Apply changes in order, and notify the listener if any was significant.
-
-        With `always_notify` the listener is notified in any case.
-
-        Returns:
-            Whether any change was significant.
-        """
-        changed = set()
-        for change in changes:
-            significant = self._apply_change(change, from_feeder=origin.source != STORE)
-            if significant:
-                changed.add(change.key)
-            if significant or isinstance(change, Removal):
-                # A removal is passed on even if a full copy has shown it already: the
-                # receivers of this copy may not have seen that full copy. If the key
-                # was stored again since, the new item is passed on.
-                self._history.add(self._items.get(change.key, change))
-        self.revision = max(self.revision, revision)
-        if changed or always_notify:
-            self._listener(Update(self._items, frozenset(changed), origin))
-            self.on_change(self)
-        return bool(changed)
-
-    def _apply_change(self, change: Change, from_feeder: bool) -> bool:
-        """Apply one change; return whether it is significant.
-
-        A feeder only passes on changes that were significant to it. It compared them
-        with values that this copy may never have had, so a changed value from a feeder
-        always counts: of a leaf that was cold for 3 s, then not, then for 1.8 s, this
-        copy may have seen only the 3 s and the 1.8 s.
-        """
-        held = self._items.get(change.key)
-        if held is not None and held.revision >= change.revision:
-            return False
-        match change:
-            case Item():
-                self._items[change.key] = change
-                if held is None or from_feeder:
-                    return held is None or held.value != change.value
-                return self._is_significant(held.value, change.value)
-            case Removal():
-                return self._items.pop(change.key, None) is not None
