Half a request at a stop is answered, and the stop ends with 0

What was seen: a caller that holds back the end of a request kept a stopping instance until the end of its grace time; its connection was then cut unanswered and the process ended with 1 (104, seven in progress).

Cause: the time to read a request, twice the one for its head (6 s by the usual configuration), outlasts the stop, and nothing shortened it.

From the beginning of the stop a request that isn't complete by the time by which all others are answered gets 408.

--- a/walkcart/entry/routedstop.py
+++ b/walkcart/entry/routedstop.py
@@ -7,7 +7,8 @@
 The load balancer may go on sending new connections: it uses all instances of a data
 centre while fewer than half of them are ready. So from the beginning of the stop a
 request is only accepted if it can end in time, and the others are rejected at once. All
-that were accepted are answered by a deadline shortly before the process must exit.
+that were accepted are answered by a deadline shortly before the process must exit, and
+so are those that aren't complete by then.
 """
 
 from __future__ import annotations
@@ -77,7 +78,7 @@
         drain_deadline = start + (self._grace - EXIT_RESERVE).total_seconds()
         self._deadline.set(drain_deadline - ANSWER_RESERVE.total_seconds())
         self._service.stopping = True
-        self._service.server.announce_stop()
+        self._service.server.announce_stop(self._deadline.at)
         self._delegation_server.stop_accepting()
         with trio.move_on_after(LEASE_END_TIMEOUT.total_seconds()):
             await self._quota_shares.release_all()
--- a/walkcart/wire/server.py
+++ b/walkcart/wire/server.py
@@ -75,6 +75,7 @@
         self._on_full = on_full
         self._connections: set[ServerConnection] = set()
         self._closing = False
+        self._read_by = float("inf")
         self.in_progress = 0
 
     @property
@@ -87,9 +88,16 @@
         times = (connection.read_at for connection in self._connections)
         return [time for time in times if time is not None]
 
-    def announce_stop(self) -> None:
-        """Ask clients to close their connections, by a header on each later reply."""
+    def announce_stop(self, read_by: float = float("inf")) -> None:
+        """Ask clients to close their connections, by a header on each later reply.
+
+        Args:
+            read_by: when a request that isn't complete is rejected, in trio's time.
+        """
         self._closing = True
+        self._read_by = read_by
+        for connection in self._connections:
+            connection.end_reading_at(read_by)
 
     def close_idle(self, idle_for: timedelta) -> None:
         """Close the connections without a request for at least `idle_for`."""
@@ -146,7 +154,9 @@
         self.in_progress += 1
         try:
             try:
-                request = await connection.read_request(self.limits, self._budget)
+                request = await connection.read_request(
+                    self.limits, self._budget, self._read_by
+                )
             except BadRequest as error:
                 connection.unread = True
                 reply = self._on_fault(error.fault)
--- a/walkcart/wire/serverconnection.py
+++ b/walkcart/wire/serverconnection.py
@@ -93,17 +93,33 @@
     unread: bool = False
     #: Whether the client disconnected while its request was handled.
     gone: bool = False
+    #: Ends the reading of a request; None while none is read.
+    read_scope: trio.CancelScope | None = None
+
+    def end_reading_at(self, time: float) -> None:
+        """Reject the request that is being read if it isn't complete at a time."""
+        if self.read_scope is not None:
+            self.read_scope.deadline = min(self.read_scope.deadline, time)
 
     async def read_request(
-        self, limits: ServerLimits, budget: MemoryBudget | None
+        self,
+        limits: ServerLimits,
+        budget: MemoryBudget | None,
+        read_by: float = float("inf"),
     ) -> HttpRequest | None:
         """Read one request; None if the client disconnected before its end.
 
+        Args:
+            limits: limits on the request.
+            budget: limits the memory of all requests; None sets no limit.
+            read_by: when it is rejected if it isn't complete, in trio's time.
+
         Raises:
             BadRequest: there is no request that can be served.
         """
         self.method = ""
-        with trio.move_on_after(limits.read_time.total_seconds()):
+        read_by = min(read_by, trio.current_time() + limits.read_time.total_seconds())
+        with trio.move_on_at(read_by) as self.read_scope:
             body = BodyBuffer(limits.body, budget)
             request: HttpRequest | None = None
             try:
@@ -116,6 +132,7 @@
             except h11.RemoteProtocolError as error:
                 raise BadRequest(_find_fault(error)) from None
             finally:
+                self.read_scope = None
                 if request is None:
                     body.discard()
         raise BadRequest(Fault.TIMEOUT)
