A setting without a representation ends no process

What operators would see: a settings file with a hexadecimal number of 5,000 digits, or `graceS.a.a.a...` with 1,500 parts, ended the start with 1 again and again, and a running process when the file changed.

Cause: the value was put into the text of the log line; Python represents neither, and raises an error of another kind there.

--- a/walkcart/platform/optionalfields.py
+++ b/walkcart/platform/optionalfields.py
@@ -75,6 +75,22 @@
     return values.get(field) if isinstance(values, dict) else None
 
 
+def describe_value(value: object) -> str:
+    """Return the start of a value's representation, for log lines.
+
+    Python doesn't represent a number with too many digits, which a file can state in
+    hexadecimal, or tables that nest deeply, as they do with a key of many parts.
+
+    Examples:
+        >>> describe_value([1]), describe_value(1 << 20000)
+        ('[1]', 'a value of type int')
+    """
+    try:
+        return repr(value)[:SHOWN_LENGTH]
+    except (ValueError, RecursionError):
+        return f"a value of type {type(value).__name__}"
+
+
 class OptionalFields:
     """Reads optional fields, and collects those with an invalid value.
 
@@ -128,5 +144,5 @@
         return stated
 
     def _report(self, name: str, value: object, expected: str) -> None:
-        shown = repr(value)[:SHOWN_LENGTH]
+        shown = describe_value(value)
         self.invalid.append(InvalidSetting(name, shown, "the settings file", expected))
--- a/walkcart/platform/settings.py
+++ b/walkcart/platform/settings.py
@@ -35,6 +35,7 @@
     WARMUP_TOLERANCE,
     WRITE_RATE,
     OptionalFields,
+    describe_value,
     find_field,
 )
 from walkcart.routing.coldleaves import ColdBound
@@ -265,7 +266,8 @@
     """Return the first and the last port; they may be given in either order."""
     first, last = sorted(ports)
     if not 0 < first <= last <= MAX_PORT:
+        shown = describe_value(list(ports))
         raise BadValue(
-            f"portRange: expected two ports from 1 to {MAX_PORT}, got {list(ports)}"
+            f"portRange: expected two ports from 1 to {MAX_PORT}, got {shown}"
         )
     return first, last
--- a/walkcart/platform/tests/test_optional_settings.py
+++ b/walkcart/platform/tests/test_optional_settings.py
@@ -5,11 +5,16 @@
 import pytest
 import trio
 
-from walkcart.platform.settings import read_settings
+from walkcart.platform.settings import BadSettings, read_settings
 from walkcart.platform.tests.platformworld import make_route
 from walkcart.platform.tests.processworld import open_processes
 from walkcart.platform.tests.test_documents import SETTINGS
 
+#: A number that Python doesn't convert to text, as it has too many digits.
+HEX = "0x" + "f" * 5000
+#: A key that makes tables nest deeply without a recursion of the parser.
+DEEP_KEY = ".".join("a" * 1500)
+
 
 def read_with(folder, old, new):
     """Read the settings with a text replaced; return them and the invalid names."""
@@ -22,7 +27,20 @@
 
 @pytest.mark.parametrize(
     "value",
-    ["inf", "nan", "-inf", "1e300", "-1", '"6"', '""', "true", "[]", "{}", "1" * 4000],
+    [
+        "inf",
+        "nan",
+        "-inf",
+        "1e300",
+        "-1",
+        '"6"',
+        '""',
+        "true",
+        "[]",
+        "{}",
+        "1" * 4000,
+        HEX,
+    ],
 )
 def test_invalid_grace_time_is_replaced_by_the_default(tmp_path, value):
     settings, invalid = read_with(tmp_path, "graceS = 8", f"graceS = {value}")
@@ -51,6 +69,22 @@
     assert settings.store_rate > 0
 
 
+@pytest.mark.parametrize(
+    "line", [f"graceS = {HEX}", f"graceS.{DEEP_KEY} = 1", f"quotaSlack = {HEX}"]
+)
+def test_value_that_has_no_representation_ends_no_process(tmp_path, line):
+    """The text of the log line about the field raised another error."""
+    settings, invalid = read_with(tmp_path, "graceS = 8", line)
+    assert invalid == [f"bounds.{line.split('.')[0].split(' ')[0]}"]
+    assert settings.grace == timedelta(seconds=6)
+
+
+def test_port_that_has_no_representation_is_an_invalid_setting(tmp_path):
+    ports = next(line for line in SETTINGS.splitlines() if "portRange" in line)
+    with pytest.raises(BadSettings):
+        read_with(tmp_path, ports, f"portRange = [1, {HEX}]")
+
+
 @pytest.mark.parametrize("stated", ["63.9", "64", "16", "1"])
 def test_small_machine_does_not_get_the_memory_plan_of_a_large_one(tmp_path, stated):
     settings, invalid = read_with(
