--- a/walkcart/wire/peers.py
+++ b/walkcart/wire/peers.py
@@ -232,8 +232,9 @@
 
     def _close_oldest(self) -> None:
         pipe = self._pipes.pop(next(iter(self._pipes)))
-        # It may have closed just now, and its removal is still to be processed.
-        with suppress(pynng.Closed, pynng.NoEntry):
+        # It may have closed just now, and its removal is still to be processed. An
+        # error here would end the event loop.
+        with suppress(pynng.NNGException):
             pipe.close()
 
     def _remove_pipe(self, id: int) -> None:
