Count a connection of a peer from when it comes up

What would be seen: after many connections that ended as they came up, the port for peers has fewer than its bound left, closes those of instances that are not the oldest, and logs event 230 without a cause.

Cause: of a connection that ends at once, nng tells the end before it tells that the connection is up, so it was counted for ever. It always tells first that a connection comes up; that is counted now.

--- a/walkcart/wire/peers.py
+++ b/walkcart/wire/peers.py
@@ -202,7 +202,9 @@
         #: The open connections by their id, the oldest first.
         self._pipes: dict[int, pynng.Pipe] = {}
         self._socket = pynng.Pair1(polyamorous=True, recv_max_size=MAX_RECEIVED_BYTES)
-        self._socket.add_post_pipe_connect_cb(
+        # Of a connection that ends as it comes up, nng tells the end before it tells
+        # that it is up; but it always tells first that it comes up.
+        self._socket.add_pre_pipe_connect_cb(
             lambda pipe: run_soon(self._token, self._add_pipe, pipe.id, pipe)
         )
         self._socket.add_post_pipe_remove_cb(
--- a/walkcart/wire/tests/test_peer_connections.py
+++ b/walkcart/wire/tests/test_peer_connections.py
@@ -51,8 +51,10 @@
     async def run():
         transport = NngTransport(lambda: reports.append(1))
         listener = await transport.listen(ADDRESS)
-        old = [await connect(listener.address) for _ in range(20)]
-        await wait_until(lambda: len(listener._pipes) == 20)
+        old = []
+        for number in range(20):
+            old.append(await connect(listener.address))
+            await wait_until(lambda number=number: len(listener._pipes) > number)
         sender = await transport.dial(listener.address)
         await sender.wait_connected()
         await sender.send(b"message")
