--- a/walkcart/membership/links.py
+++ b/walkcart/membership/links.py
@@ -30,8 +30,7 @@
 #: Seconds from a failure of the listener until the next try.
 RECEIVE_RETRY_DELAY = 0.5
 #: Time for connecting to a peer and sending one envelope, or one piece of a long one.
-#: After it the link is closed,
-#: and all its queued messages are lost.
+#: After it the link is closed, and all its queued messages are lost.
 SEND_TIMEOUT = timedelta(seconds=2)
 #: Shortest time between two new connections to a peer that doesn't answer, since a
 #: connection may be dead without having been closed. The old connection is kept open
