Start without metrics where their address can't be used

IPv6 addresses work now; after another error the program logs 111 with the value and the error, and sends nothing.

Both cases of the new test failed before the change; after it all tests of test_own_program and walkcart/kernel pass.

--- a/walkcart/daemon/assembly.py
+++ b/walkcart/daemon/assembly.py
@@ -16,6 +16,7 @@
 
 from walkcart.daemon.environment import Environment
 from walkcart.daemon.instanceleaves import add_leaves
+from walkcart.daemon.telemetry import make_metrics, make_tracer
 from walkcart.entry.admissions import Admissions
 from walkcart.entry.app import EntryService
 from walkcart.entry.credentials import Authenticator
@@ -27,12 +28,11 @@
 from walkcart.fanout.singlesender import SingleSender
 from walkcart.intent.distribution import ConfigurationKeeper
 from walkcart.kernel.eventlog import EventLog
-from walkcart.kernel.events import Events
 from walkcart.kernel.invariants import Invariants
 from walkcart.kernel.metrics import Metrics
 from walkcart.kernel.registry import Kernel
 from walkcart.kernel.settings import HostPort, Settings
-from walkcart.kernel.spans import OUTPUT_NONE, Tracer
+from walkcart.kernel.spans import Tracer
 from walkcart.leaves.forwarding import Forwarder
 from walkcart.leaves.gateway import LeafGateway
 from walkcart.leaves.table import LeafTable
@@ -109,8 +109,8 @@
 def _add_base(kernel: Kernel, settings: Settings, environment: Environment) -> None:
     clock = environment.clock
     events = EventLog(settings.instance, clock, environment.log, settings.log_level)
-    metrics = Metrics(settings.statsd, settings.instance)
-    tracer = _make_tracer(settings, events)
+    metrics = make_metrics(settings, events)
+    tracer = make_tracer(settings, events)
     budget = CallBudget(STORE_RATE, STORE_BURST, clock)
     kernel.add("events", events)
     kernel.add("metrics", metrics)
@@ -124,20 +124,6 @@
     kernel.add("store", store)
 
 
-def _make_tracer(settings: Settings, events: EventLog) -> Tracer:
-    """Return a tracer, which writes no spans if their file can't be opened."""
-    try:
-        return Tracer(settings.instance, settings.span_output, settings.span_ratio)
-    except OSError as error:
-        events.emit(
-            Events.SETTING_INVALID,
-            setting="span_output",
-            value=settings.span_output,
-            expected=f"a file that can be written; no spans are written: {error}",
-        )
-        return Tracer(settings.instance, OUTPUT_NONE, settings.span_ratio)
-
-
 def _add_membership(
     kernel: Kernel,
     settings: Settings,
--- a/walkcart/daemon/tests/test_own_program.py
+++ b/walkcart/daemon/tests/test_own_program.py
@@ -150,3 +150,16 @@
         process.wait()
     for line in log_path.read_text(encoding="utf-8").splitlines():
         json.loads(line)
+
+
+@pytest.mark.parametrize("address", ["[::1]:8125", "[fe80::1%nowhere]:8125"])
+def test_start_does_not_need_the_address_of_metrics(tmp_path, address):
+    log_path = tmp_path / "log"
+    process = start_program(log_path, 0, 0, "--statsd", address)
+    try:
+        wait_event(process, log_path, "started")
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(STEP_SECONDS) == 0
+    finally:
+        process.kill()
+        process.wait()
--- a/walkcart/kernel/metrics.py
+++ b/walkcart/kernel/metrics.py
@@ -152,7 +152,12 @@
 
     def __init__(self, address: HostPort | None, instance: str) -> None:
         self._client = (
-            StatsClient(address.host, address.port, prefix=f"walkcart.{instance}")
+            StatsClient(
+                address.host,
+                address.port,
+                prefix=f"walkcart.{instance}",
+                ipv6=":" in address.host,
+            )
             if address
             else None
         )
