Wait for address space before nng starts its threads

In an address space of 100 MB nng could make some of its threads and aborted the process: signal 6 at 3 of 3 starts in a trial, without a line of its own. Below and above it the error came back as one of nng and was waited for, with the threads that had been made left over.

--- a/walkcart/platform/tests/test_process_limits.py
+++ b/walkcart/platform/tests/test_process_limits.py
@@ -68,3 +68,21 @@
     code, ended = run_processes(tmp_path, act)
     assert code == 0
     assert [(line["reason"], line["serving"]) for line in ended] == [("SIGTERM", False)]
+
+
+@pytest.mark.parametrize("megabytes", [90, 100, 104, 108])
+def test_start_in_too_small_an_address_space_waits(tmp_path, megabytes):
+    """Guards against an abort of nng, which can't make some of its threads."""
+
+    async def act(world, machine):
+        machine.limits[resource.RLIMIT_AS] = megabytes << 20
+        world.start_once(machine)
+        await wait_event(machine, "address_busy")
+        await trio.sleep(3.0)
+        before = machine.process.poll()
+        code = await world.end(machine)
+        return before, code, find_events(machine, "address_busy")
+
+    before, code, busy = run_processes(tmp_path, act)
+    assert (before, code) == (None, 0)
+    assert {line["purpose"] for line in busy} == {"other instances"}
--- a/walkcart/wire/peers.py
+++ b/walkcart/wire/peers.py
@@ -11,6 +11,8 @@
 from __future__ import annotations
 
 import errno
+import mmap
+from resource import RLIM_INFINITY, RLIMIT_AS, RLIMIT_STACK, getrlimit
 from typing import Protocol
 
 import pynng
@@ -35,6 +37,9 @@
     6: 1,  # NNG_INIT_MAX_EXPIRE_THREADS
     7: 1,  # NNG_INIT_MAX_POLLER_THREADS
 }
+#: Threads of nng with these bounds, and the size of a stack where it has no limit.
+NNG_THREADS = 9
+UNLIMITED_STACK_BYTES = 8 << 20
 #: Errors of nng for which the system has numbers of its own. An invalid address is one
 #: that the machine doesn't have: addresses are parsed before.
 NNG_ERRORS = {
@@ -52,6 +57,22 @@
         pynng.lib.nng_init_set_parameter(parameter, bound)
 
 
+def check_address_space() -> None:
+    """Check that the stacks of nng's threads fit into a limited address space.
+
+    nng aborts the process if it can make some of its threads only.
+
+    Raises:
+        OSError: they don't fit.
+    """
+    limit, _ = getrlimit(RLIMIT_AS)
+    if limit == RLIM_INFINITY:
+        return
+    stack, _ = getrlimit(RLIMIT_STACK)
+    size = UNLIMITED_STACK_BYTES if stack == RLIM_INFINITY else stack
+    mmap.mmap(-1, NNG_THREADS * max(size, mmap.PAGESIZE)).close()
+
+
 def make_os_error(error: pynng.NNGException) -> OSError:
     """Return an error of nng as an error of the system."""
     number = NNG_ERRORS.get(type(error))
@@ -200,13 +221,17 @@
 
     def __init__(self) -> None:
         bound_threads()
+        self._may_start_threads = False
 
     async def listen(self, address: HostPort) -> PeerListener:
         """Listen with a pair socket.
 
         Raises:
-            OSError: the address isn't available.
+            OSError: the address isn't available, or there is no room for threads.
         """
+        if not self._may_start_threads:
+            check_address_space()
+            self._may_start_threads = True
         try:
             return NngListener(address)
         except pynng.NNGException as error:
