A further stop signal at the end of a process leaves its exit code

What the platform saw: a process that had stopped as planned, and had logged process_ended with exit_code 0, ended with -15 (or -2) if another SIGTERM (or SIGINT) came while the interpreter exited; it looks like one that was killed in its stop.

Cause: the interpreter removes handlers that are functions before it exits, so the default action applies to what comes then. An ignored signal stays ignored.

Fix: after the event loop has ended, signals that ask for a stop are ignored.

--- a/walkcart/daemon/platform.py
+++ b/walkcart/daemon/platform.py
@@ -6,7 +6,11 @@
 from __future__ import annotations
 
 from walkcart.daemon.deferred import skip_unused_modules
-from walkcart.daemon.processsetup import ProcessSetup, prepare_process
+from walkcart.daemon.processsetup import (
+    ProcessSetup,
+    ignore_stop_signals,
+    prepare_process,
+)
 
 if __name__ == "__main__":
     _setup = prepare_process()
@@ -79,6 +83,7 @@
         log.log_error(error, EXIT_FAILED)
         raise
     finally:
+        ignore_stop_signals()
         sink.flush()
     sys.exit(code)
 
--- a/walkcart/daemon/processsetup.py
+++ b/walkcart/daemon/processsetup.py
@@ -47,6 +47,16 @@
     return setup
 
 
+def ignore_stop_signals() -> None:
+    """Ignore signals that ask for a stop, since the process ends anyway.
+
+    The interpreter removes other handlers before it exits, and a further signal would
+    then replace the exit code.
+    """
+    for number in STOP_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+
+
 def open_missing_streams() -> list[int]:
     """Open closed standard streams, to nowhere; return their descriptors.
 
--- a/walkcart/platform/tests/test_process_signals.py
+++ b/walkcart/platform/tests/test_process_signals.py
@@ -89,6 +89,23 @@
     assert [(line["reason"], line["exit_code"]) for line in ended] == [("SIGTERM", 0)]
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_stop_signals_until_the_process_is_gone_leave_its_exit_code(tmp_path, number):
+    async def act(world, machine):
+        world.start_once(machine)
+        await world.wait_ready(machine)
+        machine.process.send_signal(signal.SIGTERM)
+        with trio.fail_after(START_SECONDS):
+            while (code := machine.process.poll()) is None:
+                machine.process.send_signal(number)
+                await trio.sleep(0.0005)
+        return code, [
+            line["exit_code"] for line in find_events(machine, "process_ended")
+        ]
+
+    assert run_processes(tmp_path, act) == (0, [0])
+
+
 def test_killed_process_shows_as_two_starts_in_a_row(tmp_path):
     async def act(world, machine):
         world.start(machine)
