Soak: bad replies of leafs are those of the only leafs of a service

So the attempt at the bad leaf was cancelled, as another one had answered, before its reply reached a bound; a cancelled attempt's reply is never judged, and the leaf that didn't answer in time got no further requests. On an idle machine the bound comes first. The daemons were right; the check depended on who was faster.

Now bad and endless leafs are also added as the only leafs of a service, which the check sends requests to, so that no other leaf can answer first. The events that are asked for are the same, and they no longer depend on the machine.

--- a/walkcart/platform/tests/soak.py
+++ b/walkcart/platform/tests/soak.py
@@ -40,10 +40,11 @@
 FAULT_INTERVAL = (0.2, 1.2)
 #: Time between the last fault and the final checks, in seconds.
 SETTLE_SECONDS = 8.0
-#: Time for which bad input lasts in the check that it is logged, in seconds.
-CALM_SECONDS = 3.0
-#: The same for each kind of bad input that restarts a daemon.
-RESTART_SECONDS = 1.5
+#: Time for which bad input lasts in the check that it is logged, in seconds; less for
+#: each kind that restarts a daemon.
+CALM_SECONDS, RESTART_SECONDS = 3.0, 1.5
+#: Seconds between two series of requests in that time.
+ASK_INTERVAL = 0.02
 #: Series of faults at the same time.
 SERIES = 2
 
@@ -159,7 +160,8 @@
         # The first daemon isn't restarted unless it is the only one.
         others = names[1:] or names
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._ask_for, names[0], CALM_SECONDS)
+            for paths in (("/one/x", "/all/x"), ("/lone/x",)):
+                nursery.start_soon(self._ask_for, names[0], CALM_SECONDS, paths)
             for kind in lasting:
                 nursery.start_soon(kind.inject, self._soaked, names[0], CALM_SECONDS)
             for number, name in enumerate(others):
@@ -181,12 +183,13 @@
                 self.broken.append(f"{name} didn't log {' or '.join(kind.events)}")
         await self._wait_ready([name])
 
-    async def _ask_for(self, name: str, seconds: float) -> None:
-        """Send requests to a daemon for some seconds."""
+    async def _ask_for(self, name: str, seconds: float, paths: Sequence[str]) -> None:
+        """Send requests to a daemon for some seconds, one after the other."""
         with trio.move_on_after(seconds):
             while True:
-                for path in ("/one/x", "/all/x"):
+                for path in paths:
                     await self.callers.ask_status(name, path)
+                await trio.sleep(ASK_INTERVAL)
 
     async def _check_keys(self, names: list[str]) -> None:
         """Check that a removed key is refused, and that it works once it is back."""
--- a/walkcart/platform/tests/soakdaemons.py
+++ b/walkcart/platform/tests/soakdaemons.py
@@ -124,6 +124,12 @@
             process.kill()
             process.wait()
 
+    def kill(self, name: str) -> None:
+        """Kill a daemon if it runs, without a turn for others."""
+        if (process := self.running.pop(name, None)) is not None:
+            process.kill()
+            process.wait()
+
     def kill_all(self) -> None:
         """Kill all daemons that this soak started."""
         for process in self.running.values():
--- a/walkcart/platform/tests/soakendless.py
+++ b/walkcart/platform/tests/soakendless.py
@@ -8,7 +8,7 @@
 
 from walkcart.kernel.settings import HostPort
 from walkcart.platform.tests.soaked import Soaked
-from walkcart.platform.tests.soakenvironment import SHARDS, make_entry
+from walkcart.platform.tests.soakenvironment import LONE_SERVICE, SHARDS, make_entry
 from walkcart.platform.tests.soakinput import BAD_REPLIES
 from walkcart.wire.network import TcpNetwork
 
@@ -56,7 +56,7 @@
 
     Their entries go after the given time, and they themselves once nobody reads.
     """
-    services = ["plain", *(f"shard-{number}" for number in range(SHARDS))]
+    services = [LONE_SERVICE, "plain", *(f"shard-{number}" for number in range(SHARDS))]
     streams: set[trio.SocketStream] = set()
     async with trio.open_nursery() as nursery:
         entries = {}
--- a/walkcart/platform/tests/soakenvironment.py
+++ b/walkcart/platform/tests/soakenvironment.py
@@ -34,6 +34,8 @@
 TOP = 4
 MIN_COVERAGE = 0.6
 LOOPBACK = HostPort("127.0.0.1", 0)
+#: A service without leaves of its own: those that faults add are its only ones.
+LONE_SERVICE = "lone"
 #: The only region in which requests of the route "home" may be served.
 HOME_REGION = "south"
 #: Requests per second that a cold leaf can serve; callers send each leaf about 40.
@@ -201,6 +203,7 @@
         self._version += 1
         single = (
             make_route("one", "/one/", backend="plain"),
+            make_route("lone", "/lone/", backend=LONE_SERVICE),
             make_route("once", "/once/", backend="plain", routeType="non_idempotent"),
             make_route("home", "/home/", backend="plain", allowedRegions=[HOME_REGION]),
         )
--- a/walkcart/platform/tests/soakinputfaults.py
+++ b/walkcart/platform/tests/soakinputfaults.py
@@ -11,7 +11,7 @@
 from walkcart.membership.instancerecord import INSTANCE_PREFIX
 from walkcart.platform.tests.processmachine import METRICS_PORT
 from walkcart.platform.tests.soaked import Soaked
-from walkcart.platform.tests.soakenvironment import SHARDS, make_entry
+from walkcart.platform.tests.soakenvironment import LONE_SERVICE, SHARDS, make_entry
 from walkcart.platform.tests.soakinput import (
     BAD_DOCUMENTS,
     BAD_ENTRIES,
@@ -87,23 +87,28 @@
 
 
 async def add_bad_leaf(soaked: Soaked, name: str, duration: float) -> None:
-    """Add a leaf that sends bytes without end, or no HTTP."""
+    """Add leaves that send bytes without end, or no HTTP."""
     await _add_leaf(soaked, duration, BAD_REPLIES)
 
 
 async def add_useless_leaf(soaked: Soaked, name: str, duration: float) -> None:
-    """Add a leaf that is silent, or whose replies answer nothing."""
+    """Add leaves that are silent, or whose replies answer nothing."""
     await _add_leaf(soaked, duration, USELESS_REPLIES)
 
 
 async def _add_leaf(
     soaked: Soaked, duration: float, replies: tuple[tuple[bytes, bytes], ...]
 ) -> None:
+    # On a busy machine a sound leaf of the same service answers before a bad reply has
+    # reached its bound, so that nobody learns that it is bad.
+    services = (soaked.random.choice(("plain", f"shard-{SHARDS - 1}")), LONE_SERVICE)
     async with trio.open_nursery() as nursery:
-        address = await nursery.start(serve_bad_replies, soaked.random, replies)
-        service = soaked.random.choice(("plain", f"shard-{SHARDS - 1}"))
-        entry = make_entry(service, str(address), "north-a")
-        with soaked.environment.store_values({"servers/bad-leaf": entry}):
+        entries = {}
+        for number, service in enumerate(services):
+            address = await nursery.start(serve_bad_replies, soaked.random, replies)
+            entry = make_entry(service, str(address), "north-a")
+            entries[f"servers/bad-leaf-{number}"] = entry
+        with soaked.environment.store_values(entries):
             await trio.sleep(duration)
         nursery.cancel_scope.cancel()
 
--- a/walkcart/platform/tests/soakrestartfaults.py
+++ b/walkcart/platform/tests/soakrestartfaults.py
@@ -176,7 +176,9 @@
                 nursery.cancel_scope.cancel()
     finally:
         machine.limits = usual
-    await _restart(soaked, name)
+        # A process keeps its limits, and the end of the series may cancel this one.
+        daemons.kill(name)
+    daemons.start(name)
 
 
 async def _restart(soaked: Soaked, name: str) -> None:
