--- a/walkcart/daemon/eventloop.py
+++ b/walkcart/daemon/eventloop.py
@@ -14,7 +14,7 @@
 import trio
 
 from walkcart.daemon.processlog import ProcessLog
-from walkcart.daemon.processsetup import STOP_SIGNALS, ProcessSetup
+from walkcart.daemon.processsetup import ProcessSetup, ignore_stop_signals
 from walkcart.kernel.clock import BootClock
 from walkcart.kernel.events import Events
 
@@ -59,8 +59,7 @@
         log.log_error(error, EXIT_FAILED)
         raise
     finally:
-        for number in STOP_SIGNALS:
-            signal.signal(number, signal.SIG_IGN)
+        ignore_stop_signals()
 
 
 class _EventLoop:
--- a/walkcart/daemon/platform.py
+++ b/walkcart/daemon/platform.py
@@ -6,7 +6,10 @@
 from __future__ import annotations
 
 from walkcart.daemon.deferred import skip_unused_modules
-from walkcart.daemon.processsetup import ProcessSetup, prepare_process
+from walkcart.daemon.processsetup import (
+    ProcessSetup,
+    prepare_process,
+)
 
 if __name__ == "__main__":
     _setup = prepare_process()
