Soak: no SIGHUP before a daemon has set its handlers

The fault that breaks settings sends SIGHUP again at its end, without the check that its other signals have.

A signal before Python runs the first line of the program ends any process; that is an open finding and can't be mended in the program. The file is put back before, so a daemon that hasn't begun reads the good one, with no signal.

--- a/walkcart/platform/tests/soakprocessfaults.py
+++ b/walkcart/platform/tests/soakprocessfaults.py
@@ -187,4 +187,7 @@
             await trio.sleep(duration / 4)
     finally:
         machine.settings_path.write_text(machine.settings, encoding="utf-8")
-        soaked.daemons.signal(name, signal.SIGHUP)
+        # Before its handlers are set a process ends by this signal, and it hasn't read
+        # the file yet.
+        if soaked.daemons.has_begun(name):
+            soaked.daemons.signal(name, signal.SIGHUP)
