Soak: faults that overlap or are cancelled leave daemons as usual

The daemons did what they should. Settings and limits now go back to what they were before any fault, and a stop that nobody waits for any more is followed by a kill and a start. Checks and times are the same.

--- a/walkcart/platform/tests/soakdaemons.py
+++ b/walkcart/platform/tests/soakdaemons.py
@@ -6,8 +6,8 @@
 import signal
 import subprocess
 from collections import Counter
-from collections.abc import Iterable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager, suppress
 from pathlib import Path
 from re import search
 
@@ -58,6 +58,8 @@
         self.memory_peaks: Counter[str] = Counter()
         self._log_starts: dict[str, int] = {}
         self._disturbances: Counter[str] = Counter()
+        #: Settings of daemons before any fault replaced them.
+        self._usual_settings: dict[str, str] = {}
         #: When a daemon replied last, was started or was disturbed.
         self._sound_since: dict[str, float] = {}
 
@@ -139,6 +141,38 @@
         self._world.close()
         self.running.clear()
 
+    @contextmanager
+    def replace_settings(
+        self, name: str, change: Callable[[str], str]
+    ) -> Iterator[None]:
+        """While the context is open, a daemon that starts has changed settings.
+
+        Faults may overlap, so what comes back is never what another one has changed.
+        """
+        machine = self.machines[name]
+        usual = self._usual_settings.setdefault(name, machine.settings)
+        machine.settings = change(usual)
+        try:
+            yield
+        finally:
+            machine.settings = usual
+            machine.settings_path.write_text(usual, encoding="utf-8")
+
+    def restore_limits(self, name: str) -> None:
+        """Let a daemon start with its usual limits from now on."""
+        number = list(self.machines).index(name)
+        self.machines[name].limits = dict(LIMITS.get(number, {}))
+
+    def restore_descriptors(self, name: str, process: subprocess.Popen) -> None:
+        """Give a process of a daemon, if it runs, its usual limit of descriptors."""
+        own = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        number = list(self.machines).index(name)
+        usual = LIMITS.get(number, {}).get(resource.RLIMIT_NOFILE, own)
+        with suppress(ProcessLookupError):
+            hard = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)[1]
+            soft = usual if hard == resource.RLIM_INFINITY else min(usual, hard)
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (soft, hard))
+
     @contextmanager
     def disturb(self, *names: str) -> Iterator[None]:
         """While the context is open, daemons need not reply."""
--- a/walkcart/platform/tests/soakprocessfaults.py
+++ b/walkcart/platform/tests/soakprocessfaults.py
@@ -131,12 +131,12 @@
         return
     limit = soaked.random.choice(SCARCE_DESCRIPTORS)
     with soaked.daemons.disturb(name), suppress(ProcessLookupError):
-        soft, hard = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
+        hard = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)[1]
         resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (limit, hard))
         try:
             await trio.sleep(duration)
         finally:
-            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (soft, hard))
+            soaked.daemons.restore_descriptors(name, process)
 
 
 @contextmanager
--- a/walkcart/platform/tests/soakrestartfaults.py
+++ b/walkcart/platform/tests/soakrestartfaults.py
@@ -71,21 +71,16 @@
 
 async def start_with_bad_settings(soaked: Soaked, name: str, duration: float) -> None:
     """Start a daemon with settings that can't be used, and correct them later."""
-    daemons, machine = soaked.daemons, soaked.daemons.machines[name]
+    daemons = soaked.daemons
     if name not in daemons.running:
         return
-    good = machine.settings
     change = soaked.random.choice(CHANGES)
     with daemons.disturb(name):
         await daemons.end(name, signal.SIGKILL)
-        machine.settings = change(good)
-        try:
+        with daemons.replace_settings(name, change):
             daemons.start(name)
             await daemons.wait_begun(name)
             await trio.sleep(duration)
-        finally:
-            machine.settings = good
-            machine.settings_path.write_text(good, encoding="utf-8")
 
 
 async def start_with_bad_store(soaked: Soaked, name: str, duration: float) -> None:
@@ -159,7 +154,6 @@
 async def flood_starts(soaked: Soaked, name: str, duration: float) -> None:
     """Restart a daemon with few descriptors and little memory during a flood."""
     daemons, machine = soaked.daemons, soaked.daemons.machines[name]
-    usual = dict(machine.limits)
     machine.limits = {
         resource.RLIMIT_NOFILE: soaked.random.choice(FLOODED_DESCRIPTORS),
         resource.RLIMIT_AS: soaked.random.choice(FLOODED_MEMORY),
@@ -175,7 +169,7 @@
                     await trio.sleep(duration / FLOODED_STARTS)
                 nursery.cancel_scope.cancel()
     finally:
-        machine.limits = usual
+        daemons.restore_limits(name)
         # A process keeps its limits, and the end of the series may cancel this one.
         daemons.kill(name)
     daemons.start(name)
--- a/walkcart/platform/tests/soakstartfaults.py
+++ b/walkcart/platform/tests/soakstartfaults.py
@@ -7,8 +7,8 @@
 
 import resource
 import signal
-from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from collections.abc import Callable
+from contextlib import suppress
 
 import trio
 
@@ -22,8 +22,12 @@
 MAX_RELOADS = 4
 #: Limits of the descriptors of a daemon that starts.
 START_DESCRIPTORS = (6, 8, 10, 12, 16, 20)
-#: A text of the settings file, and the one that makes its address invalid.
-INVALID_ADDRESS = ('front = "', 'front = "no ')
+#: Changes that make a settings file empty, cut short or invalid.
+CHANGES: tuple[Callable[[str], str], ...] = (
+    lambda text: "",
+    lambda text: text[: len(text) // 3],
+    lambda text: text.replace('front = "', 'front = "no '),
+)
 #: Bounds of the seconds until a daemon that starts or stops is paused.
 PAUSE_DELAYS = (0.0, 0.8)
 
@@ -78,28 +82,15 @@
     daemons.start(name)
 
 
-@contextmanager
-def _replace_settings(soaked: Soaked, name: str, text: str) -> Iterator[None]:
-    machine = soaked.daemons.machines[name]
-    whole = machine.settings
-    machine.settings = text
-    try:
-        yield
-    finally:
-        machine.settings = whole
-        machine.settings_path.write_text(whole, encoding="utf-8")
-
-
 async def start_before_settings(soaked: Soaked, name: str, duration: float) -> None:
     """Start a daemon with settings that become valid later."""
     daemons = soaked.daemons
     if name not in daemons.running:
         return
-    whole = daemons.machines[name].settings
-    texts = ("", whole[: len(whole) // 3], whole.replace(*INVALID_ADDRESS))
+    change = soaked.random.choice(CHANGES)
     with daemons.disturb(name):
         await daemons.end(name, signal.SIGKILL)
-        with _replace_settings(soaked, name, soaked.random.choice(texts)):
+        with daemons.replace_settings(name, change):
             daemons.start(name)
             await trio.sleep(duration)
 
@@ -113,13 +104,13 @@
         await daemons.end(name, signal.SIGKILL)
         daemons.start(name)
         process = daemons.running[name]
-        limits = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
-        scarce = (soaked.random.choice(START_DESCRIPTORS), limits[1])
+        hard = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)[1]
+        scarce = (soaked.random.choice(START_DESCRIPTORS), hard)
         resource.prlimit(process.pid, resource.RLIMIT_NOFILE, scarce)
         try:
             await trio.sleep(duration)
         finally:
-            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+            daemons.restore_descriptors(name, process)
 
 
 async def pause_start_and_stop(soaked: Soaked, name: str, duration: float) -> None:
@@ -131,6 +122,7 @@
         await daemons.end(name, signal.SIGKILL)
         daemons.start(name)
         process = daemons.running[name]
+        stopping = False
         try:
             await trio.sleep(soaked.random.uniform(*PAUSE_DELAYS))
             process.send_signal(signal.SIGSTOP)
@@ -139,6 +131,7 @@
             await trio.sleep(duration)
             if daemons.running.get(name) is process and daemons.has_started(name):
                 process.send_signal(signal.SIGTERM)
+                stopping = True
                 await trio.sleep(soaked.random.uniform(*PAUSE_DELAYS))
                 process.send_signal(signal.SIGSTOP)
                 await trio.sleep(duration)
@@ -148,3 +141,7 @@
                 daemons.start(name)
         finally:
             process.send_signal(signal.SIGCONT)
+            if stopping and daemons.running.get(name) is process:
+                # The end of the series cancels the wait for its end.
+                daemons.kill(name)
+                daemons.start(name)
