Checks of watches bring the changes that they see

Callers: the store loses every reply with changes of servers/ at all instances and serves short calls. A leaf that had gone got 13 requests 3.0 to 4 s after its removal, and one or two that can't be repeated were lost.

Cause: a check of a waiting watch saw the changes, dropped them, and had the watch made anew to bring them. If that reply is lost as well, nothing ever brings them: the next check sees and drops the same.

Fix: what a check brings is applied at once and told to the others; a lost history is read anew; a reply that may have been cut off is followed by another check. A late reply of the watch can then arrive after a check, so a copy takes only changes that are later than itself.

--- a/walkcart/membership/watchchecks.py
+++ b/walkcart/membership/watchchecks.py
@@ -41,6 +41,8 @@
 MAX_TELL_DELAY = 0.3
 #: Seconds in which an own watch must bring a change that another instance tells of.
 MISSED_GRACE = 0.3
+#: Seconds in which a waiting watch must bring the changes that its check has shown.
+WATCH_GRACE = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,12 +152,15 @@
         if not follower.is_waiting or not self._calls.reachable:
             return
         try:
-            confirmed = await follower.check_watch()
+            check = await follower.check_watch()
         except StoreUnavailable:
             # `StoreCalls` logs the first failure of a series.
             return
-        if confirmed:
+        if check.is_complete:
             self._tell(follower)
+        if check.missed:
+            await trio.sleep(WATCH_GRACE)
+            follower.restart_silent_watch(check)
 
     def _tell_soon(self, follower: PrefixFollower) -> None:
         prefix = follower.prefix
--- a/walkcart/platform/tests/storestandin.py
+++ b/walkcart/platform/tests/storestandin.py
@@ -22,6 +22,8 @@
 MAX_WATCH_BYTES = 1 << 20
 #: Maximum number of changes that one watch returns, as on the platform.
 MAX_WATCH_EVENTS = 500
+#: Watches up to this wait, in milliseconds, are short.
+SHORT_WAIT_MS = 100
 
 
 @dataclass(slots=True)
@@ -29,20 +31,27 @@
     """Faults of the store; all are off by default.
 
     Args:
+        latency: seconds from a call's arrival until it is served.
         silent: never reply to any call.
         refusal: status of the reply to every call, if not 0.
         lose_writes: let transactions take effect, but never reply to them.
         lose_watches: number of replies with changes to watches that are lost next;
             their connections stay open.
+        lose_long_watches: prefixes of which every reply with changes to a watch of over
+            `SHORT_WAIT_MS` is lost, likewise.
+        lose_checks: number of replies to shorter watches that are lost next, likewise.
         stale_by: number of revisions by which reads that may be stale lag behind.
         draw_lag: returns by how many revisions the next page that may be stale lags
             behind; such a page also shows what was removed since.
     """
 
+    latency: float = 0.004
     silent: bool = False
     refusal: int = 0
     lose_writes: bool = False
     lose_watches: int = 0
+    lose_long_watches: frozenset[str] = frozenset()
+    lose_checks: int = 0
     stale_by: int = 0
     draw_lag: Callable[[], int] | None = None
 
@@ -108,7 +117,7 @@
         parts = urlsplit(request.target)
         self.calls.append(f"{request.method} {parts.path}")
         self.targets.append(f"{request.method} {request.target}")
-        await trio.sleep(0.004)
+        await trio.sleep(self.faults.latency)
         if self.faults.silent:
             await trio.sleep_forever()
         if self.faults.refusal:
@@ -174,7 +183,11 @@
 
     async def _watch(self, query: dict[str, str]) -> HttpReply:
         prefix, after = query["pathPrefix"], int(query["after"])
-        with trio.move_on_after(int(query["waitMs"]) / 1000) as scope:
+        wait_ms = int(query["waitMs"])
+        if wait_ms <= SHORT_WAIT_MS and self.faults.lose_checks:
+            self.faults.lose_checks -= 1
+            await trio.sleep_forever()
+        with trio.move_on_after(wait_ms / 1000) as scope:
             while True:
                 if after < self._compacted:
                     return HttpReply(410)
@@ -188,6 +201,11 @@
                         self.faults.lose_watches -= 1
                         scope.deadline = float("inf")
                         await trio.sleep_forever()
+                    if wait_ms > SHORT_WAIT_MS and (
+                        prefix in self.faults.lose_long_watches
+                    ):
+                        scope.deadline = float("inf")
+                        await trio.sleep_forever()
                     return reply_json(self._limit_events(events))
                 changed = self._changed
                 await changed.wait()
--- a/walkcart/store/follower.py
+++ b/walkcart/store/follower.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 
 import trio
@@ -22,7 +23,7 @@
 from walkcart.kernel.events import Events
 from walkcart.store.backoff import Backoff
 from walkcart.store.calls import StoreCalls, StoreUnavailable
-from walkcart.store.freshness import CopyFreshness
+from walkcart.store.freshness import CopyFreshness, is_full
 from walkcart.store.items import (
     Change,
     Changes,
@@ -44,8 +45,6 @@
 MIN_WATCH_TIME = 1.0
 #: Time that a check of a watch waits; the store replies at once to what is missing.
 CHECK_WAIT = timedelta(milliseconds=1)
-#: Seconds in which a waiting watch must bring the changes that its check has shown.
-CHECK_GRACE = 0.2
 #: Watches in a row whose replies may have been cut off and that follow each other at
 #: once; after them a pause follows each. In the largest fleet about 20 catch up.
 MAX_FULL_WATCHES = 100
@@ -74,6 +73,21 @@
 MAX_LOGGED_PAGES = 20
 
 
+@dataclass(frozen=True, slots=True)
+class WatchCheck:
+    """What a check of a waiting watch has shown.
+
+    Args:
+        started_at: time at which the check began, in seconds.
+        is_complete: whether the copy was complete then, or is now.
+        missed: whether the watch should have brought something.
+    """
+
+    started_at: float
+    is_complete: bool
+    missed: bool
+
+
 class PrefixFollower(PrefixCopy):
     """Keeps a copy of all items under a prefix up to date.
 
@@ -187,31 +201,45 @@
         self._freshness.record_complete(complete_at)
         return True
 
-    async def check_watch(self) -> bool:
+    async def check_watch(self) -> WatchCheck:
         """Ask the store for changes that the waiting watch should have brought.
 
-        A watch that doesn't bring them is made anew.
-
-        Returns:
-            Whether the store has no further changes.
+        They are applied, as the reply to a new watch may be lost as well.
 
         Raises:
             StoreUnavailable: the store didn't reply.
         """
-        started_at, revision = self._clock.monotonic(), self.revision
-        result = await self._store.watch(self.prefix, revision, CHECK_WAIT)
-        await self._confirm(result)
-        if isinstance(result, Changes) and not result.changes:
-            self._told_change = 0
-            self.record_current(result.revision, started_at)
-            return True
-        await trio.sleep(CHECK_GRACE)
-        if self.revision == revision and self.is_waiting:
+        started_at, told_change = self._clock.monotonic(), self._told_change
+        missed = False
+        for _ in range(MAX_FULL_WATCHES):
+            asked_at = self._clock.monotonic()
+            result = await self._store.watch(self.prefix, self.revision, CHECK_WAIT)
+            await self._confirm(result)
+            if self._fed:
+                break
+            match result:
+                case HistoryLost():
+                    self._record_history_lost()
+                    return WatchCheck(started_at, False, True)
+                case Changes(changes, revision):
+                    missed = missed or bool(changes)
+                    if is_full(changes):
+                        self._apply_new(changes, revision)
+                        continue
+                    self._freshness.record_complete(asked_at)
+                    self._apply_new(changes, revision)
+            if self._told_change == told_change:
+                self._told_change = 0
+            return WatchCheck(started_at, True, missed)
+        return WatchCheck(started_at, False, missed)
+
+    def restart_silent_watch(self, check: WatchCheck) -> None:
+        """Make a watch anew that waits since before a check that showed changes."""
+        if self._freshness.is_waiting_since(check.started_at):
             self._events.emit(
-                Events.STORE_WATCH_SILENT, prefix=self.prefix, revision=revision
+                Events.STORE_WATCH_SILENT, prefix=self.prefix, revision=self.revision
             )
             self.restart_watch()
-        return False
 
     def restart_watch(self) -> None:
         """Cancel and repeat the current watch: its connection may have gone silent.
@@ -264,7 +292,7 @@
             await self._confirm(result)
             if isinstance(result, Changes) and result.revision < watched_from:
                 await self._check_revision(watched_from)
-            is_stuck = self._is_stuck(result, waited)
+            is_stuck = self._is_stuck(result, waited, watched_from)
             await self._process_result(result)
             if is_stuck:
                 await trio.sleep(self._backoff.next_delay().total_seconds())
@@ -283,7 +311,9 @@
             with trio.move_on_after(FEED_WAIT.total_seconds()):
                 await self._watch_requested.wait()
 
-    def _is_stuck(self, result: Changes | HistoryLost, waited: float) -> bool:
+    def _is_stuck(
+        self, result: Changes | HistoryLost, waited: float, watched_from: int
+    ) -> bool:
         """Return whether a watch brought nothing new, so that the next one may neither.
 
         Without a pause a store that answers at once would be called all the time.
@@ -291,6 +321,7 @@
         Args:
             result: the result of the watch.
             waited: how long the watch took, in seconds.
+            watched_from: revision from which it watched.
         """
         match result:
             case HistoryLost():
@@ -298,7 +329,7 @@
                 return was_lost
             case Changes(changes):
                 self._was_history_lost = False
-                is_new = any(change.revision > self.revision for change in changes)
+                is_new = any(change.revision > watched_from for change in changes)
                 return not is_new and waited < MIN_WATCH_TIME
 
     def _is_behind(self) -> bool:
@@ -377,16 +408,11 @@
     async def _process_result(self, result: Changes | HistoryLost) -> None:
         match result:
             case HistoryLost():
-                self._events.emit(
-                    Events.STORE_HISTORY_LOST,
-                    prefix=self.prefix,
-                    revision=self.revision,
-                )
-                self._needs_read = True
+                self._record_history_lost()
             case Changes(changes, revision):
                 is_complete = self._freshness.record_changes(changes)
                 pause = self._pause.total_seconds()
-                if not self.apply(changes, revision):
+                if not self._apply_new(changes, revision):
                     pause *= IDLE_PAUSE_FACTOR
                 if is_complete:
                     self.on_current()
@@ -397,6 +423,21 @@
                 if is_complete:
                     self._full_watches = 0
 
+    def _apply_new(self, changes: Iterable[Change], revision: int) -> bool:
+        """Apply the changes that are later than the copy.
+
+        A watch and its check may bring the same ones, and their replies may arrive in
+        any order: what one of them has removed must not come back by the other.
+        """
+        new = [change for change in changes if change.revision > self.revision]
+        return self.apply(new, revision)
+
+    def _record_history_lost(self) -> None:
+        self._events.emit(
+            Events.STORE_HISTORY_LOST, prefix=self.prefix, revision=self.revision
+        )
+        self._needs_read = True
+
     def _is_endless(self, revision: int) -> bool:
         """Count a watch that may have been cut off; return whether there are too many.
 
--- a/walkcart/store/freshness.py
+++ b/walkcart/store/freshness.py
@@ -55,6 +55,10 @@
         """Latest time at which a reply showed that the copy was complete."""
         return self._complete_at
 
+    def is_waiting_since(self, time: float) -> bool:
+        """Return whether the present watch has waited since a time or longer."""
+        return self.waiting and self._watch_started_at <= time
+
     def find_complete_time(self) -> float:
         """Return the latest time at which the copy is known to have been complete."""
         if not self.waiting:
