A copy counts as complete as of what a reply shows, not of its arrival

Cause: while a watch waits, a copy counted as complete at the arrival of any reply of the store. What was changed while that reply was on its way can't be known then. On machines whose incoming traffic lags by 0.4 s feeders vouched for a copy that lacked a change acknowledged 0.6 s before.

The new case of test_freshness.py fails before.

Fix: a reply counts as of the start of its call, or, where the store may hold the call, as of one round trip before its arrival.

--- a/walkcart/platform/store.py
+++ b/walkcart/platform/store.py
@@ -216,12 +216,13 @@
     async def _call(
         self, request: HttpRequest, wait: timedelta = timedelta()
     ) -> HttpReply:
+        started_at = self._calls.read_clock()
         reply = await self._calls.call(request, wait)
         if reply.status in _NOT_EXECUTED:
             raise self._calls.record_failure(f"status {reply.status}", False)
         if reply.status >= 500:
             raise self._calls.record_failure(f"status {reply.status}", True)
-        self._calls.record_success()
+        self._calls.record_success(started_at, wait)
         return reply
 
     def _decode_success(self, reply: HttpReply, decoder: JsonDecoder[T]) -> T:
--- a/walkcart/platform/tests/test_store_replies.py
+++ b/walkcart/platform/tests/test_store_replies.py
@@ -46,7 +46,10 @@
     def record_failure(self, detail, uncertain):
         return StoreUnavailable(uncertain, detail)
 
-    def record_success(self):
+    def read_clock(self):
+        return 0.0
+
+    def record_success(self, started_at, wait):
         pass
 
 
--- a/walkcart/store/calls.py
+++ b/walkcart/store/calls.py
@@ -94,6 +94,11 @@
         self.reachable = True
         #: Time at which a call was last served; at first the start.
         self.last_success = clock.monotonic()
+        #: Time up to which the latest reply shows what the service holds: later changes
+        #: may still have been on their way when it arrived.
+        self.last_shown = self.last_success
+        #: Seconds that the latest call took which the service couldn't hold.
+        self._round_trip = 0.0
         self._returned_at = self.last_success
         self._unreachable_since = self.last_success
         self._recovery_listeners: list[Callable[[], None]] = []
@@ -216,9 +221,22 @@
                 listener()
         return StoreUnavailable(uncertain, detail)
 
-    def record_success(self) -> None:
-        """Record that the service served a call."""
+    def read_clock(self) -> float:
+        """Return the present time, in seconds."""
+        return self._clock.monotonic()
+
+    def record_success(self, started_at: float, wait: timedelta) -> None:
+        """Record that the service served a call.
+
+        Args:
+            started_at: time at which the call was started.
+            wait: time that the service could hold the call.
+        """
         now = self._clock.monotonic()
+        if not wait:
+            self._round_trip = now - started_at
+        shown_at = max(started_at, now - self._round_trip)
+        self.last_shown = max(self.last_shown, shown_at)
         previous, self.last_success = self.last_success, now
         if not self.reachable:
             self._events.emit(Events.STORE_BACK)
--- a/walkcart/store/client.py
+++ b/walkcart/store/client.py
@@ -132,10 +132,11 @@
     async def _call(
         self, request: HttpRequest, wait: timedelta = timedelta()
     ) -> HttpReply:
+        started_at = self._calls.read_clock()
         reply = await self._calls.call(request, wait)
         if reply.status >= 500:
             raise self._calls.record_failure(f"status {reply.status}", True)
-        self._calls.record_success()
+        self._calls.record_success(started_at, wait)
         return reply
 
     def _read_entry(self, reply: HttpReply) -> Entry:
--- a/walkcart/store/freshness.py
+++ b/walkcart/store/freshness.py
@@ -71,7 +71,7 @@
             return self._complete_at
         if served_at <= self._find_min_call_time():
             return self._complete_at
-        return max(self._complete_at, served_at)
+        return max(self._complete_at, self._calls.last_shown)
 
     def _find_min_call_time(self) -> float:
         """Return the time after which a served call proves that the copy is complete.
--- a/walkcart/store/tests/test_freshness.py
+++ b/walkcart/store/tests/test_freshness.py
@@ -19,13 +19,13 @@
 
 def make_freshness():
     clock = ManualClock()
-    calls = SimpleNamespace(last_success=clock.time)
+    calls = SimpleNamespace(last_success=clock.time, last_shown=clock.time)
     return CopyFreshness(calls, clock), clock, calls
 
 
 def serve_call_after(clock, calls, seconds):
     clock.time += seconds
-    calls.last_success = clock.time
+    calls.last_success = calls.last_shown = clock.time
 
 
 def test_copy_is_complete_at_a_call_served_during_the_pause():
@@ -37,6 +37,16 @@
         assert freshness.find_complete_time() == calls.last_success
 
 
+def test_copy_is_complete_up_to_what_a_late_reply_shows():
+    # Guards against feeders that vouch for changes that are still on their way.
+    freshness, clock, calls = make_freshness()
+    freshness.record_changes(FEW)
+    with freshness.watch():
+        serve_call_after(clock, calls, 0.7)
+        calls.last_shown -= 0.4
+        assert freshness.find_complete_time() == calls.last_shown
+
+
 def test_call_served_before_a_watch_resumes_proves_nothing():
     freshness, clock, calls = make_freshness()
     freshness.record_changes(FEW)
