Short chunks of a body are read together

Callers: a leaf whose reply is an endless row of chunks of two bytes costs the instance seconds of processor time.

Cause: each chunk was an event of h11, which costs more than the reading of a short chunk, and 32,768 are read until the bound on pieces, six times in a row as the leaf is asked again.

Fix: up to 256 chunks become one event. h11's own reader still reads each of them; the bound on pieces counts them as before.

--- a/walkcart/wire/bodies.py
+++ b/walkcart/wire/bodies.py
@@ -153,23 +153,27 @@
         # Not a list of pieces: a short one takes many times its length in memory.
         self._data = bytearray()
 
-    async def append(self, piece: bytes) -> None:
-        """Add a piece.
+    async def append(self, data: bytes, pieces: int = 0) -> None:
+        """Add some data.
 
         Other tasks get their turn now and then, however many pieces one read brought.
 
+        Args:
+            data: the data, of one piece or several.
+            pieces: number of pieces so far, with those of the data; 0 if it is one.
+
         Raises:
             BodyTooLong: the body is longer than allowed, or in too many pieces.
             NoMemory: the budget has no memory for it.
         """
-        self._pieces += 1
-        size = len(self._data) + len(piece)
+        before, self._pieces = self._pieces, pieces or self._pieces + 1
+        size = len(self._data) + len(data)
         if size > self._limit or self._pieces > MAX_PIECES:
             raise BodyTooLong
         if size > SMALL_BODY and self.share and not self.share.try_grow_to(size):
             raise NoMemory
-        self._data += piece
-        if self._pieces % PIECES_PER_TURN == 0:
+        self._data += data
+        if self._pieces // PIECES_PER_TURN > before // PIECES_PER_TURN:
             await trio.lowlevel.checkpoint()
 
     def record_head(self, size: int) -> None:
--- a/walkcart/wire/http.py
+++ b/walkcart/wire/http.py
@@ -24,10 +24,12 @@
     NoMemory,
     join_parts,
 )
+from walkcart.wire.joinedchunks import count_pieces, use_joined_chunks
 from walkcart.wire.linearheaders import use_linear_header_pattern
 from walkcart.wire.network import is_quiet
 
 use_linear_header_pattern()
+use_joined_chunks()
 
 #: Largest number of bytes that are read from a stream at once.
 RECEIVE_SIZE = 65536
@@ -241,7 +243,7 @@
             elif type(event) is h11.Response:
                 head = event
             elif type(event) is h11.Data:
-                await body.append(event.data)
+                await body.append(event.data, count_pieces(self._h11))
             elif type(event) is h11.EndOfMessage:
                 break
             elif type(event) is h11.ConnectionClosed:
--- a/walkcart/wire/serverconnection.py
+++ b/walkcart/wire/serverconnection.py
@@ -29,6 +29,7 @@
     HttpReply,
     HttpRequest,
 )
+from walkcart.wire.joinedchunks import count_pieces
 
 #: Statuses whose replies have neither a body nor a length (RFC 9110, 15.3.5, 15.4.5).
 _BODYLESS_STATUSES = frozenset({204, 304})
@@ -160,7 +161,7 @@
                 if has_ambiguous_end(head.headers):
                     raise BadRequest(Fault.MALFORMED)
             elif type(event) is h11.Data:
-                await body.append(event.data)
+                await body.append(event.data, count_pieces(self.http))
             elif type(event) is h11.EndOfMessage:
                 break
             else:
