--- a/walkcart/platform/tests/test_bad_stored_values.py
+++ b/walkcart/platform/tests/test_bad_stored_values.py
@@ -188,6 +188,7 @@
 
 
 def test_unreadable_leaf_entries_end_no_process(tmp_path):
+    # Guards against one entry that ends the processes of all instances at once.
     async def action(fleet):
         await fleet.start()
         for name, value in BAD_ENTRIES.items():
@@ -201,6 +202,7 @@
 
 
 def test_unreadable_leaf_entries_stop_no_start(tmp_path):
+    # Guards against one entry that ends every new process at its first read.
     async def action(fleet):
         stored = {f"servers/{name}": value for name, value in BAD_ENTRIES.items()}
         await fleet.start(stored)
@@ -217,6 +219,7 @@
 
 
 def test_leaf_entries_with_extreme_figures_end_no_process(tmp_path):
+    # Guards against figures of an entry that no clock holds and that end a process.
     async def action(fleet):
         await fleet.start({f"servers/{id}": ODD_ENTRIES[id] for id in ODD_ENTRIES})
         for id, value in ODD_ENTRIES.items():
@@ -240,6 +243,7 @@
 
 
 def test_unreadable_configurations_end_no_process(tmp_path):
+    # Guards against a document that ends the processes in place of being rejected.
     async def action(fleet):
         await fleet.start()
         for number, value in enumerate(BAD_CONFIGURATIONS.values(), 1):
@@ -251,6 +255,7 @@
 
 
 def test_unreadable_configuration_stops_no_start(tmp_path):
+    # Guards against a document that ends every new process until it is replaced.
     async def action(fleet):
         await fleet.start(configuration=DEEP)
         await fleet.check_unharmed()
@@ -283,6 +288,7 @@
 
 
 def test_configurations_with_extreme_figures_end_no_process(tmp_path):
+    # Guards against figures of a document that end a process once they are used.
     async def action(fleet):
         await fleet.start()
         fleet.world.store.put("servers/cold", make_entry(warmupLeftMs=60_000))
@@ -308,6 +314,7 @@
 
 
 def test_unreadable_shared_keys_end_no_process(tmp_path):
+    # Guards against keys of the instances that end the process of their reader.
     async def action(fleet):
         await fleet.start(BAD_SHARED)
         for key in BAD_SHARED:
@@ -334,6 +341,7 @@
 
 
 def test_records_of_instances_with_extreme_figures_end_no_process(tmp_path):
+    # Guards against records of instances that end the others.
     async def action(fleet):
         records = {
             f"walkcart/instances/{name}": msgspec.json.encode(
--- a/walkcart/platform/tests/test_cut_watches.py
+++ b/walkcart/platform/tests/test_cut_watches.py
@@ -19,6 +19,7 @@
 
 
 def test_cut_watches_do_not_keep_a_leaf_whose_entry_is_gone():
+    # Guards against each cut of a watch that counts as the store's return.
     async def run():
         async with open_platform() as world:
             for number in range(2):
--- a/walkcart/platform/tests/test_lost_watch_replies.py
+++ b/walkcart/platform/tests/test_lost_watch_replies.py
@@ -50,6 +50,7 @@
     ("count", "lost"), [(1, 1), (3, 1), (3, 3), (7, 7), (15, 1), (15, 12)]
 )
 def test_change_is_in_force_in_time_after_lost_replies(count, lost, phase):
+    # Guards against a lost reply that isn't noticed until the watch would have ended.
     delay, left, lines = change_with_lost_replies(count, lost, phase)
     assert left == 0
     assert delay < MAX_CHANGE_DELAY
@@ -57,6 +58,7 @@
 
 
 def test_leaf_that_leaves_is_known_after_lost_replies():
+    # Guards against the same for the entries of leaves.
     async def run():
         async with open_platform() as world:
             await start_fleet(world, 3)
@@ -89,11 +91,13 @@
 
 
 def test_checks_of_watches_do_not_grow_with_the_fleet():
+    # Guards against a call of each instance where one serves all.
     assert measure_calm_cost(1) <= 1.5
     assert measure_calm_cost(12) <= measure_calm_cost(1) + 12 * 0.25
 
 
 def test_calm_fleet_has_no_silent_watches():
+    # Guards against checks that take watches for silent which work.
     async def run():
         async with open_platform() as world:
             await start_fleet(world, 7)
