Long entries of other writers keep no instance from its leafs

Callers: other programs store 20 entries of 1 MB under servers/. Instances that start then know no leaf and answer 503 for as long as these are there.

Cause: a reading of a prefix holds at most 16 MB and is rejected as a whole beyond that, whoever stored the values.

Fix: a copy keeps no value above a limit that its owner sets, 64 KB for entries of leafs. A longer one counts as empty, so that it is logged as unreadable and left out. Whether a reply of the store may be cut off is still found from the values as they came.

--- a/walkcart/daemon/tenantstore.py
+++ b/walkcart/daemon/tenantstore.py
@@ -66,6 +66,9 @@
 #: Liveness reports of a leaf that an outage of the store must cover for its entry to
 #: lapse. An entry outlives two missed reports; reports are not quite regular.
 LAPSE_REPORTS = 1.5
+#: Largest entry of a leaf, in bytes; a leaf's own has some hundred. Other programs may
+#: store longer ones, as many as they like.
+MAX_ENTRY_BYTES = 65536
 #: Pause after a change of leaves' entries. It batches the changes of many leaves that
 #: start together; a change may take three seconds to be in force. The pause must be
 #: below 1.3 s: instances that are fed from this copy switch to another feeder when it
@@ -210,6 +213,7 @@
         LEAF_UPDATE_PAUSE,
         leaf_entry_differs,
         fresh_first_read=False,
+        max_value=MAX_ENTRY_BYTES,
     )
     pool = make_pool(kernel, settings, environment, directory, cold)
     kernel.add("directory", directory)
--- a/walkcart/platform/tests/storestandin.py
+++ b/walkcart/platform/tests/storestandin.py
@@ -16,6 +16,8 @@
 
 #: Maximum number of items of a page; small, so that tests read several pages.
 PAGE_SIZE = 50
+#: Maximum size of the encoded values of a page, in bytes, but for its first one.
+MAX_PAGE_BYTES = 1 << 20
 #: Maximum size of the encoded values that one watch returns, in bytes; the next watch
 #: returns the rest. The platform's store does so too: a watch from an old revision
 #: doesn't return the newest changes.
@@ -158,8 +160,14 @@
             if key.startswith(prefix) and key > after and row.revision <= limit
         )
         items = [self._describe(key) for key in keys[:PAGE_SIZE]]
+        size = 0
+        for number, item in enumerate(items):
+            size += len(item["value"])
+            if number and size > MAX_PAGE_BYTES:
+                items = items[:number]
+                break
         return reply_json(
-            {"items": items, "truncated": len(keys) > PAGE_SIZE, "asOf": self.revision}
+            {"items": items, "truncated": len(keys) > len(items), "asOf": self.revision}
         )
 
     def _range_at(self, revision: int, prefix: str, after: str) -> HttpReply:
--- a/walkcart/store/follower.py
+++ b/walkcart/store/follower.py
@@ -30,9 +30,10 @@
     HistoryLost,
     Item,
     SharedStore,
+    empty_long_values,
 )
 from walkcart.store.prefixcopy import DifferenceTest, PrefixCopy, differ
-from walkcart.store.reading import read_prefix
+from walkcart.store.reading import MAX_BYTES, Reading, read_prefix
 from walkcart.store.revisions import confirm_revision
 from walkcart.store.updates import Origin, UpdateListener
 
@@ -109,6 +110,8 @@
         fresh_first_read: whether the first read must be of the newest state. A read
             that may be seconds old costs a tenth, and the first watch or feed brings
             the rest.
+        max_value: largest number of bytes of a value that is kept; a longer one counts
+            as empty, so that it costs no more than its own item.
     """
 
     def __init__(
@@ -124,6 +127,7 @@
         is_significant: DifferenceTest = differ,
         reread_after: timedelta | None = None,
         fresh_first_read: bool = True,
+        max_value: int = MAX_BYTES,
     ) -> None:
         super().__init__(prefix, listener, is_significant)
         self._store = store
@@ -134,6 +138,7 @@
         self._pause = pause
         self._reread_after = reread_after
         self._fresh_first_read = fresh_first_read
+        self._max_value = max_value
         self._needs_read = True
         self._was_history_lost = False
         self._full_watches = 0
@@ -370,7 +375,7 @@
         Such a revision comes from a wrong reply. A watch from it would bring no changes
         until the store reaches it.
         """
-        reading = await read_prefix(self._store, self.prefix, fresh=True)
+        reading = await self._read(fresh=True)
         if reading.revision >= revision or self.revision != revision:
             return
         self._events.emit(
@@ -380,10 +385,13 @@
         self._told_change = 0
         self.start_anew(reading.items, reading.revision)
 
+    async def _read(self, fresh: bool) -> Reading:
+        return await read_prefix(self._store, self.prefix, fresh, self._max_value)
+
     async def _read_all(self, fresh: bool) -> None:
         """Read everything and replace the copy with it."""
         started_at = self._clock.monotonic()
-        reading = await read_prefix(self._store, self.prefix, fresh)
+        reading = await self._read(fresh)
         await self._confirm_revisions(max(reading.pages), reading.items.values())
         self._events.emit(
             Events.STORE_READ,
@@ -435,7 +443,7 @@
         any order: what one of them has removed must not come back by the other.
         """
         new = [change for change in changes if change.revision > self.revision]
-        return self.apply(new, revision)
+        return self.apply(empty_long_values(new, self._max_value), revision)
 
     def _record_history_lost(self) -> None:
         self._events.emit(
--- a/walkcart/store/items.py
+++ b/walkcart/store/items.py
@@ -9,9 +9,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
 from datetime import timedelta
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from walkcart.store.calls import StoreUnavailable
 
@@ -48,6 +49,17 @@
 
 
 Change = Item | Removal
+ChangeT = TypeVar("ChangeT", bound=Item | Removal)
+
+
+def empty_long_values(changes: Iterable[ChangeT], limit: int) -> list[ChangeT]:
+    """Return changes with empty values in place of those of over `limit` bytes."""
+    return [
+        replace(change, value=b"")
+        if isinstance(change, Item) and len(change.value) > limit
+        else change
+        for change in changes
+    ]
 
 
 @dataclass(frozen=True, slots=True)
--- a/walkcart/store/reading.py
+++ b/walkcart/store/reading.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from walkcart.store.items import Item, Page, SharedStore
+from walkcart.store.items import Item, Page, SharedStore, empty_long_values
 
 #: Pages of one reading that are read at once. The largest fleet, of 4,000 leaves, has
 #: ten; between further ones there is a pause, in seconds.
@@ -34,7 +34,9 @@
     pages: tuple[int, ...]
 
 
-async def read_prefix(store: SharedStore, prefix: str, fresh: bool) -> Reading:
+async def read_prefix(
+    store: SharedStore, prefix: str, fresh: bool, max_value: int = MAX_BYTES
+) -> Reading:
     """Read every page of a prefix.
 
     The pages are no snapshot: each shows its part of the keys at another revision, so a
@@ -46,6 +48,7 @@
         store: the store to read from.
         prefix: the prefix of the keys.
         fresh: whether the newest state is read; otherwise it may be seconds old.
+        max_value: largest number of bytes of a value that is kept.
 
     Raises:
         StoreUnavailable: a page couldn't be read, or there are too many.
@@ -57,14 +60,15 @@
     while True:
         page = await store.list_items(prefix, after, fresh)
         revisions.append(page.revision if fresh else _find_latest(page))
-        found.update((item.key, item) for item in page.items)
+        items = empty_long_values(page.items, max_value)
+        found.update((item.key, item) for item in items)
         if page.last or not page.items:
             return Reading(found, min(revisions), tuple(revisions))
         after = page.items[-1].key
-        size += sum(len(item.key) + len(item.value) for item in page.items)
-        pages, items = len(revisions), len(found)
-        if pages >= MAX_PAGES or items > MAX_ITEMS or size > MAX_BYTES:
-            detail = f"{pages} pages of {prefix!r} with {items} items are not all"
+        size += sum(len(item.key) + len(item.value) for item in items)
+        pages, count = len(revisions), len(found)
+        if pages >= MAX_PAGES or count > MAX_ITEMS or size > MAX_BYTES:
+            detail = f"{pages} pages of {prefix!r} with {count} items are not all"
             raise store.reject_reply(detail)
         if pages >= MAX_QUICK_PAGES:
             await trio.sleep(PAGE_PAUSE)
