--- a/walkcart/wire/tests/test_cut_messages.py
+++ b/walkcart/wire/tests/test_cut_messages.py
@@ -12,7 +12,7 @@
 from walkcart.wire.serverconnection import ServerLimits
 
 BODY = b"r" * 20
-STAMP = b"x-id: b\r\nx-response-stamp: s\r\n"
+STAMP = b"x-id: b\r\nx-mark: s\r\n"
 HEAD = b"HTTP/1.1 200 OK\r\n" + STAMP
 LENGTH = HEAD + b"content-length: 20\r\n\r\n" + BODY
 UNTIL_CLOSE = HEAD + b"\r\n"
@@ -147,7 +147,7 @@
 @pytest.mark.parametrize("body", [b"", BODY])
 def test_own_reply_that_is_cut_at_any_byte_is_no_reply(status, body, close):
     # Guards against replies to callers that seem whole though the instance stopped.
-    headers = ((b"x-id", b"b"), (b"x-response-stamp", b"s"))
+    headers = ((b"x-id", b"b"), (b"x-mark", b"s"))
     data = write_reply(HttpReply(status, headers, body), "GET", close)
     for end in range(len(data)):
         for reset in (False, True):
